--- /dev/null
+++ b/internal/platform/membership/view_test.go
@@ -0,0 +1,67 @@
+package membership_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+type lists struct {
+	next membership.Snapshot
+	err  error
+}
+
+func (l *lists) List(context.Context) (membership.Snapshot, error) { return l.next, l.err }
+
+var _ = Describe("View", func() {
+	var (
+		source *lists
+		clock  *clockwork.FakeClock
+		view   *membership.View
+	)
+
+	BeforeEach(func() {
+		source = &lists{next: membership.Snapshot{Revision: 5}}
+		clock = clockwork.NewFakeClock()
+		view = membership.NewView(source, clock)
+	})
+
+	expectLatest := func(revision uint64, age time.Duration) {
+		GinkgoHelper()
+		snapshot, measured, ok := view.Latest()
+		Expect(ok).To(BeTrue())
+		Expect(snapshot.Revision).To(Equal(revision))
+		Expect(measured).To(Equal(age))
+	}
+
+	It("reports that nothing was read yet", func(ctx SpecContext) {
+		source.err = membership.ErrUnavailable
+		_, err := view.Refresh(ctx)
+		Expect(err).To(MatchError(membership.ErrUnavailable))
+		_, _, ok := view.Latest()
+		Expect(ok).To(BeFalse())
+	})
+
+	It("keeps the last list with its age while the service is down", func(ctx SpecContext) {
+		Expect(view.Refresh(ctx)).To(Equal(source.next))
+		source.err = membership.ErrUnavailable
+		clock.Advance(time.Minute)
+		_, err := view.Refresh(ctx)
+		Expect(err).To(HaveOccurred())
+		expectLatest(5, time.Minute)
+	})
+
+	It("drops a lower revision", func(ctx SpecContext) {
+		Expect(view.Refresh(ctx)).To(Equal(source.next))
+		source.next.Revision = 4
+		clock.Advance(time.Second)
+		Expect(view.Refresh(ctx)).To(HaveField("Revision", uint64(5)))
+		expectLatest(5, time.Second)
+		Expect(view.Older()).To(Equal(uint64(1)))
+	})
+})
--- /dev/null
+++ b/internal/platform/object/client.go
@@ -0,0 +1,92 @@
+package object
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/protocol"
+)
+
+// PathPrefix precedes the key in the path of an object.
+const PathPrefix = "/objects/"
+
+// Limits of the object store, in bytes.
+const (
+	MaxKey     = 1024
+	MaxContent = 64 << 20
+)
+
+// Client is a Store that calls the object store over HTTP. A call is bounded by
+// its context and by Timeout, whichever ends first.
+type Client struct {
+	// Address is the host:port of the platform.
+	Address string
+	// HTTP sends the requests; nil stands for http.DefaultClient.
+	HTTP *http.Client
+	// Timeout bounds each call; 0 stands for protocol.DefaultTimeout. Large objects
+	// over the region link need more.
+	Timeout time.Duration
+}
+
+// Get returns the content of an object. It fails with ErrNotFound,
+// ErrUnavailable or ErrInvalid.
+func (c Client) Get(ctx context.Context, key Key) ([]byte, error) {
+	return c.call(ctx, http.MethodGet, key, nil)
+}
+
+// Put writes an object. It fails with ErrInvalid, or with ErrUnavailable, after
+// which either content may be in place and Put may be repeated.
+func (c Client) Put(ctx context.Context, key Key, content []byte) error {
+	if len(content) > MaxContent {
+		return fmt.Errorf("%w: %d bytes, want at most %d", ErrInvalid, len(content), MaxContent)
+	}
+	_, err := c.call(ctx, http.MethodPut, key, content)
+	return err
+}
+
+// Delete removes an object. It fails with ErrInvalid, or with ErrUnavailable,
+// after which Delete may be repeated.
+func (c Client) Delete(ctx context.Context, key Key) error {
+	_, err := c.call(ctx, http.MethodDelete, key, nil)
+	return err
+}
+
+// Validate fails with ErrInvalid unless the object store accepts the key.
+func (k Key) Validate() error {
+	if k == "" || len(k) > MaxKey {
+		return fmt.Errorf("%w: key of %d bytes, want 1 to %d", ErrInvalid, len(k), MaxKey)
+	}
+	return nil
+}
+
+func (c Client) call(ctx context.Context, method string, key Key, content []byte) ([]byte, error) {
+	if err := key.Validate(); err != nil {
+		return nil, err
+	}
+	endpoint := protocol.Endpoint{Address: c.Address, HTTP: c.HTTP, Timeout: c.Timeout}
+	body, err := endpoint.Call(ctx, protocol.Request{
+		Method:    method,
+		Path:      PathPrefix + string(key),
+		Body:      content,
+		MaxAnswer: MaxContent,
+	})
+	if err != nil {
+		return nil, classify(err)
+	}
+	return body, nil
+}
+
+func classify(err error) error {
+	var refusal *protocol.Refusal
+	class := ErrUnavailable
+	switch {
+	case errors.As(err, &refusal) && refusal.Reason == protocol.NotFound:
+		class = ErrNotFound
+	case errors.As(err, &refusal) && refusal.Reason == protocol.Invalid:
+		class = ErrInvalid
+	}
+	return fmt.Errorf("%w: %w", class, err)
+}
--- a/internal/platform/object/object.go
+++ b/internal/platform/object/object.go
@@ -12,6 +12,8 @@
 	ErrNotFound = errors.New("object: not found")
 	// ErrUnavailable reports that the service refused or could not be reached.
 	ErrUnavailable = errors.New("object: service unavailable")
+	// ErrInvalid reports a malformed key or too large content. Nothing was written.
+	ErrInvalid = errors.New("object: invalid request")
 )
 
 // Key names an object.
--- /dev/null
+++ b/internal/platform/table/limits.go
@@ -0,0 +1,68 @@
+package table
+
+import "fmt"
+
+// Limits of the table service.
+const (
+	// MaxRows bounds the keys of a read, the rows of a scan's page, and the
+	// conditions and the writes of a transaction.
+	MaxRows = 10_000
+	// MaxKey is the longest key or transaction id in bytes.
+	MaxKey = 1024
+	// MaxValue is the largest value in bytes. It has room for the largest manifest.
+	MaxValue = 8 << 20
+)
+
+// Validate fails with ErrInvalid unless the table service accepts the shape of
+// the transaction.
+func (tx Transaction) Validate() error {
+	if tx.ID == "" || len(tx.ID) > MaxKey {
+		return fmt.Errorf("%w: transaction id of %d bytes, want 1 to %d", ErrInvalid, len(tx.ID), MaxKey)
+	}
+	if len(tx.Conditions) > MaxRows || len(tx.Writes) > MaxRows {
+		return fmt.Errorf("%w: %d conditions and %d writes, want at most %d of each",
+			ErrInvalid, len(tx.Conditions), len(tx.Writes), MaxRows)
+	}
+	for _, condition := range tx.Conditions {
+		if err := condition.Key.validate(); err != nil {
+			return err
+		}
+	}
+	return validateWrites(tx.Writes)
+}
+
+func validateWrites(writes []Write) error {
+	seen := make(map[Key]bool, len(writes))
+	for _, write := range writes {
+		if err := write.Key.validate(); err != nil {
+			return err
+		}
+		if seen[write.Key] {
+			return fmt.Errorf("%w: two writes of the row %q", ErrInvalid, write.Key)
+		}
+		seen[write.Key] = true
+		if len(write.Value) > MaxValue {
+			return fmt.Errorf("%w: %d bytes in the row %q, want at most %d", ErrInvalid, len(write.Value), write.Key, MaxValue)
+		}
+	}
+	return nil
+}
+
+func (k Key) validate() error {
+	if k == "" || len(k) > MaxKey {
+		return fmt.Errorf("%w: key of %d bytes, want 1 to %d", ErrInvalid, len(k), MaxKey)
+	}
+	return nil
+}
+
+func validateKeys(keys []Key) error {
+	if len(keys) > MaxRows {
+		return fmt.Errorf("%w: read of %d rows, want at most %d", ErrInvalid, len(keys), MaxRows)
+	}
+	for _, key := range keys {
+		if err := key.validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/platform/table/table.go
+++ b/internal/platform/table/table.go
@@ -14,6 +14,9 @@
 	ErrUnavailable = errors.New("table: service unavailable")
 	// ErrOutcomeUnknown reports that a commit may or may not have taken effect.
 	ErrOutcomeUnknown = errors.New("table: outcome of the commit is unknown")
+	// ErrInvalid reports a malformed or too large request. Nothing was written, and
+	// sending the request again can't help.
+	ErrInvalid = errors.New("table: invalid request")
 )
 
 // Key names a row.
