--- a/internal/platform/protocol/protocol.go
+++ b/internal/platform/protocol/protocol.go
@@ -155,7 +155,8 @@
 }
 
 // Exchange sends message as JSON and decodes the answer. A nil message sends no
-// body. It fails like Call; an answer that can't be decoded is a *Failure.
+// body. It fails like Call; an answer that can't be decoded is a *Failure, and a
+// message above MaxMessage is refused as Invalid before it is sent.
 func Exchange[Answer any](ctx context.Context, e Endpoint, method, path string, message any) (Answer, error) {
 	var answer Answer
 	request := Request{Method: method, Path: path}
@@ -164,6 +165,9 @@
 		if err != nil {
 			return answer, &Failure{Err: err}
 		}
+		if len(body) > MaxMessage {
+			return answer, &Refusal{Reason: Invalid, Message: fmt.Sprintf("message of %d bytes, want at most %d", len(body), MaxMessage)}
+		}
 		request.Body = body
 	}
 	body, err := e.Call(ctx, request)
--- a/internal/platform/table/limits.go
+++ b/internal/platform/table/limits.go
@@ -11,6 +11,9 @@
 	MaxKey = 1024
 	// MaxValue is the largest value in bytes. It has room for the largest manifest.
 	MaxValue = 8 << 20
+	// MaxReadBytes bounds the values in the answer to a read, so that it fits in
+	// protocol.MaxMessage. A page of a scan ends before it.
+	MaxReadBytes = 10 << 20
 )
 
 // Validate fails with ErrInvalid unless the table service accepts the shape of
