--- a/internal/backend/worker/worker.go
+++ b/internal/backend/worker/worker.go
@@ -42,7 +42,9 @@
 // Epoch of a shard's owner. It rises with each new owner.
 type Epoch uint64
 
-// Counter numbers the answers of a worker process, from 1.
+// Counter numbers the answers of a worker, from 1 or higher. An answer to a
+// superseded epoch repeats the last one. A worker that restarts under its old
+// address begins above its earlier counters, so that no delayed sync fits.
 type Counter uint64
 
 // JobID identifies a job.
