--- /dev/null
+++ b/internal/standin/announce/announce.go
@@ -0,0 +1,96 @@
+// Package announce reports a stand-in to the platform's membership list.
+package announce
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// Period is the time between announcements. The platform drops an instance that
+// stops announcing itself.
+const Period = time.Second
+
+// Announcer puts an instance on the membership list.
+type Announcer interface {
+	Announce(ctx context.Context, instance membership.Instance) error
+}
+
+// HTTP announces with POST <Platform>/membership/announce and the instance as JSON.
+type HTTP struct {
+	// Platform is the host:port of the platform.
+	Platform string
+}
+
+// Announce sends one announcement. It fails on any answer but 2xx.
+func (h HTTP) Announce(ctx context.Context, instance membership.Instance) error {
+	body, err := json.Marshal(instance)
+	if err != nil {
+		return err
+	}
+	url := "http://" + h.Platform + "/membership/announce"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, 64<<10))
+	if response.StatusCode/100 != 2 {
+		return fmt.Errorf("announce: status %s", response.Status)
+	}
+	return nil
+}
+
+// Loop announces an instance periodically. Announcer may be nil: Run then only
+// waits for its context.
+type Loop struct {
+	Announcer Announcer
+	Clock     clockwork.Clock
+	// Instance returns the instance as it is now.
+	Instance func() membership.Instance
+	Log      zerolog.Logger
+}
+
+// Run announces each Period until ctx ends. A failed announcement is followed by
+// the next one; each is bounded by Period.
+func (l Loop) Run(ctx context.Context) error {
+	if l.Announcer == nil {
+		<-ctx.Done()
+		return nil
+	}
+	ticker := l.Clock.NewTicker(Period)
+	defer ticker.Stop()
+	failing := false
+	for {
+		err := l.once(ctx)
+		if (err != nil) != failing && ctx.Err() == nil {
+			failing = err != nil
+			l.Log.Info().Bool("Failing", failing).Err(err).Msg("announcements changed")
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+		}
+	}
+}
+
+func (l Loop) once(ctx context.Context) error {
+	bounded, cancel := clockwork.WithTimeout(ctx, l.Clock, Period)
+	defer cancel()
+	return l.Announcer.Announce(bounded, l.Instance())
+}
--- a/internal/standin/worker/handler.go
+++ b/internal/standin/worker/handler.go
@@ -16,12 +16,14 @@
 //	POST /sync       SyncRequest -> SyncResponse (protocol of package backend/worker)
 //	GET  /journal    one Event per line
 //	PUT  /faults     Faults
+//	PUT  /state      membership.State as a JSON string: "Live" or "Leaving"
 //	POST /executors  ExecutorUsage of an executor on this instance
 func (w *Worker) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /sync", w.serveSync)
 	mux.Handle("GET /journal", &w.Journal)
 	mux.HandleFunc("PUT /faults", setting(w.SetFaults))
+	mux.HandleFunc("PUT /state", setting(w.SetState))
 	mux.HandleFunc("POST /executors", setting(w.ReportExecutor))
 	return mux
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -77,6 +77,7 @@
 	// acknowledgement so that no old attempt starts again.
 	latest map[protocol.TaskID]protocol.Attempt
 	faults Faults
+	state  membership.State
 	// healed is closed when Hang is lifted.
 	healed chan struct{}
 	usage  usage
@@ -218,6 +219,23 @@
 	}
 }
 
+// SetState replaces the state that the worker announces. It goes on with its tasks.
+func (w *Worker) SetState(state membership.State) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state = state
+}
+
+// Describe returns the instance with the worker's present state filled in.
+func (w *Worker) Describe(instance membership.Instance) membership.Instance {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.state != "" {
+		instance.State = w.state
+	}
+	return instance
+}
+
 // awaitHealed returns when the worker does not hang, or with the error of ctx.
 func (w *Worker) awaitHealed(ctx context.Context) error {
 	w.mu.Lock()
