--- a/internal/decision/placement/decision.go
+++ b/internal/decision/placement/decision.go
@@ -52,11 +52,11 @@
 	ReasonWorkerLeaves     Reason = "WorkerLeaves"
 	ReasonZoneOut          Reason = "ZoneOutOfService"
 	ReasonCancelled        Reason = "JobCancelled"
-	ReasonParked           Reason = "JobParked"
 	ReasonSuperseded       Reason = "AttemptSuperseded"
 	ReasonFailsEverywhere  Reason = "FailsOnSeveralWorkers"
 	ReasonFailsEverything  Reason = "FailsTasksOfSeveralJobs"
 	ReasonProbeSucceeded   Reason = "ProbeSucceeded"
+	ReasonJobsAtFault      Reason = "JobsAtFault"
 	ReasonUnknownJob       Reason = "JobUnknown"
 	ReasonAttemptsExceeded Reason = "AttemptsExceeded"
 )
