Add tickets and caller-made keys for non-idempotent requests

Cause: a non-idempotent request that is repeated after a lost answer must not run twice. A claim without a certain answer counts as unknown. Attempts that are given up go on until the executor answers or MaxDuration is over: with 20 ms requests, a cancelled attempt whose slot stays in doubt for 1 s costs as much as 50 requests. Conclusion: both kinds of keys can be attached to the handler.

--- /dev/null
+++ b/internal/caller/claim/suite_test.go
@@ -0,0 +1,13 @@
+package claim
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Caller-made keys")
+}
--- a/internal/caller/service/attempt.go
+++ b/internal/caller/service/attempt.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
@@ -22,6 +24,8 @@
 	slot    Slot
 	ctx     context.Context
 	start   time.Time
+	// limit cancels the attempt after MaxDuration; it is nil for feeds.
+	limit clockwork.Timer
 	// observed means that the governor knows of the attempt.
 	observed bool
 }
@@ -43,6 +47,9 @@
 // finish releases the slot. Only an executor that is known to be done frees it.
 func (s *held) finish(outcome Outcome) {
 	s.observe(outcome)
+	if s.limit != nil {
+		s.limit.Stop()
+	}
 	s.slot.Release(SlotUse{
 		Done:         outcome != Unknown,
 		InDoubtUntil: s.start.Add(s.call.maxDuration()),
@@ -56,7 +63,6 @@
 	prefix   []byte
 	whole    bool
 	held     *held
-	index    int
 	cancel   context.CancelFunc
 
 	executor   membership.InstanceID
@@ -69,13 +75,18 @@
 	status int
 }
 
-// discard gives up an answer that nobody will read.
+// discard drops an answer that nobody will read. It reads the rest, because the
+// end of the answer frees the slot.
 func (r result) discard() {
+	defer r.cancel()
 	if r.response == nil || r.whole {
 		return
 	}
-	r.cancel()
-	r.close(Unknown)
+	outcome := Completed
+	if _, err := io.Copy(io.Discard, r.response.Body); err != nil {
+		outcome = Unknown
+	}
+	r.close(outcome)
 }
 
 func (r result) close(outcome Outcome) {
@@ -94,7 +105,7 @@
 	response, err := h.Sender.Do(ctx, Attempt{
 		Address:          s.slot.Address,
 		Request:          request,
-		FirstByteTimeout: min(positiveOr(time.Duration(c.service.FirstByteTimeout), c.maxDuration()), c.deadline.Sub(s.start)),
+		FirstByteTimeout: positiveOr(time.Duration(c.service.FirstByteTimeout), c.maxDuration()),
 		IdleTimeout:      positiveOr(time.Duration(c.service.IdleTimeout), c.maxDuration()),
 	})
 	if err != nil {
--- a/internal/caller/service/deliver.go
+++ b/internal/caller/service/deliver.go
@@ -25,7 +25,8 @@
 	w.WriteHeader(response.StatusCode)
 }
 
-// deliver sends an answer. The deadline also ends writes to a slow caller.
+// deliver sends an answer. The deadline also ends reads of the rest and writes to
+// a slow caller.
 func (h *Handler) deliver(ctx context.Context, c *call, w http.ResponseWriter, won result) {
 	defer won.cancel()
 	if won.whole && len(won.prefix) > 0 {
@@ -33,6 +34,7 @@
 	}
 	control := http.NewResponseController(w)
 	stop := context.AfterFunc(ctx, func() {
+		won.cancel()
 		// Writers without deadlines, as in tests, leave the write to its own end.
 		_ = control.SetWriteDeadline(time.Unix(1, 0))
 	})
--- a/internal/caller/service/exchange.go
+++ b/internal/caller/service/exchange.go
@@ -21,11 +21,11 @@
 	firstBackoff = 2 * time.Millisecond
 )
 
-// contexts bound the steps of a request: waiting for a slot, sending, and
-// waiting for the answer.
+// contexts bound the steps of a request: the presence of the caller, waiting for
+// a slot, and waiting for the answer.
 type contexts struct {
+	caller  context.Context
 	acquire context.Context
-	send    context.Context
 	wait    context.Context
 }
 
@@ -40,23 +40,42 @@
 	flying   int
 	hedges   int
 	tried    []membership.InstanceID
-	cancels  []context.CancelFunc
 	last     result
+	// unwatch stops watching whether the caller leaves.
+	unwatch func() bool
 
-	mutex sync.Mutex
-	over  bool
-	claim claimState
+	mutex   sync.Mutex
+	cancels []context.CancelFunc
+	over    bool
+	claim   claimState
 	// reached counts the attempts that may have run.
 	reached int
 }
 
 func newExchange(h *Handler, c *call, bounds contexts) *exchange {
-	return &exchange{Handler: h, call: c, bounds: bounds, results: make(chan result), stopped: make(chan struct{})}
+	x := &exchange{Handler: h, call: c, bounds: bounds, results: make(chan result), stopped: make(chan struct{})}
+	x.unwatch = func() bool { return false }
+	if !c.nonIdempotent {
+		x.unwatch = context.AfterFunc(bounds.caller, x.cancel)
+	}
+	return x
 }
 
-// stop cancels every attempt. Attempts that have not begun to send never do.
+// stop ends the exchange. Attempts that have not begun to send never do. Others
+// go on for at most the service's MaxDuration and their answers are dropped: an
+// executor that answers frees its slot sooner than one that was cancelled.
 func (x *exchange) stop() {
 	x.end()
+	left := x.unwatch() && x.bounds.caller.Err() != nil
+	if left || x.call.feed {
+		x.cancel()
+	}
+}
+
+// cancel cancels every attempt.
+func (x *exchange) cancel() {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
 	for _, cancel := range x.cancels {
 		cancel()
 	}
@@ -85,7 +104,8 @@
 		case ended := <-x.results:
 			x.flying--
 			if ended.response != nil {
-				x.choose(ended)
+				x.end()
+				x.record(x.call, "Answered", "", Fact{Name: "Executor", Value: string(ended.executor)})
 				return ended, nil
 			}
 			x.note(ended)
@@ -130,40 +150,29 @@
 		Immediate:     immediate,
 		Exclude:       x.exclude(),
 	}
-	ctx, cancel := context.WithCancel(x.bounds.send)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(x.bounds.caller))
+	x.mutex.Lock()
 	x.cancels = append(x.cancels, cancel)
-	index := x.attempts - 1
+	x.mutex.Unlock()
 	x.flights.run(func() {
-		ended := x.attempt(ctx, need)
-		ended.index, ended.cancel = index, cancel
+		ended := x.attempt(ctx, cancel, need)
+		ended.cancel = cancel
 		select {
 		case x.results <- ended:
 		case <-x.stopped:
 			ended.discard()
-			cancel()
 		}
 	})
 }
 
-// choose cancels every attempt but the one that ended with an answer.
-func (x *exchange) choose(ended result) {
-	x.end()
-	x.record(x.call, "Answered", "", Fact{Name: "Executor", Value: string(ended.executor)})
-	for index, cancel := range x.cancels {
-		if index != ended.index {
-			cancel()
-		}
-	}
-}
-
 // attempt takes a slot, claims the key once and sends.
-func (x *exchange) attempt(ctx context.Context, need Need) result {
+func (x *exchange) attempt(ctx context.Context, cancel context.CancelFunc, need Need) result {
 	slot, err := x.Slots.Acquire(x.bounds.acquire, need)
 	if err != nil {
 		return refusedBy(x.bounds.acquire, err)
 	}
 	s := &held{handler: x.Handler, call: x.call, slot: slot, ctx: ctx}
-	if refused := x.claimKey(ctx); refused != nil {
+	if refused := x.claimKey(x.bounds.wait); refused != nil {
 		slot.Release(SlotUse{Done: true})
 		return *refused
 	}
@@ -171,6 +180,9 @@
 		slot.Release(SlotUse{Done: true})
 		return result{outcome: NotRun, reason: ReasonDeadline, final: true}
 	}
+	if !x.call.feed {
+		s.limit = x.Clock.AfterFunc(x.call.maxDuration(), cancel)
+	}
 	ended := x.send(ctx, x.call, s)
 	if ended.outcome == NotRun {
 		x.notReached()
--- a/internal/caller/service/handler.go
+++ b/internal/caller/service/handler.go
@@ -98,14 +98,11 @@
 
 // serve finds an answer and passes it on.
 func (h *Handler) serve(caller, limited context.Context, c *call, w http.ResponseWriter) {
-	bounds := contexts{acquire: limited, send: limited, wait: limited}
-	switch {
-	case c.feed:
-		bounds.send = caller
-	case c.nonIdempotent:
+	bounds := contexts{caller: caller, acquire: limited, wait: limited}
+	if c.nonIdempotent {
 		detached, cancel := clockwork.WithDeadline(context.WithoutCancel(caller), h.Clock, c.deadline)
 		defer cancel()
-		bounds.send, bounds.wait = detached, detached
+		bounds.wait = detached
 	}
 	x := newExchange(h, c, bounds)
 	defer x.stop()
@@ -188,11 +185,25 @@
 	}
 	h.Counters.Add(counterName(f.outcome, f.reason), 1)
 	h.record(c, string(f.outcome), f.reason, Fact{Name: "RetryAfter", Value: retryAfter.String()})
+	f.retryAfter = retryAfter
+	f.write(w)
+}
+
+// Refuse answers a request that was not run, with the headers and the body of
+// service requests.
+func Refuse(w http.ResponseWriter, status int, refusal Refusal, findings ...Finding) {
+	failure{
+		outcome: NotRun, reason: refusal.Reason, status: status,
+		retryAfter: positiveOr(refusal.RetryAfter, DefaultRetryAfter), findings: findings,
+	}.write(w)
+}
+
+func (f failure) write(w http.ResponseWriter) {
 	header := w.Header()
 	header.Set(HeaderOutcome, string(f.outcome))
 	header.Set(HeaderReason, string(f.reason))
-	header.Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
-	header.Set(HeaderRetryAfter, retryAfter.String())
+	header.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.retryAfter.Seconds()))))
+	header.Set(HeaderRetryAfter, f.retryAfter.String())
 	header.Set("Content-Type", "application/json")
 	w.WriteHeader(f.status)
 	// The caller may be gone; there is nobody else to tell.
--- a/internal/caller/service/key.go
+++ b/internal/caller/service/key.go
@@ -4,8 +4,25 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 )
 
+// KeyRouter tells tickets from caller-made keys. A key with a slash is a ticket.
+type KeyRouter struct {
+	Tickets    Keys
+	CallerMade Keys
+}
+
+// Begin claims the key where its kind is kept.
+func (k KeyRouter) Begin(ctx context.Context, service manifest.ServiceName, key string) (Started, error) {
+	if strings.Contains(key, "/") {
+		return k.Tickets.Begin(ctx, service, key)
+	}
+	return k.CallerMade.Begin(ctx, service, key)
+}
+
 // claimState tells how far the claim of a key got.
 type claimState int
 
--- /dev/null
+++ b/internal/caller/ticket/ticket_test.go
@@ -0,0 +1,189 @@
+package ticket
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/service"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// peers answers claims for other homes.
+type peers func(ctx context.Context, t Ticket) (Answer, error)
+
+func (p peers) ClaimTicket(ctx context.Context, _ membership.InstanceID, t Ticket) (Answer, error) {
+	return p(ctx, t)
+}
+
+type counters struct{}
+
+func (counters) Add(string, int64) {}
+
+func issue(h *Home, count int) []Ticket {
+	GinkgoHelper()
+	tickets, err := h.Issue(count)
+	Expect(err).NotTo(HaveOccurred())
+	return tickets
+}
+
+func expectRefusal(err error, reason service.Reason) {
+	GinkgoHelper()
+	var refusal *service.Refusal
+	Expect(errors.As(err, &refusal)).To(BeTrue(), "%v", err)
+	Expect(refusal.Reason).To(Equal(reason))
+}
+
+func expectUncertain(err error) {
+	GinkgoHelper()
+	Expect(err).To(HaveOccurred())
+	var refusal *service.Refusal
+	Expect(errors.As(err, &refusal)).To(BeFalse(), "an uncertain claim must not count as not run")
+}
+
+var _ = Describe("Home", func() {
+	var clock *clockwork.FakeClock
+	var home *Home
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		home = NewHome("entry-1", clock)
+	})
+
+	It("grants one of many concurrent claims, against a request that runs twice", func() {
+		t := issue(home, 100)[77]
+		var granted atomic.Int64
+		var group sync.WaitGroup
+		for range 32 {
+			group.Go(func() {
+				if home.Claim(t) == Granted {
+					granted.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		Expect(granted.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("keeps a claim for the whole window and refuses it afterwards", func() {
+		t, unused := issue(home, 2)[0], issue(home, 1)[0]
+		Expect(home.Claim(t)).To(Equal(Granted))
+		clock.Advance(Window)
+		Expect(home.Claim(t)).To(Equal(AlreadyClaimed))
+		clock.Advance(batchTime)
+		Expect(home.Claim(t)).To(Equal(Expired))
+		Expect(home.Claim(unused)).To(Equal(Expired))
+	})
+
+	It("knows neither tickets it never issued nor those of an earlier run", func() {
+		t := issue(home, 1)[0]
+		Expect(NewHome("entry-1", clock).Claim(t)).To(Equal(OtherIncarnation))
+		t.Number = 5
+		Expect(home.Claim(t)).To(Equal(Expired))
+	})
+
+	It("bounds its memory and recovers when tickets expire", func() {
+		home.limit = 100
+		issue(home, 60)
+		clock.Advance(time.Minute)
+		issue(home, 40)
+		_, err := home.Issue(1)
+		Expect(err).To(MatchError(ErrFull))
+		clock.Advance(Window)
+		issue(home, 60)
+		Expect(home.batches).To(HaveLen(2))
+	})
+})
+
+var _ = Describe("Claimer", func() {
+	var home *Home
+	begin := func(p peers, key string) (service.Started, error) {
+		clock := clockwork.NewFakeClock()
+		claimer := Claimer{Home: NewHome("entry-2", clock), Peers: p, Clock: clock}
+		return claimer.Begin(context.Background(), "kasa-lend", key)
+	}
+	BeforeEach(func() { home = NewHome("entry-1", clockwork.NewFakeClock()) })
+	atHome := func(_ context.Context, t Ticket) (Answer, error) { return home.Claim(t), nil }
+
+	It("claims at the home once", func() {
+		key := issue(home, 1)[0].String()
+		Expect(begin(atHome, key)).To(Equal(service.Started{First: true}))
+		Expect(begin(atHome, key)).To(Equal(service.Started{Reason: ReasonAlreadyClaimed}))
+	})
+
+	It("is uncertain when the answer of the home is lost, against a refusal that is not true", func() {
+		key := issue(home, 1)[0].String()
+		_, err := begin(func(_ context.Context, t Ticket) (Answer, error) {
+			home.Claim(t)
+			return "", errors.New("connection reset")
+		}, key)
+		expectUncertain(err)
+		Expect(begin(atHome, key)).To(Equal(service.Started{Reason: ReasonAlreadyClaimed}))
+	})
+
+	It("is uncertain when the home is another incarnation", func() {
+		t := issue(home, 1)[0]
+		home = NewHome("entry-1", clockwork.NewFakeClock())
+		_, err := begin(atHome, t.String())
+		expectUncertain(err)
+	})
+
+	It("waits for the home no longer than its bound, against a hang on a silent connection", func() {
+		clock := clockwork.NewFakeClock()
+		claimer := Claimer{Home: NewHome("entry-2", clock), Clock: clock}
+		claimer.Peers = peers(func(ctx context.Context, _ Ticket) (Answer, error) {
+			clock.Advance(DefaultWait)
+			<-ctx.Done()
+			return "", ctx.Err()
+		})
+		_, err := claimer.Begin(context.Background(), "kasa-lend", issue(home, 1)[0].String())
+		expectUncertain(err)
+	})
+
+	It("refuses what is no ticket or was never issued", func() {
+		_, err := begin(atHome, "entry-1/x/07")
+		expectRefusal(err, ReasonFormat)
+		t := issue(home, 1)[0]
+		t.Number = 9
+		_, err = begin(atHome, t.String())
+		expectRefusal(err, ReasonExpired)
+	})
+})
+
+var _ = Describe("POST /tickets", func() {
+	post := func(target string) *httptest.ResponseRecorder {
+		handler := Handler{Home: NewHome("entry-1", clockwork.NewFakeClock()), Counters: counters{}}
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, target, http.NoBody))
+		return recorder
+	}
+
+	It("issues distinct tickets that parse", func() {
+		var issued Issued
+		Expect(json.Unmarshal(post("/tickets?count=1000").Body.Bytes(), &issued)).To(Succeed())
+		numbers := map[uint64]bool{}
+		for _, text := range issued.Tickets {
+			t, err := Parse(text)
+			Expect(err).NotTo(HaveOccurred())
+			numbers[t.Number] = true
+		}
+		Expect(numbers).To(HaveLen(1000))
+	})
+
+	DescribeTable("refuses bad counts", func(target string) {
+		recorder := post(target)
+		Expect(recorder.Code).To(Equal(http.StatusBadRequest))
+		Expect(recorder.Header().Get(service.HeaderOutcome)).To(Equal("NotRun"))
+	},
+		Entry("zero", "/tickets?count=0"), Entry("too many", "/tickets?count=1001"),
+		Entry("no number", "/tickets?count=x"), Entry("unknown parameter", "/tickets?cuont=1"),
+	)
+})
