Learn sizes by job and relative to the declared ones

Change: a job's own peak, or the class's factor before its first sample; a lower limit for starts near the target, relaxed while the error budget is unused; an attempt that outgrew its reservation counts against neither job nor worker.

--- a/internal/decision/placement/class.go
+++ b/internal/decision/placement/class.go
@@ -10,11 +10,15 @@
 )
 
 const (
-	// sizeRise and sizeFall are the parts, one in so many, by which the learned size
-	// moves towards a larger and a smaller peak. Reserving too little costs an
+	// factorRise and factorFall are the parts, one in so many, by which a learned
+	// factor moves towards a larger and a smaller one. Reserving too little costs an
 	// eviction, reserving too much only room.
-	sizeRise = 2
-	sizeFall = 16
+	factorRise = 2
+	factorFall = 16
+	// exact is the factor, in thousandths, of a task that uses what it declares.
+	exact = 1000
+	// maxFactor bounds what one faulty sample can teach.
+	maxFactor = 32 * exact
 	// durationPart is the weight, one in so many, of the newest run time.
 	durationPart = 8
 )
@@ -23,8 +27,11 @@
 type class struct {
 	name        manifest.ClassName
 	maxAttempts int
-	// size is the learned peak of use, duration the mean run time from start to end.
-	size     resource.Vector
+	// processors and memory are the learned use against what tasks declare, in
+	// thousandths. Jobs of one class differ in size, but tend to be off alike.
+	processors int64
+	memory     int64
+	// duration is the mean run time from start to end.
 	duration time.Duration
 }
 
@@ -34,25 +41,46 @@
 		if e.classes == nil {
 			e.classes = map[manifest.ClassName]*class{}
 		}
-		c = &class{name: name}
+		c = &class{name: name, processors: exact, memory: exact}
 		e.classes[name] = c
 	}
 	return c
 }
 
-// exceeded raises the learned size at once, while the task still runs.
-func (c *class) exceeded(observed resource.Vector) {
-	more := observed.Max(c.size).Sub(c.size)
-	if !more.IsZero() {
-		c.size = c.size.Add(divide(more, sizeRise))
+// need is what a task of the job reserves: the larger of what it declares and of
+// what the job, or before its first sample the class, was seen to use.
+func (e *Engine) need(j *job) resource.Vector {
+	seen := j.peak
+	if seen.IsZero() {
+		seen = j.class.scale(j.Resources)
 	}
+	need := j.Resources.Max(seen)
+	if need == j.Resources || e.fits(need) {
+		return need
+	}
+	// No worker has what was seen, so the job gets what it declares.
+	return j.Resources
+}
+
+func (c *class) scale(v resource.Vector) resource.Vector {
+	v.Processors = resource.MilliProcessors(int64(v.Processors) * c.processors / exact)
+	v.Memory = resource.Bytes(int64(v.Memory) / exact * c.memory)
+	return v
+}
+
+// seen raises what is known about a job and its class at once, while the task runs.
+func (j *job) seen(observed resource.Vector) {
+	j.peak = j.peak.Max(observed)
+	c := j.class
+	c.processors = raise(c.processors, int64(observed.Processors), int64(j.Resources.Processors))
+	c.memory = raise(c.memory, int64(observed.Memory), int64(j.Resources.Memory))
 }
 
 // finished learns from an attempt that ran to its end.
 func (c *class) finished(now time.Time, a *attempt) {
 	if !a.observed.IsZero() {
-		less := c.size.Sub(a.observed.Max(resource.Vector{}))
-		c.size = c.size.Sub(divide(less.Max(resource.Vector{}), sizeFall))
+		c.processors = lower(c.processors, int64(a.observed.Processors), int64(a.job.Resources.Processors))
+		c.memory = lower(c.memory, int64(a.observed.Memory), int64(a.job.Resources.Memory))
 	}
 	ran := now.Sub(a.started)
 	if c.duration == 0 {
@@ -61,14 +89,25 @@
 	c.duration += (ran - c.duration) / durationPart
 }
 
-// divide rounds up, so that repeated steps arrive.
-func divide(v resource.Vector, parts int) resource.Vector {
-	p := int64(parts)
-	return resource.Vector{
-		Processors:   resource.MilliProcessors((int64(v.Processors) + p - 1) / p),
-		Memory:       resource.Bytes((int64(v.Memory) + p - 1) / p),
-		Accelerators: resource.Accelerators((int64(v.Accelerators) + p - 1) / p),
+func factorOf(observed, declared int64) int64 {
+	if declared <= 0 {
+		return exact
+	}
+	return min(max(int64(float64(observed)/float64(declared)*exact), exact), maxFactor)
+}
+
+func raise(factor, observed, declared int64) int64 {
+	if more := factorOf(observed, declared) - factor; more > 0 {
+		return factor + (more+factorRise-1)/factorRise
+	}
+	return factor
+}
+
+func lower(factor, observed, declared int64) int64 {
+	if less := factor - factorOf(observed, declared); less > 0 {
+		return factor - (less+factorFall-1)/factorFall
 	}
+	return factor
 }
 
 // serviceSets numbers the distinct sets of services on workers.
--- a/internal/decision/placement/decision.go
+++ b/internal/decision/placement/decision.go
@@ -57,6 +57,7 @@
 	ReasonFailsEverything  Reason = "FailsTasksOfSeveralJobs"
 	ReasonProbeSucceeded   Reason = "ProbeSucceeded"
 	ReasonJobsAtFault      Reason = "JobsAtFault"
+	ReasonOutgrewWorkers   Reason = "NeedsMoreThanAnyWorkerHas"
 	ReasonUnknownJob       Reason = "JobUnknown"
 	ReasonAttemptsExceeded Reason = "AttemptsExceeded"
 )
--- a/internal/decision/placement/engine.go
+++ b/internal/decision/placement/engine.go
@@ -58,6 +58,7 @@
 	sets        serviceSets
 	table       interference.Table
 	rises       map[interference.Pair]float64
+	ratios      map[manifest.ServiceName]float64
 
 	jobs    map[worker.JobID]*job
 	orphans map[worker.TaskAttempt]*attempt
@@ -237,6 +238,7 @@
 func (e *Engine) Tick(now time.Time) []Decision {
 	e.starts, e.searches, e.victims = 0, 0, 0
 	clear(e.rises)
+	clear(e.ratios)
 	e.wake(now)
 	e.stopSome(now)
 	e.emptyLeaving(now)
--- a/internal/decision/placement/health.go
+++ b/internal/decision/placement/health.go
@@ -123,6 +123,25 @@
 	e.judge(now, j, a.index)
 }
 
+// outgrown handles a failure for want of reserved resources. The next attempt
+// reserves more. A job that fits no worker any more is parked after some attempts.
+func (e *Engine) outgrown(now time.Time, n *node, a *attempt, reason string) {
+	j := a.job
+	j.evidence.note(Failure{TaskAttempt: worker.TaskAttempt{Task: a.task(), Attempt: a.number}, Worker: n.ID, At: now, Reason: reason})
+	if a.probe {
+		e.probeLater(now, n)
+	}
+	if e.fits(j.Resources.Max(j.peak)) {
+		return
+	}
+	j.evidence.outgrown++
+	j.dequeue()
+	j.notBefore = now.Add(doubled(jobRest, j.evidence.outgrown, maxJobRest))
+	if j.evidence.outgrown >= parkProven {
+		e.park(now, j, ReasonOutgrewWorkers)
+	}
+}
+
 // suspect reports whether a job fails wherever it runs.
 func (j *job) suspect() bool {
 	return j.done == 0 && len(j.evidence.failedOn) >= parkProven
--- a/internal/decision/placement/job.go
+++ b/internal/decision/placement/job.go
@@ -113,6 +113,9 @@
 	Reason  string
 	// Checkpoint is the last complete checkpoint; empty keeps the one known before.
 	Checkpoint object.Key
+	// Observed is the peak of what the attempt used, zero if unknown. A failure of an
+	// attempt that outgrew its reservation speaks against neither job nor worker.
+	Observed resource.Vector
 }
 
 // StartPermit tells whether tasks may start.
--- a/internal/decision/placement/lifecycle.go
+++ b/internal/decision/placement/lifecycle.go
@@ -275,6 +275,9 @@
 		e.detach(now, a)
 		return
 	}
+	outgrew := !end.Observed.FitsIn(a.reserve)
+	a.observed = a.observed.Max(end.Observed)
+	j.seen(end.Observed)
 	e.forgetRise(n, a, now)
 	e.leave(now, a)
 	j.keep(a.index, end.Checkpoint)
@@ -285,7 +288,7 @@
 		e.succeeded(now, n, a)
 	} else {
 		e.again(now, j, a.index)
-		e.unsuccessful(now, n, a, end)
+		e.unsuccessful(now, n, a, end, outgrew)
 	}
 	e.settle(now, j)
 }
@@ -301,14 +304,16 @@
 }
 
 // unsuccessful handles an attempt that ended without finishing its task.
-func (e *Engine) unsuccessful(now time.Time, n *node, a *attempt, end TaskEnd) {
+func (e *Engine) unsuccessful(now time.Time, n *node, a *attempt, end TaskEnd, outgrew bool) {
 	j := a.job
 	if j.Gang && !j.cancelled {
 		for _, other := range j.running {
 			e.evict(now, other, ReasonGangBroken, Facts{Beneficiary: j.ID})
 		}
 	}
-	if end.Outcome == Failed && !j.cancelled {
+	if end.Outcome == Failed && outgrew && !j.cancelled {
+		e.outgrown(now, n, a, end.Reason)
+	} else if end.Outcome == Failed && !j.cancelled {
 		e.failed(now, n, a, end.Reason)
 		return
 	}
--- a/internal/decision/placement/node.go
+++ b/internal/decision/placement/node.go
@@ -24,8 +24,12 @@
 const (
 	// unknownRatio is the p99 against the target that is assumed before a sample.
 	unknownRatio = 0.5
-	// highRatio is the predicted p99 against the target above which no normal task starts.
-	highRatio = 0.9
+	// highRatio is the predicted p99 against the target from which no normal task
+	// starts. The margin of a fifth covers the rise of the load within a sample's lag.
+	highRatio = 0.8
+	// relaxedRatio takes its place while the service has used less than half of its
+	// error budget. In the rota rush the lower limit costs a fortieth of the throughput.
+	relaxedRatio = 0.95
 	// volatileFor is how long a worker counts as one where eviction is likely.
 	volatileFor = 10 * time.Minute
 )
@@ -142,22 +146,24 @@
 	return worst
 }
 
-// level is worst in four steps, so that an index can group by it.
+// level is worst in five steps, so that an index can group by it.
 func (n *node) level() uint8 {
 	worst := n.worst()
 	switch {
-	case worst < 0.5:
+	case worst < levelFloor[1]:
 		return 0
-	case worst < 0.7:
+	case worst < levelFloor[2]:
 		return 1
-	case worst < highRatio:
+	case worst < levelFloor[3]:
 		return 2
+	case worst < levelFloor[4]:
+		return 3
 	}
-	return 3
+	return 4
 }
 
 // levelFloor is the smallest ratio of a level.
-var levelFloor = [4]float64{0, 0.5, 0.7, highRatio}
+var levelFloor = [5]float64{0, 0.5, 0.65, highRatio, relaxedRatio}
 
 func (n *node) key(now time.Time) groupKey {
 	return groupKey{
--- a/internal/decision/placement/place.go
+++ b/internal/decision/placement/place.go
@@ -27,6 +27,8 @@
 	// likelyCost moves checkpointable work to, and other work away from, workers
 	// where eviction is likely. It is the rise of 2.5 processors of an unknown pair.
 	likelyCost = 0.05
+	// negligible is the rise of the logarithm of p99 that is lost in the noise.
+	negligible = 0.01
 	// acceleratorCost keeps work that needs no accelerators off workers that have some.
 	acceleratorCost = 10
 )
@@ -220,13 +222,14 @@
 // where no worker of the group could tolerate the task.
 func (e *Engine) cost(now time.Time, key groupKey, j *job, cores float64) float64 {
 	services := e.sets.sets[key.set]
-	total, highest := 0.0, 0.0
+	total, highest, limit := 0.0, 0.0, highRatio
 	for _, service := range services {
+		limit = max(limit, e.limit(now, service))
 		rise := e.rise(now, interference.Pair{Service: service, Class: j.Class}) * cores
 		total += rise
 		highest = max(highest, rise)
 	}
-	if j.Priority != Urgent && levelFloor[key.level]*math.Exp(highest) >= highRatio {
+	if j.Priority != Urgent && highest >= negligible && levelFloor[key.level]*math.Exp(highest) >= limit {
 		return math.Inf(1)
 	}
 	likely := len(services) > 0 || key.volatile
@@ -241,15 +244,31 @@
 	return total
 }
 
-// tolerates reports whether no service on the worker is expected to come near its
-// target. Urgent work is tolerated everywhere and goes where it does least harm.
+// limit is the predicted p99 against the target up to which normal tasks start.
+func (e *Engine) limit(now time.Time, name manifest.ServiceName) float64 {
+	if known, ok := e.ratios[name]; ok {
+		return known
+	}
+	limit := highRatio
+	if e.table.MayExplore(now, name, e.services[name].ErrorBudget/2) {
+		limit = relaxedRatio
+	}
+	if e.ratios == nil {
+		e.ratios = map[manifest.ServiceName]float64{}
+	}
+	e.ratios[name] = limit
+	return limit
+}
+
+// tolerates reports whether no service on the worker that the task slows down is
+// expected to come near its target. Urgent work is tolerated everywhere and goes where it does least harm.
 func (e *Engine) tolerates(now time.Time, n *node, j *job, cores float64) bool {
 	if j.Priority == Urgent {
 		return true
 	}
 	for _, s := range n.services {
 		rise := e.rise(now, interference.Pair{Service: s.name, Class: j.Class}) * cores
-		if s.predicted()*math.Exp(rise) >= highRatio {
+		if rise >= negligible && s.predicted()*math.Exp(rise) >= e.limit(now, s.name) {
 			return false
 		}
 	}
@@ -302,8 +321,8 @@
 	d.Facts = facts
 	d.Facts.Free = n.free()
 	d.Facts.Waited = now.Sub(j.queuedAt)
-	if !j.class.size.FitsIn(j.Resources) {
-		d.Facts.Observed = j.class.size
+	if need != j.Resources {
+		d.Facts.Observed = need
 	}
 	e.emit(d)
 	return a
--- a/internal/decision/placement/queue.go
+++ b/internal/decision/placement/queue.go
@@ -39,10 +39,12 @@
 	freshCount  int
 	again       []int32
 	checkpoints map[int32]object.Key
-	byIndex     map[int32]*attempt
-	running     []*attempt
-	done        int
-	queuedAt    time.Time
+	// peak is what a task of the job was seen to use.
+	peak     resource.Vector
+	byIndex  map[int32]*attempt
+	running  []*attempt
+	done     int
+	queuedAt time.Time
 	// notBefore delays the next start after failures.
 	notBefore time.Time
 	asleep    bool
@@ -117,17 +119,6 @@
 	return true
 }
 
-// need is what a task of the job reserves: the larger of what it declares and of
-// what its class was seen to use.
-func (e *Engine) need(j *job) resource.Vector {
-	need := j.Resources.Max(j.class.size)
-	if need == j.Resources || e.fits(need) {
-		return need
-	}
-	// A class that was seen to use more than any worker has gets a worker as it declares.
-	return j.Resources
-}
-
 // laneKey collects jobs that can start in the same places. Sizes are rounded to
 // index buckets, which bounds the number of lanes.
 type laneKey struct {
@@ -344,4 +335,6 @@
 	byTask   map[int32]int
 	failures []Failure
 	total    int
+	// outgrown counts attempts that needed more than any worker has.
+	outgrown int
 }
--- a/internal/decision/placement/report.go
+++ b/internal/decision/placement/report.go
@@ -109,7 +109,7 @@
 		before := a.reserve
 		e.grow(now, a, observed)
 		if a.job != nil {
-			a.job.class.exceeded(observed)
+			a.job.seen(observed)
 		}
 		if more := a.reserve.Sub(before); !more.IsZero() && (most == nil || helpsMore(more, by)) {
 			most, by = a, more
--- a/internal/decision/replay/generate.go
+++ b/internal/decision/replay/generate.go
@@ -87,11 +87,27 @@
 	}
 }
 
+// deadline sets the deadline of all jobs so far: the first chair opens.
+func (g *generator) deadline(at time.Duration) {
+	for i, r := range g.records {
+		if r.Kind != KindSubmit {
+			continue
+		}
+		job, err := fact[Submit](r)
+		if err != nil {
+			panic(err)
+		}
+		job.Deadline = manifest.Duration(at)
+		g.records[i].Fact, _ = json.Marshal(job)
+	}
+}
+
 func (g *generator) rotaRush() {
 	g.umhlanga(20*time.Minute, Outcome{MaxLateShare: 0.01, MinFinished: 600, MaxUrgentWait: manifest.Duration(urgentBound)})
 	g.load(0, 20)
 	g.load(10*time.Minute, 45)
-	g.mix(0, 10*time.Minute, 80, umhlangaClasses)
+	g.mix(0, 10*time.Minute, 110, umhlangaClasses)
+	g.deadline(18 * time.Minute)
 	for i := range 6 {
 		urgent := g.job("build", 4, cores(2, 6), 30*time.Second)
 		urgent.Priority = placement.Urgent
@@ -107,7 +123,7 @@
 	g.load(0, 15)
 	g.load(5*time.Minute, 70)
 	g.load(10*time.Minute, 20)
-	g.mix(0, 10*time.Minute, 60, trustClasses)
+	g.mix(0, 12*time.Minute, 110, trustClasses)
 }
 
 func (g *generator) noisy() {
@@ -115,17 +131,17 @@
 	g.load(0, 30)
 	g.add(4*time.Minute, KindNoise, Noise{"scan", 3})
 	g.add(9*time.Minute, KindNoise, Noise{"scan", 1})
-	g.mix(0, 10*time.Minute, 60, trustClasses)
+	g.mix(0, 12*time.Minute, 110, trustClasses)
 }
 
 func (g *generator) sizes() {
 	g.umhlanga(15*time.Minute, Outcome{MaxLateShare: 0.02, MinFinished: 200})
 	g.load(0, 25)
 	for i := range 40 {
-		small := g.job("export", 8, cores(1, 2), 60*time.Second)
+		small := g.job("export", 16, cores(1, 2), 60*time.Second)
 		small.True = cores(2, 20)
 		if i%2 == 0 {
-			small = g.job("report", 8, cores(2, 10), 60*time.Second)
+			small = g.job("report", 16, cores(2, 10), 60*time.Second)
 			small.True = cores(0.2, 1)
 			small.Expected *= 10
 		}
@@ -137,7 +153,7 @@
 	g.umhlanga(12*time.Minute, Outcome{MaxLateShare: 0.01, MinFinished: 400, Quarantined: []int{3}})
 	g.load(0, 20)
 	g.add(time.Minute, KindFault, Fault{3, true})
-	g.mix(0, 8*time.Minute, 60, umhlangaClasses)
+	g.mix(0, 8*time.Minute, 80, umhlangaClasses)
 }
 
 func (g *generator) impossible() {
@@ -166,7 +182,7 @@
 	g.load(0, 20)
 	g.add(5*time.Minute, KindZone, Zone{Out: true})
 	g.add(12*time.Minute, KindZone, Zone{Out: false})
-	g.mix(0, 15*time.Minute, 90, umhlangaClasses)
+	g.mix(0, 15*time.Minute, 110, umhlangaClasses)
 	for i := range 6 {
 		urgent := g.job("build", 6, cores(2, 4), 90*time.Second)
 		urgent.Deadline = manifest.Duration(10 * time.Minute)
--- a/internal/decision/replay/host.go
+++ b/internal/decision/replay/host.go
@@ -75,7 +75,7 @@
 	if outcome == placement.Failed {
 		l.report.Failures++
 	}
-	l.policies[h.zone].TaskEnded(l.now, placement.TaskEnd{TaskAttempt: t.TaskAttempt, Worker: h.id, Outcome: outcome, Reason: reason})
+	l.policies[h.zone].TaskEnded(l.now, placement.TaskEnd{TaskAttempt: t.TaskAttempt, Worker: h.id, Outcome: outcome, Reason: reason, Observed: j.True})
 }
 
 func (l *loop) complete(t *task, cores float64) {
--- a/internal/decision/replay/report.go
+++ b/internal/decision/replay/report.go
@@ -86,12 +86,18 @@
 	r := l.report
 	r.P99 = math.Cbrt(l.ratios / l.weights)
 	r.LateShare = l.lates / l.weights
+	for _, j := range l.jobs {
+		if j.Deadline > 0 && j.Deadline <= l.Length {
+			r.LateJobs++
+		}
+	}
 	r.Throughput = r.Work / time.Duration(l.Length).Seconds()
 }
 
 // Score sets the scores of the reports of one trace. Throughput and work while
-// away count against the best policy, late answers against the budget, evictions
-// against the finished tasks. Without a zone leaving its weight goes to the rest.
+// away count against the best policy, late answers against the budget, attempts
+// that were evicted or failed against the finished tasks. Without a zone leaving
+// its weight goes to the rest.
 func Score(reports []Report) {
 	work, away := 0.0, 0.0
 	for _, r := range reports {
@@ -100,7 +106,7 @@
 	for i := range reports {
 		r := &reports[i]
 		tail := min(1, lateBudget/max(r.LateShare, 1e-9))
-		evictions := float64(r.Finished) / float64(max(r.Finished+r.Evictions, 1))
+		evictions := float64(r.Finished) / float64(max(r.Finished+r.Evictions+r.Failures, 1))
 		parts := [4]float64{r.Work / max(work, 1), r.AwayWork / max(away, 1), tail, evictions}
 		r.Scores = map[User]float64{}
 		for user, w := range weights {
