--- a/internal/platform/protocol/protocol.go
+++ b/internal/platform/protocol/protocol.go
@@ -128,7 +128,7 @@
 // dropIdle closes the idle connections after a timeout: the silence of one
 // connection often affects all that were opened before it.
 func (e Endpoint) dropIdle(ctx context.Context) {
-	if ctx.Err() != nil {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		e.client().CloseIdleConnections()
 	}
 }
