--- /dev/null
+++ b/internal/backend/executor/connection_test.go
@@ -0,0 +1,30 @@
+package executor
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a request that leaves after the count was taken: it would be
+// reported as not run and run nevertheless.
+var _ = Describe("connection", func() {
+	It("ends a write in progress when it retires, and sends nothing later", func(_ SpecContext) {
+		near, far := net.Pipe()
+		DeferCleanup(far.Close)
+		c := &connection{Conn: near}
+		var group sync.WaitGroup
+		group.Go(func() { _, _ = c.Write(make([]byte, 10)) })
+		_, err := io.ReadFull(far, make([]byte, 3))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.retire()).To(BeEquivalentTo(3))
+		group.Wait()
+		_, err = c.Write([]byte("late"))
+		Expect(err).To(HaveOccurred())
+		Expect(c.count()).To(BeEquivalentTo(3))
+	}, NodeTimeout(5*time.Second))
+})
