--- a/internal/caller/service/attempt.go
+++ b/internal/caller/service/attempt.go
@@ -30,8 +30,8 @@
 	observed bool
 }
 
-// observe reports the attempt to the governor once. A feed is reported at its
-// first byte, since its length says nothing about the executor.
+// observe reports the attempt to the governor once. A feed is reported only if it
+// fails before its first byte, since its length says nothing about the executor.
 func (s *held) observe(outcome Outcome) {
 	if s.observed {
 		return
@@ -69,6 +69,7 @@
 	outcome    Outcome
 	reason     Reason
 	retryAfter time.Duration
+	facts      []Fact
 	// final forbids another attempt.
 	final bool
 	// status replaces the status that follows from the outcome.
@@ -123,7 +124,7 @@
 
 // startFeed returns the slot of a feed; its connection stays in use.
 func (r result) startFeed() result {
-	r.held.observe(Completed)
+	r.held.observed = true
 	if r.held.slot.FirstByte != nil {
 		r.held.slot.FirstByte()
 	}
--- a/internal/caller/service/exchange.go
+++ b/internal/caller/service/exchange.go
@@ -193,7 +193,7 @@
 func refusedBy(ctx context.Context, err error) result {
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
-		return result{outcome: NotRun, reason: refusal.Reason, retryAfter: refusal.RetryAfter, final: true}
+		return result{outcome: NotRun, reason: refusal.Reason, retryAfter: refusal.RetryAfter, facts: refusal.Facts, final: true}
 	}
 	if ctx.Err() != nil {
 		return result{outcome: NotRun, reason: waitReason(ctx), final: true}
@@ -283,7 +283,7 @@
 	x.end()
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	f := failure{outcome: NotRun, reason: ended.reason, status: http.StatusServiceUnavailable, retryAfter: ended.retryAfter}
+	f := failure{outcome: NotRun, reason: ended.reason, status: http.StatusServiceUnavailable, retryAfter: ended.retryAfter, facts: ended.facts}
 	if x.reached > 0 || x.claim == claimOpen || ended.outcome == Unknown {
 		f.outcome, f.status = Unknown, http.StatusBadGateway
 	}
--- a/internal/caller/service/handler.go
+++ b/internal/caller/service/handler.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -65,7 +66,7 @@
 	case <-h.flights.drain():
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("draining service requests: %w", context.Cause(ctx))
+		return fmt.Errorf("draining service requests: %w", ctx.Err())
 	}
 }
 
@@ -140,8 +141,7 @@
 	}
 	c.timeout = min(positiveOr(c.timeout, c.maxDuration()), c.maxDuration())
 	c.method, c.header = r.Method, endToEnd(r.Header)
-	c.url = *r.URL
-	c.url.Path, c.url.RawPath = path, rawPath(r.URL)
+	c.url = url.URL{Path: path, RawPath: rawPath(r.URL), RawQuery: r.URL.RawQuery}
 	return nil
 }
 
@@ -175,6 +175,7 @@
 	status     int
 	retryAfter time.Duration
 	findings   []Finding
+	facts      []Fact
 }
 
 // answer sends a failure with its reason and the time at which to retry.
@@ -184,7 +185,7 @@
 		f.findings = []Finding{{Place: "request", Problem: string(f.reason), Fix: fmt.Sprintf("retry after %s", retryAfter)}}
 	}
 	h.Counters.Add(counterName(f.outcome, f.reason), 1)
-	h.record(c, string(f.outcome), f.reason, Fact{Name: "RetryAfter", Value: retryAfter.String()})
+	h.record(c, string(f.outcome), f.reason, append(f.facts, Fact{Name: "RetryAfter", Value: retryAfter.String()})...)
 	f.retryAfter = retryAfter
 	f.write(w)
 }
--- a/internal/caller/service/key.go
+++ b/internal/caller/service/key.go
@@ -49,7 +49,7 @@
 	switch {
 	case errors.As(err, &refusal):
 		x.setClaim(claimNone)
-		return &result{outcome: NotRun, reason: refusal.Reason, retryAfter: refusal.RetryAfter, final: true}
+		return &result{outcome: NotRun, reason: refusal.Reason, retryAfter: refusal.RetryAfter, facts: refusal.Facts, final: true}
 	case err != nil:
 		return &result{outcome: Unknown, reason: ReasonKeyUncertain, final: true}
 	case !started.First:
--- a/internal/caller/service/ports.go
+++ b/internal/caller/service/ports.go
@@ -48,6 +48,8 @@
 	Reason Reason
 	// RetryAfter is the time after which a retry may succeed.
 	RetryAfter time.Duration
+	// Facts are what the decision is based on.
+	Facts []Fact
 }
 
 // Error returns the reason and the time to wait.
--- /dev/null
+++ b/internal/caller/service/router_test.go
@@ -0,0 +1,116 @@
+package service_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/service"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/admission"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// holdings is one executor with one slot.
+type holdings struct {
+	mutex   sync.Mutex
+	inUse   int
+	waiting int
+}
+
+func (h *holdings) Candidates(manifest.ServiceName) []admission.Candidate {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return []admission.Candidate{{Executor: "a", Slots: 1, InUse: h.inUse}}
+}
+
+func (h *holdings) Take(manifest.ServiceName, membership.InstanceID, bool) (service.Slot, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.inUse++
+	return service.Slot{Executor: "a", Release: func(service.SlotUse) {
+		h.mutex.Lock()
+		defer h.mutex.Unlock()
+		h.inUse--
+	}}, true
+}
+
+func (h *holdings) Wanted(_ manifest.ServiceName, waiting int) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.waiting = waiting
+}
+
+func (h *holdings) counts() [2]int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return [2]int{h.inUse, h.waiting}
+}
+
+var _ = Describe("Router", func() {
+	var clock *clockwork.FakeClock
+	var held *holdings
+	var router *service.Router
+	var first service.Slot
+	chairdesk := manifest.Service{Name: "chairdesk"}
+	acquire := func(ctx context.Context) (service.Slot, error) {
+		return router.Acquire(ctx, service.Need{Service: "chairdesk", Deadline: clock.Now().Add(100 * time.Millisecond)})
+	}
+	// later acquires in the background and returns once the request waits.
+	later := func(ctx context.Context) <-chan error {
+		errs := make(chan error, 1)
+		var group sync.WaitGroup
+		DeferCleanup(group.Wait)
+		group.Go(func() {
+			_, err := acquire(ctx)
+			errs <- err
+		})
+		Eventually(held.counts).Should(Equal([2]int{1, 1}))
+		return errs
+	}
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		held = &holdings{}
+		governor := &service.AdmissionGovernor{Clock: clock}
+		for range 100 {
+			governor.Observe(chairdesk, "a", service.Observation{Took: 20 * time.Millisecond, Outcome: service.Completed})
+		}
+		router = service.NewRouter(governor, held, clock)
+		var err error
+		first, err = acquire(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("hands a freed slot to the request that waits", func() {
+		waiting := later(context.Background())
+		first.Release(service.SlotUse{Done: true})
+		Eventually(waiting).Should(Receive(BeNil()))
+		Expect(held.counts()[0]).To(Equal(1))
+	})
+
+	It("refuses a waiting request as soon as it can't be in time, against holding it to its deadline", func() {
+		waiting := later(context.Background())
+		Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
+		clock.Advance(85 * time.Millisecond)
+		var err error
+		Eventually(waiting).Should(Receive(&err))
+		var refusal *service.Refusal
+		Expect(errors.As(err, &refusal)).To(BeTrue())
+		Expect(refusal.Reason).To(BeEquivalentTo(admission.Dropped))
+	})
+
+	It("forgets a request whose caller left, against a slot that nobody frees", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		waiting := later(ctx)
+		cancel()
+		Eventually(waiting).Should(Receive(MatchError(context.Canceled)))
+		first.Release(service.SlotUse{Done: true})
+		Expect(held.counts()[0]).To(BeZero())
+	})
+})
--- a/internal/decision/admission/service.go
+++ b/internal/decision/admission/service.go
@@ -175,6 +175,11 @@
 	return s.waiting.nextExpiry(s.need(now))
 }
 
+// DropTime returns when a request with a deadline can't be met any more.
+func (s *Service) DropTime(now, deadline time.Time) time.Time {
+	return deadline.Add(-s.need(now))
+}
+
 // Leave removes a waiting request and reports whether it was waiting.
 func (s *Service) Leave(id string) bool {
 	return s.waiting.remove(id)
