Route requests with the router of the caller package

Cause: the entry instance had its own copy of the router. Change: the entry instance supplies the slots in hand as service.Holdings. Conclusion: one router serves requests.

--- a/internal/entry/instance/routing.go
+++ b/internal/entry/instance/routing.go
@@ -12,22 +12,19 @@
 // slots is the instance's part of the routing of service requests.
 type slots struct {
 	*Instance
-	router   routing.Router
+	router   *service.Router
 	governor service.AdmissionGovernor
 }
 
 func newSlots(i *Instance) *slots {
 	s := &slots{Instance: i}
 	s.governor.Clock = i.clock
-	s.router.Governor = &s.governor
-	s.router.Clock = i.clock
-	s.router.Counters = i.counters
-	s.router.Hand = &routing.Share{Zone: i.settings.Zone, Membership: i.members}
+	s.router = service.NewRouter(&s.governor, &routing.Share{Zone: i.settings.Zone, Membership: i.members}, i.clock)
 	return s
 }
 
-func (s *slots) run(ctx context.Context) error {
-	return s.router.Run(ctx)
+func (s *slots) run(context.Context) error {
+	return nil
 }
 
 func (s *slots) registerMethods() {}
@@ -37,7 +34,7 @@
 // serviceHandler returns the handler of service requests.
 func (i *Instance) serviceHandler() *service.Handler {
 	return service.NewHandler(service.Config{
-		Slots:     &i.slots.router,
+		Slots:     i.slots.router,
 		Sender:    routing.Sender{Client: &executor.Client{Clock: i.clock}},
 		Manifests: &i.config,
 		Governor:  &i.slots.governor,
--- a/internal/entry/routing/share.go
+++ b/internal/entry/routing/share.go
@@ -1,24 +1,31 @@
+// Package routing has the slots of executors that this entry instance has in hand,
+// and sends requests to executors.
 package routing
 
 import (
-	"time"
+	"sync"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/service"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/admission"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
-// Share is a Hand with a fixed share of each executor in the same availability
-// zone: its slots divided by the number of entry instances there.
+// Share has a fixed share of each executor in the same availability zone: its
+// slots divided by the number of entry instances there. It implements
+// service.Holdings.
 type Share struct {
 	Zone       membership.Zone
 	Membership interface{ Snapshot() membership.Snapshot }
 
+	mu    sync.Mutex
 	inUse map[membership.InstanceID]int
 }
 
 // Candidates returns the executors of a service in the zone.
-func (s *Share) Candidates(_ time.Time, name manifest.ServiceName) []admission.Candidate {
+func (s *Share) Candidates(name manifest.ServiceName) []admission.Candidate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	snapshot := s.Membership.Snapshot()
 	entries := 0
 	for _, instance := range snapshot.Instances {
@@ -42,39 +49,28 @@
 }
 
 // Take takes a slot of the share.
-func (s *Share) Take(_ time.Time, _ manifest.ServiceName, executor membership.InstanceID) (Use, string, bool) {
+func (s *Share) Take(_ manifest.ServiceName, executor membership.InstanceID, _ bool) (service.Slot, bool) {
 	for _, instance := range s.Membership.Snapshot().Instances {
-		if instance.ID != executor {
-			continue
-		}
-		if s.inUse == nil {
-			s.inUse = map[membership.InstanceID]int{}
+		if instance.ID == executor {
+			s.use(executor, 1)
+			put := sync.OnceFunc(func() { s.use(executor, -1) })
+			return service.Slot{
+				Executor: executor, Address: instance.Address, FirstByte: put,
+				Release: func(service.SlotUse) { put() },
+			}, true
 		}
-		s.inUse[executor]++
-		return &shareUse{share: s, executor: executor}, instance.Address, true
 	}
-	return nil, "", false
-}
-
-// Wants does nothing: the share is fixed.
-func (s *Share) Wants(manifest.ServiceName, int) {}
-
-// shareUse is a slot of the share in use.
-type shareUse struct {
-	share    *Share
-	executor membership.InstanceID
-	returned bool
+	return service.Slot{}, false
 }
 
-// FirstByte gives the slot of a feed back.
-func (u *shareUse) FirstByte(time.Time) {
-	if !u.returned {
-		u.returned = true
-		u.share.inUse[u.executor]--
+func (s *Share) use(executor membership.InstanceID, change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inUse == nil {
+		s.inUse = map[membership.InstanceID]int{}
 	}
+	s.inUse[executor] += change
 }
 
-// End gives the slot back.
-func (u *shareUse) End(now time.Time, _ bool, _ time.Time) {
-	u.FirstByte(now)
-}
+// Wanted does nothing: the share is fixed.
+func (s *Share) Wanted(manifest.ServiceName, int) {}
