Divide quotas between shards and blame only tasks that ran

Cause: every shard enforced the whole quota; a task that started after a sample could be blamed for it; the property test varied memory and takeovers too little to see some faults. Change: SetQuotaShare, the end of the sample bounds the suspects, the property test draws memory apart from processors and restores known jobs, a spec for probes on full workers.

--- a/internal/decision/placement/engine.go
+++ b/internal/decision/placement/engine.go
@@ -43,6 +43,7 @@
 	teams    map[manifest.TeamName]*team
 	order    []*team
 	services map[manifest.ServiceName]manifest.Service
+	declared []manifest.Team
 	quota    int
 
 	epoch    worker.Epoch
@@ -100,9 +101,9 @@
 // SetQuotaShare sets which part of each team's quota this shard may use, in
 // thousandths; 0 and 1000 are all of it. Shards do not know of each other, so the
 // caller divides the quotas.
-func (e *Engine) SetQuotaShare(thousandths int, teams []manifest.Team) {
+func (e *Engine) SetQuotaShare(thousandths int) {
 	e.quota = thousandths
-	e.configureTeams(teams)
+	e.configureTeams(e.declared)
 }
 
 func (e *Engine) configureServices(services []manifest.Service) {
@@ -122,6 +123,7 @@
 // configureTeams enters the quotas. A team that is no longer declared keeps its
 // running tasks and starts none.
 func (e *Engine) configureTeams(teams []manifest.Team) {
+	e.declared = teams
 	for _, t := range e.order {
 		t.known, t.quota, t.urgentQuota = false, resource.Vector{}, resource.Vector{}
 	}
@@ -174,14 +176,18 @@
 	if e.quota <= 0 || e.quota >= 1000 {
 		return v
 	}
-	share := int64(e.quota)
 	return resource.Vector{
-		Processors:   resource.MilliProcessors(int64(v.Processors) / 1000 * share),
-		Memory:       resource.Bytes(int64(v.Memory) / 1000 * share),
-		Accelerators: resource.Accelerators(int64(v.Accelerators) * share / 1000),
+		Processors:   resource.MilliProcessors(thousandths(int64(v.Processors), e.quota)),
+		Memory:       resource.Bytes(thousandths(int64(v.Memory), e.quota)),
+		Accelerators: resource.Accelerators(thousandths(int64(v.Accelerators), e.quota)),
 	}
 }
 
+// thousandths returns a part of an amount without overflow for large amounts.
+func thousandths(amount int64, part int) int64 {
+	return amount/1000*int64(part) + amount%1000*int64(part)/1000
+}
+
 func (e *Engine) team(name manifest.TeamName) *team {
 	t := e.teams[name]
 	if t == nil {
--- a/internal/decision/placement/gang.go
+++ b/internal/decision/placement/gang.go
@@ -83,6 +83,7 @@
 		e.reindex(now, n)
 	}
 	if len(nodes) < count {
+		e.searches += len(nodes) / chunk
 		return nil
 	}
 	return nodes
--- a/internal/decision/placement/health_test.go
+++ b/internal/decision/placement/health_test.go
@@ -60,6 +60,17 @@
 		Expect(ofKind(all, Readmit)).To(ConsistOf(HaveField("Worker", bad)))
 	})
 
+	It("probes a worker only when a task fits beside what runs there", func() {
+		f := newFixture(6, 4)
+		f.addJobs(8, 200)
+		f.play(30, onBad)
+		Expect(f.RestoreJob(f.now, testJob("long", 1, 4))).To(Succeed())
+		full := running("long/0", 1, 1)
+		full.Resources = size(4)
+		f.Restore(f.now, full)
+		Expect(ofKind(f.play(90, onBad), Probe)).To(BeEmpty())
+	})
+
 	It("parks jobs that fail on several good workers and quarantines none", func() {
 		f := newFixture(6, 4)
 		f.addJobs(8, 40)
--- a/internal/decision/placement/property_test.go
+++ b/internal/decision/placement/property_test.go
@@ -71,6 +71,7 @@
 func (m *machine) job(t *rapid.T) {
 	m.jobs++
 	job := testJob(fmt.Sprintf("j%d", m.jobs), rapid.IntRange(1, 5).Draw(t, "tasks"), rapid.IntRange(1, 4).Draw(t, "cores"))
+	job.Resources.Memory = resource.Bytes(rapid.IntRange(1, 8).Draw(t, "memory")) * gigabyte
 	job.Gang = rapid.Bool().Draw(t, "gang")
 	job.Checkpointable = rapid.Bool().Draw(t, "checkpointable")
 	job.Priority = rapid.SampledFrom([]Priority{Urgent, Normal}).Draw(t, "priority")
@@ -115,7 +116,7 @@
 	i := rapid.IntRange(0, 4).Draw(t, "worker")
 	task := RunningTask{
 		TaskAttempt: worker.TaskAttempt{
-			Task:    worker.TaskID(fmt.Sprintf("j%d/%d", rapid.IntRange(1, 9).Draw(t, "job"), rapid.IntRange(0, 5).Draw(t, "index"))),
+			Task:    worker.TaskID(fmt.Sprintf("j%d/%d", rapid.IntRange(max(m.jobs-2, 1), m.jobs+1).Draw(t, "job"), rapid.IntRange(0, 2).Draw(t, "index"))),
 			Attempt: worker.Attempt(rapid.IntRange(1, 3).Draw(t, "attempt")),
 		},
 		Worker: workerID(i), Resources: size(1),
--- a/internal/decision/placement/report.go
+++ b/internal/decision/placement/report.go
@@ -33,7 +33,7 @@
 	e.enterRatios(now, n, end, sample)
 	grown := e.enterUse(now, n, sample)
 	e.relieve(now, n, grown)
-	e.correct(now, n, end.Add(-sample.Period))
+	e.correct(now, n, end.Add(-sample.Period), end)
 	e.reindex(now, n)
 }
 
@@ -175,7 +175,7 @@
 }
 
 // correct takes at most one step against interference for each measurement lag.
-func (e *Engine) correct(now time.Time, n *node, start time.Time) {
+func (e *Engine) correct(now time.Time, n *node, start, end time.Time) {
 	worst := -1
 	for i, s := range n.services {
 		if worst < 0 || s.ratio > n.services[worst].ratio {
@@ -190,7 +190,7 @@
 	if action == interference.Wait {
 		return
 	}
-	attempts, candidates := e.suspects(now, n, s.name)
+	attempts, candidates := e.suspects(now, n, s.name, end)
 	facts := Facts{Service: s.name, P99: s.p99, Target: time.Duration(e.services[s.name].Target)}
 	if action == interference.Lift {
 		if i, ok := interference.Relent(candidates); ok {
@@ -214,13 +214,13 @@
 	n.control.Acted(now)
 }
 
-// suspects returns the running attempts of a worker with their part in the
-// slowdown of a service.
-func (e *Engine) suspects(now time.Time, n *node, service manifest.ServiceName) ([]*attempt, []interference.Candidate) {
+// suspects returns the attempts of a worker that ran before the end of the sample
+// with their part in the slowdown of a service.
+func (e *Engine) suspects(now time.Time, n *node, service manifest.ServiceName, end time.Time) ([]*attempt, []interference.Candidate) {
 	var attempts []*attempt
 	var candidates []interference.Candidate
 	for _, a := range n.attempts {
-		if a.stopping || a.job == nil {
+		if a.stopping || a.job == nil || a.started.After(end) {
 			continue
 		}
 		cores := float64(a.reserve.Processors) / 1000 * float64(a.share) / 1000
--- a/internal/decision/placement/shard_test.go
+++ b/internal/decision/placement/shard_test.go
@@ -61,6 +61,22 @@
 		Expect(ofKind(f.step(time.Second), Start)).To(HaveLen(3))
 	})
 
+	It("moves what a team uses to its new parent and divides quotas", func() {
+		f := newFixture(4, 8)
+		f.addJobs(1, 6)
+		f.step(time.Second)
+		published := testManifest()
+		published.Manifest.Teams = append(published.Manifest.Teams, manifest.Team{Name: "other", Quota: size(7), UrgentQuota: size(7)})
+		published.Manifest.Teams[1].Parent = "other"
+		f.Configure(f.now, published)
+		Expect(f.teams["all"].used).To(BeZero())
+		Expect(f.teams["other"].used).To(Equal(size(6)))
+		f.SetQuotaShare(500)
+		Expect(f.teams["small"].quota).To(Equal(size(2)))
+		Expect(f.AddJob(f.now, testJob("late", 1, 1))).To(Succeed())
+		Expect(f.step(time.Second)).To(BeEmpty(), "the new parent's share is used up")
+	})
+
 	It("takes over running tasks and numbers its attempts above theirs", func() {
 		f := newFixture(2, 4)
 		Expect(f.RestoreJob(f.now, testJob("j", 3, 1))).To(Succeed())
