Set the usage lag of a stand-in worker by flag

Cause: the lag of measurements is a setting that tests and the demo vary. Conclusion: the commands' tests no longer depend on how they are run.

--- a/internal/cmd/standinworker/standinworker.go
+++ b/internal/cmd/standinworker/standinworker.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
@@ -31,6 +32,8 @@
 	// Platform is the host:port of the platform; empty for a worker without
 	// membership and object store.
 	Platform string
+	// UsageLag is the age at which a usage sample is first reported.
+	UsageLag time.Duration
 	// JournalFile receives the journal as JSON lines; empty means none.
 	JournalFile string
 }
@@ -70,6 +73,7 @@
 	flags.Int64Var((*int64)(&capacity.Memory), "memory", 60e9, "bytes of memory")
 	flags.Int64Var((*int64)(&capacity.Accelerators), "accelerators", 0, "accelerators")
 	flags.StringVar(&o.Platform, "platform", "", "host:port of the platform")
+	flags.DurationVar(&o.UsageLag, "usage-lag", worker.DefaultUsageLag, "age at which usage is reported")
 	flags.StringVar(&o.JournalFile, "journal-file", "", "file to append the journal to")
 }
 
@@ -85,6 +89,9 @@
 	if capacity.Processors < 0 || capacity.Memory < 0 || capacity.Accelerators < 0 {
 		findings = append(findings, errors.New("--processors, --memory and --accelerators must not be negative"))
 	}
+	if o.UsageLag <= 0 {
+		findings = append(findings, errors.New("--usage-lag must be positive"))
+	}
 	return errors.Join(findings...)
 }
 
@@ -124,6 +131,7 @@
 		ID:          o.Instance.ID,
 		Capacity:    o.Instance.Capacity,
 		Clock:       o.Factory.Clock,
+		UsageLag:    o.UsageLag,
 		Incarnation: uuid.NewString(),
 		// Milliseconds keep rising across restarts, because a worker sends fewer than
 		// 1000 answers per second.
--- a/internal/cmd/standinworker/suite_test.go
+++ b/internal/cmd/standinworker/suite_test.go
@@ -34,7 +34,7 @@
 var _ = Describe("standin worker", func() {
 	It("reports every missing flag at once", func() {
 		cmd := standinworker.NewCmd(newFactory(&bytes.Buffer{}), nil)
-		cmd.SetArgs(nil)
+		cmd.SetArgs([]string{})
 		cmd.SilenceErrors, cmd.SilenceUsage = true, true
 		Expect(cmd.Execute()).To(MatchError(And(ContainSubstring("--id"), ContainSubstring("--zone"))))
 	})
--- a/internal/standin/worker/suite_test.go
+++ b/internal/standin/worker/suite_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -70,7 +69,7 @@
 func (m *memory) Delete(_ context.Context, key object.Key) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	maps.DeleteFunc(m.objects, func(k object.Key, _ []byte) bool { return k == key })
+	delete(m.objects, key)
 	return nil
 }
 
@@ -139,18 +138,10 @@
 	return f.sync(protocol.SyncRequest{Start: starts})
 }
 
-func (f *fixture) kinds() []worker.EventKind {
-	var kinds []worker.EventKind
-	for _, event := range f.worker.Journal.Entries() {
-		kinds = append(kinds, event.Kind)
-	}
-	return kinds
-}
-
 func (f *fixture) count(kind worker.EventKind) int {
 	n := 0
-	for _, k := range f.kinds() {
-		if k == kind {
+	for _, event := range f.worker.Journal.Entries() {
+		if event.Kind == kind {
 			n++
 		}
 	}
