--- a/internal/backend/worker/worker.go
+++ b/internal/backend/worker/worker.go
@@ -105,7 +105,8 @@
 //
 // The lease runs LeaseTerm from the moment at which the worker sent the answer
 // with the counter Basis. A Basis of 0 renews nothing and must carry no commands;
-// it raises the epoch and asks for the state.
+// it raises the epoch and asks for the state. Otherwise Incarnation must be that of
+// the answer, since a restarted worker may count from the beginning.
 //
 // Starts are refused when more than StartWithin has passed since the worker sent
 // the answer with the counter Basis, so that a delayed request can't start a task
@@ -114,6 +115,7 @@
 	Shard       ShardID
 	Epoch       Epoch
 	Basis       Counter
+	Incarnation string
 	LeaseTerm   time.Duration
 	StartWithin time.Duration
 	Start       []StartTask
--- a/internal/cmd/standinworker/standinworker.go
+++ b/internal/cmd/standinworker/standinworker.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
@@ -16,6 +17,7 @@
 	protocol "github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/object"
 	"github.com/jacinthtrail/jacinthtrail/internal/standin/announce"
 	"github.com/jacinthtrail/jacinthtrail/internal/standin/httpserver"
 	"github.com/jacinthtrail/jacinthtrail/internal/standin/worker"
@@ -34,6 +36,8 @@
 	// AnnounceAddress is the host:port to announce if it isn't the one that the process
 	// listens on, for example that of a proxy.
 	AnnounceAddress string
+	// UsageLag is the age at which a usage sample is first reported.
+	UsageLag time.Duration
 	// JournalFile receives the journal as JSON lines; empty means none.
 	JournalFile string
 }
@@ -74,6 +78,7 @@
 	flags.Int64Var((*int64)(&capacity.Accelerators), "accelerators", 0, "accelerators")
 	flags.StringVar(&o.Platform, "platform", "", "host:port of the platform")
 	flags.StringVar(&o.AnnounceAddress, "announce-address", "", "host:port to announce (default: the one that the process listens on)")
+	flags.DurationVar(&o.UsageLag, "usage-lag", worker.DefaultUsageLag, "age at which usage is reported")
 	flags.StringVar(&o.JournalFile, "journal-file", "", "file to append the journal to")
 }
 
@@ -89,6 +94,9 @@
 	if capacity.Processors < 0 || capacity.Memory < 0 || capacity.Accelerators < 0 {
 		findings = append(findings, errors.New("--processors, --memory and --accelerators must not be negative"))
 	}
+	if o.UsageLag <= 0 {
+		findings = append(findings, errors.New("--usage-lag must be positive"))
+	}
 	return errors.Join(findings...)
 }
 
@@ -131,13 +139,14 @@
 		ID:          o.Instance.ID,
 		Capacity:    o.Instance.Capacity,
 		Clock:       o.Factory.Clock,
+		UsageLag:    o.UsageLag,
 		Incarnation: uuid.NewString(),
 		// Milliseconds keep rising across restarts, because a worker sends fewer than
 		// 1000 answers per second.
 		FirstCounter: protocol.Counter(o.Factory.Clock.Now().UnixMilli()),
 	}
 	if o.Platform != "" {
-		w.ObjectStore = objects{platform: o.Platform}
+		w.ObjectStore = object.Client{Address: o.Platform}
 	}
 	return w
 }
--- a/internal/entry/shard/link.go
+++ b/internal/entry/shard/link.go
@@ -124,6 +124,7 @@
 	if l.basis == 0 {
 		return request
 	}
+	request.Incarnation = l.incarnation
 	request.LeaseTerm = LeaseTerm
 	request.Start = l.start
 	request.Stop = l.stop
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -149,6 +149,7 @@
 func (w *Worker) buildsOnLast(now time.Time, request protocol.SyncRequest) bool {
 	return request.Epoch == w.epoch &&
 		request.Basis == w.counter &&
+		request.Incarnation == w.Incarnation &&
 		now.Sub(w.sent) < request.LeaseTerm
 }
 
