--- /dev/null
+++ b/internal/decision/ownership/model_run_test.go
@@ -0,0 +1,83 @@
+package ownership
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// modelSeeds are the fixed seeds of the model test.
+var modelSeeds = []uint64{1, 2, 3}
+
+func modelTerms() Terms {
+	terms := DefaultTerms()
+	terms.Isolation = 30 * time.Second
+	terms.Rebalance = 15 * time.Second
+	return terms
+}
+
+// livenessBound is the longest time from the end of all faults until some member
+// holds authority: late messages, silence or a promise, the turns of four members,
+// the wait for a member that joined late, and the reads and writes in between.
+func livenessBound(t Terms) time.Duration {
+	return 8*time.Second + t.Suspicion + t.Authority + 4*t.Stagger + t.wait(t.Isolation) + 10*time.Second
+}
+
+func drawFaults(t *rapid.T, horizon time.Duration) []fault {
+	seconds := func(low, high int) *rapid.Generator[time.Duration] {
+		return rapid.Map(rapid.IntRange(low*10, high*10), func(tenths int) time.Duration {
+			return time.Duration(tenths) * 100 * time.Millisecond
+		})
+	}
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+		f := fault{
+			Kind:     rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+			Node:     rapid.IntRange(0, 3).Draw(t, "node"),
+			Other:    rapid.IntRange(0, 3).Draw(t, "other"),
+			At:       seconds(0, int(horizon/time.Second)).Draw(t, "at"),
+			Duration: seconds(0, 45).Draw(t, "duration"),
+		}
+		f.Duration = min(f.Duration, horizon-f.At)
+		return f
+	}), 0, 16).Draw(t, "faults")
+}
+
+// checkModel guards against two owners that act at once, epochs that fall, and
+// shards that stay without an owner after the faults end.
+func checkModel(t *rapid.T) {
+	const horizon = 90 * time.Second
+	rates := rapid.SliceOfN(rapid.SampledFrom([]float64{0.99, 0.995, 1, 1.005, 1.01}), 2, 4).Draw(t, "rates")
+	m := newModel(rapid.Uint64().Draw(t, "seed"), rates, modelTerms(), drawFaults(t, horizon))
+	for m.now < horizon {
+		m.advance()
+		if m.failure != nil {
+			t.Fatalf("%v", m.failure)
+		}
+	}
+	end := horizon + livenessBound(m.terms)
+	held := false
+	for m.now < end && !held {
+		held = len(m.advance()) == 1
+		if m.failure != nil {
+			t.Fatalf("%v", m.failure)
+		}
+	}
+	if !held {
+		t.Fatalf("no authority %v after the faults ended; row %+v, members %+v", livenessBound(m.terms), m.shard, m.members)
+	}
+}
+
+func TestModel(t *testing.T) {
+	for _, seed := range modelSeeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			if err := flag.Set("rapid.seed", fmt.Sprint(seed)); err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("rapid seed %d", seed)
+			rapid.Check(t, checkModel)
+		})
+	}
+}
--- /dev/null
+++ b/internal/decision/ownership/model_test.go
@@ -0,0 +1,300 @@
+package ownership
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
+)
+
+// step is the resolution of the model in true time.
+const step = 50 * time.Millisecond
+
+// fault is one entry of a model's fault schedule; the zero kind is none.
+type fault struct {
+	Kind         string
+	Node, Other  int
+	At, Duration time.Duration
+}
+
+var faultKinds = []string{"CutTable", "CutTableAll", "Partition", "OneWay", "Freeze", "Restart", "Leave", "LoseAnswers", "SlowTable"}
+
+// instance is an entry instance of the model with its own clock.
+type instance struct {
+	id     membership.InstanceID
+	group  *Group
+	node   *Node
+	rate   float64
+	offset time.Duration
+	beat   time.Time
+	inbox  []func()
+}
+
+// event happens at a true time.
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// model is a table and the entry instances of a zone in true time.
+type model struct {
+	terms     Terms
+	random    *rand.Rand
+	now       time.Duration
+	queue     events
+	sequence  int
+	instances []*instance
+	dead      []membership.InstanceID
+	faults    []fault
+	started   int
+
+	shard   ShardRow
+	members MemberSet
+	shardAt table.Version
+	setAt   table.Version
+	failure error
+}
+
+var modelShard = worker.ShardID{Zone: "zone", Index: 1}
+
+func newModel(seed uint64, rates []float64, terms Terms, faults []fault) *model {
+	m := &model{terms: terms, random: rand.New(rand.NewPCG(seed, 1)), faults: faults}
+	for _, rate := range rates {
+		m.instances = append(m.instances, m.start(rate))
+	}
+	return m
+}
+
+func (m *model) start(rate float64) *instance {
+	m.started++
+	id := membership.InstanceID(fmt.Sprintf("entry-%d", m.started))
+	i := &instance{id: id, group: NewGroup(id, m.terms), rate: rate, offset: time.Duration(m.random.Int64N(int64(time.Hour)))}
+	i.node = i.group.Node(modelShard)
+	return i
+}
+
+// clock returns the instance's reading of the true time.
+func (m *model) clock(i *instance) time.Time {
+	return time.Unix(1, 0).Add(i.offset + time.Duration(float64(m.now)*i.rate))
+}
+
+func (m *model) active(kind string, node int) bool {
+	for _, f := range m.faults {
+		if f.Kind == kind && f.Node%len(m.instances) == node && m.now >= f.At && m.now < f.At+f.Duration {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *model) any(kind string) bool {
+	for _, f := range m.faults {
+		if f.Kind == kind && m.now >= f.At && m.now < f.At+f.Duration {
+			return true
+		}
+	}
+	return false
+}
+
+// cut reports whether messages from one instance to another are lost.
+func (m *model) cut(from, to int) bool {
+	for _, f := range m.faults {
+		a, b := f.Node%len(m.instances), f.Other%len(m.instances)
+		if m.now < f.At || m.now >= f.At+f.Duration {
+			continue
+		}
+		if f.Kind == "Partition" && (a == from && b == to || a == to && b == from) || f.Kind == "OneWay" && a == from && b == to {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *model) after(d time.Duration, run func()) {
+	m.sequence++
+	heap.Push(&m.queue, event{m.now + d, m.sequence, run})
+}
+
+// delay returns a network delay, now and then a very long one.
+func (m *model) delay(slow bool) time.Duration {
+	if slow || m.random.IntN(100) == 0 {
+		return time.Duration(m.random.Int64N(int64(8 * time.Second)))
+	}
+	return time.Duration(m.random.Int64N(int64(100 * time.Millisecond)))
+}
+
+// deliver runs something at an instance once it is not frozen, unless it died.
+func (m *model) deliver(i *instance, d time.Duration, run func()) {
+	m.after(d, func() { i.inbox = append(i.inbox, run) })
+}
+
+// request runs op at the table and then done(true) at the instance, or done(false)
+// after a timeout when the request or the answer was lost or slow.
+func (m *model) request(index int, i *instance, op func(), done func(answered bool)) {
+	finished := false
+	finish := func(answered bool) func() {
+		return func() {
+			if !finished {
+				finished = true
+				done(answered)
+			}
+		}
+	}
+	m.deliver(i, 2*time.Second, finish(false))
+	lost := m.any("CutTableAll") || m.active("CutTable", index)
+	slow := m.any("SlowTable")
+	noAnswer := m.active("LoseAnswers", index)
+	if lost {
+		return
+	}
+	m.after(m.delay(slow), func() {
+		op()
+		if !noAnswer {
+			m.deliver(i, m.delay(slow), finish(true))
+		}
+	})
+}
+
+func (m *model) perform(index int, i *instance, a Action) {
+	switch a.Kind {
+	case Read:
+		read := TableRead{Began: m.clock(i)}
+		m.request(index, i, func() {
+			read.Shard, read.ShardVersion = m.shard, m.shardAt
+			read.Members, read.MembersVersion = m.members, m.setAt
+		}, func(answered bool) {
+			if answered {
+				i.node.TableRead(m.clock(i), read)
+			} else {
+				i.node.ReadFailed()
+			}
+		})
+	case Claim, Settle, Release:
+		outcome, version := NotWritten, table.Version(0)
+		m.request(index, i, func() {
+			if a.ShardVersion != m.shardAt || a.Kind == Claim && a.MembersVersion != m.setAt {
+				return
+			}
+			if a.Row.Epoch < m.shard.Epoch {
+				m.failure = fmt.Errorf("epoch fell from %d to %d", m.shard.Epoch, a.Row.Epoch)
+			}
+			m.shardAt++
+			m.shard = a.Row
+			outcome, version = Written, m.shardAt
+		}, func(answered bool) {
+			if !answered {
+				i.node.WriteResult(m.clock(i), a, Unknown, 0)
+				return
+			}
+			i.node.WriteResult(m.clock(i), a, outcome, version)
+		})
+	case StartRecovery:
+		m.deliver(i, m.delay(false), i.node.Recovered)
+	}
+}
+
+func (m *model) heartbeat(index int, i *instance) {
+	now := m.clock(i)
+	if now.Sub(i.beat) < time.Second {
+		return
+	}
+	i.beat = now
+	h := i.group.Heartbeat(now)
+	for to, other := range m.instances {
+		if to == index || m.cut(index, to) || m.random.IntN(10) == 0 {
+			continue
+		}
+		back := !m.cut(to, index) && m.random.IntN(10) != 0
+		m.deliver(other, m.delay(false), func() {
+			answer := other.group.Received(m.clock(other), h)
+			if back {
+				m.deliver(i, m.delay(false), func() { i.group.Answered(m.clock(i), now, answer) })
+			}
+		})
+	}
+}
+
+func (m *model) tick(index int, i *instance) {
+	for len(i.inbox) > 0 {
+		run := i.inbox[0]
+		i.inbox = i.inbox[1:]
+		run()
+	}
+	m.heartbeat(index, i)
+	if w, due := i.group.Tick(m.clock(i)); due {
+		m.request(index, i, func() {
+			if w.Version == m.setAt {
+				m.setAt++
+				m.members = w.Set
+			}
+		}, func(bool) { i.group.MembersWritten(m.clock(i)) })
+	}
+	for _, a := range i.node.Tick(m.clock(i)) {
+		m.perform(index, i, a)
+	}
+}
+
+// advance runs one step and returns the instances that hold authority after it.
+func (m *model) advance() []*instance {
+	m.now += step
+	for _, f := range m.faults {
+		index := f.Node % len(m.instances)
+		if f.At < m.now-step || f.At >= m.now {
+			continue
+		}
+		if f.Kind == "Leave" {
+			m.instances[index].group.Leave()
+		}
+		if f.Kind == "Restart" || f.Kind == "Leave" {
+			m.after(f.Duration, func() { m.replace(index) })
+		}
+	}
+	for len(m.queue) > 0 && m.queue[0].at <= m.now {
+		heap.Pop(&m.queue).(event).run()
+	}
+	var holders []*instance
+	for index, i := range m.instances {
+		if !m.active("Freeze", index) && !m.active("Restart", index) {
+			m.tick(index, i)
+		}
+		if _, ok := i.node.Authority(m.clock(i)); ok {
+			holders = append(holders, i)
+		}
+	}
+	if len(holders) > 1 {
+		m.failure = fmt.Errorf("at %v both %s (epoch %d) and %s (epoch %d) hold authority", m.now,
+			holders[0].id, holders[0].node.Epoch(), holders[1].id, holders[1].node.Epoch())
+	}
+	return holders
+}
+
+// replace stops an instance and starts another under a new id.
+func (m *model) replace(index int) {
+	m.dead = append(m.dead, m.instances[index].id)
+	gone := m.dead
+	m.instances[index] = m.start(m.instances[index].rate)
+	m.after(5*time.Second, func() {
+		for _, i := range m.instances {
+			i.group.SetGone(gone)
+		}
+	})
+}
