Keep large payloads in the object store and bound results

Cause: a payload over the table's row limit made every submission fail, and a result over it would have blocked the commits of its shard for good. Change: payloads over 16 KiB go to the object store under a key with their digest; a result over Limits.MaxResult fails its task; MaxResult is at most 4 MiB, so that it fits a row with its encoding.

--- a/internal/caller/job/record.go
+++ b/internal/caller/job/record.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/object"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
 )
 
@@ -39,7 +40,8 @@
 	Gang bool
 	// Deadline is when the job should be finished; the zero time is no deadline.
 	Deadline time.Time
-	// Payload is given to each task.
+	// Payload is given to each task. In a Record it is empty if it is in the object
+	// store.
 	Payload json.RawMessage
 }
 
@@ -70,6 +72,8 @@
 	Submitted time.Time
 	// Manifest is the version under which the job was accepted.
 	Manifest manifest.Version
+	// PayloadKey is the object that has the payload, empty if Spec has it.
+	PayloadKey object.Key
 	// Done has the indexes of the tasks whose results are recorded.
 	Done Ranges
 	// Flushes is the number of result rows of the job.
--- a/internal/caller/job/repository.go
+++ b/internal/caller/job/repository.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,6 +13,7 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/object"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
 )
 
@@ -21,15 +24,24 @@
 // moves to another shard meanwhile.
 const maxMoveRetries = 3
 
-// Repository reads and writes jobs in the table.
+// inlinePayload is the largest payload in bytes that a record holds. Larger ones go
+// to the object store, because an owner loads all records of its shard.
+const inlinePayload = 16 << 10
+
+// Repository reads and writes jobs in the table, and large payloads in the object
+// store.
 type Repository struct {
-	Store table.Store
-	Clock clockwork.Clock
+	Store   table.Store
+	Objects object.Store
+	Clock   clockwork.Clock
 }
 
 // Submit makes a job durable and tells its shard. If the team already has a job
 // with the key, Submit changes nothing and returns that job with created false.
 func (r Repository) Submit(ctx context.Context, record Record, shard worker.ShardID) (stored Record, created bool, err error) {
+	if record, err = r.storePayload(ctx, record); err != nil {
+		return Record{}, false, err
+	}
 	tx, err := submission(record, shard)
 	if err != nil {
 		return Record{}, false, err
@@ -45,6 +57,22 @@
 	return record, true, nil
 }
 
+// storePayload moves a large payload to the object store. The object's key has the
+// content's digest: a repeated submission with another payload must not change the
+// payload of the job that was accepted.
+func (r Repository) storePayload(ctx context.Context, record Record) (Record, error) {
+	if len(record.Spec.Payload) <= inlinePayload {
+		return record, nil
+	}
+	digest := sha256.Sum256(record.Spec.Payload)
+	key := object.Key("payload/" + string(record.ID) + "/" + hex.EncodeToString(digest[:]))
+	if err := r.Objects.Put(ctx, key, record.Spec.Payload); err != nil {
+		return record, fmt.Errorf("store the payload of job %s: %w", record.ID, err)
+	}
+	record.Spec.Payload, record.PayloadKey = nil, key
+	return record, nil
+}
+
 func submission(record Record, shard worker.ShardID) (table.Transaction, error) {
 	value, err := json.Marshal(record)
 	if err != nil {
--- a/internal/entry/instance/backend.go
+++ b/internal/entry/instance/backend.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/heartbeat"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/object"
 )
 
 // publishPoll is the time between looks at who reports a published version.
@@ -229,7 +230,10 @@
 // jobsHandler returns the handler of batch jobs.
 func (i *Instance) jobsHandler() *job.Handler {
 	return &job.Handler{
-		Repository:    job.Repository{Store: i.store, Clock: i.clock},
+		Repository: job.Repository{
+			Store: i.store, Clock: i.clock,
+			Objects: object.Client{Address: i.settings.Platform, HTTP: i.platform},
+		},
 		Destinations:  i.destinations(),
 		Configuration: &i.config,
 		Membership:    i.members,
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -64,6 +64,7 @@
 	operators net.Listener
 	peerPort  net.Listener
 
+	platform   *http.Client
 	store      table.Store
 	announcer  membership.Client
 	members    snapshots
@@ -121,9 +122,9 @@
 
 // connect builds the clients of the platform, the workers and the peers.
 func (i *Instance) connect() {
-	platform := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxPlatformConnections}}
-	i.store = countedStore{table.Client{Address: i.settings.Platform, HTTP: platform}, i.counters}
-	i.announcer = membership.Client{Address: i.settings.Platform, HTTP: platform}
+	i.platform = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxPlatformConnections}}
+	i.store = countedStore{table.Client{Address: i.settings.Platform, HTTP: i.platform}, i.counters}
+	i.announcer = membership.Client{Address: i.settings.Platform, HTTP: i.platform}
 	i.members = snapshots{membership.NewView(i.announcer, i.clock)}
 	i.repository = configuration.Repository{Store: i.store, Clock: i.clock}
 	i.zoneRows = zone.Repository{Store: i.store, Clock: i.clock}
--- a/internal/entry/shard/link.go
+++ b/internal/entry/shard/link.go
@@ -17,6 +17,9 @@
 // worker gets no new tasks.
 const failuresUntilUnreachable = 2
 
+// reasonResultTooLarge fails a task whose result is over the manifest's MaxResult.
+const reasonResultTooLarge = "ResultTooLarge"
+
 // attemptState is what the owner knows of an attempt that it gave to a worker.
 type attemptState string
 
@@ -89,8 +92,8 @@
 		TaskAttempt: d.TaskAttempt,
 		Class:       string(d.Class),
 		Resources:   d.Resources,
-		Payload:     s.records.payload(d.Job),
 	}
+	start.Payload, start.PayloadKey = s.records.payload(d.Job)
 	if d.Checkpointable {
 		// A checkpoint may exist that this owner doesn't know of, written under an
 		// earlier owner, so a task always resumes from its checkpoint's key.
@@ -372,6 +375,12 @@
 	switch status.State {
 	case worker.Succeeded:
 		end.Outcome = placement.Succeeded
+		if limit := s.Configuration.Current().Manifest.Limits.MaxResult; len(status.Result) > int(limit) {
+			end.Outcome, end.Reason = placement.Failed, reasonResultTooLarge
+			s.Counters.Add("Task.ResultTooLarge", 1)
+			l.acknowledge[status.TaskAttempt] = struct{}{}
+			break
+		}
 		s.recordResult(l, status)
 	case worker.Failed:
 		end.Outcome = placement.Failed
--- a/internal/entry/shard/records.go
+++ b/internal/entry/shard/records.go
@@ -7,6 +7,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/job"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/object"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
 )
 
@@ -43,11 +44,11 @@
 	}
 }
 
-func (r *records) payload(id worker.JobID) []byte {
+func (r *records) payload(id worker.JobID) ([]byte, object.Key) {
 	if e, ok := r.jobs[id]; ok {
-		return e.record.Spec.Payload
+		return e.record.Spec.Payload, e.record.PayloadKey
 	}
-	return nil
+	return nil, ""
 }
 
 // finished keeps a result for the next commit. It returns false if the task's
--- a/internal/operator/manifest/check.go
+++ b/internal/operator/manifest/check.go
@@ -26,19 +26,21 @@
 // Largest values of a manifest. The resources of all teams together fit in an
 // int64.
 const (
-	MaxProcessors    resource.MilliProcessors = 1_000_000_000_000
-	MaxMemory        resource.Bytes           = 1 << 53
-	MaxAccelerators  resource.Accelerators    = 1_000_000_000
-	MaxBodySize      resource.Bytes           = 64 << 20
-	MaxServiceTime                            = Duration(time.Hour)
-	MaxTaskTime                               = Duration(30 * 24 * time.Hour)
-	MaxFeedTime                               = Duration(7 * 24 * time.Hour)
-	MaxTaskAttempts                           = 100
-	MaxWeight                                 = 1_000_000
-	MaxShardsPerZone                          = 1024
-	MaxQueue                                  = 10_000_000
-	MaxTasks                                  = 1_000_000
-	MaxRamp                                   = Duration(24 * time.Hour)
+	MaxProcessors   resource.MilliProcessors = 1_000_000_000_000
+	MaxMemory       resource.Bytes           = 1 << 53
+	MaxAccelerators resource.Accelerators    = 1_000_000_000
+	MaxBodySize     resource.Bytes           = 64 << 20
+	// MaxResultSize leaves room for a result with its encoding in one row of the table.
+	MaxResultSize    resource.Bytes = 4 << 20
+	MaxServiceTime                  = Duration(time.Hour)
+	MaxTaskTime                     = Duration(30 * 24 * time.Hour)
+	MaxFeedTime                     = Duration(7 * 24 * time.Hour)
+	MaxTaskAttempts                 = 100
+	MaxWeight                       = 1_000_000
+	MaxShardsPerZone                = 1024
+	MaxQueue                        = 10_000_000
+	MaxTasks                        = 1_000_000
+	MaxRamp                         = Duration(24 * time.Hour)
 	// MinIsolationLimit is the AuthorityTerm of the design; promises would end before it.
 	MinIsolationLimit = Duration(5 * time.Second)
 	MaxIsolationLimit = Duration(time.Hour)
@@ -194,7 +196,7 @@
 	within(c, "Limits.MaxQueuedJobs", l.MaxQueuedJobs, 0, MaxQueue)
 	within(c, "Limits.MaxTasksPerJob", l.MaxTasksPerJob, 0, MaxTasks)
 	within(c, "Limits.MaxPayload", l.MaxPayload, 0, MaxBodySize)
-	within(c, "Limits.MaxResult", l.MaxResult, 0, MaxBodySize)
+	within(c, "Limits.MaxResult", l.MaxResult, 0, MaxResultSize)
 	within(c, "Limits.ReturnRamp", l.ReturnRamp, 0, MaxRamp)
 	filled := l.withDefaults()
 	within(c, "Limits.IsolationLimit", filled.IsolationLimit, MinIsolationLimit, MaxIsolationLimit)
