Keep attempts unique and finish partial takeovers

Cause: setting an epoch again restarted its attempt numbers, tasks that a takeover found on a leaving worker ran on, and a gang of which a part was found waited for a member to end. Conclusion: takeovers leave nothing behind.

--- a/internal/decision/placement/engine.go
+++ b/internal/decision/placement/engine.go
@@ -8,6 +8,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
@@ -202,8 +203,12 @@
 }
 
 // SetEpoch sets the epoch of the owner. Attempts are epoch<<32 plus a sequence
-// number, so those of a later owner are higher.
+// number, so those of a later owner are higher. An epoch that isn't higher changes
+// nothing. After 2^32 starts in one epoch nothing starts until the next.
 func (e *Engine) SetEpoch(epoch worker.Epoch) {
+	if epoch <= e.epoch {
+		return
+	}
 	e.epoch = epoch
 	e.sequence = 0
 }
@@ -236,6 +241,9 @@
 	if e.permit.Ramp > 0 && e.tokens < float64(min(count, max(e.permit.Ramp/4, 1))) {
 		return false
 	}
+	if uint64(e.sequence)+uint64(count) > math.MaxUint32 {
+		return false
+	}
 	return e.starts == 0 || e.starts+count <= maxStartsPerTick
 }
 
--- a/internal/decision/placement/restore.go
+++ b/internal/decision/placement/restore.go
@@ -41,9 +41,12 @@
 	j.keep(index, task.Checkpoint)
 	j.team.add(0, -1)
 	e.run(now, j, n, a)
-	if j.pending() == 0 || j.Gang {
+	if j.pending() == 0 {
 		j.dequeue()
 	}
+	if n.State == Leaving {
+		e.leaving = append(e.leaving, n)
+	}
 }
 
 // adopt counts an attempt that no job wants and has it killed.
--- a/internal/decision/placement/shard_test.go
+++ b/internal/decision/placement/shard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -87,6 +88,40 @@
 		Expect(starts).NotTo(ContainElement(HaveField("Task", worker.TaskID("j/1"))))
 	})
 
+	It("checkpoints tasks that it finds on a leaving worker", func() {
+		f := newFixture(1, 4)
+		leaving := testWorker(0, 4)
+		leaving.State = Leaving
+		f.SetWorker(f.now, leaving)
+		f.step(time.Second)
+		Expect(f.RestoreJob(f.now, testJob("j", 1, 1))).To(Succeed())
+		f.Restore(f.now, running("j/0", 5, 0))
+		Expect(f.step(time.Second)).To(ConsistOf(HaveField("Reason", ReasonWorkerLeaves)))
+	})
+
+	It("restarts a gang of which a takeover found only a part", func() {
+		f := newFixture(2, 4)
+		gang := testJob("gang", 2, 3)
+		gang.Gang = true
+		Expect(f.RestoreJob(f.now, gang)).To(Succeed())
+		f.Restore(f.now, running("gang/0", 5, 0))
+		Expect(f.step(time.Second)).To(BeEmpty())
+		f.obey(f.step(gangGrace))
+		f.end(Decision{TaskAttempt: running("gang/0", 5, 0).TaskAttempt, Worker: workerID(0)}, Evicted)
+		f.step(gangRest)
+		Expect(f.Summary().Running).To(Equal(2))
+	})
+
+	It("never numbers an attempt twice", func() {
+		f := newFixture(1, 4)
+		f.addJobs(1, 2)
+		f.SetEpoch(2)
+		f.sequence = math.MaxUint32 - 1
+		Expect(f.step(time.Second)).To(ConsistOf(HaveField("Attempt", worker.Attempt(4<<32-1))))
+		f.SetEpoch(4)
+		Expect(f.step(time.Second)).To(ConsistOf(HaveField("Attempt", worker.Attempt(4<<32+1))))
+	})
+
 	It("kills the lower of two attempts of a task and tasks of unknown jobs", func() {
 		f := newFixture(2, 4)
 		Expect(f.RestoreJob(f.now, testJob("j", 1, 1))).To(Succeed())
