Let jobs near their deadline use more of the error budget

Change: jobs within eight run times of their deadline start up to 1.2 times the target and are not throttled until 80% of the error budget is used.

--- a/internal/decision/placement/engine.go
+++ b/internal/decision/placement/engine.go
@@ -60,7 +60,7 @@
 	sets        serviceSets
 	table       interference.Table
 	rises       map[interference.Pair]float64
-	ratios      map[manifest.ServiceName]float64
+	ratios      map[limitKey]float64
 
 	jobs    map[worker.JobID]*job
 	orphans map[worker.TaskAttempt]*attempt
--- a/internal/decision/placement/node.go
+++ b/internal/decision/placement/node.go
@@ -31,6 +31,13 @@
 	// relaxedBudget percent of its error budget.
 	relaxedRatio  = 0.95
 	relaxedBudget = 50
+	// dueRatio and dueBudget are the same for jobs whose deadline is near. Their tasks
+	// are not throttled either while the budget lasts.
+	dueRatio  = 1.2
+	dueBudget = 80
+	// dueRounds is the number of run times before the deadline at which a job is due.
+	// Over four seeds of the rota rush 26 jobs are late with 5, 23 with 8, 22 with 12.
+	dueRounds = 8
 	// volatileFor is how long a worker counts as one where eviction is likely.
 	volatileFor = 10 * time.Minute
 )
--- a/internal/decision/placement/place.go
+++ b/internal/decision/placement/place.go
@@ -219,7 +219,7 @@
 	services := e.sets.sets[key.set]
 	total, highest, limit := 0.0, 0.0, highRatio
 	for _, service := range services {
-		limit = max(limit, e.limit(now, service))
+		limit = max(limit, e.limit(now, service, j))
 		rise := e.rise(now, interference.Pair{Service: service, Class: j.Class}) * cores
 		total += rise
 		highest = max(highest, rise)
@@ -239,22 +239,40 @@
 	return total
 }
 
+// limitKey tells jobs that are due from others.
+type limitKey struct {
+	service manifest.ServiceName
+	due     bool
+}
+
 // limit is the predicted p99 against the target up to which normal tasks start.
-func (e *Engine) limit(now time.Time, name manifest.ServiceName) float64 {
-	if known, ok := e.ratios[name]; ok {
+// Jobs that are due may use more of the error budget than others.
+func (e *Engine) limit(now time.Time, name manifest.ServiceName, j *job) float64 {
+	key := limitKey{name, j.due(now)}
+	if known, ok := e.ratios[key]; ok {
 		return known
 	}
+	budget, relaxed := relaxedBudget, relaxedRatio
+	if key.due {
+		budget, relaxed = dueBudget, dueRatio
+	}
 	limit := highRatio
-	if e.table.MayExplore(now, name, e.services[name].ErrorBudget*relaxedBudget/100) {
-		limit = relaxedRatio
+	if e.table.MayExplore(now, name, e.services[name].ErrorBudget*budget/100) {
+		limit = relaxed
 	}
 	if e.ratios == nil {
-		e.ratios = map[manifest.ServiceName]float64{}
+		e.ratios = map[limitKey]float64{}
 	}
-	e.ratios[name] = limit
+	e.ratios[key] = limit
 	return limit
 }
 
+// due reports whether the job has to start soon to meet its deadline. Its tasks
+// may need several rounds, hence dueRounds times the run time.
+func (j *job) due(now time.Time) bool {
+	return !j.latest.IsZero() && now.Add(dueRounds*j.Deadline.Sub(j.latest)).After(j.Deadline)
+}
+
 // tolerates reports whether no service on the worker that the task slows down is
 // expected to come near its target. Urgent work is tolerated everywhere and goes where it does least harm.
 func (e *Engine) tolerates(now time.Time, n *node, j *job, cores float64) bool {
@@ -263,7 +281,7 @@
 	}
 	for _, s := range n.services {
 		rise := e.rise(now, interference.Pair{Service: s.name, Class: j.Class}) * cores
-		if rise >= negligible && s.predicted()*math.Exp(rise) >= e.limit(now, s.name) {
+		if rise >= negligible && s.predicted()*math.Exp(rise) >= e.limit(now, s.name, j) {
 			return false
 		}
 	}
--- a/internal/decision/placement/report.go
+++ b/internal/decision/placement/report.go
@@ -223,6 +223,9 @@
 		if a.stopping || a.job == nil || a.started.After(end) {
 			continue
 		}
+		if e.spared(now, a, service) {
+			continue
+		}
 		cores := float64(a.reserve.Processors) / 1000 * float64(a.share) / 1000
 		attempts = append(attempts, a)
 		candidates = append(candidates, interference.Candidate{
@@ -234,6 +237,12 @@
 	return attempts, candidates
 }
 
+// spared reports whether a task is left alone because its job is due and the
+// service has enough of its error budget left.
+func (e *Engine) spared(now time.Time, a *attempt, service manifest.ServiceName) bool {
+	return a.share == 1000 && a.job.due(now) && e.limit(now, service, a.job) == dueRatio
+}
+
 func (e *Engine) throttle(now time.Time, n *node, a *attempt, share int, reason Reason, facts Facts) {
 	a.share = int16(share)
 	d := e.about(Throttle, a, reason)
--- a/internal/decision/placement/shard_test.go
+++ b/internal/decision/placement/shard_test.go
@@ -157,6 +157,26 @@
 		Expect(f.step(time.Second)).To(HaveEach(And(HaveField("Kind", Evict), HaveField("Reason", ReasonWorkerLeaves))))
 	})
 
+	It("starts work near a service's target only when it is due, and does not throttle it", func() {
+		f := newFixture(1, 16)
+		w := testWorker(0, 16)
+		w.Services = []manifest.ServiceName{"chairdesk"}
+		f.SetWorker(f.now, w)
+		f.now = f.now.Add(time.Second)
+		f.Report(f.now, w.ID, slowSample(Decision{}, 50*time.Millisecond))
+		later, due := testJob("later", 1, 1), testJob("due", 1, 1)
+		due.Deadline = epoch.Add(5 * time.Minute)
+		Expect(f.AddJob(f.now, later)).To(Succeed())
+		Expect(f.AddJob(f.now, due)).To(Succeed())
+		started := f.step(time.Second)
+		Expect(jobsOf(started)).To(Equal([]worker.JobID{"due"}))
+		for range 4 {
+			f.now = f.now.Add(time.Second)
+			f.Report(f.now, w.ID, slowSample(started[0], 60*time.Millisecond))
+			Expect(f.step(0)).To(BeEmpty())
+		}
+	})
+
 	It("throttles, then evicts the class that the table blames, one step for each lag", func() {
 		f := newFixture(1, 16)
 		w := testWorker(0, 16)
