Lend slots and connections by grants

Cause: a fixed share of each executor wastes slots under skew and overcommits when the number of entry instances changes. Change: the owner of a shard lends base and demand grants (Slots.Acquire), fences every holder at a takeover (Slots.Fence) and recalls grants (Slots.Recall); holders renew each second and ask at once when a request waits. Readiness waits for the first grant up to 5 s. New jobs stay in the zone of their entry instance unless another shard is twice as free, because with stale reports all went to one shard. Quotas are divided evenly between shards. Conclusion: grants replace the fixed share.

--- a/internal/cmd/demo/demo.go
+++ b/internal/cmd/demo/demo.go
@@ -149,6 +149,7 @@
 	}
 	outcome, err := exercise(ctx, d, opts)
 	if err != nil {
+		printCounters(opts.Factory.IO.ErrOut, d.Counters())
 		return errors.Join(err, d.Close())
 	}
 	outcome.Violations = violations(d)
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -40,6 +40,9 @@
 	peerTimeout = 1500 * time.Millisecond
 	// forgetPeer is the silence after which a peer is no longer called.
 	forgetPeer = time.Minute
+	// firstGrantWait is how long a started instance waits for its first slots before it
+	// is ready without. There may be no executors, or no owner for a long time.
+	firstGrantWait = 5 * time.Second
 	// shutdownGrace bounds the end of HTTP connections after the drain.
 	shutdownGrace = 5 * time.Second
 	// readHeaderTimeout bounds the time that a connection may take to send its headers.
@@ -56,6 +59,7 @@
 
 // Instance is a running entry instance.
 type Instance struct {
+	began    time.Time
 	settings Settings
 	clock    clockwork.Clock
 	log      zerolog.Logger
@@ -94,6 +98,7 @@
 // Listen opens the addresses of an instance. Run serves them.
 func Listen(settings Settings, clock clockwork.Clock, log zerolog.Logger) (*Instance, error) {
 	i := &Instance{
+		began:    clock.Now(),
 		settings: settings,
 		clock:    clock,
 		log:      log,
@@ -283,6 +288,8 @@
 		return errors.New("no manifest is known")
 	case !i.tableKnown.Load() && len(i.peers.List()) == 0:
 		return errors.New("neither the table nor a peer has confirmed the manifest")
+	case !i.slots.holdings.HasGranted() && i.clock.Since(i.began) < firstGrantWait:
+		return errors.New("no slots have been granted yet")
 	}
 	return nil
 }
--- a/internal/entry/instance/ownership.go
+++ b/internal/entry/instance/ownership.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/chart"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/ownership"
+	"github.com/jacinthtrail/jacinthtrail/internal/entry/lending"
 	"github.com/jacinthtrail/jacinthtrail/internal/entry/shard"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/control"
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/heartbeat"
@@ -47,8 +48,9 @@
 // runningShard is a shard that this instance runs at an epoch.
 type runningShard struct {
 	*shard.Shard
-	cancel context.CancelFunc
-	done   chan struct{}
+	lending *lending.Owner
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 func (r *runningShard) stop() {
@@ -69,6 +71,13 @@
 	return r.node.Renewal(now)
 }
 
+// Exclusive returns until when this owner, and no earlier one, may lend slots.
+func (r right) Exclusive(now time.Time) (time.Time, bool) {
+	r.owned.mu.Lock()
+	defer r.owned.mu.Unlock()
+	return r.node.Authority(now)
+}
+
 // OthersUntil returns when no earlier owner can renew leases any more.
 func (r right) OthersUntil() time.Time {
 	r.owned.mu.Lock()
@@ -247,13 +256,20 @@
 			Clock:         i.clock,
 			Log:           i.log,
 		}),
+		lending: &lending.Owner{
+			Shard: id, Epoch: epoch, Authority: right{i, node}, Peers: lendingPeers{i},
+			Membership: i.members, Configuration: &i.config, Counters: i.counters, Clock: i.clock,
+		},
 		cancel: cancel,
 		done:   make(chan struct{}),
 	}
 	i.counters.Add("Takeover.Started", 1)
 	i.owned.writes.Go(func() {
+		var lends sync.WaitGroup
+		lends.Go(func() { running.lending.Run(ctx) })
 		err := running.Run(ctx)
 		cancel()
+		lends.Wait()
 		i.shardEnded(id, running, err)
 	})
 	return running
--- a/internal/entry/instance/view.go
+++ b/internal/entry/instance/view.go
@@ -84,29 +84,41 @@
 	return d.choose(now, d.own)
 }
 
+// nearShare is the part of the best shard's score that a shard of this zone needs to
+// be chosen. Staying in the zone keeps payloads off the links between zones, and
+// spreads jobs as the balancer spreads callers.
+const nearShare = 0.5
+
+// choose returns the shard with the best score, or one of this zone that is nearly
+// as good.
 func (d destinations) choose(now time.Time, except membership.Zone) (worker.ShardID, bool) {
-	var best heartbeat.ShardReport
-	found := false
-	consider := func(report heartbeat.ShardReport) {
+	var best, near heartbeat.ShardReport
+	for _, report := range d.reports(now) {
 		if report.Shard.Zone == except || d.zones.isOut(report.Shard.Zone) {
-			return
+			continue
 		}
-		if !found || score(report) > score(best) {
-			best, found = report, true
+		if best.Epoch == 0 || score(report) > score(best) {
+			best = report
+		}
+		if report.Shard.Zone == d.own && (near.Epoch == 0 || score(report) > score(near)) {
+			near = report
 		}
 	}
-	for _, report := range d.local() {
-		consider(report)
+	if near.Epoch != 0 && score(near) >= nearShare*score(best) {
+		return near.Shard, true
 	}
+	return best.Shard, best.Epoch != 0
+}
+
+// reports returns the recent reports of all owners.
+func (d destinations) reports(now time.Time) []heartbeat.ShardReport {
+	reports := d.local()
 	for _, peer := range d.peers.List() {
-		if now.Sub(peer.Heard) > staleReport || peer.Leaving {
-			continue
-		}
-		for _, report := range peer.Shards {
-			consider(report)
+		if now.Sub(peer.Heard) <= staleReport && !peer.Leaving {
+			reports = append(reports, peer.Shards...)
 		}
 	}
-	return best.Shard, found
+	return reports
 }
 
 // score is the free processors that remain for each task in line.
--- /dev/null
+++ b/internal/entry/routing/exchange.go
@@ -0,0 +1,149 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
+	grants "github.com/jacinthtrail/jacinthtrail/internal/decision/slots"
+	"github.com/jacinthtrail/jacinthtrail/internal/peer/grant"
+)
+
+const (
+	// maxWant bounds the slots that one request for grants asks for.
+	maxWant = 64
+	// spareSlots is what an idle demand grant keeps beyond what is in use, so that the
+	// next request finds a slot.
+	spareSlots = 1
+)
+
+// Request returns what to ask the owner of a shard for. Demand grants that the
+// present load doesn't need go back with it.
+func (h *Holdings) Request(id worker.ShardID) grant.AcquireRequest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.Clock.Now()
+	holder := h.holder(id)
+	if len(h.wants) == 0 {
+		holder.TrimDemand(grants.Amount{Slots: spareSlots, Connections: spareSlots})
+	}
+	request := grant.AcquireRequest{
+		Holder: h.Self, Shard: id, Base: id.Zone == h.Zone,
+		Renewals: holder.Renewals(now),
+	}
+	for name, w := range h.wants {
+		if !h.serves(id, string(name)) {
+			continue
+		}
+		slots := min(w.waiting, maxWant)
+		request.Wants = append(request.Wants, grants.Request{
+			Service: string(name), Waiting: w.waiting,
+			Want: grants.Amount{Slots: slots, Connections: slots},
+		})
+	}
+	return request
+}
+
+// serves reports whether a shard has executors of a service. The lock is held.
+func (h *Holdings) serves(id worker.ShardID, name string) bool {
+	for service, targets := range h.targets {
+		if string(service) != name {
+			continue
+		}
+		for _, t := range targets {
+			if t.shard == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Answered takes in the answer to a request that was sent at a time. It reports
+// whether new grants came.
+func (h *Holdings) Answered(id worker.ShardID, sent time.Time, answer grant.AcquireAnswer) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	holder := h.holder(id)
+	if holder.Renewed(sent, answer.Epoch, answer.Renewed) != nil || holder.Granted(sent, answer.Epoch, answer.Grants) != nil {
+		h.Counters.Add("Slots.StaleEpoch", 1)
+		return false
+	}
+	h.granted = h.granted || len(answer.Grants) > 0
+	return len(answer.Grants) > 0
+}
+
+// HasGranted reports whether any slots were ever granted.
+func (h *Holdings) HasGranted() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.granted
+}
+
+// ClearWants forgets the wants that all asked owners have answered. A want that is
+// still there arises again with the next look at the queue.
+func (h *Holdings) ClearWants(stillWaiting func(service string) int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, w := range h.wants {
+		w.waiting = stillWaiting(string(name))
+		if w.waiting == 0 {
+			delete(h.wants, name)
+			continue
+		}
+		h.wants[name] = w
+	}
+}
+
+// HasWants reports whether a request waits for a slot.
+func (h *Holdings) HasWants() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.wants) > 0
+}
+
+// Fence takes in a new owner and returns what this instance holds.
+func (h *Holdings) Fence(request grant.FenceRequest) (grants.FenceReport, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.holder(request.Shard).Fence(h.Clock.Now(), request.Epoch)
+}
+
+// Recall gives grants back early and returns what is kept of them.
+func (h *Holdings) Recall(request grant.RecallRequest) grant.RecallAnswer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var answer grant.RecallAnswer
+	for _, id := range request.IDs {
+		if keep, held := h.holder(request.Shard).Recall(id); held {
+			answer.Kept = append(answer.Kept, keep)
+		}
+	}
+	return answer
+}
+
+// Tick ends what is over: abandoned requests after their longest time, and grants
+// that ran out.
+func (h *Holdings) Tick() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.Clock.Now()
+	for _, holder := range h.holders {
+		if overdue := holder.Tick(now); len(overdue) > 0 {
+			h.Counters.Add("Slots.Overdue", int64(len(overdue)))
+		}
+	}
+}
+
+// ReturnAll gives every grant back but for what is in use, and returns what to tell
+// the owners.
+func (h *Holdings) ReturnAll() []grant.AcquireRequest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var requests []grant.AcquireRequest
+	for id, holder := range h.holders {
+		if returns := holder.ReturnAll(); len(returns) > 0 {
+			requests = append(requests, grant.AcquireRequest{Holder: h.Self, Shard: id, Renewals: returns})
+		}
+	}
+	return requests
+}
--- a/internal/entry/shard/link.go
+++ b/internal/entry/shard/link.go
@@ -370,7 +370,8 @@
 func (s *Shard) finish(l *link, now time.Time, status worker.TaskStatus) {
 	delete(l.attempts, status.TaskAttempt)
 	end := placement.TaskEnd{
-		TaskAttempt: status.TaskAttempt, Worker: l.instance.ID, Reason: status.Reason, Checkpoint: status.Checkpoint,
+		TaskAttempt: status.TaskAttempt, Worker: l.instance.ID, Reason: status.Reason,
+		Checkpoint: status.Checkpoint, Observed: status.Observed,
 	}
 	switch status.State {
 	case worker.Succeeded:
--- a/internal/entry/shard/recover.go
+++ b/internal/entry/shard/recover.go
@@ -33,8 +33,9 @@
 	s.configure(now)
 	latest := s.latestAttempts()
 	s.restoreResults(latest)
-	s.restoreJobs(now)
 	s.restoreWorkers(now)
+	s.restoreJobs(now)
+	s.restoreTasks(now)
 	s.summarize()
 	s.recovered.Store(true)
 	took := s.Clock.Since(s.began)
@@ -209,7 +210,7 @@
 	}
 }
 
-// restoreWorkers enters the workers with the tasks that they run.
+// restoreWorkers enters the workers.
 func (s *Shard) restoreWorkers(now time.Time) {
 	snapshot := s.Membership.Snapshot()
 	s.listed = s.shardWorkers(snapshot)
@@ -222,6 +223,15 @@
 		}
 		_, listed := s.listed[id]
 		s.setWorker(now, l, s.workerState(l, listed))
+	}
+}
+
+// restoreTasks enters the tasks that the workers run.
+func (s *Shard) restoreTasks(now time.Time) {
+	for _, l := range s.links {
+		if l.last == nil {
+			continue
+		}
 		for _, status := range l.last.Tasks {
 			s.restoreTask(now, l, status)
 		}
--- a/internal/entry/shard/shard.go
+++ b/internal/entry/shard/shard.go
@@ -250,9 +250,20 @@
 	if current.Version != s.version {
 		s.version = current.Version
 		s.engine.Configure(now, current)
+		s.engine.SetQuotaShare(quotaShare(current.Manifest))
 	}
 }
 
+// wholeQuota is the quota share, in thousandths, of a shard that is alone.
+const wholeQuota = 1000
+
+// quotaShare returns the part of each team's quota that a shard may use. The shards
+// don't know each other's use, so each has an equal part.
+func quotaShare(m manifest.Manifest) int {
+	shards := max(1, len(m.Zones)) * max(1, m.Limits.ShardsPerZone)
+	return max(1, wholeQuota/shards)
+}
+
 // apply turns a decision into commands for its worker or changes of records.
 func (s *Shard) apply(now time.Time, d placement.Decision) {
 	s.Counters.Add("Decision."+string(d.Kind)+"."+string(d.Reason), 1)
