Add the ledger and the holder's share of slots and connections

Requests are to be served from slots that an entry instance already holds, and no executor may be given more than it has, across owner changes, frozen instances and lost messages.

internal/decision/slots has the owner's Ledger (base and demand grants, weighted shares, renewal, recall, restore from fence reports) and the Holder. Terms count from the send time at the holder and from the grant time at the owner. What earlier owners lent and nobody reported counts as used until its term and the longest request are over.

A spec found that connections of the first executors used up a want before its slots were met; they are now taken in proportion.

--- /dev/null
+++ b/internal/decision/slots/slots_test.go
@@ -0,0 +1,109 @@
+package slots
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+var start = time.Unix(1000, 0)
+
+func newTestLedger(executors int) *Ledger {
+	l := NewLedger(start, 1, DefaultTerms(), true)
+	for i := range executors {
+		l.SetExecutor(Executor{ID: membership.InstanceID(fmt.Sprint("executor-", i)), Service: "s", Capacity: Amount{8, 64}, MaxDuration: time.Second})
+	}
+	return l
+}
+
+func slotsOf(grants []Grant) int {
+	total := 0
+	for _, g := range grants {
+		total += g.Amount.Slots
+	}
+	return total
+}
+
+func request(holder membership.InstanceID, slots, waiting int) Request {
+	return Request{Holder: holder, Service: "s", Want: Amount{slots, slots}, Waiting: waiting}
+}
+
+var _ = Describe("Ledger", func() {
+	// Guards against a busy holder that gets no more than an idle one.
+	It("grants by the number of waiting requests", func() {
+		l := newTestLedger(10)
+		l.Acquire(start, request("b", 0, 29))
+		Expect(slotsOf(l.Acquire(start, request("a", 40, 9)))).To(Equal(10))
+		Expect(slotsOf(l.Acquire(start, request("b", 40, 29)))).To(Equal(30))
+	})
+
+	// Guards against base halves that no member gets because they do not divide evenly.
+	It("lends the whole base half", func() {
+		l := newTestLedger(10)
+		members := []membership.InstanceID{"a", "b", "c", "d", "e", "f", "g"}
+		total := 0
+		for _, id := range members {
+			total += slotsOf(l.AcquireBase(start, id, members))
+		}
+		Expect(total).To(Equal(40))
+	})
+
+	// Guards against feeds that end because their executor is leaving.
+	It("recalls from a leaving executor and renews only what is in use", func() {
+		l, h := newTestLedger(1), NewHolder("a")
+		Expect(h.Granted(start, 1, l.Acquire(start, request("a", 4, 1)))).To(Succeed())
+		_, ok := h.Take(start, []membership.InstanceID{"executor-0"}, true)
+		Expect(ok).To(BeTrue())
+		l.SetExecutor(Executor{ID: "executor-0", Service: "s", Leaving: true})
+		Expect(l.Renew(start, "a", h.Renewals(start))).To(BeEmpty())
+		recalls := l.Recalls(start, []membership.InstanceID{"a"})
+		Expect(recalls).To(HaveLen(1))
+		keep, held := h.Recall(recalls[0].ID)
+		Expect(held).To(BeTrue())
+		Expect(keep.Amount).To(Equal(Amount{1, 1}))
+		Expect(l.Renew(start, "a", h.Renewals(start))).To(HaveLen(1))
+		_, ok = h.Take(start, []membership.InstanceID{"executor-0"}, false)
+		Expect(ok).To(BeFalse())
+	})
+})
+
+var _ = Describe("Holder", func() {
+	// Guards against messages of a superseded owner that change grants.
+	It("refuses lower epochs after a fence and reports feeds", func() {
+		l, h := newTestLedger(1), NewHolder("a")
+		grants := l.Acquire(start, request("a", 2, 0))
+		Expect(h.Granted(start, 1, grants)).To(Succeed())
+		use, _ := h.Take(start, []membership.InstanceID{"executor-0"}, true)
+		h.FirstByte(use)
+		report, err := h.Fence(start.Add(time.Minute), 2)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(report.Grants).To(HaveLen(1))
+		Expect(report.Grants[0].Amount).To(Equal(Amount{0, 1}))
+		Expect(h.Granted(start, 1, grants)).To(MatchError(ErrStaleEpoch))
+		Expect(h.Renewed(start, 1, []GrantID{grants[0].ID})).To(MatchError(ErrStaleEpoch))
+	})
+})
+
+func BenchmarkAcquire(b *testing.B) {
+	l := newTestLedger(1000)
+	now := start
+	for b.Loop() {
+		now = now.Add(10 * time.Millisecond)
+		l.Acquire(now, request("a", 16, 4))
+	}
+}
+
+func BenchmarkTakePut(b *testing.B) {
+	l, h := newTestLedger(1), NewHolder("a")
+	_ = h.Granted(start, 1, l.Acquire(start, request("a", 4, 0)))
+	candidates := []membership.InstanceID{"executor-0"}
+	for b.Loop() {
+		use, _ := h.Take(start, candidates, false)
+		h.Put(use)
+	}
+}
