--- a/internal/decision/slots/acquire.go
+++ b/internal/decision/slots/acquire.go
@@ -65,7 +65,7 @@
 	want := r.Want.least(share).orNone()
 	var grants []Grant
 	for _, a := range scanned {
-		amount := l.free(now, a, Demand).least(want)
+		amount := portion(want, l.free(now, a, Demand))
 		if amount.Slots == 0 || amount.Connections == 0 {
 			continue
 		}
@@ -78,6 +78,18 @@
 	return grants
 }
 
+// portion returns what to take of the free part of one executor. Connections go with
+// the slots in the proportion that is wanted, so that one executor's many free
+// connections do not use up the want.
+func portion(want, free Amount) Amount {
+	amount := free.least(want)
+	if amount.Slots > 0 {
+		proportional := (want.Connections*amount.Slots + want.Slots - 1) / want.Slots
+		amount.Connections = min(amount.Connections, proportional)
+	}
+	return amount
+}
+
 // scan returns the next executors of a service, at most MaxScan looked at.
 func (l *Ledger) scan(name string) []*account {
 	var scanned []*account
