Pass the key of a request on to the executor

Cause: the handler drops every Jacinthtrail header of the caller before it sends a request on, the key among them, although the executor protocol has a header for it. Executors could not know a repeated request, and their journals had no keys.

Ruled out: the executor client, which passes on all headers of an attempt.

Change: an attempt carries the key that was claimed for it.

--- a/internal/caller/service/attempt.go
+++ b/internal/caller/service/attempt.go
@@ -168,5 +168,8 @@
 	}
 	request.Header = c.header.Clone()
 	request.Header.Set(HeaderRequest, c.id)
+	if c.key != "" {
+		request.Header.Set(HeaderKey, c.key)
+	}
 	return request, nil
 }
--- a/internal/caller/service/fakes_test.go
+++ b/internal/caller/service/fakes_test.go
@@ -33,6 +33,7 @@
 	extra    bool
 	hedge    time.Duration
 	sent     int
+	headers  []http.Header
 	needs    []service.Need
 	released []service.SlotUse
 	counts   map[string]int64
@@ -77,8 +78,12 @@
 	b.released = append(b.released, use)
 }
 
-func (b *bench) Do(ctx context.Context, _ service.Attempt) (*service.Response, error) {
-	number := locked(b, func() int { b.sent++; return b.sent })
+func (b *bench) Do(ctx context.Context, attempt service.Attempt) (*service.Response, error) {
+	number := locked(b, func() int {
+		b.headers = append(b.headers, attempt.Request.Header)
+		b.sent++
+		return b.sent
+	})
 	return b.send(ctx, number)
 }
 
--- a/internal/caller/service/handler_test.go
+++ b/internal/caller/service/handler_test.go
@@ -56,6 +56,14 @@
 		Expect(b.released[0].InDoubtUntil).To(Equal(b.clock.Now().Add(10 * time.Second)))
 	})
 
+	It("tells the executor the key, against an executor that can't know a repetition", func() {
+		b.begin = func() (service.Started, error) { return service.Started{First: true}, nil }
+		b.send = func(context.Context, int) (*service.Response, error) { return ok("whole") }
+		_, _, err := b.ask("", keyed...)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.headers[0].Get(service.HeaderKey)).To(Equal("k1"))
+	})
+
 	It("repeats a non-idempotent request that no executor ran", func() {
 		b.send = func(_ context.Context, number int) (*service.Response, error) {
 			if number == 1 {
