--- /dev/null
+++ b/internal/integration/proof/requests_test.go
@@ -0,0 +1,374 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/service"
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/ticket"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/executor"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/proxy"
+)
+
+const (
+	// deskMaxDuration, deskFirstByte and deskIdle are the bounds of the service desk in
+	// the test manifest.
+	deskMaxDuration = 2 * time.Second
+	deskFirstByte   = time.Second
+	deskIdle        = time.Second
+	// answerSlack is what a bounded answer may take beyond its bound on a busy machine.
+	answerSlack = time.Second
+	// settleBound is the time in which all traffic ends once no entry instance lives:
+	// the longest request and slack.
+	settleBound = deskMaxDuration + 3*time.Second
+)
+
+// ask is a request of a caller.
+type ask struct {
+	// work and size are the run time and the size of the answer.
+	work time.Duration
+	size int64
+	// query is added to the query of the request.
+	query   string
+	seed    string
+	body    io.Reader
+	key     string
+	nonIdem bool
+	timeout time.Duration
+	path    string // "/services/desk/check" if empty
+	// client sends the request; nil means one that opens a connection for each.
+	client *http.Client
+}
+
+// reply is what a caller saw of a request. Its error is set if there was no answer,
+// or if the answer was cut off or deviates from what was asked for.
+type reply struct {
+	key, request, seed string
+	status             int
+	outcome            service.Outcome
+	reason             service.Reason
+	retryAfter         time.Duration
+	began              time.Time
+	took               time.Duration
+	err                error
+	// deviates tells that the content that arrived is not that of the request, or that
+	// an answer which looks whole is not.
+	deviates bool
+}
+
+var callerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (a ask) request(ctx context.Context, address string) (*http.Request, error) {
+	path := a.path
+	if path == "" {
+		path = "/services/desk/check"
+	}
+	query := fmt.Sprintf("?work=%s&size=%d&seed=%s&%s", a.work, a.size, url.QueryEscape(a.seed), a.query)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path+query, a.body)
+	if err != nil {
+		return nil, err
+	}
+	if a.nonIdem || a.key != "" {
+		request.Header.Set(service.HeaderNonIdempotent, "true")
+	}
+	if a.key != "" {
+		request.Header.Set(service.HeaderKey, a.key)
+	}
+	if a.timeout > 0 {
+		request.Header.Set(service.HeaderTimeout, a.timeout.String())
+	}
+	return request, nil
+}
+
+// ask sends a request and reads and verifies its answer. It asserts nothing, so that
+// it can run beside others.
+func (e *entryProcess) ask(ctx context.Context, a ask) reply {
+	r := reply{key: a.key, seed: a.seed, began: time.Now()}
+	r.receive(ctx, e.Caller, a)
+	r.took = time.Since(r.began)
+	return r
+}
+
+func (r *reply) receive(ctx context.Context, address string, a ask) {
+	request, err := a.request(ctx, address)
+	if err != nil {
+		r.err = err
+		return
+	}
+	client := a.client
+	if client == nil {
+		client = callerClient
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		r.err = err
+		return
+	}
+	defer response.Body.Close()
+	r.status = response.StatusCode
+	r.request = response.Header.Get(service.HeaderRequest)
+	r.outcome = service.Outcome(response.Header.Get(service.HeaderOutcome))
+	r.reason = service.Reason(response.Header.Get(service.HeaderReason))
+	r.retryAfter, _ = time.ParseDuration(response.Header.Get(service.HeaderRetryAfter))
+	if r.outcome == service.Completed && r.status == http.StatusOK {
+		r.verify(response.Body, a)
+		return
+	}
+	_, r.err = io.Copy(io.Discard, response.Body)
+}
+
+// verify compares the content. A cut shows as an error of reading; whatever arrived
+// before it must still be the beginning of the right answer.
+func (r *reply) verify(body io.Reader, a ask) {
+	read := &cutReader{reader: body}
+	r.err = executor.VerifyContent(read, a.seed, a.size)
+	r.deviates = r.err != nil && !errors.Is(r.err, read.err)
+}
+
+// cutReader keeps the error with which an answer was cut off.
+type cutReader struct {
+	reader io.Reader
+	err    error
+}
+
+func (c *cutReader) Read(p []byte) (int, error) {
+	n, err := c.reader.Read(p)
+	if err != nil && err != io.EOF {
+		c.err = err
+	}
+	return n, err
+}
+
+// whole reports that the caller got the whole answer.
+func (r reply) whole() bool {
+	return r.outcome == service.Completed && r.err == nil
+}
+
+// String describes the reply for failures.
+func (r reply) String() string {
+	return fmt.Sprintf("request %s key %q seed %q: status %d, %s %s, retry after %s, took %s, error %v",
+		r.request, r.key, r.seed, r.status, r.outcome, r.reason, r.retryAfter, r.took, r.err)
+}
+
+// together runs n calls at once and returns their replies in order.
+func together(n int, call func(i int) reply) []reply {
+	replies := make([]reply, n)
+	var group sync.WaitGroup
+	for i := range n {
+		group.Go(func() { replies[i] = call(i) })
+	}
+	group.Wait()
+	return replies
+}
+
+// desk starts two entry instances and executors of the service desk in one zone.
+func desk(executors int) *deployment {
+	GinkgoHelper()
+	d := deploy()
+	d.startEntry("entry-1", zoneA)
+	d.startEntry("entry-2", zoneA)
+	for n := range executors {
+		id := strconv.Itoa(n + 1)
+		d.startWorker("worker-"+id, zoneA)
+		d.startExecutor("executor-"+id, zoneA, "worker-"+id)
+	}
+	d.publish(d.entry("entry-1"))
+	d.expectOwner(zoneA, takeoverBound)
+	for _, e := range d.entries {
+		e.expectReady()
+		e.expectServed(readyBound)
+	}
+	d.expectPeers()
+	return d
+}
+
+// expectPeers waits until the entry instances know each other, since a ticket can be
+// claimed at a known home only.
+func (d *deployment) expectPeers() {
+	GinkgoHelper()
+	for id, home := range d.entries {
+		for other, e := range d.entries {
+			if id == other {
+				continue
+			}
+			Eventually(func(g Gomega) {
+				r := e.ask(context.Background(), ask{key: home.ticket(g), size: 1, seed: "peers"})
+				g.Expect(r.whole()).To(BeTrue(), "%s", r)
+			}).WithTimeout(readyBound).Should(Succeed())
+		}
+	}
+}
+
+// ticket fetches a ticket.
+func (e *entryProcess) ticket(g Gomega) string {
+	response, err := callerClient.Post("http://"+e.Caller+"/tickets", "", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	var issued ticket.Issued
+	g.Expect(json.NewDecoder(response.Body).Decode(&issued)).To(Succeed())
+	g.Expect(issued.Tickets).To(HaveLen(1))
+	return issued.Tickets[0]
+}
+
+// setProxies sets the faults between the entry instances and the executors.
+func (d *deployment) setProxies(faults proxy.Faults) {
+	GinkgoHelper()
+	for _, e := range d.executors {
+		Expect(e.proxy.SetFaults(faults)).To(Succeed())
+	}
+}
+
+// cutAll closes all connections to executors.
+func (d *deployment) cutAll() {
+	for _, e := range d.executors {
+		e.proxy.Cut()
+	}
+}
+
+// setExecutorState announces a state of an executor, as its own planned stop does.
+func (e *executorProcess) setExecutorState(state membership.State) {
+	GinkgoHelper()
+	body, err := json.Marshal(state)
+	Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequest(http.MethodPut, "http://"+e.address+"/state", bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	response, err := callerClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.Body.Close()).To(Succeed())
+}
+
+// runs returns the journal entries of all executors about requests that ran.
+func (d *deployment) runs() []executor.Event {
+	GinkgoHelper()
+	var runs []executor.Event
+	for _, e := range d.executors {
+		for _, event := range readJournal[executor.Event](e.journal) {
+			if event.Kind == executor.EventStarted {
+				runs = append(runs, event)
+			}
+		}
+	}
+	return runs
+}
+
+// runsOf counts the runs with a key.
+func (d *deployment) runsOf(key string) int {
+	GinkgoHelper()
+	count := 0
+	for _, run := range d.runs() {
+		if run.Key == key {
+			count++
+		}
+	}
+	return count
+}
+
+// expectRunning waits until a request with a key runs.
+func (d *deployment) expectRunning(key string) {
+	GinkgoHelper()
+	Eventually(func() int { return d.runsOf(key) }).WithTimeout(deskMaxDuration).Should(Equal(1), "runs of key %s", key)
+}
+
+// settle lifts the faults between entry instances and executors, ends the entry
+// instances and waits until what they sent has arrived and its answers have ended.
+func (d *deployment) settle() {
+	GinkgoHelper()
+	d.setProxies(proxy.Faults{})
+	for _, e := range d.entries {
+		e.kill()
+	}
+	for _, e := range d.executors {
+		Eventually(e.proxy.Connections).WithTimeout(settleBound).Should(BeZero(), "connections to %s", e.id)
+	}
+}
+
+// expectTruth checks each reply against the journals: a request that was refused as
+// not run never ran, and one with an answer did.
+func (d *deployment) expectTruth(replies ...reply) {
+	GinkgoHelper()
+	ran := map[string]int{}
+	for _, run := range d.runs() {
+		ran[run.Request]++
+	}
+	for _, r := range replies {
+		switch r.outcome {
+		case service.NotRun:
+			Expect(ran[r.request]).To(BeZero(), "was refused as not run but ran: %s", r)
+		case service.Completed:
+			Expect(ran[r.request]).NotTo(BeZero(), "has an answer but did not run: %s", r)
+		}
+	}
+}
+
+// expectAtMostOnce checks that no key ran twice, and that at most one reply of each
+// key is an executor's answer.
+func (d *deployment) expectAtMostOnce(replies ...reply) {
+	GinkgoHelper()
+	runs := map[string]int{}
+	for _, run := range d.runs() {
+		if run.Key != "" {
+			runs[run.Key]++
+		}
+	}
+	for key, count := range runs {
+		Expect(count).To(Equal(1), "key %s ran %d times", key, count)
+	}
+	answers := map[string]int{}
+	for _, r := range replies {
+		if r.outcome != service.Completed {
+			continue
+		}
+		answers[r.key]++
+		Expect(runs[r.key]).To(Equal(1), "has an answer but did not run: %s", r)
+		Expect(answers[r.key]).To(Equal(1), "key %s has several answers", r.key)
+	}
+}
+
+// expectWholeOrCut checks that no answer which looks complete is not.
+func expectWholeOrCut(replies ...reply) {
+	GinkgoHelper()
+	for _, r := range replies {
+		Expect(r.deviates).To(BeFalse(), "%s", r)
+	}
+}
+
+// expectRetryTimes checks that each request without an executor's answer got a time
+// at which to retry.
+func expectRetryTimes(replies ...reply) {
+	GinkgoHelper()
+	for _, r := range replies {
+		if r.err == nil && r.outcome != service.Completed {
+			Expect(r.outcome).To(BeElementOf(service.NotRun, service.Unknown), "%s", r)
+			Expect(r.retryAfter).To(BeNumerically(">", 0), "%s", r)
+		}
+	}
+}
+
+// tally counts replies by outcome and reason, for the report of a spec.
+func tally(replies []reply) map[string]int {
+	counts := map[string]int{}
+	for _, r := range replies {
+		name := string(r.outcome)
+		if r.reason != "" {
+			name += " " + string(r.reason)
+		}
+		if r.err != nil {
+			name += " cut"
+		}
+		counts[name]++
+	}
+	return counts
+}
