Count a beat from before the claim as naming the claimant

A claimant that joined the member set after the old owner's epoch began waits for the isolation limit of 10 minutes unless a heartbeat of the owner named it. Only heartbeats that arrived after the claim counted, and a dead owner sends none. In a zone with two entry instances, of which the second joined after the first had claimed, a killed or frozen owner was therefore followed by an owner in state Waiting for 10 minutes: it lent no slots, and its recovery did not end while a worker was unreachable. The spec of a frozen owner showed it: the successor was still Waiting after the takeover bound of 15 s.

The node now remembers the last heartbeat that named it and compares it with the previous owner when the claim is won. That holds because an owner never drops a member from those whose promises it needs while the member stays in the set. A faulty store and a slow recovery were ruled out by the log: the shard was recovered 2 ms after the claim.

Before: the specs of a frozen owner, of lost answers with a takeover and of a takeover with an unreachable worker failed. An owner that dies within about 2 s after the second member joined, before it has named it, is still followed by the full wait, as the design says.

--- a/internal/decision/ownership/node.go
+++ b/internal/decision/ownership/node.go
@@ -34,6 +34,9 @@
 	witnessed time.Time
 	// named reports that the previous owner needs this instance's promise.
 	named bool
+	// needed is the last beat that named this instance as one whose promise its
+	// sender needs.
+	needed neededBy
 
 	// confirmed is the set of the last table read that showed our epoch.
 	confirmed      MemberSet
@@ -65,6 +68,13 @@
 	notices  []Action
 }
 
+// neededBy is what a beat showed that requires this instance's promise.
+type neededBy struct {
+	owner    membership.InstanceID
+	epoch    worker.Epoch
+	revision Revision
+}
+
 func newNode(g *Group, shard worker.ShardID) *Node {
 	return &Node{
 		group:    g,
@@ -187,6 +197,7 @@
 	n.extra, n.extraRevision = nil, 0
 	n.promises = map[membership.InstanceID]time.Time{}
 	n.preferredSince = time.Time{}
+	n.checkNamed()
 }
 
 // confirm takes in that our epoch was current after began, with a member set.
@@ -238,13 +249,23 @@
 	return BeatAnswer{Shard: n.shard, For: b.Epoch, Epoch: n.seen, Promised: promised}
 }
 
-// notePrevious notes a beat that shows that the previous owner needs our promise.
+// notePrevious notes a beat that shows that its sender needs our promise.
 func (n *Node) notePrevious(from membership.InstanceID, revision Revision, b Beat) {
-	if n.epoch == 0 || from != n.row.Previous || b.Epoch != n.row.PreviousEpoch {
+	if !b.requires(n.group.self) {
+		return
+	}
+	n.needed = neededBy{owner: from, epoch: b.Epoch, revision: revision}
+	n.checkNamed()
+}
+
+// checkNamed notes whether the previous owner is known to need our promise. A beat
+// from before our claim tells it as well, because an owner never drops a member from
+// those that it needs while that member stays in the set.
+func (n *Node) checkNamed() {
+	if n.epoch == 0 || n.needed.owner != n.row.Previous || n.needed.epoch != n.row.PreviousEpoch {
 		return
 	}
-	joined, _ := n.claimSet.Joined(n.group.self)
-	if revision >= joined && b.requires(n.group.self) {
+	if joined, member := n.claimSet.Joined(n.group.self); member && n.needed.revision >= joined {
 		n.named = true
 	}
 }
