Refuse another number of shards at publication

Cause: workers and jobs are assigned to shards by Limits.ShardsPerZone. An instance that has the new number while another still has the old one would assign a worker to a second owner, and queued jobs of a dropped shard would have no owner. Change: Repository.Publish compares the manifest with the version it replaces and fails with findings; the operator API answers 422. The write is conditional on that version, so none comes in between. Conclusion: the number is fixed by the first manifest.

--- a/internal/entry/configuration/repository.go
+++ b/internal/entry/configuration/repository.go
@@ -77,7 +77,8 @@
 
 // Publish accepts a manifest as the version after base. It fails with
 // ErrSuperseded if base is no longer the newest version; the error names the
-// winner. A lost answer of the table is resolved before Publish returns.
+// winner. It fails with manifest.Findings if the manifest can't follow base. A lost
+// answer of the table is resolved before Publish returns.
 func (r Repository) Publish(ctx context.Context, m manifest.Manifest, base manifest.Version, author string) (manifest.Published, error) {
 	head, headVersion, err := r.Head(ctx)
 	if err != nil {
@@ -86,6 +87,9 @@
 	if head.Version != base {
 		return manifest.Published{}, superseded(base, head)
 	}
+	if err := r.checkSuccessor(ctx, m, base); err != nil {
+		return manifest.Published{}, err
+	}
 	published := manifest.Published{Version: base + 1, Manifest: m}
 	tx, err := publication(published, author, headVersion)
 	if err != nil {
@@ -105,6 +109,29 @@
 	return published, nil
 }
 
+// checkSuccessor refuses what must not change between versions. The publication is
+// conditional on base being the newest version, so no other version comes between.
+func (r Repository) checkSuccessor(ctx context.Context, m manifest.Manifest, base manifest.Version) error {
+	if base == 0 {
+		return nil
+	}
+	previous, err := r.Load(ctx, base)
+	if err != nil {
+		return err
+	}
+	// Workers and jobs are assigned to shards by this number. During a change two
+	// owners could place tasks on one worker, and queued jobs would have no owner.
+	before, after := previous.Manifest.Limits.ShardsPerZone, m.Limits.ShardsPerZone
+	if before == after {
+		return nil
+	}
+	return manifest.Findings{{
+		Place:   "Limits.ShardsPerZone",
+		Problem: fmt.Sprintf("%d differs from %d of version %d; workers and jobs are assigned to shards by this number", after, before, base),
+		Fix:     fmt.Sprintf("keep %d", before),
+	}}
+}
+
 func publication(p manifest.Published, author string, headVersion table.Version) (table.Transaction, error) {
 	body, err := json.Marshal(p.Manifest)
 	if err != nil {
--- a/internal/operator/control/server.go
+++ b/internal/operator/control/server.go
@@ -37,7 +37,8 @@
 	// Manifest returns the manifest in force on the instance.
 	Manifest() manifest.Published
 	// Publish accepts a manifest as the version after base and waits until it is in
-	// force everywhere or ctx ends.
+	// force everywhere or ctx ends. It fails with manifest.Findings if the manifest
+	// can't follow base, and with ErrConflict if base is not the newest version.
 	Publish(ctx context.Context, m manifest.Manifest, base manifest.Version, by string, wait time.Duration) (PublishAnswer, error)
 	// Zones returns the availability zones of the manifest.
 	Zones(ctx context.Context) ([]ZoneAnswer, error)
@@ -159,7 +160,10 @@
 }
 
 func (s *Server) failBackend(w http.ResponseWriter, err error) {
+	var findings manifest.Findings
 	switch {
+	case errors.As(err, &findings):
+		s.fail(w, http.StatusUnprocessableEntity, "InvalidManifest", err)
 	case errors.Is(err, ErrNotFound):
 		s.fail(w, http.StatusNotFound, "NotFound", err)
 	case errors.Is(err, ErrConflict):
