--- a/internal/entry/instance/heartbeats.go
+++ b/internal/entry/instance/heartbeats.go
@@ -55,8 +55,7 @@
 // heartbeatTargets returns the peer addresses from the membership list, from
 // earlier heartbeats and from the settings.
 func (i *Instance) heartbeatTargets() []string {
-	own := i.Addresses().Peer
-	seen := map[string]bool{own: true}
+	seen := map[string]bool{i.Addresses().Peer: true, i.self().Address: true}
 	var targets []string
 	add := func(address string) {
 		if address != "" && !seen[address] {
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -311,6 +311,9 @@
 		state = membership.Leaving
 	}
 	addresses := i.Addresses()
+	if i.settings.PeerAnnounce != "" {
+		addresses.Peer = i.settings.PeerAnnounce
+	}
 	return membership.Instance{
 		ID: i.settings.ID, Kind: membership.Entry, State: state, Zone: i.settings.Zone, Region: i.settings.Region,
 		Address: addresses.Peer, OperatorAddress: addresses.Operator,
--- a/internal/entry/instance/settings.go
+++ b/internal/entry/instance/settings.go
@@ -21,6 +21,9 @@
 	CallerAddress   string
 	PeerAddress     string
 	OperatorAddress string
+	// PeerAnnounce is the address that other entry instances are told to use, for
+	// example that of a forwarder; empty stands for where the instance listens.
+	PeerAnnounce string
 	// Platform is the address of the platform's services.
 	Platform string
 	// Peers are addresses of other entry instances to ask when the platform can't be reached.
@@ -54,6 +57,11 @@
 			report(flag, err.Error(), "give an IP number and a port, such as 127.0.0.1:7401")
 		}
 	}
+	if s.PeerAnnounce != "" {
+		if err := checkAddress(s.PeerAnnounce); err != nil {
+			report("announce-peer-address", err.Error(), "give an IP number and a port, or nothing for the peer address")
+		}
+	}
 	for _, address := range s.Peers {
 		if err := checkAddress(address); err != nil {
 			report("peers", err.Error(), "give IP numbers with ports, separated by commas")
