Retry on an executor again when no other is left

Cause: a retry excludes the executors that the request already went to. When all of them were excluded, or the others avoided, admission let the retry wait for a slot that no release could bring, up to the deadline of the request. On silent connections an idempotent request was so held until its deadline, although the first-byte bound had ended its attempts after a second each.

Ruled out: the first-byte bound itself; non-idempotent requests, which are sent once, were answered within it.

Change: a retry without another executor goes to the same executors again, on a new connection. A hedge doesn't: it is refused as before.

--- a/internal/decision/admission/choice.go
+++ b/internal/decision/admission/choice.go
@@ -65,6 +65,9 @@
 			return probe, true
 		}
 	}
+	if !request.Immediate && !c.anyLeft(candidates) {
+		c.request.Exclude = nil
+	}
 	if choice, ok := c.nearest(candidates, s.tail(now)); ok {
 		return choice, true
 	}
@@ -103,6 +106,25 @@
 	return Choice{}, false
 }
 
+// anyLeft reports whether a retry can go to an executor that it was not sent to.
+// Without one it goes to the same executor again on another connection, since waiting
+// would hold it until its deadline.
+func (c *chooser) anyLeft(candidates []Candidate) bool {
+	if len(c.request.Exclude) == 0 {
+		return true
+	}
+	for i := range candidates {
+		candidate := &candidates[i]
+		if candidate.Slots == 0 || slices.Contains(c.request.Exclude, candidate.Executor) {
+			continue
+		}
+		if e := c.service.executors[candidate.Executor]; e == nil || !e.avoided() || c.everybody {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *chooser) usable(candidate *Candidate) bool {
 	return candidate.InUse < candidate.Slots && !slices.Contains(c.request.Exclude, candidate.Executor)
 }
--- a/internal/decision/admission/service_test.go
+++ b/internal/decision/admission/service_test.go
@@ -57,6 +57,21 @@
 		expectServed(learned().Arrive(start, request("1", time.Second), candidates(2, 1)), "b")
 	})
 
+	It("retries on an executor again when none is left, against holding the request until its deadline", func() {
+		retry := request("1", time.Second)
+		retry.Exclude = []membership.InstanceID{"a"}
+		expectServed(learned().Arrive(start, retry, candidates(0, 3)), "b")
+		avoided := learned()
+		for range 3 {
+			observe(avoided, "b", time.Millisecond, true)
+		}
+		expectServed(avoided.Arrive(start, retry, candidates(0, 3)), "a")
+		retry.Exclude = []membership.InstanceID{"a", "b"}
+		expectServed(learned().Arrive(start, retry, candidates(0, 3)), "a")
+		retry.Immediate = true
+		expectRefused(learned().Arrive(start, retry, candidates(0, 3)), admission.NoFreeSlot)
+	})
+
 	It("prefers near executors, against paying for the link between regions", func() {
 		near := candidates(3, 3)
 		far := append(near, admission.Candidate{Executor: "far", Distance: admission.Far, Slots: 100})
