Prove that callers get whole answers to their own requests

The specs end answers early on both sides of the retry buffer, cut and silence connections, kill an executor within its answers, and compare the content of 200 concurrent answers with their seeds. Requests that nobody answers must be given up within the bounds of their attempts, far from their deadline.

--- a/internal/integration/proof/requests_test.go
+++ b/internal/integration/proof/requests_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/service"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/ticket"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 	"github.com/jacinthtrail/jacinthtrail/internal/standin/executor"
 	"github.com/jacinthtrail/jacinthtrail/internal/standin/proxy"
@@ -48,6 +49,7 @@
 	key     string
 	nonIdem bool
 	timeout time.Duration
+	feed    bool
 	path    string // "/services/desk/check" if empty
 	// client sends the request; nil means one that opens a connection for each.
 	client *http.Client
@@ -87,7 +89,10 @@
 	if a.key != "" {
 		request.Header.Set(service.HeaderKey, a.key)
 	}
-	if a.timeout > 0 {
+	if a.feed {
+		request.Header.Set(service.HeaderFeed, "true")
+	}
+	if a.timeout != 0 {
 		request.Header.Set(service.HeaderTimeout, a.timeout.String())
 	}
 	return request, nil
@@ -123,7 +128,7 @@
 	r.outcome = service.Outcome(response.Header.Get(service.HeaderOutcome))
 	r.reason = service.Reason(response.Header.Get(service.HeaderReason))
 	r.retryAfter, _ = time.ParseDuration(response.Header.Get(service.HeaderRetryAfter))
-	if r.outcome == service.Completed && r.status == http.StatusOK {
+	if r.outcome == service.Completed && r.status == http.StatusOK && !a.feed {
 		r.verify(response.Body, a)
 		return
 	}
@@ -195,6 +200,21 @@
 	return d
 }
 
+// publishDesk publishes the test manifest with other bounds of the service desk.
+func (d *deployment) publishDesk(change func(desk *manifest.Service)) {
+	GinkgoHelper()
+	m := testManifest()
+	change(&m.Services[0])
+	ctx, cancel := context.WithTimeout(context.Background(), configBound)
+	defer cancel()
+	control := d.entry("entry-1").control()
+	current, err := control.Manifest(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	answer, err := control.Publish(ctx, m, current.Version, "test", configBound)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(answer.Missing).To(BeEmpty())
+}
+
 // expectPeers waits until the entry instances know each other, since a ticket can be
 // claimed at a known home only.
 func (d *deployment) expectPeers() {
@@ -241,9 +261,20 @@
 // setExecutorState announces a state of an executor, as its own planned stop does.
 func (e *executorProcess) setExecutorState(state membership.State) {
 	GinkgoHelper()
-	body, err := json.Marshal(state)
+	e.set("/state", state)
+}
+
+// setExecutorFaults replaces the faults inside an executor.
+func (e *executorProcess) setExecutorFaults(faults executor.Faults) {
+	GinkgoHelper()
+	e.set("/faults", faults)
+}
+
+func (e *executorProcess) set(path string, value any) {
+	GinkgoHelper()
+	body, err := json.Marshal(value)
 	Expect(err).NotTo(HaveOccurred())
-	request, err := http.NewRequest(http.MethodPut, "http://"+e.address+"/state", bytes.NewReader(body))
+	request, err := http.NewRequest(http.MethodPut, "http://"+e.address+path, bytes.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	response, err := callerClient.Do(request)
 	Expect(err).NotTo(HaveOccurred())
--- /dev/null
+++ b/internal/integration/proof/whole_answer_test.go
@@ -0,0 +1,235 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/service"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/executor"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/proxy"
+)
+
+// patientDuration is a MaxDuration that is far above what giving up may take.
+const patientDuration = 20 * time.Second
+
+// givenUpBound is the time in which a request that no executor answers must be given
+// up: each attempt has its own bound.
+const givenUpBound = service.MaxAttempts * (deskFirstByte + deskIdle)
+
+// patient makes requests last until patientDuration unless they are given up.
+func patient(desk *manifest.Service) {
+	desk.MaxDuration = manifest.Duration(patientDuration)
+}
+
+// throughBoth sends each request through both entry instances at once.
+func (d *deployment) throughBoth(asks ...ask) []reply {
+	entries := []*entryProcess{d.entry("entry-1"), d.entry("entry-2")}
+	return together(2*len(asks), func(i int) reply {
+		a := asks[i/2]
+		a.seed = fmt.Sprintf("%s-%d", a.seed, i)
+		return entries[i%2].ask(context.Background(), a)
+	})
+}
+
+// expectGivenUp checks that the requests got no whole answer and that all were
+// answered or aborted within a bound.
+func expectGivenUp(bound time.Duration, replies ...reply) {
+	GinkgoHelper()
+	expectWholeOrCut(replies...)
+	expectRetryTimes(replies...)
+	for _, r := range replies {
+		Expect(r.whole()).To(BeFalse(), "%s", r)
+		Expect(r.took).To(BeNumerically("<", bound+answerSlack), "%s", r)
+	}
+}
+
+var _ = Describe("Whole answers", Label("whole-answer"), func() {
+	// Guards against an answer that looks complete but ended early, on both sides of
+	// the bytes that are buffered for a retry.
+	It("never passes on an answer as complete when the executor dies within it", func() {
+		d := desk(2)
+		const size = 300_000
+		var asks []ask
+		for _, at := range []int{0, 1, service.MaxBuffered - 1, service.MaxBuffered, service.MaxBuffered + 1, 200_000, size - 1} {
+			for _, chunked := range []bool{false, true} {
+				asks = append(asks, ask{size: size, seed: "die", query: fmt.Sprintf("dieAfter=%d&chunked=%t", at, chunked)})
+			}
+		}
+		// Without the end of the chunks the last byte doesn't show that it is the last.
+		asks = append(asks, ask{size: size, seed: "end", query: fmt.Sprintf("dieAfter=%d&chunked=true", size)})
+		asks = append(asks, ask{size: 100, seed: "short", query: "dieAfter=100&chunked=true"})
+		asks = append(asks, ask{seed: "feed", feed: true, query: "feed=true&interval=10ms&dieAfter=100"})
+		for _, a := range asks {
+			expectGivenUp(deskMaxDuration, d.throughBoth(a)...)
+		}
+		d.settle()
+	})
+
+	// Guards against a retry that mixes the parts of two answers, and against a cut that
+	// the proxy's end of the stream hides.
+	It("never passes on an answer as complete when the connection is cut within it", func() {
+		d := desk(2)
+		for _, after := range []int64{1, 100, 300, 5_000, service.MaxBuffered, 100_000} {
+			Expect(d.executors["executor-1"].proxy.SetFaults(proxy.Faults{CutAfter: after})).To(Succeed())
+			replies := d.throughBoth(ask{size: 10, seed: "a"}, ask{size: 60_000, seed: "b"}, ask{size: 200_000, seed: "c"},
+				ask{size: 200_000, seed: "d", query: "chunked=true"}, ask{size: 60_000, seed: "e", nonIdem: true})
+			expectWholeOrCut(replies...)
+			expectRetryTimes(replies...)
+		}
+		d.settle()
+		d.expectTruth()
+	})
+
+	// Guards against a crash of the executor that looks like the end of its answers.
+	It("never passes on an answer as complete when the executor is killed within it", func() {
+		d := desk(1)
+		d.publishDesk(func(desk *manifest.Service) {
+			patient(desk)
+			desk.IdleTimeout = manifest.Duration(patientDuration)
+		})
+		answers := make(chan []reply, 1)
+		asked := later(func() reply {
+			answers <- d.throughBoth(ask{size: 150_000, seed: "a", query: "silentAfter=100000"},
+				ask{size: 150_000, seed: "b", query: "silentAfter=100000&chunked=true"},
+				ask{seed: "c", feed: true, query: "feed=true&interval=10ms"})
+			return reply{}
+		})
+		e := d.executors["executor-1"]
+		Eventually(e.sent).WithTimeout(deskMaxDuration).Should(BeNumerically(">", 4*100_000))
+		killed := time.Now()
+		e.kill()
+		await(asked)
+		replies := <-answers
+		expectGivenUp(killed.Sub(replies[0].began), replies...)
+		d.settle()
+	})
+
+	// Guards against answers that are swapped between requests on reused connections,
+	// also when callers leave in the middle of theirs.
+	DescribeTable("gives each of many callers the whole answer to its own request",
+		func(seed uint64) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			AddReportEntry(fmt.Sprintf("seed %d", seed))
+			d := desk(2)
+			d.setProxies(proxy.Faults{ToClient: proxy.Flow{Delay: 30 * time.Millisecond}})
+			replies := d.manyCallers(random, 200)
+			AddReportEntry("replies", fmt.Sprint(tally(replies)))
+			expectWholeOrCut(replies...)
+			expectRetryTimes(replies...)
+			whole := 0
+			for _, r := range replies {
+				if r.whole() {
+					whole++
+				}
+			}
+			Expect(whole).To(BeNumerically(">", len(replies)/2), "%v", tally(replies))
+			d.settle()
+			d.expectTruth(replies...)
+		},
+		Entry("seed 1", uint64(1)), Entry("seed 2", uint64(2)), Entry("seed 3", uint64(3)),
+	)
+
+	// Guards against requests that wait on a dead connection until their deadline, and
+	// against dead connections that are used again.
+	DescribeTable("gives up on silent connections at once and dials new ones",
+		func(nonIdempotent bool, bound time.Duration) {
+			d := desk(2)
+			d.publishDesk(patient)
+			asks := []ask{{size: 100, seed: "warm"}, {size: 100, seed: "warm"}, {size: 100, seed: "warm"}}
+			d.throughBoth(asks...)
+			for _, e := range d.executors {
+				e.proxy.SilenceExisting()
+			}
+			for i := range asks {
+				asks[i].nonIdem = nonIdempotent
+			}
+			replies := d.throughBoth(asks...)
+			expectWholeOrCut(replies...)
+			expectRetryTimes(replies...)
+			for _, r := range replies {
+				Expect(r.took).To(BeNumerically("<", bound+answerSlack), "%s", r)
+			}
+			for _, e := range d.entries {
+				e.expectServed(deskFirstByte + answerSlack)
+			}
+			d.cutAll()
+			d.settle()
+			d.expectTruth(replies...)
+		},
+		Entry("for idempotent requests", false, givenUpBound),
+		Entry("for non-idempotent requests", true, deskFirstByte),
+	)
+
+	// Guards against holding requests until near their deadline.
+	It("gives up at once on executors that answer nothing", func() {
+		d := desk(2)
+		d.publishDesk(patient)
+		for _, e := range d.executors {
+			e.setExecutorFaults(executor.Faults{Silent: true})
+		}
+		replies := d.throughBoth(ask{size: 100, seed: "silent"})
+		expectGivenUp(givenUpBound, replies...)
+		replies = d.throughBoth(ask{size: 100, seed: "once", nonIdem: true})
+		expectGivenUp(deskFirstByte, replies...)
+		for _, e := range d.executors {
+			e.setExecutorFaults(executor.Faults{})
+		}
+		for _, e := range d.entries {
+			e.expectServed(readyBound)
+		}
+		d.settle()
+	})
+
+	// Guards against answers that pause for good after their beginning.
+	It("gives up within the idle bound on an answer that pauses for good", func() {
+		d := desk(2)
+		d.publishDesk(patient)
+		for _, at := range []int{10, service.MaxBuffered + 1000} {
+			query := fmt.Sprintf("silentAfter=%d", at)
+			expectGivenUp(deskFirstByte+deskIdle, d.throughBoth(ask{size: 200_000, seed: "once", query: query, nonIdem: true})...)
+			expectGivenUp(givenUpBound, d.throughBoth(ask{size: 200_000, seed: "pause", query: query})...)
+		}
+		expectGivenUp(deskFirstByte+deskIdle, d.throughBoth(ask{seed: "feed", feed: true, query: "feed=true&interval=10ms&silentAfter=50"})...)
+		d.settle()
+	})
+})
+
+// sent counts the bytes that went to the entry instances.
+func (e *executorProcess) sent() int64 {
+	_, toClient := e.proxy.Bytes()
+	return toClient
+}
+
+// manyCallers sends requests of random run times and sizes at once on kept
+// connections. Some callers leave in between.
+func (d *deployment) manyCallers(random *rand.Rand, n int) []reply {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: n}}
+	DeferCleanup(client.CloseIdleConnections)
+	entries := []*entryProcess{d.entry("entry-1"), d.entry("entry-2")}
+	type caller struct {
+		ask
+		leave time.Duration
+	}
+	callers := make([]caller, n)
+	for i := range callers {
+		callers[i] = caller{leave: deskMaxDuration + answerSlack, ask: ask{
+			work: time.Duration(random.Int64N(int64(100 * time.Millisecond))), size: random.Int64N(200_000),
+			seed: fmt.Sprintf("caller-%d", i), query: fmt.Sprintf("chunked=%t", random.IntN(2) == 0), client: client,
+		}}
+		if random.IntN(10) == 0 {
+			callers[i].leave = time.Duration(random.Int64N(int64(200 * time.Millisecond)))
+		}
+	}
+	return together(n, func(i int) reply {
+		ctx, cancel := context.WithTimeout(context.Background(), callers[i].leave)
+		defer cancel()
+		return entries[i%2].ask(ctx, callers[i].ask)
+	})
+}
