Refuse service requests of HTTP/1.0

Cause: to a caller of HTTP/1.0 an answer without a length ends with its connection. When the executor died within such an answer, the entry instance aborted the connection, and the caller saw a clean end after 200,000 of 300,000 bytes.

Ruled out: HTTP/1.1 callers, who miss the end of the chunks.

Change: requests of HTTP/1.0 are refused as not run and invalid, with a finding that names the fix. Answers with a length would be safe, but whether one has a length is known only after the request ran.

--- a/internal/caller/service/handler.go
+++ b/internal/caller/service/handler.go
@@ -123,7 +123,7 @@
 	published := h.Manifests.Current()
 	c.version = published.Version
 	name, path, _ := splitPath(r.URL.Path)
-	findings := checkHeaders(c, r.Header)
+	findings := append(checkProtocol(r), checkHeaders(c, r.Header)...)
 	service, ok := findService(published.Manifest, name)
 	c.service = service
 	refused := failure{outcome: NotRun, reason: ReasonInvalid, status: http.StatusBadRequest}
--- a/internal/caller/service/handler_test.go
+++ b/internal/caller/service/handler_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"time"
 
@@ -46,6 +47,15 @@
 		Expect(b.sentCount()).To(Equal(1))
 	})
 
+	It("refuses HTTP/1.0, against an answer whose cut looks like its end", func() {
+		request := httptest.NewRequest(http.MethodGet, "/services/chairdesk/check", nil)
+		request.Proto, request.ProtoMajor, request.ProtoMinor = "HTTP/1.0", 1, 0
+		recorder := httptest.NewRecorder()
+		b.handler.ServeHTTP(recorder, request)
+		expectOutcome(recorder.Result(), service.NotRun, service.ReasonInvalid)
+		Expect(b.sentCount()).To(BeZero())
+	})
+
 	It("sends a non-idempotent request once, against charging a deposit twice", func() {
 		b.send = func(context.Context, int) (*service.Response, error) { return failed(service.Unknown) }
 		response, _, err := b.ask("", once...)
--- a/internal/caller/service/request.go
+++ b/internal/caller/service/request.go
@@ -155,6 +155,15 @@
 	}
 }
 
+// checkProtocol refuses HTTP/1.0, in which an answer without a length ends with its
+// connection, so that one which was cut off looks complete.
+func checkProtocol(r *http.Request) []Finding {
+	if r.ProtoAtLeast(1, 1) {
+		return nil
+	}
+	return []Finding{{Place: "protocol", Problem: r.Proto + " can't tell a whole answer from one that was cut off", Fix: "use HTTP/1.1"}}
+}
+
 // checkHeaders fills the call from the headers and returns every fault.
 func checkHeaders(c *call, header http.Header) []Finding {
 	reader := headerReader{header: header}
