--- a/internal/integration/proof/true_refusal_test.go
+++ b/internal/integration/proof/true_refusal_test.go
@@ -211,6 +211,22 @@
 		d.expectTrueRefusals(replies...)
 	})
 
+	// Guards against a claim that is given up in the queue and sent nevertheless.
+	It("are true when the start record takes longer than the deadline", func() {
+		d := desk(2)
+		d.setFaults(platform.Faults{Table: platform.ServiceFaults{Delay: 300 * time.Millisecond}})
+		asks := mixed(24, 10, ask{size: 100})
+		for i := range asks {
+			asks[i].key = callerMade(d)
+			asks[i].timeout = time.Duration(i+1) * 50 * time.Millisecond
+		}
+		replies := d.oneEach(asks)
+		d.setFaults(platform.Faults{})
+		Expect(tally(replies)["Completed"]).To(BeNumerically("<", len(replies)), "no request was given up")
+		d.expectTrueRefusals(replies...)
+		d.expectAtMostOnce(replies...)
+	})
+
 	// Guards against refusals under overload that come after a slot was taken.
 	DescribeTable("are true under overload, cuts and a store outage",
 		func(seed uint64) {
--- a/internal/integration/proof/whole_answer_test.go
+++ b/internal/integration/proof/whole_answer_test.go
@@ -1,9 +1,12 @@
 package proof
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -111,6 +114,50 @@
 		d.settle()
 	})
 
+	// Guards against a crash of the entry instance that looks like the end of an answer.
+	It("never passes on an answer as complete when the entry instance is killed within it", func() {
+		d := desk(1)
+		sent := make(chan []reply, 1)
+		e := d.entry("entry-1")
+		asks := []ask{
+			{size: 150_000, seed: "a", query: "silentAfter=100000"},
+			{size: 150_000, seed: "b", query: "silentAfter=100000&chunked=true"},
+			{seed: "c", feed: true, query: "feed=true&interval=10ms"},
+		}
+		asked := later(func() reply {
+			sent <- together(len(asks), func(i int) reply { return e.ask(context.Background(), asks[i]) })
+			return reply{}
+		})
+		Eventually(d.executors["executor-1"].sent).WithTimeout(deskMaxDuration).Should(BeNumerically(">", 2*100_000))
+		e.kill()
+		await(asked)
+		for _, r := range <-sent {
+			Expect(r.err).To(HaveOccurred(), "%s", r)
+			Expect(r.deviates).To(BeFalse(), "%s", r)
+		}
+		d.settle()
+	})
+
+	// Guards against callers of HTTP/1.0, to whom the end of the connection is the end of
+	// an answer without a length.
+	It("never passes on an answer as complete to a caller of HTTP/1.0", func() {
+		d := desk(1)
+		conn, err := net.Dial("tcp", d.entry("entry-1").Caller)
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = io.WriteString(conn, "GET /services/desk/check?size=300000&seed=old&chunked=true&dieAfter=200000 HTTP/1.0\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.SetReadDeadline(time.Now().Add(deskMaxDuration + answerSlack))).To(Succeed())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		if response.Header.Get(service.HeaderOutcome) == string(service.Completed) {
+			_, err = io.Copy(io.Discard, response.Body)
+			Expect(err).To(HaveOccurred(), "an answer that was cut off looks complete")
+		}
+		d.settle()
+	})
+
 	// Guards against answers that are swapped between requests on reused connections,
 	// also when callers leave in the middle of theirs.
 	DescribeTable("gives each of many callers the whole answer to its own request",
