Refuse requests that no executor can serve in time at once

After a short silence of all executors their estimates were so above the deadline of short requests. Admission then took no executor, although slots were free, and let the requests wait for a slot until shortly before their deadline. Nothing was sent any more that could have corrected the estimates but a probe every up to 16 s, and requests that are not idempotent never probe.

Ruled out: the first-byte bound and the retry budget; the requests were refused as Dropped before any attempt.

Change: when most executors are avoided, their estimates, which come from failures, give way to the estimate of the service. A request that no executor serves safely in time goes by the mean, also when its deadline is above the usual need. If the mean isn't in time either, the request is refused at once.

--- a/internal/decision/admission/choice.go
+++ b/internal/decision/admission/choice.go
@@ -58,26 +58,39 @@
 
 // choose returns the nearest, least loaded executor that answers in time.
 func (s *Service) choose(now time.Time, request Request, candidates []Candidate) (Choice, bool) {
-	c := chooser{service: s, request: request, now: now}
+	c := s.chooser(now, request, candidates)
 	if s.avoided > 0 {
-		c.everybody = c.mostlyAvoided(candidates)
 		if probe, ok := c.probe(candidates); ok {
 			return probe, true
 		}
 	}
-	if !request.Immediate && !c.anyLeft(candidates) {
-		c.request.Exclude = nil
-	}
-	if choice, ok := c.nearest(candidates, s.tail(now)); ok {
+	tail := s.tail(now)
+	if choice, ok := c.nearest(candidates, tail); ok {
 		return choice, true
 	}
-	if request.Deadline.Sub(now) < s.need(now) {
+	if request.Deadline.Sub(now) < s.need(now) || !c.anyInTime(candidates, tail) {
 		// No executor is safely in time for such a deadline; the mean has to do.
 		return c.nearest(candidates, 1)
 	}
 	return Choice{}, false
 }
 
+func (s *Service) chooser(now time.Time, request Request, candidates []Candidate) chooser {
+	c := chooser{service: s, request: request, now: now}
+	c.everybody = s.avoided > 0 && c.mostlyAvoided(candidates)
+	if !request.Immediate && !c.anyLeft(candidates) {
+		c.request.Exclude = nil
+	}
+	return c
+}
+
+// hopeless reports whether no executor would be in time even with a free slot, so
+// that waiting for one could only hold the request until its deadline.
+func (s *Service) hopeless(now time.Time, request Request, candidates []Candidate) bool {
+	c := s.chooser(now, request, candidates)
+	return !c.anyInTime(candidates, 1)
+}
+
 func (c *chooser) mostlyAvoided(candidates []Candidate) bool {
 	avoided := 0
 	for i := range candidates {
@@ -125,6 +138,21 @@
 	return false
 }
 
+// anyInTime reports whether a candidate, if it were idle, would meet the deadline with
+// its mean latency times factor.
+func (c *chooser) anyInTime(candidates []Candidate, factor float64) bool {
+	for i := range candidates {
+		candidate := &candidates[i]
+		if candidate.Slots == 0 || slices.Contains(c.request.Exclude, candidate.Executor) {
+			continue
+		}
+		if _, ok := c.inTime(candidate, factor); ok {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *chooser) usable(candidate *Candidate) bool {
 	return candidate.InUse < candidate.Slots && !slices.Contains(c.request.Exclude, candidate.Executor)
 }
@@ -159,12 +187,14 @@
 func (c *chooser) inTime(candidate *Candidate, factor float64) (float64, bool) {
 	mean := c.service.latency.mean
 	if e := c.service.executors[candidate.Executor]; e != nil {
-		if e.avoided() && !c.everybody {
-			return 0, false
-		}
-		if e.mean > 0 {
+		switch {
+		case !e.avoided() && e.mean > 0:
 			mean = e.mean
+		case e.avoided() && !c.everybody:
+			return 0, false
 		}
+		// The mean of an avoided executor comes from what failed. When everybody is
+		// avoided it would keep requests from the executors for good.
 	}
 	expected := seconds(mean*factor) + candidate.RoundTrip
 	return mean, !c.now.Add(expected).After(c.request.Deadline)
--- a/internal/decision/admission/service.go
+++ b/internal/decision/admission/service.go
@@ -96,6 +96,8 @@
 		return refuse(verdict, NoSlots, time.Second)
 	case remaining < verdict.Need:
 		return refuse(verdict, DeadlineTooShort, verdict.ExpectedWait)
+	case s.hopeless(now, request, candidates):
+		return refuse(verdict, DeadlineTooShort, verdict.ExpectedWait)
 	case verdict.ExpectedWait+verdict.Need > remaining:
 		return refuse(verdict, Overload, verdict.ExpectedWait+verdict.Need-remaining)
 	case s.waiting.len() >= MaxWaiting:
--- a/internal/decision/admission/service_test.go
+++ b/internal/decision/admission/service_test.go
@@ -57,6 +57,29 @@
 		expectServed(learned().Arrive(start, request("1", time.Second), candidates(2, 1)), "b")
 	})
 
+	silence := func(s *admission.Service, ids ...membership.InstanceID) {
+		for range 12 {
+			for _, id := range ids {
+				s.Observe(start, id, admission.Observation{Took: 600 * time.Millisecond, Failed: true, Cancelled: true})
+			}
+		}
+	}
+
+	It("sends to silent executors when there are no others, against refusing forever once they answer", func() {
+		s := learned()
+		silence(s, "a", "b")
+		once := request("1", 500*time.Millisecond)
+		once.NonIdempotent = true
+		Expect(s.Arrive(start, once, candidates(0, 0)).Action).To(Equal(admission.Serve))
+	})
+
+	It("refuses at once when no executor is in time, against holding requests beside free slots", func() {
+		s := learned()
+		far := []admission.Candidate{{Executor: "a", Slots: 4, RoundTrip: time.Second}}
+		expectRefused(s.Arrive(start, request("1", 500*time.Millisecond), far), admission.DeadlineTooShort)
+		Expect(s.Waiting()).To(BeZero())
+	})
+
 	It("retries on an executor again when none is left, against holding the request until its deadline", func() {
 		retry := request("1", time.Second)
 		retry.Exclude = []membership.InstanceID{"a"}
