--- a/internal/integration/proof/true_refusal_test.go
+++ b/internal/integration/proof/true_refusal_test.go
@@ -81,24 +81,21 @@
 	return together(len(asks), func(i int) reply { return entries[i%2].ask(context.Background(), asks[i]) })
 }
 
-// during sends requests and, while they are under way, calls act once.
-func (d *deployment) during(asks []ask, act func()) []reply {
+// during sends requests and calls act once more bytes went to the executors, or once
+// all requests are answered, since some faults let none through.
+func (d *deployment) during(asks []ask, more int64, act func()) []reply {
 	GinkgoHelper()
+	before := d.bytesToExecutors()
 	replies := make(chan []reply, 1)
 	var group sync.WaitGroup
 	group.Go(func() { replies <- d.oneEach(asks) })
+	Eventually(func() bool { return len(replies) > 0 || d.bytesToExecutors() >= before+more }).
+		WithTimeout(deskMaxDuration + answerSlack).Should(BeTrue())
 	act()
 	group.Wait()
 	return <-replies
 }
 
-// expectForwarded waits until more bytes went to the executors.
-func (d *deployment) expectForwarded(more int64) {
-	GinkgoHelper()
-	before := d.bytesToExecutors()
-	Eventually(d.bytesToExecutors).WithTimeout(deskMaxDuration).Should(BeNumerically(">=", before+more))
-}
-
 var _ = Describe("Refusals that say not run", Label("true-refusal"), func() {
 	// Guards against a refusal reason that is given after bytes have left.
 	It("are true for each reason of the entry instance", func() {
@@ -132,10 +129,7 @@
 	It("are true when executors refuse", func() {
 		d := desk(2)
 		d.executors["executor-1"].setExecutorState(membership.Leaving)
-		replies := d.during(mixed(20, 10, ask{work: 100 * time.Millisecond, size: 100}), func() {
-			d.expectForwarded(100)
-			d.cutAll()
-		})
+		replies := d.during(mixed(20, 10, ask{work: 100 * time.Millisecond, size: 100}), 100, d.cutAll)
 		d.executors["executor-2"].setExecutorState(membership.Leaving)
 		last := d.oneEach(mixed(10, 10, ask{size: 100}))
 		for _, r := range last {
@@ -168,35 +162,26 @@
 	It("are true when connections are cut at each stage of a request", func() {
 		d := desk(2)
 		var replies []reply
-		stage := func(name string, faults proxy.Faults, asks []ask, act func()) {
+		stage := func(name string, faults proxy.Faults, asks []ask, more int64, act func()) {
 			GinkgoHelper()
 			By(name)
 			d.setProxies(faults)
-			replies = append(replies, d.during(asks, act)...)
+			replies = append(replies, d.during(asks, more, act)...)
 			d.setProxies(proxy.Faults{})
 			d.cutAll()
 		}
 		short := ask{size: 100}
 		nothing := func() {}
-		stage("dial", proxy.Faults{Refuse: true}, mixed(10, 10, short), d.cutAll)
+		stage("dial", proxy.Faults{Refuse: true}, mixed(10, 10, short), 0, d.cutAll)
 		for range 10 {
-			stage("idle connections", proxy.Faults{}, mixed(8, 10, short), d.cutAll)
+			stage("idle connections", proxy.Faults{}, mixed(8, 10, short), 0, d.cutAll)
 		}
-		stage("headers", proxy.Faults{ToServer: proxy.Flow{Rate: 400}}, mixed(10, 10, short), func() {
-			d.expectForwarded(20)
-			d.cutAll()
-		})
-		stage("body", proxy.Faults{ToServer: proxy.Flow{Rate: 200 << 10}}, mixed(8, 200<<10, short), func() {
-			d.expectForwarded(20 << 10)
-			d.cutAll()
-		})
-		stage("before the answer", proxy.Faults{}, mixed(8, 10, ask{work: 300 * time.Millisecond, size: 100}), func() {
-			d.expectForwarded(1000)
-			d.cutAll()
-		})
-		stage("head of the answer", proxy.Faults{CutAfter: 20}, mixed(8, 10, short), nothing)
-		stage("body of the answer", proxy.Faults{CutAfter: 5_000}, mixed(8, 10, ask{size: 200_000}), nothing)
-		stage("silence", proxy.Faults{ToServer: proxy.Flow{Silence: true}}, mixed(8, 10, short), nothing)
+		stage("headers", proxy.Faults{ToServer: proxy.Flow{Rate: 400}}, mixed(10, 10, short), 20, d.cutAll)
+		stage("body", proxy.Faults{ToServer: proxy.Flow{Rate: 200 << 10}}, mixed(8, 200<<10, short), 20 << 10, d.cutAll)
+		stage("before the answer", proxy.Faults{}, mixed(8, 10, ask{work: 300 * time.Millisecond, size: 100}), 1000, d.cutAll)
+		stage("head of the answer", proxy.Faults{CutAfter: 20}, mixed(8, 10, short), 0, nothing)
+		stage("body of the answer", proxy.Faults{CutAfter: 5_000}, mixed(8, 10, ask{size: 200_000}), 0, nothing)
+		stage("silence", proxy.Faults{ToServer: proxy.Flow{Silence: true}}, mixed(8, 10, short), 0, nothing)
 		d.expectTrueRefusals(replies...)
 	})
 
@@ -247,10 +232,7 @@
 				outage := random.IntN(2) == 0
 				d.setFaults(platform.Faults{Table: platform.ServiceFaults{Outage: outage, LoseAcknowledgements: !outage}})
 				d.setProxies(proxy.Faults{CutAfter: random.Int64N(200_000), ToServer: proxy.Flow{Delay: time.Duration(random.Int64N(int64(50 * time.Millisecond)))}})
-				replies = append(replies, d.during(asks, func() {
-					d.expectForwarded(1000)
-					d.cutAll()
-				})...)
+				replies = append(replies, d.during(asks, 1000, d.cutAll)...)
 				d.setFaults(platform.Faults{})
 				d.setProxies(proxy.Faults{})
 			}
--- a/internal/integration/proof/whole_answer_test.go
+++ b/internal/integration/proof/whole_answer_test.go
@@ -234,6 +234,42 @@
 		d.settle()
 	})
 
+	// Guards against latency estimates of silent executors that hold requests beside free
+	// slots until their deadline, also long after the executors answer again.
+	It("serves requests with short deadlines at once when silent executors answer again", func() {
+		const timeout = time.Second
+		d := desk(2)
+		d.publishDesk(func(desk *manifest.Service) { desk.FirstByteTimeout = manifest.Duration(2 * timeout) })
+		for i := range 40 {
+			// Run times differ, so that the tail of the latency is well above its mean.
+			d.throughBoth(ask{size: 10, seed: "warm", work: time.Duration(5+i%5/4*45) * time.Millisecond})
+		}
+		for _, e := range d.executors {
+			e.setExecutorFaults(executor.Faults{Silent: true})
+		}
+		var replies []reply
+		for range 8 {
+			replies = append(replies, d.throughBoth(ask{size: 10, seed: "a", timeout: timeout}, ask{size: 10, seed: "b", timeout: timeout})...)
+		}
+		for _, e := range d.executors {
+			e.setExecutorFaults(executor.Faults{})
+		}
+		for _, e := range d.entries {
+			Eventually(func() service.Outcome {
+				r := e.ask(context.Background(), ask{size: 10, seed: "again", nonIdem: true, timeout: timeout})
+				replies = append(replies, r)
+				return r.outcome
+			}).WithTimeout(deskMaxDuration + answerSlack).Should(Equal(service.Completed))
+		}
+		for _, r := range replies {
+			if r.outcome == service.NotRun {
+				Expect(r.took).To(BeNumerically("<", timeout/2), "was held before its refusal: %s", r)
+			}
+		}
+		d.settle()
+		d.expectTruth(replies...)
+	})
+
 	// Guards against answers that pause for good after their beginning.
 	It("gives up within the idle bound on an answer that pauses for good", func() {
 		d := desk(2)
