Retire idle connections to an executor whose connection went silent

Cause: when all open connections to an executor go silent, a retry takes the next idle one and waits for its whole first-byte bound too. A request whose only executor would have answered on a new connection spent all four attempts on silent ones.

Change: after a first-byte or idle bound is exceeded, the client closes the connections to the same address that nobody uses and that were dialed before the request. A connection that a request takes at that moment fails before its first byte leaves, so that it counts as not run. Rejected: Transport.CloseIdleConnections, which closes those to all executors.

--- a/internal/backend/executor/body.go
+++ b/internal/backend/executor/body.go
@@ -76,6 +76,7 @@
 	case errors.Is(err, io.EOF):
 		return &Error{Class: Unknown, Reason: ReasonNoLength}
 	case errors.As(context.Cause(b.ctx), &bound):
+		b.used.retireIdle()
 		return &Error{Class: Unknown, Reason: bound.Reason, Err: err}
 	case b.ctx.Err() != nil:
 		return &Error{Class: Unknown, Reason: ReasonCanceled, Err: err}
--- a/internal/backend/executor/client.go
+++ b/internal/backend/executor/client.go
@@ -84,6 +84,7 @@
 
 	once      sync.Once
 	transport *http.Transport
+	open      openSet
 }
 
 // Do sends an attempt and returns its answer, or an *Error. If the error's class is
@@ -95,7 +96,7 @@
 		return nil, &Error{Class: NotRun, Reason: ReasonInvalid, Err: errors.New("no request or no URL")}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	used := &use{}
+	used := &use{open: &c.open, mark: c.open.mark()}
 	request, body := outgoing(httptrace.WithClientTrace(ctx, used.trace()), attempt.Request, attempt.Address)
 	timer := c.Clock.AfterFunc(orDefault(attempt.FirstByteTimeout, DefaultFirstByteTimeout), func() {
 		cancel(&Error{Class: Unknown, Reason: ReasonFirstByte})
@@ -115,7 +116,7 @@
 		c.Clock = clockwork.NewRealClock()
 	}
 	c.transport = &http.Transport{
-		DialContext:            dialer(orDefault(c.DialTimeout, DefaultDialTimeout)),
+		DialContext:            dialer(orDefault(c.DialTimeout, DefaultDialTimeout), &c.open),
 		MaxConnsPerHost:        orDefault(c.Connections, DefaultConnections),
 		MaxIdleConnsPerHost:    orDefault(c.IdleConnections, DefaultIdleConnections),
 		IdleConnTimeout:        keepIdle,
@@ -136,6 +137,9 @@
 	if used.retire() {
 		failure.Class = Unknown
 	}
+	if failure.Reason == ReasonFirstByte {
+		used.retireIdle()
+	}
 	return failure
 }
 
