--- a/internal/integration/proof/whole_answer_test.go
+++ b/internal/integration/proof/whole_answer_test.go
@@ -214,6 +214,24 @@
 		Entry("for non-idempotent requests", true, deskFirstByte),
 	)
 
+	// Guards against retries that spend their attempts on further silent connections,
+	// one after the other.
+	It("retries on a new connection when all open ones to the only executor are silent", func() {
+		d := desk(1)
+		d.publishDesk(patient)
+		e := d.entry("entry-1")
+		for range 10 {
+			// Four at once leave several idle connections and pay for retries.
+			together(4, func(int) reply { return e.ask(context.Background(), ask{size: 10, seed: "warm", work: 5 * time.Millisecond}) })
+		}
+		d.executors["executor-1"].proxy.SilenceExisting()
+		r := e.ask(context.Background(), ask{size: 10, seed: "again"})
+		Expect(r.whole()).To(BeTrue(), "%s", r)
+		Expect(r.took).To(BeNumerically("<", deskFirstByte+answerSlack), "%s", r)
+		d.cutAll()
+		d.settle()
+	})
+
 	// Guards against holding requests until near their deadline.
 	It("gives up at once on executors that answer nothing", func() {
 		d := desk(2)
