--- a/internal/integration/proof/true_refusal_test.go
+++ b/internal/integration/proof/true_refusal_test.go
@@ -177,7 +177,7 @@
 			stage("idle connections", proxy.Faults{}, mixed(8, 10, short), 0, d.cutAll)
 		}
 		stage("headers", proxy.Faults{ToServer: proxy.Flow{Rate: 400}}, mixed(10, 10, short), 20, d.cutAll)
-		stage("body", proxy.Faults{ToServer: proxy.Flow{Rate: 200 << 10}}, mixed(8, 200<<10, short), 20 << 10, d.cutAll)
+		stage("body", proxy.Faults{ToServer: proxy.Flow{Rate: 200 << 10}}, mixed(8, 200<<10, short), 20<<10, d.cutAll)
 		stage("before the answer", proxy.Faults{}, mixed(8, 10, ask{work: 300 * time.Millisecond, size: 100}), 1000, d.cutAll)
 		stage("head of the answer", proxy.Faults{CutAfter: 20}, mixed(8, 10, short), 0, nothing)
 		stage("body of the answer", proxy.Faults{CutAfter: 5_000}, mixed(8, 10, ask{size: 200_000}), 0, nothing)
--- a/internal/integration/proof/whole_answer_test.go
+++ b/internal/integration/proof/whole_answer_test.go
@@ -222,7 +222,9 @@
 		e := d.entry("entry-1")
 		for range 10 {
 			// Four at once leave several idle connections and pay for retries.
-			together(4, func(int) reply { return e.ask(context.Background(), ask{size: 10, seed: "warm", work: 5 * time.Millisecond}) })
+			together(4, func(int) reply {
+				return e.ask(context.Background(), ask{size: 10, seed: "warm", work: 5 * time.Millisecond})
+			})
 		}
 		d.executors["executor-1"].proxy.SilenceExisting()
 		r := e.ask(context.Background(), ask{size: 10, seed: "again"})
