--- a/internal/integration/proof/deployment_test.go
+++ b/internal/integration/proof/deployment_test.go
@@ -56,6 +56,7 @@
 type executorProcess struct {
 	*process
 	id      string
+	host    string
 	address string
 	proxy   *proxy.Proxy
 	journal string
@@ -114,24 +115,29 @@
 }
 
 // startWorker starts a worker with 4 processors and 8 GB in a zone.
-func (d *deployment) startWorker(id, zoneName string) *workerProcess {
+func (d *deployment) startWorker(id, zoneName string, args ...string) *workerProcess {
 	GinkgoHelper()
 	w := &workerProcess{id: id, journal: filepath.Join(d.directory, id+".jsonl")}
 	w.proxy = newProxy("")
 	var ready httpserver.Ready
-	w.process = start(&ready, "standin", "worker", "--id", id, "--zone", zoneName, "--region", "region-"+zoneName,
-		"--rack", "rack-"+zoneName, "--processors", "4000", "--memory", "8000000000",
-		"--platform", d.address, "--announce-address", w.proxy.Address(), "--journal-file", w.journal)
+	w.process = start(&ready, append([]string{
+		"standin", "worker", "--id", id, "--zone", zoneName, "--region", "region-" + zoneName,
+		"--rack", "rack-" + zoneName, "--processors", "4000", "--memory", "8000000000",
+		"--platform", d.address, "--announce-address", w.proxy.Address(), "--journal-file", w.journal,
+	}, args...)...)
 	w.address = ready.Address
 	w.proxy.SetTarget(ready.Address)
 	d.workers[id] = w
 	return w
 }
 
+// executorReservation is what each executor of the tests reserves on its host.
+var executorReservation = resource.Vector{Processors: 1000, Memory: 1e9}
+
 // startExecutor starts an executor of the service desk on a worker of the zone.
 func (d *deployment) startExecutor(id, zoneName, host string) *executorProcess {
 	GinkgoHelper()
-	e := &executorProcess{id: id, journal: filepath.Join(d.directory, id+".jsonl"), proxy: newProxy("")}
+	e := &executorProcess{id: id, host: host, journal: filepath.Join(d.directory, id+".jsonl"), proxy: newProxy("")}
 	var ready httpserver.Ready
 	e.process = start(&ready, "standin", "executor", "--id", id, "--zone", zoneName, "--region", "region-"+zoneName,
 		"--host", host, "--service", "desk", "--slots", "8", "--connections", "64", "--processors", "1000", "--memory", "1000000000",
@@ -169,10 +175,13 @@
 		Classes: []manifest.Class{{
 			Name: "build", Team: "rotas", Resources: resource.Vector{Processors: 1000, Memory: 1e9},
 			ExpectedDuration: manifest.Duration(time.Second), Checkpointable: true, MaxAttempts: 3,
+		}, {
+			Name: "train", Team: "rotas", Resources: resource.Vector{Processors: 500, Memory: 5e8, Accelerators: 1},
+			ExpectedDuration: manifest.Duration(time.Second), MaxAttempts: 3,
 		}},
 		Teams: []manifest.Team{{
-			Name: "rotas", Quota: resource.Vector{Processors: 1e6, Memory: 1e12},
-			UrgentQuota: resource.Vector{Processors: 1e6, Memory: 1e12}, Weight: 1,
+			Name: "rotas", Quota: resource.Vector{Processors: 1e6, Memory: 1e12, Accelerators: 1e3},
+			UrgentQuota: resource.Vector{Processors: 1e6, Memory: 1e12, Accelerators: 1e3}, Weight: 1,
 		}},
 		Limits: manifest.Limits{
 			ShardsPerZone: 1, MaxQueuedJobs: 1000, MaxTasksPerJob: 1000, MaxPayload: 64 << 10, MaxResult: 64 << 10,
--- /dev/null
+++ b/internal/integration/proof/singlerun_test.go
@@ -0,0 +1,169 @@
+package proof
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/platform"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/proxy"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/worker"
+)
+
+// longWork runs past the end of a lease, so that a task can only end elsewhere if
+// its worker stays unreachable.
+var longWork = worker.Payload{Work: 14 * time.Second, CheckpointEvery: time.Second, Result: "built"}
+
+// shortWork keeps starts and results in flight at any moment.
+var shortWork = worker.Payload{Work: 300 * time.Millisecond, Result: "built"}
+
+// spreadLongJob starts a job of long tasks with at least one on each worker.
+func (d *deployment) spreadLongJob(through *entryProcess) int {
+	GinkgoHelper()
+	// Placement may fill a worker before it takes the next; this many tasks need all.
+	tasks := tasksPerWorker*(len(d.workers)-1) + 1
+	through.submitWork("long", tasks, longWork)
+	for _, w := range d.workers {
+		w.expectStarts(1, startedBound)
+	}
+	return tasks
+}
+
+var _ = Describe("A task never runs in two places at once", Label("single-run"), func() {
+	// Guards against a start elsewhere before the lease of a silent worker is over.
+	It("while a worker that goes on running is silent past its lease", func() {
+		d := oneZone(1, 3)
+		tasks := d.spreadLongJob(d.entry("entry-1"))
+		cut := d.workers["worker-2"]
+		cut.setFaults(silence)
+		d.expectMovedFrom(cut, elsewhereBound)
+		cut.setFaults(proxy.Faults{})
+		d.entry("entry-1").expectSucceeded("long", tasks, finishBound)
+		d.expectSingleRuns()
+	})
+
+	// Guards against taking a refused connection as proof that a worker is dead.
+	It("while a worker that goes on running refuses connections past its lease", func() {
+		d := oneZone(1, 3)
+		tasks := d.spreadLongJob(d.entry("entry-1"))
+		cut := d.workers["worker-2"]
+		cut.refuse()
+		d.expectMovedFrom(cut, elsewhereBound)
+		cut.setFaults(proxy.Faults{})
+		d.entry("entry-1").expectSucceeded("long", tasks, finishBound)
+		d.expectSingleRuns()
+	})
+
+	// Guards against a worker that goes on with its tasks after it was paused past its
+	// lease, and against a sync from before the pause that starts or renews anything.
+	It("while a worker is frozen past its lease and thawed", func() {
+		d := oneZone(1, 3)
+		tasks := d.spreadLongJob(d.entry("entry-1"))
+		frozen := d.workers["worker-2"]
+		frozen.freeze()
+		d.expectMovedFrom(frozen, elsewhereBound)
+		frozen.thaw()
+		d.entry("entry-1").expectSucceeded("long", tasks, finishBound)
+		d.expectSingleRuns()
+	})
+
+	// Guards against a thawed owner that starts tasks which its successor started too.
+	It("while the owner is frozen past its authority and thawed", func() {
+		d := oneZone(2, 2)
+		d.entry("entry-1").submitWork("short", 60, shortWork)
+		d.workers["worker-1"].expectStarts(5, startedBound)
+		owner := d.expectOwner(zoneA, time.Second)
+		other := d.besides(owner)
+		owner.freeze()
+		other.expectOwning(takeoverBound)
+		started := countEvents(d.workers["worker-1"].events(), worker.EventStart)
+		d.workers["worker-1"].expectStarts(started+1, startedBound)
+		owner.thaw()
+		other.expectSucceeded("short", 60, finishBound)
+		d.expectSingleRuns()
+	})
+
+	// Guards against a successor that doesn't take over what the dead owner started.
+	It("when the owner is killed during a burst of starts", func() {
+		d := oneZone(2, 2)
+		d.entry("entry-1").submitWork("short", 60, shortWork)
+		d.workers["worker-1"].expectStarts(5, startedBound)
+		owner := d.expectOwner(zoneA, time.Second)
+		other := d.besides(owner)
+		d.remove(owner)
+		other.expectSucceeded("short", 60, finishBound)
+		d.expectSingleRuns()
+	})
+
+	// Guards against two owners when one is cut from the platform, still reaches the
+	// workers and its peer sees a platform that works.
+	It("while the owner is cut from the platform but not from workers", func() {
+		d := oneZone(2, 3)
+		owner := d.expectOwner(zoneA, takeoverBound)
+		tasks := d.spreadLongJob(owner)
+		owner.cutPlatform()
+		d.workers["worker-1"].expectFinishes(1, finishBound)
+		owner.healPlatform()
+		d.besides(owner).expectSucceeded("long", tasks, finishBound)
+		d.expectSingleRuns()
+	})
+
+	// Guards against a commit that is sent again after its answer was lost, and
+	// against a claim of the shard that took effect without its claimant knowing.
+	It("when the store's answers are lost after the write, with a takeover", func() {
+		d := oneZone(2, 2)
+		d.setFaults(platform.Faults{Table: platform.ServiceFaults{LoseAcknowledgements: true}})
+		owner := d.expectOwner(zoneA, takeoverBound)
+		other := d.besides(owner)
+		other.submitWork("short", 60, shortWork)
+		d.workers["worker-1"].expectStarts(5, startedBound)
+		d.remove(owner)
+		other.expectOwning(takeoverBound)
+		d.setFaults(platform.Faults{})
+		other.expectSucceeded("short", 60, finishBound)
+		d.expectSingleRuns()
+	})
+
+	// Guards against a new owner that starts the tasks of workers which it has never
+	// reached before the old owner's leases are over.
+	It("when an owner is killed while a worker is unreachable", func() {
+		d := oneZone(2, 3)
+		owner := d.expectOwner(zoneA, takeoverBound)
+		other := d.besides(owner)
+		tasks := d.spreadLongJob(owner)
+		cut := d.workers["worker-2"]
+		cut.setFaults(silence)
+		d.remove(owner)
+		d.expectMovedFrom(cut, takeoverBound+elsewhereBound)
+		cut.setFaults(proxy.Faults{})
+		other.expectSucceeded("long", tasks, finishBound)
+		d.expectSingleRuns()
+	})
+
+	// Guards against a recovery that never ends because at any moment a sync to one of
+	// several silent workers is on its way.
+	It("when an owner is killed while several workers are silent", func() {
+		d := oneZone(2, 4)
+		owner := d.expectOwner(zoneA, takeoverBound)
+		other := d.besides(owner)
+		tasks := d.spreadLongJob(owner)
+		for _, id := range []string{"worker-1", "worker-2", "worker-3"} {
+			d.workers[id].setFaults(silence)
+		}
+		d.remove(owner)
+		d.expectMovedFrom(d.workers["worker-2"], takeoverBound+elsewhereBound)
+		for _, w := range d.workers {
+			w.setFaults(proxy.Faults{})
+		}
+		other.expectSucceeded("long", tasks, finishBound)
+		d.expectSingleRuns()
+	})
+})
+
+// expectFinishes waits until a worker has finished at least so many tasks.
+func (w *workerProcess) expectFinishes(count int, bound time.Duration) {
+	GinkgoHelper()
+	Eventually(func() int { return countEvents(w.events(), worker.EventFinish) }).
+		WithTimeout(bound).Should(BeNumerically(">=", count), "finished tasks on %s", w.id)
+}
