Cut every other guard in two proofs of zone out and age the sizes

The store's answers are delayed as well as its effects. The spec of wrong sizes submits small tasks once the sizes of the big ones are known.

--- a/internal/integration/proof/overcommit_test.go
+++ b/internal/integration/proof/overcommit_test.go
@@ -167,15 +167,19 @@
 	It("when tasks use far more than they declared and the owner is killed", func() {
 		observed := resource.Vector{Processors: 1500, Memory: 2.5e9}
 		d := colocated(2)
-		d.entry("entry-1").submitWork("big", 12, worker.Payload{
-			Work: 5 * time.Second, Observed: observed, CheckpointEvery: time.Second, Result: "built",
-		})
-		d.workers["worker-1"].expectStarts(1, startedBound)
-		d.workers["worker-2"].expectStarts(3, startedBound)
 		owner := d.expectOwner(zoneA, time.Second)
 		other := d.besides(owner)
+		owner.submitWork("big", 5, worker.Payload{
+			Work: 20 * time.Second, Observed: observed, CheckpointEvery: time.Second, Result: "built",
+		})
+		d.expectStartsInAll(5)
+		began := time.Now()
+		Eventually(func() time.Duration { return time.Since(began) }).WithTimeout(2 * observedBound).
+			Should(BeNumerically(">", observedBound))
+		other.submitWork("short", 6, shortWork)
 		d.remove(owner)
-		other.expectSucceeded("big", 12, 2*finishBound)
+		other.expectSucceeded("short", 6, 2*finishBound)
+		other.expectSucceeded("big", 5, 2*finishBound)
 		d.expectNoOvercommit()
 		for id, w := range d.workers {
 			w.expectObservedReserved(observed, d.reserved(id))
--- a/internal/integration/proof/zoneout_test.go
+++ b/internal/integration/proof/zoneout_test.go
@@ -195,13 +195,19 @@
 	})
 
 	// Guards against permits that count from the end of a slow read.
-	It("while the store is slow", func() {
+	It("while the store and its answers are slow", func() {
 		d := twoBatchZones()
 		d.backlog(d.entry("entry-1"))
-		d.setFaults(platform.Faults{Table: platform.ServiceFaults{Delay: 1500 * time.Millisecond}})
+		d.setFaults(platform.Faults{Table: platform.ServiceFaults{Delay: 200 * time.Millisecond}})
+		for _, id := range []string{"entry-1", "entry-2"} {
+			slow := proxy.Faults{ToClient: proxy.Flow{Delay: 1200 * time.Millisecond}}
+			Expect(d.entry(id).platform.SetFaults(slow)).To(Succeed())
+		}
 		d.entry("entry-3").setZone(zoneA, zone.Out)
 		d.expectSinceOut(2 * outBound)
 		d.setFaults(platform.Faults{})
+		d.entry("entry-1").healPlatform()
+		d.entry("entry-2").healPlatform()
 		d.expectBacklogDone(d.entry("entry-3"))
 		d.expectNoLateStarts()
 		d.expectMovedToB()
@@ -236,6 +242,12 @@
 	It("when the owner is frozen with a permit in hand and thawed", func() {
 		d := twoBatchZones()
 		owner := d.ownerOfA()
+		// Without a successor nobody else shuts the owner out.
+		for _, id := range []string{"entry-1", "entry-2"} {
+			if e := d.entry(id); e != owner {
+				d.remove(e)
+			}
+		}
 		d.backlog(owner)
 		owner.freeze()
 		d.entry("entry-3").setZone(zoneA, zone.Out)
