Count moved jobs by their records in the proof of zone out

A job of zone-a can finish there or move before its first start, so starts in both zones are no sign of a move.

--- a/internal/integration/proof/zoneout_test.go
+++ b/internal/integration/proof/zoneout_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -142,33 +143,39 @@
 		Should(BeNumerically(">", passed))
 }
 
-// jobsOf returns the jobs of which the workers started a task.
-func jobsOf(workers ...*workerProcess) map[protocol.JobID]bool {
+// handedOn returns the jobs whose records left zone-a's shard before they were done.
+func (d *deployment) handedOn() []protocol.JobID {
 	GinkgoHelper()
-	jobs := map[protocol.JobID]bool{}
-	for _, w := range workers {
-		for _, e := range w.events() {
-			if e.Kind == worker.EventStart {
-				id, _, err := job.SplitTaskID(e.Task)
-				Expect(err).NotTo(HaveOccurred())
-				jobs[id] = true
+	prefix := string(job.RecordPrefix(protocol.ShardID{Zone: zoneA}))
+	var ids []protocol.JobID
+	for _, entry := range d.tableJournal() {
+		for _, write := range entry.Transaction.Writes {
+			if id, ok := strings.CutPrefix(string(write.Key), prefix); ok && write.Delete {
+				ids = append(ids, protocol.JobID(id))
 			}
 		}
 	}
-	return jobs
+	return ids
 }
 
-// expectMovedToB checks that zone-b went on with jobs that had begun in zone-a.
+// expectMovedToB checks that zone-b ran jobs that zone-a had.
 func (d *deployment) expectMovedToB() {
 	GinkgoHelper()
-	elsewhere := jobsOf(d.workers["worker-3"], d.workers["worker-4"])
-	moved := 0
-	for id := range jobsOf(d.zoneWorkers()...) {
-		if elsewhere[id] {
-			moved++
+	elsewhere := map[protocol.JobID]bool{}
+	for _, w := range []string{"worker-3", "worker-4"} {
+		for _, e := range d.workers[w].events() {
+			if e.Kind == worker.EventStart {
+				id, _, err := job.SplitTaskID(e.Task)
+				Expect(err).NotTo(HaveOccurred())
+				elsewhere[id] = true
+			}
 		}
 	}
-	Expect(moved).To(BeNumerically(">", 0), "zone-b went on with no job of zone-a")
+	moved := d.handedOn()
+	Expect(moved).NotTo(BeEmpty(), "zone-a handed no job on")
+	for _, id := range moved {
+		Expect(elsewhere).To(HaveKey(id), "zone-b ran nothing of a job of zone-a")
+	}
 }
 
 // ownerOfA returns the owner of zone-a's shard.
