Prove that evicted work resumes once

Adds three specs: an owner killed between the checkpoint and the restart, the object store down during the eviction, and reports whose answers are lost. They count starts, stops and finishes of each task in the workers' journals and check that a task goes on from its checkpoint.

--- a/internal/integration/proof/overcommit_test.go
+++ b/internal/integration/proof/overcommit_test.go
@@ -87,13 +87,7 @@
 // expectStartsInAll waits until the workers have started so many tasks together.
 func (d *deployment) expectStartsInAll(count int) {
 	GinkgoHelper()
-	Eventually(func() int {
-		started := 0
-		for _, w := range d.workers {
-			started += countEvents(w.events(), worker.EventStart)
-		}
-		return started
-	}).WithTimeout(startedBound).Should(BeNumerically(">=", count), "started tasks")
+	d.expectEvents(worker.EventStart, count, startedBound)
 }
 
 var _ = Describe("No worker is overcommitted", Label("no-overcommit"), func() {
--- /dev/null
+++ b/internal/integration/proof/resume_test.go
@@ -0,0 +1,158 @@
+package proof
+
+import (
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	protocol "github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/job"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/platform"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/proxy"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/worker"
+)
+
+// evictedBound is the time in which urgent work takes the place of running tasks:
+// the stated 2.2 s until urgent work starts, the stop time and a failed sync.
+const evictedBound = 10 * time.Second
+
+// history is what the journals tell of a task.
+type history struct {
+	starts, stops, finishes int
+	// saved is the most progress at the time of a checkpoint's event.
+	saved time.Duration
+	// behind reports that the last start has not yet gone on from a checkpoint.
+	behind bool
+}
+
+// expectResumedOnce checks that each task that was stopped started again once, went
+// on from its last checkpoint and finished once.
+func (d *deployment) expectResumedOnce(tasks int) {
+	GinkgoHelper()
+	d.expectSingleRuns()
+	histories := map[protocol.TaskID]*history{}
+	for _, e := range d.eventsInOrder() {
+		h := histories[e.Task]
+		if h == nil {
+			h = &history{}
+			histories[e.Task] = h
+		}
+		h.add(e)
+	}
+	delete(histories, "")
+	Expect(histories).To(HaveLen(tasks))
+	for task, h := range histories {
+		Expect(h.finishes).To(Equal(1), "task %s finished %d times", task, h.finishes)
+		Expect(h.starts).To(Equal(h.stops+1), "task %s: %+v", task, *h)
+	}
+}
+
+func (h *history) add(e worker.Event) {
+	GinkgoHelper()
+	switch e.Kind {
+	case worker.EventStart:
+		h.starts++
+		h.behind = h.saved > 0
+	case worker.EventStop:
+		h.stops++
+	case worker.EventFinish:
+		h.finishes++
+		Expect(h.behind).To(BeFalse(), "began from the beginning: %+v", e)
+	case worker.EventCheckpoint:
+		h.saved = max(h.saved, e.Progress)
+	case worker.EventResume:
+		h.behind = false
+		Expect(e.Progress).To(BeNumerically(">=", h.saved-lostProgress), "%+v", e)
+	}
+}
+
+// lostProgress is what a task can do while its checkpoint is written: the event has
+// the progress after the write, the checkpoint that before.
+const lostProgress = time.Second
+
+// eventsInOrder returns the events of all workers by time.
+func (d *deployment) eventsInOrder() []worker.Event {
+	GinkgoHelper()
+	var all []worker.Event
+	for _, w := range d.workers {
+		all = append(all, w.events()...)
+	}
+	slices.SortStableFunc(all, func(a, b worker.Event) int { return a.Time.Compare(b.Time) })
+	return all
+}
+
+// evict fills two workers with long tasks and then submits urgent ones that take the
+// place of some. It returns once a long task has stopped.
+func (d *deployment) evict(through *entryProcess, before func()) {
+	GinkgoHelper()
+	through.submitWork("long", evictedTasks, longWork)
+	d.expectStartsInAll(evictedTasks)
+	d.expectEvents(worker.EventCheckpoint, evictedTasks, startedBound)
+	before()
+	spec := job.Spec{Class: "build", Priority: job.Urgent, Tasks: urgentTasks}
+	through.submitSpec("urgent", spec, worker.Payload{Work: 2 * time.Second, Result: "built"})
+	d.expectEvents(worker.EventStop, 1, evictedBound)
+}
+
+const (
+	evictedTasks = 2 * tasksPerWorker
+	urgentTasks  = 3
+)
+
+// expectEvents waits until the workers have so many events of a kind together.
+func (d *deployment) expectEvents(kind worker.EventKind, count int, bound time.Duration) {
+	GinkgoHelper()
+	Eventually(func() int {
+		return countEvents(d.eventsInOrder(), kind)
+	}).WithTimeout(bound).Should(BeNumerically(">=", count), "events %s", kind)
+}
+
+// expectEvictedDone waits for both jobs of evict and checks the journals.
+func (d *deployment) expectEvictedDone(through *entryProcess) {
+	GinkgoHelper()
+	through.expectSucceeded("urgent", urgentTasks, finishBound)
+	through.expectSucceeded("long", evictedTasks, finishBound)
+	d.expectResumedOnce(evictedTasks + urgentTasks)
+}
+
+var _ = Describe("Evicted work resumes exactly once", Label("resume-once"), func() {
+	// Guards against a successor that loses an evicted task or starts it twice.
+	It("when the owner is killed between the checkpoint and the restart", func() {
+		d := oneZone(2, 2)
+		owner := d.expectOwner(zoneA, time.Second)
+		other := d.besides(owner)
+		d.evict(owner, func() {})
+		d.remove(owner)
+		d.expectEvictedDone(other)
+	})
+
+	// Guards against a task that starts from the beginning because its checkpoint
+	// can't be read, and against one that never starts again.
+	It("while the checkpoint store is down", func() {
+		d := oneZone(1, 2)
+		d.evict(d.entry("entry-1"), func() {
+			d.setFaults(platform.Faults{Object: platform.ServiceFaults{Outage: true}})
+		})
+		d.expectEvents(worker.EventStop, urgentTasks, evictedBound)
+		d.setFaults(platform.Faults{})
+		d.expectEvictedDone(d.entry("entry-1"))
+	})
+
+	// Guards against a report that counts again when the worker repeats it because its
+	// answer was lost.
+	It("when the reports of the eviction are lost and repeated", func() {
+		d := oneZone(1, 2)
+		d.evict(d.entry("entry-1"), func() {
+			for _, w := range d.workers {
+				w.setFaults(proxy.Faults{ToClient: proxy.Flow{Silence: true}})
+			}
+		})
+		for _, w := range d.workers {
+			w.proxy.Cut()
+			w.setFaults(proxy.Faults{})
+		}
+		d.expectEvictedDone(d.entry("entry-1"))
+	})
+})
