Cut off nothing at a planned stop

Cause: three faults, found by the specs of the label graceful-stop. 1. An instance refused new requests and closed its addresses as soon as its shards were released, about 0.3 s after it became unready. A balancer that looks once a second still sent requests, which were refused, or ended with EOF when they waited in the backlog of the closed listener. 2. After the drain of service requests, other requests had 5 s. A look at a job that waits for its end (up to 60 s) was cut off, and the exit code was 0 all the same. 3. The default drain timeout of 1 h was meant to exceed the longest feed, but a manifest may allow feeds of 7 days. Ruled out: the drain of service requests and feeds itself; feeds of 6 s and the requests in flight ended whole before and after. The drain timeout bounds the whole stop and, by default, is derived from the manifest in force.

--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -61,7 +61,8 @@
 	flags.StringVar(&opts.Settings.PeerAnnounce, "announce-peer-address", "", "`address` that other entry instances are told to use, if it differs from the peer address")
 	flags.StringVar(&opts.Settings.Platform, "platform", "127.0.0.1:7400", "`address` of the platform's services")
 	flags.StringSliceVar(&opts.Settings.Peers, "peers", nil, "peer `addresses` to ask when the platform can't be reached")
-	flags.DurationVar(&opts.Settings.DrainTimeout, "drain-timeout", instance.DefaultDrainTimeout, "longest wait for requests and feeds in flight at a planned stop")
+	flags.DurationVar(&opts.Settings.UnreadyDelay, "unready-delay", instance.DefaultUnreadyDelay, "`time` for which a stopping instance still serves new requests, so that the balancer notices first")
+	flags.DurationVar(&opts.Settings.DrainTimeout, "drain-timeout", 0, "longest `time` of a planned stop, with the wait for requests and feeds in flight; 0s is the longest that the manifest allows")
 	flags.StringVar(&opts.LogLevel, "log-level", "info", "lowest `level` that is logged: debug, info, warn or error")
 	return cmd
 }
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -40,8 +40,6 @@
 	peerTimeout = 1500 * time.Millisecond
 	// forgetPeer is the silence after which a peer is no longer called.
 	forgetPeer = time.Minute
-	// shutdownGrace bounds the end of HTTP connections after the drain.
-	shutdownGrace = 5 * time.Second
 	// readHeaderTimeout bounds the time that a connection may take to send its headers.
 	readHeaderTimeout = 10 * time.Second
 )
@@ -190,7 +188,7 @@
 		case <-background.Done():
 		}
 		defer stop()
-		return errors.Join(i.drain(ctx), shutDown(callers, operators))
+		return i.stop(ctx, callers, operators)
 	})
 	err := group.Wait()
 	i.closeClient()
@@ -246,33 +244,6 @@
 	return nil
 }
 
-// drain leaves the balancer, hands the shards on and waits for what is in flight.
-func (i *Instance) drain(ctx context.Context) error {
-	i.draining.Store(true)
-	i.log.Info().Msg("draining")
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.settings.DrainTimeout)
-	defer cancel()
-	i.announce(ctx)
-	i.releaseShards(ctx)
-	i.kickHeartbeats()
-	err := i.services.Drain(ctx)
-	i.slots.returnAll(ctx)
-	i.log.Info().Err(err).Msg("drained")
-	return err
-}
-
-func shutDown(servers ...*http.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
-	defer cancel()
-	var errs []error
-	for _, server := range servers {
-		if err := server.Shutdown(ctx); err != nil {
-			errs = append(errs, server.Close())
-		}
-	}
-	return errors.Join(errs...)
-}
-
 // readiness tells why the instance must not get new callers, nil if it may.
 func (i *Instance) readiness() error {
 	switch {
--- a/internal/entry/instance/settings.go
+++ b/internal/entry/instance/settings.go
@@ -28,12 +28,17 @@
 	Platform string
 	// Peers are addresses of other entry instances to ask when the platform can't be reached.
 	Peers []string
-	// DrainTimeout bounds the wait for requests and feeds in flight at a planned stop.
+	// UnreadyDelay is the time for which a stopping instance goes on serving new
+	// requests after it became unready. It must exceed the time that the balancer
+	// takes to notice.
+	UnreadyDelay time.Duration
+	// DrainTimeout bounds a planned stop, with the wait for requests and feeds in
+	// flight; 0 stands for the longest that the manifest in force allows.
 	DrainTimeout time.Duration
 }
 
-// DefaultDrainTimeout is longer than the longest feed that a manifest allows.
-const DefaultDrainTimeout = time.Hour
+// DefaultUnreadyDelay lets a balancer that looks every second miss a look.
+const DefaultUnreadyDelay = 3 * time.Second
 
 // Check reports everything that is wrong with the settings, each with the name of
 // its flag.
@@ -67,8 +72,14 @@
 			report("peers", err.Error(), "give IP numbers with ports, separated by commas")
 		}
 	}
+	if s.UnreadyDelay < 0 {
+		report("unready-delay", "it is negative", "give a duration such as 3s")
+	}
 	if s.DrainTimeout < 0 {
-		report("drain-timeout", "it is negative", "give a duration such as 10m")
+		report("drain-timeout", "it is negative", "give a duration such as 10m, or 0s for the longest that the manifest allows")
+	}
+	if s.DrainTimeout > 0 && s.DrainTimeout <= s.UnreadyDelay {
+		report("drain-timeout", "it ends before requests are refused", "give a duration longer than --unready-delay")
 	}
 }
 
