Prove that a leaving backend server gets no new work

Change: specs of the label backend-leave make an executor with a feed leave under load and a worker leave with a long queue, with a lagging and an unavailable membership list, a slow path and a dead shard owner. The stop specs now require that the shard is handed over within the lease term of the workers and before the stop ends: an instance that kept its shards until it exited passed the earlier version.

--- /dev/null
+++ b/internal/integration/proof/leave_test.go
@@ -0,0 +1,231 @@
+package proof
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/job"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/executor"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/platform"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/proxy"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/worker"
+)
+
+const (
+	// leaveBound is the stated time after which a backend server that the membership
+	// list shows as leaving gets no new work.
+	leaveBound = 5 * time.Second
+	// membershipLag is the lag of the list in the specs that have one.
+	membershipLag = 4 * time.Second
+	// listPoll is the time between looks at the membership list.
+	listPoll = 20 * time.Millisecond
+	// longWork is the run time of a task that can't end by itself before it is stopped.
+	longWork = 15 * time.Second
+	// batchBound is the time for all batch work of a spec, several times what one
+	// worker needs for it.
+	batchBound = 2 * time.Minute
+)
+
+// leave makes a stand-in announce that it is leaving.
+func leave(address string) {
+	GinkgoHelper()
+	body, err := json.Marshal(membership.Leaving)
+	Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequest(http.MethodPut, "http://"+address+"/state", bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.Body.Close()).To(Succeed())
+	Expect(response.StatusCode).To(BeNumerically("<", 300))
+}
+
+// expectShown waits until the membership list shows an instance as leaving, and
+// returns a time before that at which it did not.
+func (d *deployment) expectShown(id string, bound time.Duration) time.Time {
+	GinkgoHelper()
+	last := time.Now()
+	Eventually(func() bool {
+		began := time.Now()
+		if d.listedState(id) == membership.Leaving {
+			return true
+		}
+		last = began
+		return false
+	}).WithTimeout(bound).WithPolling(listPoll).Should(BeTrue(), "%s in the membership list", id)
+	return last
+}
+
+// expectNoLateRequests waits past the bound and checks that no request reached the
+// executor after it.
+func (e *executorProcess) expectNoLateRequests(shown time.Time, calls *load) {
+	GinkgoHelper()
+	Eventually(time.Now).WithTimeout(2 * leaveBound).Should(BeTemporally(">", shown.Add(leaveBound)))
+	calls.expectMore(200, 2*leaveBound)
+	calls.expectNoneCut()
+	for _, event := range e.events() {
+		if event.Kind == executor.EventAccepted || event.Kind == executor.EventNotRun {
+			Expect(event.Time).To(BeTemporally("<=", shown.Add(leaveBound)), "%+v", event)
+		}
+	}
+}
+
+// expectEmptied checks that nothing started on the worker after the bound, that no
+// long task ended there, and that all tasks were stopped.
+func (w *workerProcess) expectEmptied(shown time.Time) {
+	GinkgoHelper()
+	running := map[worker.Event]bool{}
+	checkpoints := 0
+	for _, event := range w.events() {
+		key := worker.Event{TaskAttempt: event.TaskAttempt}
+		switch event.Kind {
+		case worker.EventStart, worker.EventResume:
+			Expect(event.Time).To(BeTemporally("<=", shown.Add(leaveBound)), "%+v", event)
+			running[key] = true
+		case worker.EventCheckpoint:
+			checkpoints++
+		case worker.EventStop, worker.EventFinish, worker.EventLeaseExpiry:
+			delete(running, key)
+			if isLong(event) {
+				Expect(event.Kind).To(Equal(worker.EventStop), "%+v", event)
+				Expect(event.Time).To(BeTemporally("<=", shown.Add(leaveBound+worker.DefaultStopTime)), "%+v", event)
+			}
+		}
+	}
+	Expect(running).To(BeEmpty())
+	Expect(checkpoints).To(BeNumerically(">", 0), "no task was checkpointed")
+}
+
+// executorWithFeed opens feeds until one is on an executor, and returns both.
+func (d *deployment) executorWithFeed(through *entryProcess) (*executorProcess, []*feed) {
+	GinkgoHelper()
+	var feeds []*feed
+	for n := range 4 {
+		feeds = append(feeds, openFeed(through, "roster-"+strconv.Itoa(n), 3*feedLines, feedInterval))
+	}
+	for _, e := range d.executors {
+		for _, event := range e.events() {
+			if event.Kind == executor.EventAccepted && event.Feed {
+				return e, feeds
+			}
+		}
+	}
+	Fail("no executor has a feed")
+	return nil, nil
+}
+
+// leaveExecutor makes an executor with a feed leave under load. Around is called
+// before and after it announces that it leaves.
+func leaveExecutor(before, after func(*deployment)) {
+	GinkgoHelper()
+	d := oneZone(2)
+	through := d.entry("entry-1")
+	calls := startLoad(through)
+	calls.expectMore(50, loadStart)
+	leaving, feeds := d.executorWithFeed(through)
+	before(d)
+	leave(leaving.address)
+	after(d)
+	shown := d.expectShown(leaving.id, readyBound)
+	leaving.expectNoLateRequests(shown, calls)
+	for _, f := range feeds {
+		f.expectWhole(readyBound + 3*feedLines*feedInterval)
+	}
+	d.expectNoneLeft()
+}
+
+// leaveWorker makes a worker leave that has running tasks and a long queue.
+func leaveWorker(before, after func(*deployment)) {
+	GinkgoHelper()
+	d := oneZone(2)
+	owner := d.expectOwner(zoneA, takeoverBound)
+	owner.submit("long", 4, payload{Work: longWork, Result: "built"})
+	owner.submit("queue", 60, payload{Work: 300 * time.Millisecond, Result: "built"})
+	leaving := d.workers["worker-1"]
+	Eventually(leaving.hasLongTask).WithTimeout(readyBound).Should(BeTrue())
+	before(d)
+	leave(leaving.address)
+	after(d)
+	shown := d.expectShown(leaving.id, readyBound)
+	for _, e := range d.entries {
+		e.expectSucceeded("queue", 60, batchBound)
+		e.expectSucceeded("long", 4, batchBound)
+	}
+	leaving.expectEmptied(shown)
+}
+
+// hasLongTask reports whether a task of the long job was started.
+func (w *workerProcess) hasLongTask() bool {
+	for _, event := range w.events() {
+		if event.Kind == worker.EventStart && isLong(event) {
+			return true
+		}
+	}
+	return false
+}
+
+// isLong reports whether an event is about a task of the long job.
+func isLong(event worker.Event) bool {
+	return strings.HasPrefix(string(event.Task), string(job.NewID("rotas", "long")))
+}
+
+func nothing(*deployment) {}
+
+// lag makes the membership list show an earlier state.
+func lag(d *deployment) { d.setFaults(platform.Faults{MembershipLag: membershipLag}) }
+
+// hideList makes the membership list unavailable.
+func hideList(d *deployment) {
+	d.setFaults(platform.Faults{Membership: platform.ServiceFaults{Outage: true}})
+}
+
+// showList ends the outage of the list after the work went on without it.
+func showList(d *deployment) {
+	d.entry("entry-1").expectServed(time.Second)
+	d.setFaults(platform.Faults{})
+}
+
+// slowWorkers delays all traffic of the workers, so that starts wait for the end of
+// the sync before them.
+func slowWorkers(d *deployment) {
+	for _, w := range d.workers {
+		flow := proxy.Flow{Delay: 250 * time.Millisecond}
+		Expect(w.proxy.SetFaults(proxy.Faults{ToServer: flow, ToClient: flow})).To(Succeed())
+	}
+}
+
+// killOwner ends the shard's owner.
+func killOwner(d *deployment) {
+	owner := d.expectOwner(zoneA, takeoverBound)
+	owner.kill()
+	delete(d.entries, string(owner.ID))
+}
+
+var _ = Describe("A leaving backend server", Label("backend-leave"), func() {
+	// Guards against requests that are sent to an executor that will refuse them, and
+	// against a feed that ends with the announcement.
+	DescribeTable("gets no requests after the bound",
+		leaveExecutor,
+		Entry("under load", nothing, nothing),
+		Entry("while the membership list lags", lag, nothing),
+		Entry("when the membership list was down", hideList, showList),
+	)
+
+	// Guards against tasks that start on a worker that is about to go, and against
+	// tasks that are left on it.
+	DescribeTable("gets no tasks after the bound, and its tasks finish elsewhere",
+		leaveWorker,
+		Entry("with a long queue", nothing, nothing),
+		Entry("while the membership list lags", lag, nothing),
+		Entry("when the membership list was down", hideList, showList),
+		Entry("when its path is slow", slowWorkers, nothing),
+		Entry("when the shard's owner dies", nothing, killOwner),
+	)
+})
--- a/internal/integration/proof/load_test.go
+++ b/internal/integration/proof/load_test.go
@@ -183,7 +183,7 @@
 func openFeed(e *entryProcess, seed string, lines int, interval time.Duration) *feed {
 	GinkgoHelper()
 	f := &feed{seed: seed, lines: lines, first: make(chan struct{}), done: make(chan struct{})}
-	query := fmt.Sprintf("?feed=true&seed=%s&lines=%d&interval=%s&heartbeat=10s", seed, lines, interval)
+	query := fmt.Sprintf("?feed=true&seed=%s&lines=%d&interval=%s&heartbeat=1h", seed, lines, interval)
 	request, err := http.NewRequest(http.MethodGet, "http://"+e.Caller+"/services/desk/roster"+query, nil)
 	Expect(err).NotTo(HaveOccurred())
 	request.Header.Set("Jacinthtrail-Feed", "true")
--- a/internal/integration/proof/stop_test.go
+++ b/internal/integration/proof/stop_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/entry/shard"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 	"github.com/jacinthtrail/jacinthtrail/internal/standin/executor"
 	"github.com/jacinthtrail/jacinthtrail/internal/standin/platform"
@@ -25,6 +26,11 @@
 	balancerCheck = time.Second
 	// loadStart bounds the time in which a load must be served.
 	loadStart = 10 * time.Second
+	// handOverBound is the lease term of the workers: with a later successor the tasks
+	// would stop.
+	handOverBound = shard.LeaseTerm
+	// handedOverWork is the run time of a task that needs both owners.
+	handedOverWork = 15 * time.Second
 	// feedLines and feedInterval make a feed outlast a stop without feeds.
 	feedLines    = 30
 	feedInterval = 200 * time.Millisecond
@@ -85,11 +91,12 @@
 	}
 }
 
-// expectHandedOver waits until one of the remaining instances runs the shard.
-func (d *deployment) expectHandedOver() {
+// expectHandedOver waits until one of the remaining instances runs the shard, which
+// must be before the stop ends.
+func (d *deployment) expectHandedOver(asked time.Time, while *feed) {
 	GinkgoHelper()
-	d.expectOwner(zoneA, takeoverBound)
-	d.expectNoLeaseExpired()
+	d.expectOwner(zoneA, max(handOverBound-time.Since(asked), 0))
+	Expect(while.isOpen()).To(BeTrue(), "the stop ended before the shard was handed over")
 }
 
 // stop asks an instance for a planned stop and takes it out of the deployment.
@@ -126,20 +133,21 @@
 	It("cuts off nothing of the shard's owner under load", func() {
 		d := oneZone(2)
 		owner := d.expectOwner(zoneA, takeoverBound)
-		owner.submit("batch", 6, payload{Work: 5 * time.Second, Result: "built"})
+		owner.submit("batch", 6, payload{Work: handedOverWork, Result: "built"})
 		calls := startLoad(owner)
 		calls.expectMore(50, loadStart)
-		roster := openFeed(owner, "roster", feedLines, feedInterval)
+		roster := openFeed(owner, "roster", 2*feedLines, feedInterval)
 		asked := d.stop(owner)
+		d.expectHandedOver(asked, roster)
 		roster.expectWhole(drainBound)
 		owner.expectStopped(asked)
 		calls.expectNoneCut()
 		d.expectNoneLeft()
-		d.expectHandedOver()
 		for _, e := range d.entries {
 			e.expectServed(time.Second)
-			e.expectSucceeded("batch", 6, takeoverBound+20*time.Second)
+			e.expectSucceeded("batch", 6, takeoverBound+2*handedOverWork)
 		}
+		d.expectNoLeaseExpired()
 	})
 
 	// Guards against a balancer that sends new requests to an instance that refuses them.
@@ -165,7 +173,7 @@
 	It("of two instances at once hands the shard to the third", func() {
 		d := oneZone(3)
 		owner := d.expectOwner(zoneA, takeoverBound)
-		owner.submit("batch", 6, payload{Work: 5 * time.Second, Result: "built"})
+		owner.submit("batch", 6, payload{Work: handedOverWork, Result: "built"})
 		var other *entryProcess
 		for _, e := range d.entries {
 			if e != owner {
@@ -177,7 +185,7 @@
 		var rosters []*feed
 		for _, e := range stopping {
 			loads = append(loads, startLoad(e))
-			rosters = append(rosters, openFeed(e, "roster-"+string(e.ID), feedLines, feedInterval))
+			rosters = append(rosters, openFeed(e, "roster-"+string(e.ID), 2*feedLines, feedInterval))
 		}
 		for _, calls := range loads {
 			calls.expectMore(20, loadStart)
@@ -186,6 +194,7 @@
 		for _, e := range stopping {
 			d.stop(e)
 		}
+		d.expectHandedOver(asked, rosters[0])
 		for _, roster := range rosters {
 			roster.expectWhole(drainBound)
 		}
@@ -194,11 +203,11 @@
 			loads[n].expectNoneCut()
 		}
 		d.expectNoneLeft()
-		d.expectHandedOver()
 		for _, e := range d.entries {
 			e.expectServed(time.Second)
-			e.expectSucceeded("batch", 6, takeoverBound+20*time.Second)
+			e.expectSucceeded("batch", 6, takeoverBound+2*handedOverWork)
 		}
+		d.expectNoLeaseExpired()
 	})
 
 	// Guards against a stop that waits for the store, or that cuts requests meanwhile.
@@ -221,7 +230,7 @@
 		}
 		d.setFaults(platform.Faults{})
 		for _, e := range d.entries {
-			e.expectSucceeded("batch", 4, takeoverBound+20*time.Second)
+			e.expectSucceeded("batch", 4, takeoverBound+2*handedOverWork)
 		}
 	})
 
