--- a/internal/integration/proof/batch_test.go
+++ b/internal/integration/proof/batch_test.go
@@ -50,7 +50,7 @@
 func oneZone(entries, workers int) *deployment {
 	GinkgoHelper()
 	d := startZone(entries, workers)
-	d.settle(zoneA, entries)
+	d.settleTasks(zoneA, entries)
 	return d
 }
 
@@ -69,7 +69,7 @@
 
 // settle publishes the test manifest and waits until entry-1 and the following
 // instances are ready and know each other as members of the zone.
-func (d *deployment) settle(zoneName string, entries int) {
+func (d *deployment) settleTasks(zoneName string, entries int) {
 	GinkgoHelper()
 	d.publish(d.entry("entry-1"))
 	for n := range entries {
@@ -217,7 +217,7 @@
 }
 
 // runs returns the runs of each task over the journals of all workers.
-func (d *deployment) runs() map[protocol.TaskID][]run {
+func (d *deployment) taskRuns() map[protocol.TaskID][]run {
 	GinkgoHelper()
 	runs := map[protocol.TaskID][]run{}
 	for id, w := range d.workers {
@@ -244,7 +244,7 @@
 // expectSingleRuns checks that no two runs of a task overlap.
 func (d *deployment) expectSingleRuns() {
 	GinkgoHelper()
-	for task, runs := range d.runs() {
+	for task, runs := range d.taskRuns() {
 		for i, a := range runs {
 			for _, b := range runs[:i] {
 				Expect(a.overlaps(b)).To(BeFalse(), "task %s runs twice at once: %+v and %+v", task, a, b)
@@ -257,7 +257,7 @@
 func (d *deployment) movedFrom(w *workerProcess) int {
 	GinkgoHelper()
 	moved := 0
-	for _, runs := range d.runs() {
+	for _, runs := range d.taskRuns() {
 		here, elsewhere := time.Time{}, time.Time{}
 		for _, r := range runs {
 			if r.worker == w.id {
--- a/internal/integration/proof/leave_test.go
+++ b/internal/integration/proof/leave_test.go
@@ -125,7 +125,7 @@
 // before and after it announces that it leaves.
 func leaveExecutor(before, after func(*deployment)) {
 	GinkgoHelper()
-	d := oneZone(2)
+	d := stopZone(2)
 	through := d.entry("entry-1")
 	calls := startLoad(through)
 	calls.expectMore(50, loadStart)
@@ -144,7 +144,7 @@
 // leaveWorker makes a worker leave that has running tasks and a long queue.
 func leaveWorker(before, after func(*deployment)) {
 	GinkgoHelper()
-	d := oneZone(2)
+	d := stopZone(2)
 	owner := d.expectOwner(zoneA, takeoverBound)
 	owner.submit("long", 2, payload{Work: longWork, Result: "built"})
 	owner.submit("queue", 60, payload{Work: 300 * time.Millisecond, Result: "built"})
--- a/internal/integration/proof/overcommit_test.go
+++ b/internal/integration/proof/overcommit_test.go
@@ -25,7 +25,7 @@
 	d.startExecutor("executor-1", zoneA, "worker-1")
 	d.startExecutor("executor-2", zoneA, "worker-1")
 	d.startExecutor("executor-3", zoneA, "worker-2")
-	d.settle(zoneA, entries)
+	d.settleTasks(zoneA, entries)
 	return d
 }
 
@@ -94,7 +94,7 @@
 	// Guards against a successor that doesn't count what the dead owner started.
 	It("when the owner is killed during a burst of starts", func() {
 		d := colocated(2)
-		d.entry("entry-1").submitWork("long", 3, longWork)
+		d.entry("entry-1").submitWork("long", 3, longTask)
 		d.entry("entry-1").submitClass("train", "devices", 16, shortWork)
 		d.entry("entry-1").submitWork("short", 24, shortWork)
 		d.expectStartsInAll(4)
@@ -109,7 +109,7 @@
 	// Guards against starts of a thawed owner on top of those of its successor.
 	It("when the owner is frozen past its authority and thawed", func() {
 		d := colocated(2)
-		d.entry("entry-1").submitWork("long", 3, longWork)
+		d.entry("entry-1").submitWork("long", 3, longTask)
 		d.entry("entry-1").submitWork("short", 40, shortWork)
 		d.expectStartsInAll(4)
 		owner := d.expectOwner(zoneA, time.Second)
@@ -127,7 +127,7 @@
 		d := colocated(2)
 		owner := d.expectOwner(zoneA, time.Second)
 		other := d.besides(owner)
-		owner.submitWork("long", 4, longWork)
+		owner.submitWork("long", 4, longTask)
 		d.expectStartsInAll(4)
 		other.submitBurst(20, 2, func() { d.remove(owner) })
 		for n := range 20 {
@@ -140,7 +140,7 @@
 	// executors share the workers.
 	It("when each entry instance is replaced by a new one", func() {
 		d := colocated(2)
-		d.entry("entry-1").submitWork("long", 3, longWork)
+		d.entry("entry-1").submitWork("long", 3, longTask)
 		d.entry("entry-1").submitWork("short", 40, shortWork)
 		d.expectStartsInAll(4)
 		first := d.expectOwner(zoneA, time.Second)
--- a/internal/integration/proof/resume_test.go
+++ b/internal/integration/proof/resume_test.go
@@ -87,7 +87,7 @@
 // place of some. It returns once a long task has stopped.
 func (d *deployment) evict(through *entryProcess, before func()) {
 	GinkgoHelper()
-	through.submitWork("long", evictedTasks, longWork)
+	through.submitWork("long", evictedTasks, longTask)
 	d.expectStartsInAll(evictedTasks)
 	d.expectEvents(worker.EventCheckpoint, evictedTasks, startedBound)
 	before()
--- a/internal/integration/proof/singlerun_test.go
+++ b/internal/integration/proof/singlerun_test.go
@@ -12,9 +12,9 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/standin/worker"
 )
 
-// longWork runs past the end of a lease, so that a task can only end elsewhere if
+// longTask runs past the end of a lease, so that a task can only end elsewhere if
 // its worker stays unreachable.
-var longWork = worker.Payload{Work: 14 * time.Second, CheckpointEvery: time.Second, Result: "built"}
+var longTask = worker.Payload{Work: 14 * time.Second, CheckpointEvery: time.Second, Result: "built"}
 
 // shortWork keeps starts and results in flight at any moment.
 var shortWork = worker.Payload{Work: 300 * time.Millisecond, Result: "built"}
@@ -56,7 +56,7 @@
 	GinkgoHelper()
 	// Placement may fill a worker before it takes the next; this many tasks need all.
 	tasks := tasksPerWorker*(len(d.workers)-1) + 1
-	through.submitWork("long", tasks, longWork)
+	through.submitWork("long", tasks, longTask)
 	d.expectStartsInAll(tasks)
 	return tasks
 }
@@ -120,7 +120,7 @@
 		d := oneZone(2, 2)
 		owner := d.expectOwner(zoneA, time.Second)
 		other := d.besides(owner)
-		owner.submitWork("long", 4, longWork)
+		owner.submitWork("long", 4, longTask)
 		owner.submitWork("short", 60, shortWork)
 		d.workers["worker-1"].expectStarts(5, startedBound)
 		d.remove(owner)
--- a/internal/integration/proof/stop_test.go
+++ b/internal/integration/proof/stop_test.go
@@ -36,9 +36,9 @@
 	feedInterval = 200 * time.Millisecond
 )
 
-// oneZone starts a zone with so many entry instances, two workers and an executor
+// stopZone starts a zone with so many entry instances, two workers and an executor
 // on each.
-func oneZone(entries int) *deployment {
+func stopZone(entries int) *deployment {
 	GinkgoHelper()
 	d := deploy()
 	for n := range entries {
@@ -131,7 +131,7 @@
 var _ = Describe("A planned stop", Label("graceful-stop"), func() {
 	// Guards against requests and feeds that end with their instance.
 	It("cuts off nothing of the shard's owner under load", func() {
-		d := oneZone(2)
+		d := stopZone(2)
 		owner := d.expectOwner(zoneA, takeoverBound)
 		owner.submit("batch", 6, payload{Work: handedOverWork, Result: "built"})
 		calls := startLoad(owner)
@@ -152,7 +152,7 @@
 
 	// Guards against a balancer that sends new requests to an instance that refuses them.
 	It("first makes the instance unready while its requests go on", func() {
-		d := oneZone(2)
+		d := stopZone(2)
 		e := d.entry("entry-1")
 		roster := openFeed(e, "roster", feedLines, feedInterval)
 		asked := d.stop(e)
@@ -171,7 +171,7 @@
 
 	// Guards against a shard that goes to an instance that is stopping too.
 	It("of two instances at once hands the shard to the third", func() {
-		d := oneZone(3)
+		d := stopZone(3)
 		owner := d.expectOwner(zoneA, takeoverBound)
 		owner.submit("batch", 6, payload{Work: handedOverWork, Result: "built"})
 		var other *entryProcess
@@ -212,7 +212,7 @@
 
 	// Guards against a stop that waits for the store, or that cuts requests meanwhile.
 	It("ends in time while the store is down", func() {
-		d := oneZone(2)
+		d := stopZone(2)
 		owner := d.expectOwner(zoneA, takeoverBound)
 		owner.submit("batch", 4, payload{Work: 3 * time.Second, Result: "built"})
 		calls := startLoad(owner)
@@ -236,7 +236,7 @@
 
 	// Guards against a stop that counts only service requests as in flight.
 	It("answers a look at a job that waits for its end", func() {
-		d := oneZone(2)
+		d := stopZone(2)
 		e := d.entry("entry-1")
 		e.submit("long", 1, payload{Work: time.Minute, Result: "built"})
 		answer := e.look("long", 12*time.Second)
