End feeds whose grant has expired, and allow for drift of both clocks

Cause: a feed whose grant ran out kept its connection while the owner could lend it again after the longest request, and the bound of a worker's lease allowed for the drift of one clock only. Change: a feed is ended at a line end once its grant has expired; the lease bound uses (1+Drift)/(1-Drift).

--- a/internal/caller/service/feed.go
+++ b/internal/caller/service/feed.go
@@ -55,14 +55,21 @@
 	end := &feedEnd{cancel: won.cancel, between: true}
 	limit := positiveOr(time.Duration(c.service.MaxFeedDuration), DefaultMaxFeedDuration)
 	grace := positiveOr(time.Duration(c.service.IdleTimeout), c.maxDuration())
-	expiry := h.Clock.AfterFunc(limit, end.expire)
-	defer expiry.Stop()
-	forced := h.Clock.AfterFunc(limit+grace, func() {
+	force := func() {
 		won.cancel()
 		// Also ends a write to a caller that stopped reading.
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0))
-	})
+	}
+	expiry := h.Clock.AfterFunc(limit, end.expire)
+	defer expiry.Stop()
+	forced := h.Clock.AfterFunc(limit+grace, force)
 	defer forced.Stop()
+	if won.held.slot.OnRevoke != nil {
+		won.held.slot.OnRevoke(func() {
+			end.expire()
+			forced.Reset(min(grace, c.maxDuration()/2))
+		})
+	}
 	h.Counters.Add("service.feeds.open", 1)
 	defer h.Counters.Add("service.feeds.open", -1)
 	writeHead(w, won.response)
--- a/internal/caller/service/ports.go
+++ b/internal/caller/service/ports.go
@@ -82,6 +82,9 @@
 	Address  string
 	// FirstByte returns the slot of a feed and keeps its connection. It may be nil.
 	FirstByte func()
+	// OnRevoke sets what to call when a feed must give its connection back within the
+	// service's MaxDuration. It may be nil.
+	OnRevoke func(end func())
 	// Release must be called exactly once.
 	Release func(SlotUse)
 }
--- a/internal/decision/slots/holder.go
+++ b/internal/decision/slots/holder.go
@@ -264,6 +264,19 @@
 	return Keep{ID: held.grant.ID, Amount: held.grant.Amount}
 }
 
+// ExpiredFeeds returns the feeds whose grant has expired. They must end before the
+// longest request of the service has passed, when the owner lends their connection
+// again.
+func (h *Holder) ExpiredFeeds(now time.Time) []*Use {
+	var expired []*Use
+	for use := range h.uses {
+		if use.Feed && !use.abandoned && !now.Before(use.holding.expiry) {
+			expired = append(expired, use)
+		}
+	}
+	return expired
+}
+
 // TrimDemand gives back the free part of all demand grants beyond spare. The next
 // Renewals tell the owner.
 func (h *Holder) TrimDemand(spare Amount) {
--- a/internal/entry/routing/exchange.go
+++ b/internal/entry/routing/exchange.go
@@ -121,17 +121,33 @@
 	return answer
 }
 
-// Tick ends what is over: abandoned requests after their longest time, and grants
-// that ran out.
+// Tick ends what is over: abandoned requests after their longest time, grants that
+// ran out, and feeds under such grants.
 func (h *Holdings) Tick() {
+	for _, end := range h.tick() {
+		end()
+	}
+}
+
+// tick returns what to call without the lock.
+func (h *Holdings) tick() []func() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Clock.Now()
+	var ends []func()
 	for _, holder := range h.holders {
+		for _, use := range holder.ExpiredFeeds(now) {
+			if end, known := h.revocations[use]; known {
+				h.Counters.Add("Slots.FeedRevoked", 1)
+				delete(h.revocations, use)
+				ends = append(ends, end)
+			}
+		}
 		if overdue := holder.Tick(now); len(overdue) > 0 {
 			h.Counters.Add("Slots.Overdue", int64(len(overdue)))
 		}
 	}
+	return ends
 }
 
 // ReturnAll gives every grant back but for what is in use, and returns what to tell
--- a/internal/entry/routing/holdings.go
+++ b/internal/entry/routing/holdings.go
@@ -79,6 +79,8 @@
 	byID     map[membership.InstanceID]target
 	inUse    map[membership.InstanceID]int
 	wants    map[manifest.ServiceName]want
+	// revocations has what to call when the grant of a feed has expired.
+	revocations map[*grants.Use]func()
 	// granted is set with the first grant.
 	granted bool
 }
@@ -125,6 +127,7 @@
 		h.holders = map[worker.ShardID]*grants.Holder{}
 		h.inUse = map[membership.InstanceID]int{}
 		h.wants = map[manifest.ServiceName]want{}
+		h.revocations = map[*grants.Use]func(){}
 	}
 	if h.holders[id] == nil {
 		h.holders[id] = grants.NewHolder(h.Self)
@@ -180,9 +183,15 @@
 			h.holder(t.shard).FirstByte(use)
 			free()
 		},
+		OnRevoke: func(end func()) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.revocations[use] = end
+		},
 		Release: func(ended service.SlotUse) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
+			delete(h.revocations, use)
 			h.release(t.shard, use, ended)
 			free()
 		},
--- a/internal/entry/shard/shard.go
+++ b/internal/entry/shard/shard.go
@@ -27,7 +27,8 @@
 	LeaseTerm = 8 * time.Second
 	// StopTime bounds the time that a worker takes to stop its tasks after its lease ended.
 	StopTime = 2 * time.Second
-	// DriftPercent bounds the difference in rate between two clocks.
+	// DriftPercent bounds the error of the rate of each clock. Two clocks may be off in
+	// opposite directions.
 	DriftPercent = 1
 	// SyncInterval is the time between syncs of a worker without commands. It
 	// leaves three tries within a lease.
@@ -308,7 +309,7 @@
 // leaseBound returns when nothing can run any more on a worker under a lease that
 // builds on an answer received at r.
 func leaseBound(r time.Time) time.Time {
-	return r.Add(LeaseTerm + LeaseTerm*DriftPercent/100 + StopTime)
+	return r.Add(LeaseTerm*(100+DriftPercent)/(100-DriftPercent) + StopTime)
 }
 
 func (s *Shard) String() string {
