Interpret the charts of attempts, leases, workers and zones

Cause: the charts of tasks, leases, workers and zones were checked but no code used them, so code and charts could differ. Change: the links of a shard follow the charts of attempts and leases, quarantine follows the chart of workers, the permit that of zones.

--- a/internal/decision/chart/worker.go
+++ b/internal/decision/chart/worker.go
@@ -2,18 +2,15 @@
 
 import "sync"
 
-// WorkerState is a state of a worker's health.
+// WorkerState tells whether a worker gets tasks.
 type WorkerState string
 
 // States of charts/worker.json.
 const (
 	WorkerHealthy     WorkerState = "Healthy"
-	WorkerSuspect     WorkerState = "Suspect"
-	WorkerUnreachable WorkerState = "Unreachable"
 	WorkerQuarantined WorkerState = "Quarantined"
-	WorkerProbing     WorkerState = "Probing"
-	WorkerLeaving     WorkerState = "Leaving"
-	WorkerGone        WorkerState = "Gone"
+	// WorkerProbing workers get one task to show that they can run tasks again.
+	WorkerProbing WorkerState = "Probing"
 )
 
 // WorkerEvent is an event of charts/worker.json.
@@ -21,15 +18,10 @@
 
 // Events of charts/worker.json.
 const (
-	WorkerOnAnswer       WorkerEvent = "Answer"
-	WorkerOnMiss         WorkerEvent = "Miss"
-	WorkerOnCondemn      WorkerEvent = "Condemn"
-	WorkerOnLeave        WorkerEvent = "Leave"
-	WorkerOnRemove       WorkerEvent = "Remove"
-	WorkerOnExpire       WorkerEvent = "Expire"
-	WorkerOnProbe        WorkerEvent = "Probe"
-	WorkerOnProbeSucceed WorkerEvent = "ProbeSucceed"
-	WorkerOnProbeFail    WorkerEvent = "ProbeFail"
+	WorkerOnCondemn   WorkerEvent = "Condemn"
+	WorkerOnProbe     WorkerEvent = "Probe"
+	WorkerOnProbeFail WorkerEvent = "ProbeFail"
+	WorkerOnReadmit   WorkerEvent = "Readmit"
 )
 
 var loadWorker = sync.OnceValue(mustEmbedded[WorkerState, WorkerEvent]("worker"))
--- a/internal/decision/chart/zone.go
+++ b/internal/decision/chart/zone.go
@@ -7,9 +7,9 @@
 
 // States of charts/zone.json.
 const (
-	ZoneIn        ZoneState = "In"
-	ZoneLeaving   ZoneState = "Leaving"
-	ZoneOut       ZoneState = "Out"
+	ZoneIn  ZoneState = "In"
+	ZoneOut ZoneState = "Out"
+	// ZoneReturning zones are in service again, with a bound on starts that rises.
 	ZoneReturning ZoneState = "Returning"
 )
 
@@ -19,7 +19,6 @@
 // Events of charts/zone.json.
 const (
 	ZoneOnTakeOut   ZoneEvent = "TakeOut"
-	ZoneOnEmptied   ZoneEvent = "Emptied"
 	ZoneOnBringBack ZoneEvent = "BringBack"
 	ZoneOnRamped    ZoneEvent = "Ramped"
 )
--- a/internal/decision/placement/explain.go
+++ b/internal/decision/placement/explain.go
@@ -125,7 +125,7 @@
 		QueuedJobs: len(e.jobs) - e.parked, Running: e.running, ParkedJobs: e.parked,
 	}
 	for _, n := range e.fleet {
-		if (n.State == "" || n.State == Available) && !n.health.quarantined {
+		if (n.State == "" || n.State == Available) && !n.health.quarantined() {
 			s.Free = s.Free.Add(n.free().Max(resource.Vector{}))
 		}
 	}
--- a/internal/decision/placement/health.go
+++ b/internal/decision/placement/health.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/chart"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
@@ -42,9 +43,9 @@
 
 // health is what is known about a worker's ability to run tasks.
 type health struct {
-	quarantined bool
-	probing     bool
-	succeeded   bool
+	// state is empty for a healthy worker that was never judged.
+	state     chart.WorkerState
+	succeeded bool
 	// until is the end of the rest after a failure.
 	until time.Time
 	// failed is the time of the last failure.
@@ -59,6 +60,23 @@
 	message   string
 }
 
+// quarantined reports whether the worker gets no tasks but probes.
+func (h *health) quarantined() bool {
+	return h.state != "" && h.state != chart.WorkerHealthy
+}
+
+// move changes the state as the chart of workers says. An event that the chart
+// refuses changes nothing.
+func (h *health) move(event chart.WorkerEvent) {
+	from := h.state
+	if from == "" {
+		from = chart.Worker().Initial()
+	}
+	if next, err := chart.Worker().Next(from, event); err == nil {
+		h.state = next
+	}
+}
+
 // rest keeps tasks off a worker for a while.
 func (e *Engine) rest(now time.Time, n *node, d time.Duration) {
 	n.health.until = now.Add(d)
@@ -71,8 +89,8 @@
 	if n.gone() {
 		return
 	}
-	if n.health.quarantined && !n.health.probing && !now.Before(n.health.until) {
-		n.health.probing = true
+	if n.health.state == chart.WorkerQuarantined && !now.Before(n.health.until) {
+		n.health.move(chart.WorkerOnProbe)
 		e.probes = append(e.probes, n)
 	}
 	e.reindex(now, n)
@@ -86,7 +104,7 @@
 	if failures > 0 {
 		e.reindex(now, n)
 	}
-	if h.quarantined && a.probe {
+	if h.quarantined() && a.probe {
 		e.readmit(now, n, ReasonProbeSucceeded)
 	}
 }
@@ -96,7 +114,7 @@
 	j, h := a.job, &n.health
 	h.message = reason
 	j.evidence.note(Failure{TaskAttempt: worker.TaskAttempt{Task: a.task(), Attempt: a.number}, Worker: n.ID, At: now, Reason: reason})
-	if h.quarantined {
+	if h.quarantined() {
 		// The worker is known to be bad, so the failure says nothing about the job.
 		if a.probe {
 			e.probeLater(now, n)
@@ -205,7 +223,7 @@
 		h.failures = 0
 		h.until = now
 	}
-	if h.quarantined && len(h.streak) < quarantineJobs {
+	if h.quarantined() && len(h.streak) < quarantineJobs {
 		e.readmit(now, n, ReasonJobsAtFault)
 	}
 	e.reindex(now, n)
@@ -215,7 +233,7 @@
 // against jobs.
 func (e *Engine) quarantine(now time.Time, n *node) {
 	h := &n.health
-	h.quarantined = true
+	h.move(chart.WorkerOnCondemn)
 	h.probeWait = firstProbe
 	e.quarantined++
 	for _, id := range h.streak {
@@ -233,7 +251,8 @@
 
 // readmit ends a quarantine.
 func (e *Engine) readmit(now time.Time, n *node, reason Reason) {
-	n.health = health{succeeded: n.health.succeeded, streak: n.health.streak, trials: n.health.trials}
+	n.health.move(chart.WorkerOnReadmit)
+	n.health = health{state: n.health.state, succeeded: n.health.succeeded, streak: n.health.streak, trials: n.health.trials}
 	e.quarantined--
 	e.emit(Decision{Kind: Readmit, Worker: n.ID, Reason: reason})
 	e.reindex(now, n)
@@ -241,7 +260,7 @@
 
 // probeLater waits twice as long for the next probe.
 func (e *Engine) probeLater(now time.Time, n *node) {
-	n.health.probing = false
+	n.health.move(chart.WorkerOnProbeFail)
 	n.health.probeWait = min(2*n.health.probeWait, lastProbe)
 	e.rest(now, n, n.health.probeWait)
 }
@@ -250,7 +269,7 @@
 func (e *Engine) probeSome(now time.Time) {
 	var left []*node
 	for _, n := range e.probes {
-		if n.gone() || !n.health.quarantined {
+		if n.gone() || !n.health.quarantined() {
 			continue
 		}
 		if n.State != "" && n.State != Available || !e.probe(now, n) {
--- a/internal/decision/placement/node.go
+++ b/internal/decision/placement/node.go
@@ -188,7 +188,7 @@
 		return false
 	}
 	h := &n.health
-	if h.quarantined || now.Before(h.until) || h.failures > 0 && h.trials > 0 {
+	if h.quarantined() || now.Before(h.until) || h.failures > 0 && h.trials > 0 {
 		return false
 	}
 	return n.hold == nil
@@ -331,7 +331,7 @@
 	e.byFree.remove(n)
 	e.byPotential.remove(n)
 	e.forgetShape(n)
-	if n.health.quarantined {
+	if n.health.quarantined() {
 		e.quarantined--
 	}
 	last := len(e.fleet) - 1
--- a/internal/entry/permit/permit.go
+++ b/internal/entry/permit/permit.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/chart"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/zone"
 )
 
@@ -29,26 +30,41 @@
 	// RampDuration returns the length of the ramp after a return to service.
 	RampDuration func() time.Duration
 
-	mu       sync.Mutex
-	known    bool
-	status   zone.Status
+	mu sync.Mutex
+	// state is empty before the first read.
+	state    chart.ZoneState
 	began    time.Time
 	returned time.Time
 }
 
 // Observe takes in the zone's row as a read showed it that began at the given time.
+// A read that began before the last one changes nothing.
 func (p *Permit) Observe(began time.Time, status zone.Status) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.known && began.Before(p.began) {
+	if p.state != "" && began.Before(p.began) {
 		return
 	}
-	if p.known && p.status.IsOut() && !status.IsOut() {
+	p.began = began
+	event := chart.ZoneOnBringBack
+	if status.IsOut() {
+		event = chart.ZoneOnTakeOut
+	}
+	if before := p.state; p.move(event) == chart.ZoneReturning && before == chart.ZoneOut {
 		p.returned = p.Clock.Now()
 	}
-	p.known = true
-	p.status = status
-	p.began = began
+}
+
+// move changes the state as the chart of zones says and returns it. The lock is
+// held.
+func (p *Permit) move(event chart.ZoneEvent) chart.ZoneState {
+	if p.state == "" {
+		p.state = chart.Zone().Initial()
+	}
+	if next, err := chart.Zone().Next(p.state, event); err == nil {
+		p.state = next
+	}
+	return p.state
 }
 
 // StartsUntil returns until when tasks may start, by the clock of this instance.
@@ -56,7 +72,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	until := p.began.Add(Term)
-	if !p.known || p.status.IsOut() || !now.Before(until) {
+	if p.state == "" || p.state == chart.ZoneOut || !now.Before(until) {
 		return time.Time{}, false
 	}
 	return until, true
@@ -66,21 +82,21 @@
 func (p *Permit) IsOut() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.known && p.status.IsOut()
+	return p.state == chart.ZoneOut
 }
 
 // Ramp returns the bound on starts per second after a return to service, and 0
 // when there is none.
 func (p *Permit) Ramp(now time.Time) int {
 	p.mu.Lock()
-	returned := p.returned
-	p.mu.Unlock()
-	if returned.IsZero() || p.RampDuration == nil {
+	defer p.mu.Unlock()
+	if p.state != chart.ZoneReturning || p.RampDuration == nil {
 		return 0
 	}
 	length := p.RampDuration()
-	passed := now.Sub(returned)
+	passed := now.Sub(p.returned)
 	if passed >= length {
+		p.move(chart.ZoneOnRamped)
 		return 0
 	}
 	return rampFrom + int(float64(rampTo-rampFrom)*float64(passed)/float64(length))
--- a/internal/entry/shard/link.go
+++ b/internal/entry/shard/link.go
@@ -9,30 +9,15 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/job"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/chart"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/placement"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/object"
 )
 
-// failuresUntilUnreachable is the number of syncs in a row that fail before a
-// worker gets no new tasks.
-const failuresUntilUnreachable = 2
-
 // reasonResultTooLarge fails a task whose result is over the manifest's MaxResult.
 const reasonResultTooLarge = "ResultTooLarge"
 
-// attemptState is what the owner knows of an attempt that it gave to a worker.
-type attemptState string
-
-const (
-	// unsent attempts wait for the next sync.
-	unsent attemptState = "Unsent"
-	// inDoubt attempts were sent; the worker may or may not have started them.
-	inDoubt attemptState = "InDoubt"
-	// confirmed attempts were in an answer of the worker.
-	confirmed attemptState = "Confirmed"
-)
-
 // link is the owner's connection to a worker: what it knows and what it has yet
 // to send.
 type link struct {
@@ -43,17 +28,16 @@
 	// bound is when nothing can run on the worker any more unless it is renewed.
 	bound    time.Time
 	lastSync time.Time
-	failures int
 	inFlight bool
-	// gone reports that the engine was told to forget the worker.
-	gone     bool
+	// lease is in LeaseEnded once the engine was told to forget the worker.
+	lease    chart.LeaseState
 	capacity resource.Vector
 	// view is what the engine was last told about the worker.
 	view placement.Worker
 	// last is the worker's answer during recovery.
 	last *worker.SyncResponse
 
-	attempts    map[worker.TaskAttempt]attemptState
+	attempts    map[worker.TaskAttempt]chart.AttemptState
 	start       []worker.StartTask
 	stop        []worker.StopTask
 	throttle    []worker.ThrottleTask
@@ -65,17 +49,44 @@
 func newLink(instance membership.Instance) *link {
 	return &link{
 		instance:    instance,
-		attempts:    map[worker.TaskAttempt]attemptState{},
+		lease:       chart.Lease().Initial(),
+		attempts:    map[worker.TaskAttempt]chart.AttemptState{},
 		acknowledge: map[worker.TaskAttempt]struct{}{},
 		recording:   map[worker.TaskAttempt]struct{}{},
 	}
 }
 
+// moveLease changes the state of the lease as its chart says. An event that the
+// chart refuses changes nothing.
+func (l *link) moveLease(event chart.LeaseEvent) {
+	if next, err := chart.Lease().Next(l.lease, event); err == nil {
+		l.lease = next
+	}
+}
+
+// isGone reports whether the engine was told to forget the worker.
+func (l *link) isGone() bool {
+	return l.lease == chart.LeaseEnded
+}
+
+// moveAttempt changes the state of an attempt as its chart says and forgets one
+// that has ended. An event that the chart refuses changes nothing.
+func (l *link) moveAttempt(attempt worker.TaskAttempt, event chart.AttemptEvent) {
+	next, err := chart.Attempt().Next(l.attempts[attempt], event)
+	switch {
+	case err != nil:
+	case chart.Attempt().Final(next):
+		delete(l.attempts, attempt)
+	default:
+		l.attempts[attempt] = next
+	}
+}
+
 // command queues what a decision asks of the worker.
 func (l *link) command(s *Shard, d placement.Decision) {
 	switch d.Kind {
 	case placement.Start:
-		l.attempts[d.TaskAttempt] = unsent
+		l.attempts[d.TaskAttempt] = chart.Attempt().Initial()
 		l.start = append(l.start, s.startTask(d))
 	case placement.Evict:
 		s.Counters.Add("Eviction."+string(d.Reason), 1)
@@ -113,7 +124,7 @@
 		return false
 	}
 	wait := SyncInterval
-	if l.failures > 0 {
+	if l.lease != chart.LeaseHeld && l.lastSync != (time.Time{}) {
 		// A failed sync is repeated soon, but not at once, to leave room for the others.
 		wait = SyncInterval / 4
 	} else if l.hasCommands() {
@@ -138,7 +149,7 @@
 	}
 	l.start, l.stop, l.throttle = nil, nil, nil
 	for _, start := range request.Start {
-		l.attempts[start.TaskAttempt] = inDoubt
+		l.moveAttempt(start.TaskAttempt, chart.AttemptOnSend)
 	}
 	return request
 }
@@ -150,7 +161,7 @@
 	l.stop = append(request.Stop, l.stop...)
 	l.throttle = append(request.Throttle, l.throttle...)
 	for _, start := range request.Start {
-		l.attempts[start.TaskAttempt] = unsent
+		l.moveAttempt(start.TaskAttempt, chart.AttemptOnSendBack)
 	}
 }
 
@@ -160,14 +171,14 @@
 func (s *Shard) dropStopped(now time.Time, l *link) {
 	dropped := map[worker.TaskAttempt]bool{}
 	l.stop = slices.DeleteFunc(l.stop, func(stop worker.StopTask) bool {
-		if l.attempts[stop.TaskAttempt] == unsent {
+		if l.attempts[stop.TaskAttempt] == chart.AttemptQueued {
 			dropped[stop.TaskAttempt] = true
 		}
 		return dropped[stop.TaskAttempt]
 	})
 	l.start = slices.DeleteFunc(l.start, func(start worker.StartTask) bool { return dropped[start.TaskAttempt] })
 	for attempt := range dropped {
-		delete(l.attempts, attempt)
+		l.moveAttempt(attempt, chart.AttemptOnEnd)
 		s.engine.TaskEnded(now, placement.TaskEnd{
 			TaskAttempt: attempt, Worker: l.instance.ID, Outcome: placement.Evicted, Reason: "StoppedBeforeStart",
 		})
@@ -270,10 +281,11 @@
 // and throttles are sent again, since they may be repeated.
 func (s *Shard) syncFailed(l *link, result syncResult) {
 	s.Counters.Add("Sync.Failed", 1)
-	l.failures++
+	before := l.lease
+	l.moveLease(chart.LeaseOnMiss)
 	l.stop = append(result.request.Stop, l.stop...)
 	l.throttle = append(result.request.Throttle, l.throttle...)
-	if l.failures == failuresUntilUnreachable {
+	if l.lease == chart.LeaseUnreachable && before != l.lease {
 		s.Log.Warn().Str("Worker", string(result.id)).Err(result.err).Msg("worker is unreachable")
 		s.returnUnsent(l)
 	}
@@ -283,7 +295,7 @@
 func (s *Shard) returnUnsent(l *link) {
 	now := s.Clock.Now()
 	for _, start := range l.start {
-		delete(l.attempts, start.TaskAttempt)
+		l.moveAttempt(start.TaskAttempt, chart.AttemptOnEnd)
 		s.engine.TaskEnded(now, placement.TaskEnd{
 			TaskAttempt: start.TaskAttempt, Worker: l.instance.ID,
 			Outcome: placement.Refused, Reason: "WorkerUnreachable",
@@ -296,10 +308,11 @@
 // says what became of every attempt.
 func (s *Shard) takeAnswer(l *link, result syncResult) {
 	response := result.response
-	l.failures = 0
+	wasGone := l.isGone()
+	l.moveLease(chart.LeaseOnAnswer)
 	l.basis, l.basisAt = response.Counter, result.at
 	l.capacity = response.Capacity
-	if l.gone {
+	if wasGone {
 		s.readmit(l, response, result.at)
 	}
 	if l.incarnation != "" && l.incarnation != response.Incarnation {
@@ -316,10 +329,10 @@
 // loseAttempts reports every attempt that a restarted worker process held as lost.
 func (s *Shard) loseAttempts(l *link, now time.Time) {
 	for attempt, state := range l.attempts {
-		if state == unsent {
+		if state == chart.AttemptQueued {
 			continue
 		}
-		delete(l.attempts, attempt)
+		l.moveAttempt(attempt, chart.AttemptOnEnd)
 		s.engine.TaskEnded(now, placement.TaskEnd{
 			TaskAttempt: attempt, Worker: l.instance.ID, Outcome: placement.Lost, Reason: "WorkerRestarted",
 		})
@@ -340,16 +353,16 @@
 		s.takeStatus(l, now, status)
 	}
 	for attempt, state := range l.attempts {
-		if _, ok := listed[attempt]; ok || state == unsent {
+		if _, ok := listed[attempt]; ok || state == chart.AttemptQueued {
 			continue
 		}
 		// The answer was given after every start that is in doubt, and the worker
 		// refuses older requests from now on, so the attempt can't run any more.
-		delete(l.attempts, attempt)
+		l.moveAttempt(attempt, chart.AttemptOnEnd)
 		reason := refused[attempt]
 		s.Counters.Add("Start.Refused."+reason, 1)
 		outcome := placement.Refused
-		if state == confirmed {
+		if state == chart.AttemptRunning {
 			outcome = placement.Lost
 		}
 		s.engine.TaskEnded(now, placement.TaskEnd{
@@ -365,8 +378,8 @@
 		return
 	}
 	if !status.State.IsFinal() {
-		if l.attempts[attempt] != confirmed {
-			l.attempts[attempt] = confirmed
+		if l.attempts[attempt] != chart.AttemptRunning {
+			l.moveAttempt(attempt, chart.AttemptOnConfirm)
 			s.engine.TaskStarted(now, attempt)
 		}
 		return
@@ -390,7 +403,7 @@
 
 // finish handles an attempt that has ended on its worker.
 func (s *Shard) finish(l *link, now time.Time, status worker.TaskStatus) {
-	delete(l.attempts, status.TaskAttempt)
+	l.moveAttempt(status.TaskAttempt, chart.AttemptOnEnd)
 	end := placement.TaskEnd{
 		TaskAttempt: status.TaskAttempt, Worker: l.instance.ID, Reason: status.Reason,
 		Checkpoint: status.Checkpoint, Observed: status.Observed,
--- a/internal/entry/shard/members.go
+++ b/internal/entry/shard/members.go
@@ -8,6 +8,7 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/chart"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/placement"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
@@ -94,10 +95,10 @@
 
 func (s *Shard) refreshWorker(now time.Time, id membership.InstanceID, l *link) {
 	_, listed := s.listed[id]
-	if !l.gone && l.failures >= failuresUntilUnreachable && !l.inFlight && now.After(l.bound) {
+	if l.lease == chart.LeaseUnreachable && !l.inFlight && now.After(l.bound) {
 		s.forget(now, id, l)
 	}
-	if l.gone {
+	if l.isGone() || l.lease == chart.LeaseAbsent && !listed {
 		if !listed && !l.inFlight {
 			delete(s.links, id)
 		}
@@ -113,7 +114,7 @@
 	switch {
 	case l.instance.State == membership.Leaving:
 		return placement.Leaving
-	case !listed || l.basis == 0 || l.failures >= failuresUntilUnreachable:
+	case !listed || l.basis == 0 || l.lease == chart.LeaseUnreachable:
 		return placement.Unreachable
 	}
 	return placement.Available
@@ -125,16 +126,15 @@
 	s.Counters.Add("Worker.LeaseEnded", 1)
 	s.Log.Warn().Str("Worker", string(id)).Msg("the lease of an unreachable worker has ended")
 	s.engine.RemoveWorker(now, id)
-	l.attempts = map[worker.TaskAttempt]attemptState{}
+	l.attempts = map[worker.TaskAttempt]chart.AttemptState{}
 	l.start, l.stop, l.throttle = nil, nil, nil
 	l.basis = 0
-	l.gone = true
+	l.moveLease(chart.LeaseOnExpire)
 	l.view = placement.Worker{}
 }
 
 // readmit handles the first answer of a worker that was forgotten.
 func (s *Shard) readmit(l *link, response worker.SyncResponse, now time.Time) {
-	l.gone = false
 	l.incarnation = response.Incarnation
 	s.Counters.Add("Worker.Returned", 1)
 	s.Log.Info().Str("Worker", string(l.instance.ID)).Msg("worker is reachable again")
--- a/internal/entry/shard/recover.go
+++ b/internal/entry/shard/recover.go
@@ -8,6 +8,7 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/job"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/chart"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/placement"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
@@ -186,10 +187,10 @@
 	}
 	if result.err != nil && result.response.Counter == 0 {
 		s.Counters.Add("Sync.Failed", 1)
-		l.failures++
+		l.moveLease(chart.LeaseOnMiss)
 		return nil
 	}
-	l.failures = 0
+	l.moveLease(chart.LeaseOnAnswer)
 	l.basis, l.basisAt = result.response.Counter, result.at
 	l.incarnation = result.response.Incarnation
 	l.capacity = result.response.Capacity
@@ -232,7 +233,7 @@
 	for id, l := range s.links {
 		if l.last == nil {
 			// Nothing can run there any more; the first answer readmits the worker.
-			l.gone = true
+			l.moveLease(chart.LeaseOnExpire)
 			continue
 		}
 		_, listed := s.listed[id]
@@ -271,7 +272,7 @@
 	if status.State.IsFinal() {
 		return
 	}
-	l.attempts[status.TaskAttempt] = confirmed
+	l.attempts[status.TaskAttempt] = chart.AttemptRunning
 	s.engine.Restore(now, placement.RunningTask{
 		TaskAttempt: status.TaskAttempt,
 		Worker:      l.instance.ID,
--- a/internal/entry/shard/store.go
+++ b/internal/entry/shard/store.go
@@ -135,7 +135,7 @@
 func (s *Shard) addWorkers(c *commit) {
 	missing := false
 	for id, l := range s.links {
-		if _, ok := s.records.workers[id]; !ok && !l.gone {
+		if _, ok := s.records.workers[id]; !ok && !l.isGone() {
 			missing = true
 		}
 	}
