Let attempts run on when their caller leaves

Change: idempotent attempts run on until the executor answers or MaxDuration, like those past their deadline, and a long answer is read to its end without its caller. The unit test that demanded a cancellation now demands that the slot is in doubt until the executor answers or the longest request is over. Conclusion: an answer frees a slot sooner than a cancellation.

--- a/internal/caller/service/deliver.go
+++ b/internal/caller/service/deliver.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -25,16 +26,13 @@
 	w.WriteHeader(response.StatusCode)
 }
 
-// deliver sends an answer. The deadline also ends reads of the rest and writes to
-// a slow caller.
+// deliver sends an answer. The deadline also ends writes to a slow caller.
 func (h *Handler) deliver(ctx context.Context, c *call, w http.ResponseWriter, won result) {
-	defer won.cancel()
 	if won.whole && len(won.prefix) > 0 {
 		won.response.Header = withLength(won.response.Header, len(won.prefix))
 	}
 	control := http.NewResponseController(w)
 	stop := context.AfterFunc(ctx, func() {
-		won.cancel()
 		// Writers without deadlines, as in tests, leave the write to its own end.
 		_ = control.SetWriteDeadline(time.Unix(1, 0))
 	})
@@ -42,10 +40,11 @@
 	writeHead(w, won.response)
 	_, err := w.Write(won.prefix)
 	if won.whole {
+		won.cancel()
 		h.delivered(c, err)
 		return
 	}
-	h.deliverRest(c, w, won, err)
+	h.deliverRest(ctx, c, w, won, err)
 }
 
 func (h *Handler) delivered(c *call, err error) {
@@ -55,36 +54,65 @@
 	h.Counters.Add("service.completed", 1)
 }
 
-// deliverRest passes on what is longer than the buffer.
-func (h *Handler) deliverRest(c *call, w io.Writer, won result, err error) {
-	rest := &source{reader: won.response.Body}
-	if err == nil {
-		_, err = io.Copy(w, rest)
-	}
-	if err == nil {
-		won.close(Completed)
-		h.Counters.Add("service.completed", 1)
-		return
+// deliverRest passes on what is longer than the buffer. When the caller has left or
+// its deadline is over, the rest is read to its end without it, because only an
+// executor that is known to be done frees its slot.
+func (h *Handler) deliverRest(ctx context.Context, c *call, w io.Writer, won result, err error) {
+	caller := &detachable{writer: w, gone: err != nil}
+	copied := make(chan error, 1)
+	h.flights.run(func() {
+		defer won.cancel()
+		_, err := io.Copy(caller, won.response.Body)
+		if err != nil {
+			won.cancel()
+			won.close(Unknown)
+		} else {
+			won.close(Completed)
+		}
+		copied <- err
+	})
+	select {
+	case err = <-copied:
+	case <-ctx.Done():
+		caller.detach()
+		h.abort(c, waitReason(ctx))
 	}
-	won.cancel()
-	won.close(Unknown)
-	if rest.failed {
+	switch {
+	case err != nil:
 		h.abort(c, ReasonTruncated)
+	case caller.detach():
+		h.abort(c, ReasonCallerGone)
 	}
-	h.abort(c, ReasonCallerGone)
+	h.Counters.Add("service.completed", 1)
+}
+
+// detachable passes on what is written until the caller is gone, and drops the rest.
+type detachable struct {
+	mutex  sync.Mutex
+	writer io.Writer
+	gone   bool
 }
 
-// source tells a failed read from a failed write.
-type source struct {
-	reader io.Reader
-	failed bool
+// Write never fails: a caller that can't be written to is gone.
+func (d *detachable) Write(p []byte) (int, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.gone {
+		return len(p), nil
+	}
+	if _, err := d.writer.Write(p); err != nil {
+		d.gone = true
+	}
+	return len(p), nil
 }
 
-// Read reads from the executor.
-func (s *source) Read(p []byte) (int, error) {
-	n, err := s.reader.Read(p)
-	s.failed = err != nil && err != io.EOF
-	return n, err
+// detach ends the use of the writer and reports whether the caller was gone before.
+func (d *detachable) detach() (wasGone bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	wasGone = d.gone
+	d.gone = true
+	return wasGone
 }
 
 func withLength(header http.Header, length int) http.Header {
--- a/internal/caller/service/exchange.go
+++ b/internal/caller/service/exchange.go
@@ -57,15 +57,16 @@
 func newExchange(h *Handler, c *call, bounds contexts) *exchange {
 	x := &exchange{Handler: h, call: c, bounds: bounds, results: make(chan result), stopped: make(chan struct{})}
 	x.unwatch = func() bool { return false }
-	if !c.nonIdempotent {
+	if c.feed {
 		x.unwatch = context.AfterFunc(bounds.caller, x.cancel)
 	}
 	return x
 }
 
 // stop ends the exchange. Attempts that have not begun to send never do. Others
-// go on for at most the service's MaxDuration and their answers are dropped: an
-// executor that answers frees its slot sooner than one that was cancelled.
+// go on for at most the service's MaxDuration and their answers are dropped, even if
+// the caller has left: an executor that answers frees its slot sooner than one that
+// was cancelled, whose slot stays in doubt. Feeds don't end by themselves.
 func (x *exchange) stop() {
 	x.end()
 	left := x.unwatch() && x.bounds.caller.Err() != nil
--- a/internal/caller/service/feed_test.go
+++ b/internal/caller/service/feed_test.go
@@ -90,18 +90,43 @@
 })
 
 var _ = Describe("A caller that leaves", func() {
-	It("cancels idempotent work and leaves the slot in doubt, against an overcommitted executor", func() {
-		b := newBench()
+	var b *bench
+
+	// leave sends a request whose caller leaves once the executor has it.
+	leave := func(answer func(ctx context.Context) (*service.Response, error)) {
+		GinkgoHelper()
 		ctx, cancel := context.WithCancel(context.Background())
 		b.send = func(ctx context.Context, _ int) (*service.Response, error) {
 			cancel()
-			return silent(ctx)
+			return answer(ctx)
 		}
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, b.server.URL+"/services/chairdesk/swap", http.NoBody)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = http.DefaultClient.Do(request)
 		Expect(err).To(MatchError(context.Canceled))
+	}
+
+	BeforeEach(func() { b = newBench() })
+
+	// Guards against an overcommitted executor: it may still work on the request.
+	It("leaves the slot in doubt when the executor never answers", func() {
+		leave(silent)
+		Consistently(b.uses, 50*time.Millisecond).Should(BeEmpty())
+		b.clock.Advance(10 * time.Second)
 		Eventually(b.uses).Should(HaveLen(1))
 		expectDone(b.uses(), false)
 	})
+
+	// Guards against slots that stay in doubt for the longest request each time a
+	// caller leaves, which took most slots away under a burst of impatient callers.
+	It("frees the slot as soon as the executor answers", func() {
+		answered := make(chan struct{})
+		leave(func(context.Context) (*service.Response, error) {
+			<-answered
+			return ok("swapped")
+		})
+		close(answered)
+		Eventually(b.uses).Should(HaveLen(1))
+		expectDone(b.uses(), true)
+	})
 })
