Report the counters of entry instances when a proof fails

Cause: a failed proof showed log lines but no counters. Change: the counters of each entry instance join the report of a failed spec. Measured: not needed.

--- a/internal/integration/proof/deployment_test.go
+++ b/internal/integration/proof/deployment_test.go
@@ -111,9 +111,21 @@
 		"--platform", e.platform.Address(), "--drain-timeout", "20s",
 	}, args...)...)
 	d.entries[id] = e
+	DeferCleanup(e.reportCounters)
 	return e
 }
 
+// reportCounters adds the instance's counters to the report of a failed spec.
+func (e *entryProcess) reportCounters() {
+	if !CurrentSpecReport().Failed() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	counters, err := e.control().Counters(ctx)
+	AddReportEntry("counters of "+string(e.ID), fmt.Sprint(counters, err))
+}
+
 // startWorker starts a worker with 4 processors and 8 GB in a zone.
 func (d *deployment) startWorker(id, zoneName string, args ...string) *workerProcess {
 	GinkgoHelper()
