Give up claims of caller-made keys that wait behind a lost commit

Cause: one transaction with start records is in flight at a time. When the store answered nothing, each group waited 5 s for the outcome of its commit, and the claims behind it waited for that first. They held the slots of their requests meanwhile and ended as unknown, although nothing had been written for them.

Ruled out: a store that refuses, which is answered at once.

Change: a claim that was in no transaction after QueueTimeout is withdrawn and refused as not run. QueueTimeout is the bound of a commit, so that a slow store alone doesn't refuse claims.

--- a/internal/caller/claim/claim.go
+++ b/internal/caller/claim/claim.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	CommitTimeout = 2 * time.Second
 	// ResolveTimeout bounds the search for the outcome of a commit after a lost answer.
 	ResolveTimeout = 3 * time.Second
+	// QueueTimeout bounds the wait for a transaction. A slow commit ahead ends before;
+	// after it the answer of that commit is lost, and the store is not reachable.
+	QueueTimeout = CommitTimeout
 	// MaxRounds bounds the commits of one group. Each conflict removes at least one
 	// claim, but other instances may add new conflicts.
 	MaxRounds = 5
@@ -102,11 +106,19 @@
 	if err := c.enqueue(p); err != nil {
 		return service.Started{}, err
 	}
-	select {
-	case a := <-p.answer:
-		return a.started, a.err
-	case <-ctx.Done():
-		return service.Started{}, c.leave(p)
+	queued := c.Clock.NewTimer(QueueTimeout)
+	defer queued.Stop()
+	for {
+		select {
+		case a := <-p.answer:
+			return a.started, a.err
+		case <-ctx.Done():
+			return service.Started{}, c.leave(p)
+		case <-queued.Chan():
+			if c.withdraw(p) {
+				return service.Started{}, refusal(ReasonStoreDown, retryUnavailable)
+			}
+		}
 	}
 }
 
@@ -127,20 +139,26 @@
 	return nil
 }
 
-// leave withdraws a claim. One that is in a transaction may still be written.
+// leave ends the wait for a claim. One that is in a transaction may still be written.
 func (c *Claims) leave(p *pending) error {
+	if !c.withdraw(p) {
+		return fmt.Errorf("%w: the request ended first", ErrUncertain)
+	}
+	return refusal(ReasonDeadline, retrySoon)
+}
+
+// withdraw takes a claim out of the queue and reports whether it never got into a
+// transaction.
+func (c *Claims) withdraw(p *pending) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if p.taken {
-		return fmt.Errorf("%w: the request ended first", ErrUncertain)
+		return false
 	}
-	for i, queued := range c.queue {
-		if queued == p {
-			c.queue = append(c.queue[:i], c.queue[i+1:]...)
-			break
-		}
+	if i := slices.Index(c.queue, p); i >= 0 {
+		c.queue = slices.Delete(c.queue, i, i+1)
 	}
-	return refusal(ReasonDeadline, retrySoon)
+	return true
 }
 
 // take removes the next group from the queue. A key that is in the group already
--- a/internal/caller/claim/claim_test.go
+++ b/internal/caller/claim/claim_test.go
@@ -225,6 +225,30 @@
 		expectFirst(b.begin("gone"), true)
 	})
 
+	It("gives up a claim that waits too long, but not one that may be written", func(ctx SpecContext) {
+		idle := New(Config{Store: b.store, Clock: b.clock, Counters: counters{}})
+		held, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		errs := map[string]chan error{"taken": make(chan error, 1), "waiting": make(chan error, 1)}
+		for i, key := range []string{"taken", "waiting"} {
+			b.group.Go(func() {
+				_, err := idle.Begin(held, "kasa-lend", key)
+				errs[key] <- err
+			})
+			Expect(b.clock.BlockUntilContext(ctx, i+1)).To(Succeed())
+			if key == "taken" {
+				Eventually(idle.take).Should(HaveLen(1))
+			}
+		}
+		b.clock.Advance(QueueTimeout)
+		var err error
+		Eventually(errs["waiting"]).Should(Receive(&err))
+		expectRefusal(err, ReasonStoreDown)
+		Consistently(errs["taken"]).ShouldNot(Receive())
+		cancel()
+		Eventually(errs["taken"]).Should(Receive(MatchError(ErrUncertain)))
+	})
+
 	It("deletes only expired records", func() {
 		expectFirst(b.begin("k"), true)
 		for _, step := range []struct {
