--- a/internal/integration/proof/at_most_once_test.go
+++ b/internal/integration/proof/at_most_once_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/claim"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/service"
 	"github.com/jacinthtrail/jacinthtrail/internal/standin/platform"
 	"github.com/jacinthtrail/jacinthtrail/internal/standin/proxy"
@@ -255,6 +256,32 @@
 		expectRetryTimes(replies...)
 	})
 
+	// Guards against claims that wait behind one another for a store that answers nothing,
+	// and hold slots meanwhile.
+	It("gives up caller-made keys within the bounds of a commit when the store is silent", func() {
+		d := desk(2)
+		d.publishDesk(patient)
+		e := d.entry("entry-1")
+		Expect(e.platform.SetFaults(proxy.Faults{ToClient: proxy.Flow{Silence: true}})).To(Succeed())
+		asks := make([]ask, 6)
+		for i := range asks {
+			asks[i] = ask{key: callerMade(d), size: 100, seed: "silent"}
+		}
+		first := d.through("entry-1", asks[0])
+		toStore, _ := e.platform.Bytes()
+		Eventually(func() int64 { n, _ := e.platform.Bytes(); return n }).WithTimeout(claim.CommitTimeout).Should(BeNumerically(">", toStore))
+		replies := together(len(asks)-1, func(i int) reply { return e.ask(context.Background(), asks[i+1]) })
+		var r reply
+		Eventually(first).WithTimeout(claim.CommitTimeout + claim.ResolveTimeout + answerSlack).Should(Receive(&r))
+		for _, r := range append(replies, r) {
+			Expect(r.outcome).NotTo(Equal(service.Completed), "%s", r)
+			Expect(r.took).To(BeNumerically("<", claim.CommitTimeout+claim.ResolveTimeout+answerSlack), "%s", r)
+		}
+		d.settle()
+		d.expectTruth(append(replies, r)...)
+		d.expectAtMostOnce(append(replies, r)...)
+	})
+
 	// Guards against a run without a start record.
 	It("refuses a caller-made key and runs a ticket once in a store outage", func() {
 		d := desk(2)
@@ -305,83 +332,3 @@
 		Entry("seed 1", uint64(1)), Entry("seed 2", uint64(2)), Entry("seed 3", uint64(3)),
 	)
 })
-
-// wave sends each key three times at once through random instances and cuts the
-// connections to the executors once requests run.
-func (d *deployment) wave(random *rand.Rand, keys []string) []reply {
-	GinkgoHelper()
-	entries := []*entryProcess{d.entry("entry-1"), d.entry("entry-2")}
-	// Callers of a frozen instance give up.
-	ctx, cancel := context.WithTimeout(context.Background(), deskMaxDuration+answerSlack)
-	defer cancel()
-	var calls []func() reply
-	for _, key := range keys {
-		for range 3 {
-			e := entries[random.IntN(len(entries))]
-			a := ask{key: key, work: time.Duration(random.Int64N(int64(100 * time.Millisecond))), size: random.Int64N(100_000), seed: key}
-			calls = append(calls, func() reply { return e.ask(ctx, a) })
-		}
-	}
-	before := len(d.runs())
-	replies := make(chan []reply, 1)
-	var group sync.WaitGroup
-	group.Go(func() { replies <- together(len(calls), func(i int) reply { return calls[i]() }) })
-	if random.IntN(2) == 0 {
-		// With some faults nothing runs, so the wait has no assertion.
-		_ = InterceptGomegaFailure(func() {
-			Eventually(func() int { return len(d.runs()) }).WithTimeout(time.Second).Should(BeNumerically(">", before))
-		})
-		d.cutAll()
-	}
-	group.Wait()
-	return <-replies
-}
-
-// randomRequestFault sets a random fault between the parts that a request needs.
-func (d *deployment) randomRequestFault(random *rand.Rand) string {
-	GinkgoHelper()
-	switch random.IntN(7) {
-	case 0:
-		d.setFaults(platform.Faults{Table: platform.ServiceFaults{LoseAcknowledgements: true}})
-		return "lost acknowledgements"
-	case 1:
-		d.setFaults(platform.Faults{Table: platform.ServiceFaults{Outage: true}})
-		return "store outage"
-	case 2:
-		d.setFaults(platform.Faults{Table: platform.ServiceFaults{Delay: time.Duration(random.Int64N(int64(3 * time.Second)))}})
-		return "slow store"
-	case 3:
-		d.setProxies(proxy.Faults{CutAfter: 1 + random.Int64N(50_000)})
-		return "cuts within answers"
-	case 4:
-		for _, e := range d.executors {
-			e.proxy.SilenceExisting()
-		}
-		return "silent connections"
-	case 5:
-		d.entry("entry-2").freeze()
-		return "a frozen instance"
-	default:
-		Expect(d.executors["executor-1"].proxy.SetFaults(proxy.Faults{Refuse: true})).To(Succeed())
-		return "an executor that refuses connections"
-	}
-}
-
-// lift ends the faults of a wave.
-func (d *deployment) lift() {
-	GinkgoHelper()
-	d.setFaults(platform.Faults{})
-	d.setProxies(proxy.Faults{})
-	d.cutAll()
-	d.entry("entry-2").thaw()
-}
-
-// bytesToExecutors counts what was forwarded to executors.
-func (d *deployment) bytesToExecutors() int64 {
-	var sum int64
-	for _, e := range d.executors {
-		toServer, _ := e.proxy.Bytes()
-		sum += toServer
-	}
-	return sum
-}
