--- a/internal/entry/shard/link.go
+++ b/internal/entry/shard/link.go
@@ -1,8 +1,6 @@
 package shard
 
 import (
-	"context"
-	"errors"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
@@ -153,123 +151,6 @@
 	}
 }
 
-type syncResult struct {
-	id       membership.InstanceID
-	request  worker.SyncRequest
-	response worker.SyncResponse
-	err      error
-	// unsent reports that the request never left, because a right had ended.
-	unsent bool
-	at     time.Time
-}
-
-// sendSyncs sends the syncs that are due, as many as fit.
-func (s *Shard) sendSyncs(ctx context.Context, now time.Time) {
-	for id, l := range s.links {
-		if s.running >= maxSyncs {
-			s.Counters.Add("Sync.Deferred", 1)
-			return
-		}
-		if l.isDue(now) {
-			s.sendSync(ctx, now, id, l)
-		}
-	}
-}
-
-func (s *Shard) sendSync(ctx context.Context, now time.Time, id membership.InstanceID, l *link) {
-	request := l.take(s)
-	l.inFlight = true
-	l.lastSync = now
-	if request.Basis != 0 {
-		l.bound = leaseBound(l.basisAt)
-	}
-	s.running++
-	basisAt, address := l.basisAt, l.instance.Address
-	s.group.Go(func() error {
-		s.synced <- s.sync(ctx, id, address, basisAt, request)
-		return nil
-	})
-}
-
-// sync checks the rights to act right before the request leaves, since the
-// process may have been frozen since the decision.
-func (s *Shard) sync(ctx context.Context, id membership.InstanceID, address string, basisAt time.Time, request worker.SyncRequest) syncResult {
-	result := syncResult{id: id, request: request}
-	now := s.Clock.Now()
-	if _, ok := s.Ownership.Authority(now); !ok {
-		result.unsent = true
-		return result
-	}
-	if len(request.Start) > 0 {
-		until, ok := s.Permit.StartsUntil(now)
-		if !ok || !until.After(basisAt) {
-			result.unsent = true
-			return result
-		}
-		request.StartWithin = until.Sub(basisAt)
-	}
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
-	result.response, result.err = s.Workers.Sync(ctx, address, request)
-	result.at = s.Clock.Now()
-	return result
-}
-
-func (s *Shard) handleSync(result syncResult) error {
-	s.running--
-	l, known := s.links[result.id]
-	if !known {
-		return nil
-	}
-	l.inFlight = false
-	switch {
-	case result.unsent:
-		s.Counters.Add("Sync.NoRight", 1)
-		l.restore(result.request)
-		return nil
-	case errors.Is(result.err, worker.ErrStaleEpoch) && result.response.Epoch > s.Epoch:
-		return ErrSuperseded
-	case errors.Is(result.err, worker.ErrStaleBasis):
-		s.Counters.Add("Sync.StaleBasis", 1)
-		l.restore(result.request)
-	case result.err != nil:
-		s.syncFailed(l, result)
-		return nil
-	default:
-		for _, attempt := range result.request.Acknowledge {
-			delete(l.acknowledge, attempt)
-		}
-	}
-	s.takeAnswer(l, result)
-	return nil
-}
-
-// syncFailed handles a sync without an answer. Its starts stay in doubt; stops
-// and throttles are sent again, since they may be repeated.
-func (s *Shard) syncFailed(l *link, result syncResult) {
-	s.Counters.Add("Sync.Failed", 1)
-	l.failures++
-	l.stop = append(result.request.Stop, l.stop...)
-	l.throttle = append(result.request.Throttle, l.throttle...)
-	if l.failures == failuresUntilUnreachable {
-		s.Log.Warn().Str("Worker", string(result.id)).Err(result.err).Msg("worker is unreachable")
-		s.returnUnsent(l)
-	}
-}
-
-// returnUnsent gives the starts that never left back to the engine.
-func (s *Shard) returnUnsent(l *link) {
-	now := s.Clock.Now()
-	for _, start := range l.start {
-		delete(l.attempts, start.TaskAttempt)
-		s.engine.TaskEnded(now, placement.TaskEnd{
-			TaskAttempt: start.TaskAttempt, Worker: l.instance.ID,
-			Outcome: placement.Refused, Reason: "WorkerUnreachable",
-		})
-	}
-	l.start = nil
-}
-
 // takeAnswer takes in a worker's answer: it is the basis of the next sync and
 // says what became of every attempt.
 func (s *Shard) takeAnswer(l *link, result syncResult) {
--- a/internal/entry/shard/recover_bench_test.go
+++ b/internal/entry/shard/recover_bench_test.go
@@ -63,7 +63,7 @@
 
 const benchClass = "build"
 
-func newFleet(b *testing.B, workers, tasks int) *fleet {
+func newFleet(b testing.TB, workers, tasks int) *fleet {
 	f := &fleet{workers: map[string]*standin.Worker{}, list: membership.Snapshot{Revision: 1}}
 	capacity := resource.Vector{Processors: 1 << 20, Memory: 1 << 40}
 	var rows []workerRow
@@ -84,25 +84,25 @@
 		f.start(b, f.workers[address], record.ID, tasks)
 	}
 	writes = append(writes, encoded(b, WorkersKey(benchShard), rows))
-	_, err := f.store.Commit(b.Context(), table.Transaction{ID: "setup", Writes: writes})
+	_, err := f.store.Commit(context.Background(), table.Transaction{ID: "setup", Writes: writes})
 	check(b, err)
 	return f
 }
 
-func encoded(b *testing.B, key table.Key, value any) table.Write {
+func encoded(b testing.TB, key table.Key, value any) table.Write {
 	content, err := json.Marshal(value)
 	check(b, err)
 	return table.Write{Key: key, Value: content}
 }
 
-func check(b *testing.B, err error) {
+func check(b testing.TB, err error) {
 	if err != nil {
 		b.Fatal(err)
 	}
 }
 
 // start gives a worker its tasks as an owner at epoch 1.
-func (f *fleet) start(b *testing.B, w *standin.Worker, id worker.JobID, tasks int) {
+func (f *fleet) start(b testing.TB, w *standin.Worker, id worker.JobID, tasks int) {
 	payload, err := json.Marshal(standin.Payload{Work: time.Hour})
 	check(b, err)
 	request := f.basis(b, w, 1)
@@ -118,7 +118,7 @@
 }
 
 // basis returns a renewal that builds on the worker's state.
-func (f *fleet) basis(b *testing.B, w *standin.Worker, epoch worker.Epoch) worker.SyncRequest {
+func (f *fleet) basis(b testing.TB, w *standin.Worker, epoch worker.Epoch) worker.SyncRequest {
 	answer, err := w.Sync(worker.SyncRequest{Shard: benchShard, Epoch: epoch})
 	check(b, err)
 	return worker.SyncRequest{
@@ -137,7 +137,7 @@
 // recover runs the shard at an epoch until it has recovered and returns the number
 // of tasks that it found running.
 func (f *fleet) recover(b *testing.B, epoch worker.Epoch) int {
-	ctx, cancel := context.WithCancel(b.Context())
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	recovered := make(recoveredSignal, 1)
 	s := New(&Shard{
@@ -168,7 +168,7 @@
 func (f *fleet) Current() manifest.Published {
 	return manifest.Published{Version: 1, Manifest: manifest.Manifest{
 		Limits:  manifest.Limits{ShardsPerZone: 1},
-		Teams:   []manifest.Team{{Name: "rotas", Weight: 1}},
+		Teams:   []manifest.Team{{Name: "rotas", Weight: 1, Quota: resource.Vector{Processors: 1 << 40, Memory: 1 << 50}}},
 		Classes: []manifest.Class{{Name: benchClass, Team: "rotas", Resources: resource.Vector{Processors: 100, Memory: 1 << 20}}},
 	}}
 }
