Forget a job when its move to another zone is sent

The engine forgot a job that moves to another zone only when the answer of the commit was known. If the zone was brought back while that answer was under way or lost, the owner started tasks of the job that the other zone's owner had already taken over, so a task could run in both zones until the answer came. The commit is tried until it takes effect or the shard is superseded, so the job can be forgotten when the commit is put together; it then moves even if the zone returns meanwhile.

Found by reading; a new test of the package holds the answer back and brings the zone back.

--- /dev/null
+++ b/internal/entry/shard/move_test.go
@@ -0,0 +1,95 @@
+package shard
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/job"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
+)
+
+// switchedZone is a zone that is out of service until it returns.
+type switchedZone struct {
+	benchRights
+	returned atomic.Bool
+}
+
+func (z *switchedZone) IsOut() bool { return !z.returned.Load() }
+
+func (z *switchedZone) StartsUntil(now time.Time) (time.Time, bool) {
+	return now.Add(time.Second), z.returned.Load()
+}
+
+func (z *switchedZone) Destination(time.Time) (worker.ShardID, bool) {
+	return worker.ShardID{Zone: "zone-b"}, true
+}
+
+// heldStore gives the answers of commits that delete rows only when released.
+type heldStore struct {
+	table.Store
+	committed chan struct{}
+	release   chan struct{}
+}
+
+func (h *heldStore) Commit(ctx context.Context, tx table.Transaction) (table.Result, error) {
+	result, err := h.Store.Commit(ctx, tx)
+	for _, write := range tx.Writes {
+		if write.Delete {
+			h.committed <- struct{}{}
+			<-h.release
+			break
+		}
+	}
+	return result, err
+}
+
+var _ = Describe("A job that moves to another zone", func() {
+	// Guards against a start here when the zone returns after the move took effect and
+	// before its answer is known: the other zone may run the task already.
+	It("starts nothing here any more", func() {
+		f := newFleet(GinkgoTB(), 1, 0)
+		queued := job.Record{
+			ID: "queued", Team: "rotas", Key: "queued", State: job.Queued,
+			Spec: job.Spec{Class: benchClass, Priority: job.Normal, Tasks: 4},
+		}
+		setup := table.Transaction{ID: "queued", Writes: []table.Write{
+			encoded(GinkgoTB(), job.RecordRow(benchShard, queued.ID), queued), {Key: "shard/zone-a/0"},
+		}}
+		result, err := f.store.Commit(context.Background(), setup)
+		Expect(err).NotTo(HaveOccurred())
+		z := &switchedZone{}
+		store := &heldStore{Store: &f.store, committed: make(chan struct{}, 1), release: make(chan struct{})}
+		counted := &renewals{fleet: f}
+		s := New(&Shard{
+			ID: benchShard, Epoch: 2, Ownership: ownedRow{version: result.Versions["shard/zone-a/0"]}, Permit: z,
+			Destinations: z, Membership: f, Configuration: f, Store: store, Workers: counted,
+			Counters: &withheld{}, Recorder: benchRights{}, Clock: clockwork.NewRealClock(),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		var group errgroup.Group
+		group.Go(func() error { return s.Run(ctx) })
+		Eventually(store.committed).WithTimeout(LeaseTerm).Should(Receive())
+		z.returned.Store(true)
+		Consistently(counted.starts.Load).WithTimeout(time.Second).Should(BeZero())
+		close(store.release)
+		cancel()
+		Expect(group.Wait()).To(Succeed())
+	})
+})
+
+// ownedRow is the condition of a shard whose row has a version.
+type ownedRow struct {
+	benchRights
+	version table.Version
+}
+
+func (o ownedRow) Row(context.Context, worker.ShardID, worker.Epoch) (table.Condition, bool, error) {
+	return table.Condition{Key: "shard/zone-a/0", Version: o.version}, true, nil
+}
--- a/internal/entry/shard/store.go
+++ b/internal/entry/shard/store.go
@@ -173,13 +173,13 @@
 			s.Counters.Add("Move.NoDestination", 1)
 			return
 		}
-		if err := s.addMove(c, e, target); err != nil {
+		if err := s.addMove(now, c, e, target); err != nil {
 			s.Log.Error().Err(err).Msg("job can't be moved")
 		}
 	}
 }
 
-func (s *Shard) addMove(c *commit, e *entry, target worker.ShardID) error {
+func (s *Shard) addMove(now time.Time, c *commit, e *entry, target worker.ShardID) error {
 	id := e.record.ID
 	e.record.Moves++
 	if err := s.records.addJob(c, target, id); err != nil {
@@ -205,6 +205,9 @@
 		table.Write{Key: job.InboxRow(target, uuid.NewString()), Value: notice},
 	)
 	c.moved = append(c.moved, id)
+	// The commit may take effect long before its answer, and is tried until it does, so
+	// from here on nothing of the job may start in this zone even if the zone returns.
+	s.engine.CancelJob(now, id)
 	return nil
 }
 
@@ -225,10 +228,8 @@
 	if c.workers != nil {
 		s.records.workers = c.workers
 	}
-	now := s.Clock.Now()
 	for _, id := range c.moved {
 		s.Counters.Add("Move.Done", 1)
-		s.engine.CancelJob(now, id)
 		delete(s.records.jobs, id)
 	}
 	for _, id := range c.ended {
