Look again at waiting requests after a pause

Cause: a request that waits for a slot was looked at again only when a slot was freed. When the executors with free slots were avoided and nothing was in flight any more, requests and all that arrived after them waited until they were dropped, although the pause of the executor (from 250 ms) was long over. Change: while requests wait, the router looks at them every 50 ms, once for all of a service. Before: the unit test fails, the request is not served within 1 s of 60 s. After: it passes with the race detector (5 runs).

--- a/internal/caller/service/router.go
+++ b/internal/caller/service/router.go
@@ -17,6 +17,10 @@
 // estimate of the service time may change in between.
 const expiryStep = time.Millisecond
 
+// recheckInterval is the time after which waiting requests are looked at again
+// although no slot was freed. Executors that were avoided may be tried by then.
+const recheckInterval = 50 * time.Millisecond
+
 // Holdings are the slots that this entry instance has in hand. Its methods must
 // not block and must not call the Router.
 type Holdings interface {
@@ -37,6 +41,8 @@
 	mutex   sync.Mutex
 	last    uint64
 	waiting map[string]*waiter
+	// rechecks has when the waiting requests of a service were last looked at by time.
+	rechecks map[manifest.ServiceName]time.Time
 }
 
 // waiter is a request that waits for a slot.
@@ -53,7 +59,7 @@
 
 // NewRouter returns a Router with nothing waiting.
 func NewRouter(governor *AdmissionGovernor, holdings Holdings, clock clockwork.Clock) *Router {
-	return &Router{Governor: governor, Holdings: holdings, Clock: clock, waiting: map[string]*waiter{}}
+	return &Router{Governor: governor, Holdings: holdings, Clock: clock, waiting: map[string]*waiter{}, rechecks: map[manifest.ServiceName]time.Time{}}
 }
 
 // Acquire lends a slot, waits for one, or fails with *Refusal as soon as the
@@ -62,13 +68,14 @@
 	w := &waiter{need: need, grant: make(chan grant, 1)}
 	id := r.arrive(w)
 	for {
-		timer := r.Clock.NewTimer(r.untilDrop(need))
+		timer := r.Clock.NewTimer(min(r.untilDrop(need), recheckInterval))
 		select {
 		case g := <-w.grant:
 			timer.Stop()
 			return g.slot, g.err
 		case <-timer.Chan():
 			r.expire(need.Service)
+			r.recheck(need.Service)
 		case <-ctx.Done():
 			timer.Stop()
 			return r.leave(ctx, id, w)
@@ -136,6 +143,21 @@
 	}
 }
 
+// recheck serves waiting requests after a pause of an executor may have ended. All
+// waiting requests of a service together do so once in a recheckInterval.
+func (r *Router) recheck(service manifest.ServiceName) {
+	now := r.Clock.Now()
+	r.mutex.Lock()
+	due := now.Sub(r.rechecks[service]) >= recheckInterval
+	if due {
+		r.rechecks[service] = now
+	}
+	r.mutex.Unlock()
+	if due {
+		r.Changed(service)
+	}
+}
+
 func (r *Router) serveNext(service manifest.ServiceName) bool {
 	var id string
 	var choice admission.Choice
--- /dev/null
+++ b/internal/caller/service/router_recheck_test.go
@@ -0,0 +1,66 @@
+package service_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/service"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/admission"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// twoFree is two executors with a free slot each.
+type twoFree struct{}
+
+func (twoFree) Candidates(manifest.ServiceName) []admission.Candidate {
+	return []admission.Candidate{{Executor: "a", Slots: 1}, {Executor: "b", Slots: 1}}
+}
+
+func (twoFree) Take(_ manifest.ServiceName, id membership.InstanceID, _ bool) (service.Slot, bool) {
+	return service.Slot{Executor: id, Release: func(service.SlotUse) {}}, true
+}
+
+func (twoFree) Wanted(manifest.ServiceName, int) {}
+
+var _ = Describe("Router with an avoided executor", func() {
+	// Guards against requests that wait until they are dropped, because the last
+	// request in flight ended before the pause of the executor did.
+	It("serves a waiting request when the pause is over", func() {
+		clock := clockwork.NewFakeClock()
+		governor := &service.AdmissionGovernor{Clock: clock}
+		chairdesk := manifest.Service{Name: "chairdesk"}
+		for range 3 {
+			governor.Observe(chairdesk, "a", service.Observation{Outcome: service.NotRun})
+		}
+		router := service.NewRouter(governor, twoFree{}, clock)
+		slots := make(chan service.Slot, 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		DeferCleanup(group.Wait)
+		DeferCleanup(cancel)
+		group.Go(func() {
+			slot, _ := router.Acquire(ctx, service.Need{
+				Service: "chairdesk", Deadline: clock.Now().Add(time.Minute), Exclude: []membership.InstanceID{"b"},
+			})
+			slots <- slot
+		})
+		// More than the longest first pause, far less than the deadline.
+		for range 20 {
+			// It fails when the request has its slot and waits no more.
+			bounded, stop := context.WithTimeout(ctx, 100*time.Millisecond)
+			err := clock.BlockUntilContext(bounded, 1)
+			stop()
+			if err != nil {
+				break
+			}
+			clock.Advance(50 * time.Millisecond)
+		}
+		Eventually(slots).Should(Receive(HaveField("Executor", membership.InstanceID("a"))))
+	})
+})
