--- a/internal/decision/placement/bench_test.go
+++ b/internal/decision/placement/bench_test.go
@@ -179,6 +179,24 @@
 	}
 }
 
+// BenchmarkConfigure measures a configuration change on a running shard, with 220 teams
+// and 1000 classes.
+func BenchmarkConfigure(b *testing.B) {
+	f := benchEngine(1333)
+	published := testManifest()
+	for i := range 220 {
+		name := manifest.TeamName(fmt.Sprintf("team%d", i))
+		published.Manifest.Teams = append(published.Manifest.Teams, manifest.Team{Name: name, Parent: "all", Quota: size(100)})
+	}
+	for i := range 1000 {
+		published.Manifest.Classes = append(published.Manifest.Classes, manifest.Class{Name: manifest.ClassName(fmt.Sprintf("class%d", i))})
+	}
+	for b.Loop() {
+		published.Version++
+		f.Configure(f.now, published)
+	}
+}
+
 // BenchmarkState reports the bytes that a worker and a running task take.
 func BenchmarkState(b *testing.B) {
 	const workers, tasks = 20_000, 200_000
--- /dev/null
+++ b/internal/peer/grant/bench_test.go
@@ -0,0 +1,59 @@
+package grant
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/slots"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/process"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// BenchmarkAcquire measures the JSON of Slots.Acquire and its answer, encoded and
+// decoded once each, by the grants that the message renews.
+func BenchmarkAcquire(b *testing.B) {
+	for _, grants := range []int{0, 16, 65, 1000} {
+		b.Run(fmt.Sprintf("renewals=%d", grants), func(b *testing.B) {
+			request, answer := benchMessages(grants)
+			size, began := 0, process.Processor()
+			for b.Loop() {
+				size = benchTurn(b, request) + benchTurn(b, answer)
+			}
+			b.ReportMetric(float64(process.Processor()-began)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(size), "B/exchange")
+		})
+	}
+}
+
+func benchMessages(grants int) (AcquireRequest, AcquireAnswer) {
+	request := AcquireRequest{Holder: "entry-kzn-dbn-003", Base: true}
+	request.Shard.Zone = "kzn-dbn"
+	answer := AcquireAnswer{Epoch: 17}
+	for i := range grants {
+		id := slots.GrantID{Epoch: 17, Number: uint64(100_000 + i)}
+		request.Renewals = append(request.Renewals, slots.Renewal{Keep: slots.Keep{ID: id, Amount: slots.Amount{Slots: 1, Connections: 8}}})
+		answer.Renewed = append(answer.Renewed, id)
+	}
+	for i := range min(grants, 2) {
+		answer.Grants = append(answer.Grants, slots.Grant{
+			ID: slots.GrantID{Epoch: 17, Number: uint64(200_000 + i)}, Executor: membership.InstanceID("executor-kzn-dbn-17"),
+			Holder: request.Holder, Kind: slots.Demand, Amount: slots.Amount{Slots: 4, Connections: 4},
+			Term: 5 * time.Second, MaxDuration: 5 * time.Second,
+		})
+	}
+	return request, answer
+}
+
+func benchTurn[T any](b *testing.B, message T) int {
+	content, err := json.Marshal(message)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var decoded T
+	if err := json.Unmarshal(content, &decoded); err != nil {
+		b.Fatal(err)
+	}
+	return len(content)
+}
