Count waiting requests without the lock of the grants in hand

Cause: ClearWants held the lock of the grants while it asked the admission state for the number that waits; admission lists candidates with its state locked and takes the lock of the grants there. An entry instance under overload stopped for good. Change: the number is asked for without the lock; a want that is raised meanwhile stays.

--- a/internal/entry/routing/exchange.go
+++ b/internal/entry/routing/exchange.go
@@ -1,10 +1,12 @@
 package routing
 
 import (
+	"maps"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
 	grants "github.com/jacinthtrail/jacinthtrail/internal/decision/slots"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/grant"
 )
 
@@ -81,17 +83,35 @@
 
 // ClearWants forgets the wants that all asked owners have answered. A want that is
 // still there arises again with the next look at the queue.
+//
+// stillWaiting is called without the lock: it takes the lock of the admission state,
+// under which Candidates is called.
 func (h *Holdings) ClearWants(stillWaiting func(service string) int) {
+	for name, seen := range h.currentWants() {
+		waiting := stillWaiting(string(name))
+		h.clearWant(name, seen, waiting)
+	}
+}
+
+func (h *Holdings) currentWants() map[manifest.ServiceName]want {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for name, w := range h.wants {
-		w.waiting = stillWaiting(string(name))
-		if w.waiting == 0 {
-			delete(h.wants, name)
-			continue
-		}
-		h.wants[name] = w
+	return maps.Clone(h.wants)
+}
+
+// clearWant updates a want, unless it was raised again since it was seen.
+func (h *Holdings) clearWant(name manifest.ServiceName, seen want, waiting int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w, known := h.wants[name]
+	if !known || w.raised != seen.raised {
+		return
+	}
+	if w.waiting = waiting; waiting == 0 {
+		delete(h.wants, name)
+		return
 	}
+	h.wants[name] = w
 }
 
 // HasWants reports whether a request waits for a slot.
--- a/internal/entry/routing/holdings.go
+++ b/internal/entry/routing/holdings.go
@@ -55,6 +55,8 @@
 	waiting int
 	// since is when the want arose.
 	since time.Time
+	// raised counts the requests that found no slot.
+	raised uint64
 }
 
 // Holdings has the grants in hand. It implements service.Holdings.
@@ -221,6 +223,7 @@
 	if !known {
 		w.since = h.Clock.Now()
 	}
+	w.raised++
 	w.waiting = max(w.waiting, waiting, 1)
 	h.wants[name] = w
 	h.Kick()
