Read the addresses of workers once per list during a takeover

Cause: recovery went through the whole membership list for every answer of a worker, so a takeover took time in the square of the workers. Change: addresses are taken over only when the list has changed.

--- a/internal/entry/shard/recover.go
+++ b/internal/entry/shard/recover.go
@@ -135,9 +135,15 @@
 }
 
 // updateAddresses takes over addresses from the membership list, which may be
-// newer than those in the table.
+// newer than those in the table. It is called for each answer, so it looks only at a
+// list that has changed.
 func (s *Shard) updateAddresses() {
-	for id, instance := range s.shardWorkers(s.Membership.Snapshot()) {
+	snapshot := s.Membership.Snapshot()
+	if snapshot.Revision == s.addressRevision {
+		return
+	}
+	s.addressRevision = snapshot.Revision
+	for id, instance := range s.shardWorkers(snapshot) {
 		if l, known := s.links[id]; known {
 			l.instance = instance
 		}
--- a/internal/entry/shard/shard.go
+++ b/internal/entry/shard/shard.go
@@ -139,6 +139,8 @@
 	failures   int
 	retryAt    time.Time
 	inboxAt    time.Time
+	// addressRevision is that of the list from which recovery took addresses.
+	addressRevision uint64
 	// listed and loads are derived from the membership list at seenRevision.
 	seenRevision uint64
 	listed       map[membership.InstanceID]membership.Instance
