Renew base grants once a tenth of their term has passed

Cause: an entry instance renewed its base grant in every executor of its zone each second, though base grants last 10 minutes: 119 B for each grant and exchange. Change: a base grant is renewed when nine tenths of its term are left. Demand grants and recalled grants are renewed each second as before. Conclusion: in an outage of the owner and the store base grants last 9 to 10 minutes.

--- a/internal/decision/slots/bench_test.go
+++ b/internal/decision/slots/bench_test.go
@@ -75,3 +75,32 @@
 		})
 	}
 }
+
+// BenchmarkHolder reports the renewals that a holder with a base grant in each executor
+// sends in a minute of exchanges, one a second.
+func BenchmarkHolder(b *testing.B) {
+	for _, executors := range benchExecutors {
+		b.Run(fmt.Sprintf("executors=%d", executors), func(b *testing.B) {
+			sent := 0
+			for b.Loop() {
+				sent = benchMinute(executors)
+			}
+			b.ReportMetric(float64(sent), "renewals/minute")
+		})
+	}
+}
+
+func benchMinute(executors int) (sent int) {
+	l, h := newTestLedger(executors), NewHolder("entry-0")
+	members := []membership.InstanceID{"entry-0", "entry-1"}
+	for range 1 + executors/l.terms.MaxGrants {
+		_ = h.Granted(start, 1, l.AcquireBase(start, "entry-0", members))
+	}
+	for second := 1; second <= 61; second++ {
+		now := start.Add(time.Duration(second) * time.Second)
+		renewals := h.Renewals(now)
+		sent += len(renewals)
+		_ = h.Renewed(now, 1, l.Renew(now, "entry-0", renewals))
+	}
+	return sent
+}
--- a/internal/decision/slots/holder.go
+++ b/internal/decision/slots/holder.go
@@ -22,6 +22,12 @@
 	recalled bool
 }
 
+// isFresh reports whether the grant needs no renewal yet.
+func (held *holding) isFresh(now time.Time) bool {
+	left := held.expiry.Sub(now)
+	return held.grant.Kind == Base && !held.recalled && left > held.grant.Term/10*baseRenewal
+}
+
 // Use is one request or feed that runs under a grant.
 type Use struct {
 	Executor membership.InstanceID
@@ -210,14 +216,23 @@
 	}
 }
 
+// baseRenewal is the part of a base grant's term, in tenths, that is left when it is
+// renewed. A base grant in each executor of a zone, renewed each second, would be most
+// of what an entry instance sends.
+const baseRenewal = 9
+
 // Renewals returns the grants to renew: those in use, and those neither expired nor
-// recalled. Recalled grants are renewed for what is in use, such as feeds.
+// recalled. Recalled grants are renewed for what is in use, such as feeds. Base grants
+// wait until a tenth of their term has passed.
 func (h *Holder) Renewals(now time.Time) []Renewal {
 	var renewals []Renewal
 	for _, held := range h.sorted() {
 		if held.recalled {
 			h.shrink(held, held.used)
 		}
+		if held.isFresh(now) {
+			continue
+		}
 		if !held.used.isZero() || (!held.recalled && now.Before(held.expiry)) {
 			keep := Keep{ID: held.grant.ID, Amount: held.grant.Amount}
 			renewals = append(renewals, Renewal{Keep: keep, Recalled: held.recalled})
