Leave out of heartbeats what the receiver knows

Cause: each heartbeat and answer had the whole member set and all promises asked for, also between availability zones, which don't use them. Change: an answer names only the revision of a member set that the sender already has; heartbeats to peers of another availability zone have no part about ownership. A set without members in a message is not adopted.

--- a/internal/decision/ownership/group.go
+++ b/internal/decision/ownership/group.go
@@ -113,6 +113,14 @@
 	g.known = set
 }
 
+// adoptFromPeer takes in the set of a message. A sender has itself in its set, so one
+// without members only names the revision.
+func (g *Group) adoptFromPeer(now time.Time, set MemberSet) {
+	if len(set.Members) > 0 {
+		g.adopt(now, set)
+	}
+}
+
 // Tick returns a write of the member set when one is due: to join, to leave or to
 // remove dead members. MembersWritten answers it.
 func (g *Group) Tick(now time.Time) (MembersWrite, bool) {
@@ -177,9 +185,13 @@
 
 // Received takes in a heartbeat and returns the answer to it.
 func (g *Group) Received(now time.Time, h Heartbeat) HeartbeatAnswer {
-	g.adopt(now, h.Set)
+	g.adoptFromPeer(now, h.Set)
 	g.heard[h.From] = now
 	answer := HeartbeatAnswer{From: g.self, Set: g.known}
+	if h.Set.Revision >= g.known.Revision {
+		// The sender knows the members; the revision is what its waits depend on.
+		answer.Set.Members = nil
+	}
 	for _, beat := range h.Shards {
 		if n := g.nodes[beat.Shard]; n != nil {
 			answer.Shards = append(answer.Shards, n.received(now, h.From, h.Set.Revision, beat))
@@ -190,7 +202,7 @@
 
 // Answered takes in the answer to the heartbeat that was sent at a time.
 func (g *Group) Answered(now, sent time.Time, a HeartbeatAnswer) {
-	g.adopt(now, a.Set)
+	g.adoptFromPeer(now, a.Set)
 	g.heard[a.From] = now
 	for _, answer := range a.Shards {
 		if n := g.nodes[answer.Shard]; n != nil {
--- a/internal/entry/instance/heartbeats.go
+++ b/internal/entry/instance/heartbeats.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/ownership"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/control"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
@@ -40,7 +41,7 @@
 	for {
 		message := i.heartbeat()
 		for _, target := range i.heartbeatTargets() {
-			group.Go(func() { i.sendHeartbeat(ctx, target, message) })
+			group.Go(func() { i.sendHeartbeat(ctx, target.address, i.messageTo(target, message)) })
 		}
 		i.peers.Forget(i.clock.Now().Add(-forgetPeer))
 		select {
@@ -52,28 +53,43 @@
 	}
 }
 
-// heartbeatTargets returns the peer addresses from the membership list, from
-// earlier heartbeats and from the settings.
-func (i *Instance) heartbeatTargets() []string {
+// heartbeatTarget is a peer that gets heartbeats. Its zone is empty if it is not known.
+type heartbeatTarget struct {
+	address string
+	zone    membership.Zone
+}
+
+// messageTo returns the heartbeat for a target. The part about ownership has an entry
+// for each member of the zone, and other zones don't use it.
+func (i *Instance) messageTo(target heartbeatTarget, message heartbeat.Heartbeat) heartbeat.Heartbeat {
+	if target.zone != "" && target.zone != i.settings.Zone {
+		message.Ownership = ownership.Heartbeat{}
+	}
+	return message
+}
+
+// heartbeatTargets returns the peers of the membership list, of earlier heartbeats
+// and of the settings.
+func (i *Instance) heartbeatTargets() []heartbeatTarget {
 	own := i.Addresses().Peer
 	seen := map[string]bool{own: true}
-	var targets []string
-	add := func(address string) {
+	var targets []heartbeatTarget
+	add := func(address string, zone membership.Zone) {
 		if address != "" && !seen[address] {
 			seen[address] = true
-			targets = append(targets, address)
+			targets = append(targets, heartbeatTarget{address, zone})
 		}
 	}
 	for _, instance := range i.members.Snapshot().Instances {
 		if instance.Kind == membership.Entry {
-			add(instance.Address)
+			add(instance.Address, instance.Zone)
 		}
 	}
 	for _, peer := range i.peers.List() {
-		add(peer.Instance.Address)
+		add(peer.Instance.Address, peer.Instance.Zone)
 	}
 	for _, address := range i.settings.Peers {
-		add(address)
+		add(address, "")
 	}
 	return targets
 }
--- a/internal/peer/heartbeat/bench_test.go
+++ b/internal/peer/heartbeat/bench_test.go
@@ -47,27 +47,44 @@
 	}
 }
 
+// BenchmarkForms measures the same exchange in a zone of 8 members in its three forms:
+// with the member set in both directions, with a receiver that already has the set, and
+// with a receiver in another zone.
+func BenchmarkForms(b *testing.B) {
+	h, a := benchMessages(7)
+	benchExchange(b, "form=whole", 7, h, a)
+	a.Ownership.Set.Members = nil
+	benchExchange(b, "form=known-set", 7, h, a)
+	h.Ownership, a.Ownership = ownership.Heartbeat{}, ownership.HeartbeatAnswer{}
+	benchExchange(b, "form=other-zone", 7, h, a)
+}
+
 // BenchmarkExchange measures the JSON of one heartbeat and its answer, encoded and
-// decoded once each. An instance does this with each peer once a second, and once
+// decoded once each, once the receiver has the member set. An instance does this with each peer once a second, and once
 // more as the receiver.
 func BenchmarkExchange(b *testing.B) {
 	for _, peers := range []int{1, 3, 15, 64} {
-		b.Run(fmt.Sprintf("peers=%d", peers), func(b *testing.B) {
-			h, a := benchMessages(peers)
-			var size [2]int
-			began := process.Processor()
-			for b.Loop() {
-				size[0] = benchTurn[Heartbeat](b, h)
-				size[1] = benchTurn[Answer](b, a)
-			}
-			b.ReportMetric(float64(process.Processor()-began)/float64(b.N), "cpu-ns/op")
-			b.ReportMetric(float64(size[0]), "B/heartbeat")
-			b.ReportMetric(float64(size[1]), "B/answer")
-			b.ReportMetric(float64(2*peers*(size[0]+size[1])), "B/s/instance")
-		})
+		h, a := benchMessages(peers)
+		a.Ownership.Set.Members = nil
+		benchExchange(b, fmt.Sprintf("peers=%d", peers), peers, h, a)
 	}
 }
 
+func benchExchange(b *testing.B, name string, peers int, h Heartbeat, a Answer) {
+	b.Run(name, func(b *testing.B) {
+		var size [2]int
+		began := process.Processor()
+		for b.Loop() {
+			size[0] = benchTurn(b, h)
+			size[1] = benchTurn(b, a)
+		}
+		b.ReportMetric(float64(process.Processor()-began)/float64(b.N), "cpu-ns/op")
+		b.ReportMetric(float64(size[0]), "B/heartbeat")
+		b.ReportMetric(float64(size[1]), "B/answer")
+		b.ReportMetric(float64(2*peers*(size[0]+size[1])), "B/s/instance")
+	})
+}
+
 func benchTurn[T any](b *testing.B, message T) int {
 	content, err := json.Marshal(message)
 	if err != nil {
