--- /dev/null
+++ b/internal/decision/slots/bench_test.go
@@ -0,0 +1,106 @@
+package slots
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+var benchExecutors = []int{65, 1000}
+
+// benchMembers is the number of entry instances that hold base grants.
+const benchMembers = 8
+
+// benchLedger is a ledger whose members hold all their base grants. It returns the
+// base grants of the first member.
+func benchLedger(executors int) (*Ledger, []membership.InstanceID, []Renewal) {
+	l := newTestLedger(executors)
+	var members []membership.InstanceID
+	for i := range benchMembers {
+		members = append(members, membership.InstanceID(fmt.Sprint("entry-", i)))
+	}
+	var renewals []Renewal
+	for _, id := range members {
+		for range 1 + executors/l.terms.MaxGrants {
+			for _, g := range l.AcquireBase(start, id, members) {
+				if id == members[0] {
+					renewals = append(renewals, Renewal{Keep: Keep{ID: g.ID, Amount: g.Amount}})
+				}
+			}
+		}
+	}
+	return l, members, renewals
+}
+
+// BenchmarkDemand measures a request for 4 slots that then go back.
+func BenchmarkDemand(b *testing.B) {
+	for _, executors := range benchExecutors {
+		b.Run(fmt.Sprintf("executors=%d", executors), func(b *testing.B) {
+			l, members, _ := benchLedger(executors)
+			for i := 0; b.Loop(); i++ {
+				holder := members[i%len(members)]
+				for _, g := range l.Acquire(start, request(holder, 4, 4)) {
+					l.Return(holder, Keep{ID: g.ID})
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkRenewal measures what a holder's exchange without a want costs the owner
+// each second: the renewal of its base grants and a look for missing ones.
+func BenchmarkRenewal(b *testing.B) {
+	for _, executors := range benchExecutors {
+		b.Run(fmt.Sprintf("executors=%d", executors), func(b *testing.B) {
+			l, members, renewals := benchLedger(executors)
+			for b.Loop() {
+				l.Renew(start, members[0], renewals)
+				l.AcquireBase(start, members[0], members)
+			}
+			b.ReportMetric(float64(len(renewals)), "renewals")
+		})
+	}
+}
+
+// BenchmarkRecalls measures the owner's look for grants to take back, twice a second.
+func BenchmarkRecalls(b *testing.B) {
+	for _, executors := range benchExecutors {
+		b.Run(fmt.Sprintf("executors=%d", executors), func(b *testing.B) {
+			l, members, _ := benchLedger(executors)
+			for b.Loop() {
+				l.Recalls(start.Add(time.Second), members)
+			}
+		})
+	}
+}
+
+// BenchmarkHolder reports the renewals that a holder with a base grant in each executor
+// sends in a minute of exchanges, one a second.
+func BenchmarkHolder(b *testing.B) {
+	for _, executors := range benchExecutors {
+		b.Run(fmt.Sprintf("executors=%d", executors), func(b *testing.B) {
+			sent := 0
+			for b.Loop() {
+				sent = benchMinute(executors)
+			}
+			b.ReportMetric(float64(sent), "renewals/minute")
+		})
+	}
+}
+
+func benchMinute(executors int) (sent int) {
+	l, h := newTestLedger(executors), NewHolder("entry-0")
+	members := []membership.InstanceID{"entry-0", "entry-1"}
+	for range 1 + executors/l.terms.MaxGrants {
+		_ = h.Granted(start, 1, l.AcquireBase(start, "entry-0", members))
+	}
+	for second := 1; second <= 61; second++ {
+		now := start.Add(time.Duration(second) * time.Second)
+		renewals := h.Renewals(now)
+		sent += len(renewals)
+		_ = h.Renewed(now, 1, l.Renew(now, "entry-0", renewals))
+	}
+	return sent
+}
