Ask for slots at once after a recall, and know the owners before the demo starts

Cause: after a recall an instance could hold no slot for up to a second, and callers were told to come back after a second; the demo could submit every job before the instances knew all owners, and then waited in vain for a task in the zone it takes out. Change: a recall is followed by a request for grants at once; a refusal for want of slots names 100 ms; status lists the shards that peers report, and the embedded deployment waits until every instance knows an owner in each zone.

--- a/internal/decision/admission/service.go
+++ b/internal/decision/admission/service.go
@@ -21,6 +21,8 @@
 	// lookAhead bounds the search for a waiting request that a free slot suits.
 	lookAhead = 32
 
+	// noSlotsRetry covers several requests for grants to the owner.
+	noSlotsRetry  = 100 * time.Millisecond
 	minRetryAfter = 20 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
 )
@@ -93,7 +95,7 @@
 	case request.Immediate:
 		return refuse(verdict, NoFreeSlot, verdict.ExpectedWait)
 	case slots == 0:
-		return refuse(verdict, NoSlots, time.Second)
+		return refuse(verdict, NoSlots, noSlotsRetry)
 	case remaining < verdict.Need:
 		return refuse(verdict, DeadlineTooShort, verdict.ExpectedWait)
 	case s.hopeless(now, request, candidates):
--- a/internal/entry/instance/backend.go
+++ b/internal/entry/instance/backend.go
@@ -135,9 +135,13 @@
 	answer.Shards = b.shardStatuses(ctx)
 	now := b.clock.Now()
 	for _, peer := range b.peers.List() {
-		answer.Peers = append(answer.Peers, control.PeerStatus{
+		status := control.PeerStatus{
 			ID: peer.Instance.ID, Zone: peer.Instance.Zone, Manifest: peer.Manifest, Silent: now.Sub(peer.Heard),
-		})
+		}
+		for _, report := range peer.Shards {
+			status.Shards = append(status.Shards, report.Shard.String())
+		}
+		answer.Peers = append(answer.Peers, status)
 	}
 	return answer
 }
--- a/internal/entry/instance/routing.go
+++ b/internal/entry/instance/routing.go
@@ -173,10 +173,17 @@
 		return report, nil
 	})
 	entry.Handle(s.server, grant.MethodRecall, func(_ context.Context, request grant.RecallRequest) (grant.RecallAnswer, error) {
-		return s.holdings.Recall(request), nil
+		return s.recall(request), nil
 	})
 }
 
+// recall gives grants back and asks for others at once, since what is left may be
+// no slot at all.
+func (s *slots) recall(request grant.RecallRequest) grant.RecallAnswer {
+	defer s.kickGrants()
+	return s.holdings.Recall(request)
+}
+
 // returnAll gives the grants back at a planned stop.
 func (s *slots) returnAll(ctx context.Context) {
 	for _, request := range s.holdings.ReturnAll() {
@@ -223,7 +230,7 @@
 // Recall takes grants back from a holder.
 func (p lendingPeers) Recall(ctx context.Context, holder membership.InstanceID, request grant.RecallRequest) (grant.RecallAnswer, error) {
 	if holder == p.settings.ID {
-		return p.slots.holdings.Recall(request), nil
+		return p.slots.recall(request), nil
 	}
 	return callPeer[grant.RecallRequest, grant.RecallAnswer](ctx, p, holder, grant.MethodRecall, request)
 }
--- a/internal/operator/control/messages.go
+++ b/internal/operator/control/messages.go
@@ -31,6 +31,8 @@
 	Manifest manifest.Version
 	// Silent is the time since the instance was last heard.
 	Silent time.Duration
+	// Shards are those that the instance reports to own.
+	Shards []string
 }
 
 // ShardStatus describes a shard that the instance owns.
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -54,6 +55,7 @@
 
 	clock   clockwork.Clock
 	log     zerolog.Logger
+	zones   []manifest.Zone
 	address string
 	group   *errgroup.Group
 	stop    context.CancelFunc
@@ -69,7 +71,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	entriesCtx, stopEntries := context.WithCancel(ctx)
 	d := &Deployment{
-		clock: clock, log: log, group: group, stop: stop,
+		clock: clock, log: log, zones: m.Zones, group: group, stop: stop,
 		entries: &errgroup.Group{}, stopEntries: stopEntries,
 	}
 	if err := d.start(ctx, entriesCtx, m, size); err != nil {
@@ -208,25 +210,43 @@
 	return err
 }
 
-// waitReady waits until every entry instance is ready and every zone's shards are owned.
+// waitReady waits until every entry instance is ready, every zone's shards have
+// workers, and every instance knows the owners of all zones.
 func (d *Deployment) waitReady(ctx context.Context) error {
 	return d.until(ctx, func() (bool, error) {
-		owned := map[membership.Zone]bool{}
-		zones := map[membership.Zone]bool{}
+		known := map[string]int{}
+		owned := map[string]bool{}
 		for _, entry := range d.Entries {
 			status, err := control.Client{Address: entry.Addresses().Operator}.Status(ctx)
 			if err != nil || !status.Ready {
 				return false, nil
 			}
-			zones[status.Zone] = true
 			for _, shard := range status.Shards {
-				owned[status.Zone] = owned[status.Zone] || shard.State == "Owned" && shard.Workers > 0
+				known[shard.Shard]++
+				owned[shard.Shard] = shard.State == "Owned" && shard.Workers > 0
+			}
+			for _, peer := range status.Peers {
+				for _, shard := range peer.Shards {
+					known[shard]++
+				}
 			}
 		}
-		return len(owned) == len(zones), nil
+		return d.allKnown(known, owned), nil
 	})
 }
 
+// allKnown reports whether each zone has an owned shard that all entry instances know.
+func (d *Deployment) allKnown(known map[string]int, owned map[string]bool) bool {
+	zones := map[membership.Zone]bool{}
+	for shard, ok := range owned {
+		if ok && known[shard] >= len(d.Entries) {
+			name, _, _ := strings.Cut(shard, "/")
+			zones[membership.Zone(name)] = true
+		}
+	}
+	return len(zones) == len(d.zones)
+}
+
 func (d *Deployment) until(ctx context.Context, done func() (bool, error)) error {
 	for {
 		ok, err := done()
