--- /dev/null
+++ b/test.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs all tests with the race detector. The proofs start many processes and wait
+# for leases to end, so several of them run side by side.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+go test -race -timeout 20m $(go list ./... | grep -v /internal/integration/)
+go tool ginkgo --race --procs=4 --timeout=40m --label-filter='!known-red' ./internal/integration/proof
