--- a/internal/cmd/load/report.go
+++ b/internal/cmd/load/report.go
@@ -36,6 +36,10 @@
 	JobsNotAccepted int
 	// StartsPerSecond are batch tasks; it is 0 for targets in other processes.
 	StartsPerSecond float64
+	// ReadsPerSecond and CommitsPerSecond are accesses to the table by all entry
+	// instances; they are 0 for targets in other processes.
+	ReadsPerSecond   float64
+	CommitsPerSecond float64
 	// ProcessorShare, in cores, and HeapBytes are those of the whole process for each
 	// entry instance. Stand-ins and callers run in it.
 	ProcessorShare float64
@@ -68,10 +72,10 @@
 	out := opts.Factory.IO.Out
 	fmt.Fprintf(out, "%d entry instances, capacity %.0f requests/s, %s for each step\n", len(o.Targets), o.Capacity, opts.Duration)
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "rate/s\tin time/s\tin time\tp50\tp99\tp99.9\tstarts/s\tcores/entry\theap/entry\trefused\tfailed\t")
+	fmt.Fprintln(table, "rate/s\tin time/s\tin time\tp50\tp99\tp99.9\tstarts/s\treads/s\tcommits/s\tcores/entry\theap/entry\trefused\tfailed\t")
 	for _, s := range o.Steps {
-		fmt.Fprintf(table, "%.0f\t%.0f\t%.2f%%\t%s\t%s\t%s\t%.0f\t%.3f\t%.1f MB\t%s\t%s\t\n",
-			s.Rate, s.InTimeRate, 100*s.InTimeShare, s.P50, s.P99, s.P999, s.StartsPerSecond,
+		fmt.Fprintf(table, "%.0f\t%.0f\t%.2f%%\t%s\t%s\t%s\t%.0f\t%.1f\t%.1f\t%.3f\t%.1f MB\t%s\t%s\t\n",
+			s.Rate, s.InTimeRate, 100*s.InTimeShare, s.P50, s.P99, s.P999, s.StartsPerSecond, s.ReadsPerSecond, s.CommitsPerSecond,
 			s.ProcessorShare, float64(s.HeapBytes)/1e6, reasons(s.Refused), reasons(s.Failed))
 	}
 	return table.Flush()
--- a/internal/cmd/load/run.go
+++ b/internal/cmd/load/run.go
@@ -124,7 +124,11 @@
 	entries := float64(len(s.targets))
 	step.ProcessorShare = (process.Processor() - processor).Seconds() / took / entries
 	step.HeapBytes = process.Heap() / uint64(len(s.targets))
-	step.StartsPerSecond = float64(startsOf(counters())-startsOf(before)) / took
+	after := counters()
+	step.StartsPerSecond = float64(startsOf(after)-startsOf(before)) / took
+	reads := after["Table.Reads"] + after["Table.Scans"] - before["Table.Reads"] - before["Table.Scans"]
+	step.ReadsPerSecond = float64(reads) / took
+	step.CommitsPerSecond = float64(after["Table.Commits"]-before["Table.Commits"]) / took
 	return step
 }
 
--- a/internal/platform/membership/bench_test.go
+++ b/internal/platform/membership/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
@@ -28,6 +29,14 @@
 			}
 			b.ReportMetric(float64(process.Processor()-began)/float64(b.N), "cpu-ns/op")
 			b.ReportMetric(float64(len(content)), "B/list")
+			before := process.Heap()
+			var kept Snapshot
+			if err := json.Unmarshal(content, &kept); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(process.Heap()-before), "B/heap")
+			runtime.KeepAlive(kept)
+			runtime.KeepAlive(content)
 		})
 	}
 }
