Send acknowledgements with the next sync of a worker

Cause: each finished task caused a sync of its own after the commit of its result, almost as many as the starts cause. The worker keeps the finished task meanwhile.

--- a/internal/entry/shard/link.go
+++ b/internal/entry/shard/link.go
@@ -103,8 +103,11 @@
 	return start
 }
 
+// hasCommands reports whether a sync is due at once. Acknowledgements wait for the next
+// one: the worker keeps a finished task meanwhile, which takes none of its resources, and
+// at the peak they would cause almost as many syncs as the starts.
 func (l *link) hasCommands() bool {
-	return len(l.start) > 0 || len(l.stop) > 0 || len(l.throttle) > 0 || len(l.acknowledge) > 0
+	return len(l.start) > 0 || len(l.stop) > 0 || len(l.throttle) > 0
 }
 
 func (l *link) isDue(now time.Time) bool {
