Share what the operator commands repeat and split the ownership file

Cause: four commands repeated the same constructor and run function, and the file of ownership also had the runs of shards. Change: zonechange for zone out and in, operatorflags.Query for status, zone list and manifest show, shards.go for the runs of shards. status shows which shards peers own. Measured: build, vet and help texts; behaviour is unchanged. Conclusion: one place for each.

--- a/internal/cmd/zonelist/zonelist.go
+++ b/internal/cmd/zonelist/zonelist.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"text/tabwriter"
 	"time"
 
@@ -11,47 +12,26 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/operatorflags"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/control"
 )
 
-// Options are the settings of the command.
-type Options struct {
-	operatorflags.Flags
-	Factory *factory.Factory
-}
-
 // NewCmd returns the command. Tests replace its run function with runF.
-func NewCmd(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
-	opts := &Options{Factory: f}
-	if runF == nil {
-		runF = run
+func NewCmd(f *factory.Factory, runF func(context.Context, *operatorflags.Options) error) *cobra.Command {
+	query := operatorflags.Query[[]control.ZoneAnswer]{
+		Ask: func(ctx context.Context, client control.Client) ([]control.ZoneAnswer, error) {
+			return client.Zones(ctx)
+		},
+		Print: printZones,
 	}
-	cmd := &cobra.Command{
+	return query.NewCmd(f, &cobra.Command{
 		Use:     "list",
 		Short:   "List the availability zones and whether they are in service",
 		Example: "  $ jacinthtrail zone list --json",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := opts.Check(cmd, f); err != nil {
-				return err
-			}
-			return runF(cmd.Context(), opts)
-		},
-	}
-	opts.Add(cmd)
-	return cmd
+	}, runF)
 }
 
-func run(ctx context.Context, opts *Options) error {
-	ctx, cancel := context.WithTimeout(ctx, opts.Timeout)
-	defer cancel()
-	zones, err := opts.Client().Zones(ctx)
-	if err != nil {
-		return err
-	}
-	if opts.JSON {
-		return operatorflags.PrintJSON(opts.Factory.IO.Out, zones)
-	}
-	table := tabwriter.NewWriter(opts.Factory.IO.Out, 0, 0, 2, ' ', 0)
+func printZones(out io.Writer, zones []control.ZoneAnswer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "ZONE\tREGION\tSERVICE\tCHANGED\tBY")
 	for _, z := range zones {
 		changed := "-"
--- a/internal/cmd/zoneout/zoneout.go
+++ b/internal/cmd/zoneout/zoneout.go
@@ -3,59 +3,20 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/spf13/cobra"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
-	"github.com/jacinthtrail/jacinthtrail/internal/cmd/operatorflags"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/zonechange"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/zone"
-	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
-// Options are the settings of the command.
-type Options struct {
-	operatorflags.Flags
-	Factory *factory.Factory
-	Zone    membership.Zone
-	Author  string
-}
-
 // NewCmd returns the command. Tests replace its run function with runF.
-func NewCmd(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
-	opts := &Options{Factory: f}
-	if runF == nil {
-		runF = run
-	}
-	cmd := &cobra.Command{
+func NewCmd(f *factory.Factory, runF func(context.Context, *zonechange.Options) error) *cobra.Command {
+	return zonechange.NewCmd(f, &cobra.Command{
 		Use:     "out <zone>",
 		Short:   "Take an availability zone out of service",
 		Long:    "Take an availability zone out of service: no task starts there any more, running tasks checkpoint and move to other zones, and requests go elsewhere.",
 		Example: "  $ jacinthtrail zone out kzn-bal",
-		Args:    cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if err := opts.Check(cmd, f); err != nil {
-				return err
-			}
-			opts.Zone = membership.Zone(args[0])
-			return runF(cmd.Context(), opts)
-		},
-	}
-	opts.Add(cmd)
-	cmd.Flags().StringVar(&opts.Author, "author", operatorflags.Author(), "`name` to record with the change")
-	return cmd
-}
-
-func run(ctx context.Context, opts *Options) error {
-	ctx, cancel := context.WithTimeout(ctx, opts.Timeout)
-	defer cancel()
-	answer, err := opts.Client().SetZone(ctx, opts.Zone, zone.Out, opts.Author)
-	if err != nil {
-		return err
-	}
-	if opts.JSON {
-		return operatorflags.PrintJSON(opts.Factory.IO.Out, answer)
-	}
-	fmt.Fprintf(opts.Factory.IO.Out, "%s is %s (change %s)\n", answer.Name, answer.Status.Service, answer.Status.Change)
-	return nil
+	}, zone.Out, runF)
 }
