Give a holder without slots its first one

Cause: a holder without slots refuses requests at once, so few wait at it, and by weight alone its part of a busy executor rounds to none: the other holder keeps all demand slots while its own requests wait.

Change: a request for grants that finds nothing, of a holder with nothing, marks it as starved. Then a holder with all demand slots of an executor gives one grant back, and the part of the others leaves one slot for each starved holder.

Before: the new test fails, no grant is recalled. After: it passes, and so does the model test with -race.

--- a/internal/decision/slots/acquire.go
+++ b/internal/decision/slots/acquire.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,6 +28,8 @@
 type demand struct {
 	waiting int
 	at      time.Time
+	// starved reports that the holder has no slots and got none.
+	starved bool
 }
 
 func newService() *service {
@@ -63,6 +66,7 @@
 	scanned := l.scan(r.Service)
 	share := l.share(now, scanned, r.Holder, own, all)
 	want := r.Want.least(share).orNone()
+	starved := want.Slots > 0 && !l.holdsAny(now, scanned, r.Holder)
 	var grants []Grant
 	for _, a := range scanned {
 		amount := portion(want, l.free(now, a, Demand))
@@ -75,9 +79,17 @@
 			break
 		}
 	}
+	s.demands[r.Holder] = demand{waiting: max(r.Waiting, 0), at: now, starved: starved && len(grants) == 0}
 	return grants
 }
 
+// holdsAny reports whether a holder has a slot of the executors.
+func (l *Ledger) holdsAny(now time.Time, executors []*account, holder membership.InstanceID) bool {
+	return slices.ContainsFunc(executors, func(a *account) bool {
+		return l.heldBy(now, a, holder, Demand).Slots > 0 || l.heldBy(now, a, holder, Base).Slots > 0
+	})
+}
+
 // portion returns what to take of the free part of one executor. Connections go with
 // the slots in the proportion that is wanted, so that one executor's many free
 // connections do not use up the want.
@@ -115,7 +127,30 @@
 		held = held.plus(l.heldBy(now, a, holder, Demand))
 	}
 	part := func(n int) int { return (n*own + all - 1) / max(all, 1) }
-	return Amount{part(total.Slots), part(total.Connections)}.minus(held).orNone()
+	share := Amount{part(total.Slots), part(total.Connections)}
+	if starved := l.starvedBesides(scanned, holder); starved > 0 {
+		// What is taken back for others must not return to the holder that gave it.
+		share = share.least(Amount{max(total.Slots-starved, 1), max(total.Connections-starved, 1)})
+	}
+	return share.minus(held).orNone()
+}
+
+// starvedBesides returns the number of other holders that ask for the service of the
+// executors and have no slots.
+func (l *Ledger) starvedBesides(executors []*account, holder membership.InstanceID) int {
+	if len(executors) == 0 {
+		return 0
+	}
+	return l.services[executors[0].executor.Service].starvedBesides(holder)
+}
+
+func (s *service) starvedBesides(holder membership.InstanceID) (count int) {
+	for id, d := range s.demands {
+		if id != holder && d.starved {
+			count++
+		}
+	}
+	return count
 }
 
 // heldBy returns what a holder has of an executor as a kind.
@@ -172,7 +207,8 @@
 }
 
 // excess reports whether a demand grant should shrink, because its holder has more
-// than its weighted part of the executor while another holder's requests wait.
+// than its weighted part of the executor while another holder's requests wait, or all
+// that is lent while another holder has no slots.
 func (l *Ledger) excess(now time.Time, a *account, g Grant) bool {
 	s := l.services[a.executor.Service]
 	if g.Kind != Demand {
@@ -182,8 +218,13 @@
 	if !s.othersWait(g.Holder) {
 		return false
 	}
-	half := a.executor.half(Demand).Slots
-	return l.heldBy(now, a, g.Holder, Demand).Slots*max(all, 1) > half*own+all
+	half, held := a.executor.half(Demand).Slots, l.heldBy(now, a, g.Holder, Demand).Slots
+	if half > 1 && held >= half && s.starvedBesides(g.Holder) > 0 {
+		// A holder without slots refuses requests and so has few that wait. By its weight
+		// alone it would never get its first slot.
+		return true
+	}
+	return held*max(all, 1) > half*own+all
 }
 
 func (s *service) othersWait(holder membership.InstanceID) bool {
--- a/internal/decision/slots/slots_test.go
+++ b/internal/decision/slots/slots_test.go
@@ -53,6 +53,21 @@
 		Expect(total).To(Equal(40))
 	})
 
+	// Guards against a new instance that never gets a slot, because it refuses what it
+	// can't serve and so has fewer requests waiting than the others.
+	It("takes a slot back for a holder that has none", func() {
+		l, h := newTestLedger(1), NewHolder("a")
+		Expect(h.Granted(start, 1, l.Acquire(start, request("a", 4, 5)))).To(Succeed())
+		Expect(l.Acquire(start, request("b", 1, 1))).To(BeEmpty())
+		recalls := l.Recalls(start, nil)
+		Expect(recalls).To(HaveLen(1))
+		keep, _ := h.Recall(recalls[0].ID)
+		l.Return("a", keep)
+		Expect(slotsOf(l.Acquire(start, request("a", 4, 5)))).To(Equal(3))
+		Expect(slotsOf(l.Acquire(start, request("b", 1, 1)))).To(Equal(1))
+		Expect(l.Recalls(start, nil)).To(BeEmpty())
+	})
+
 	// Guards against feeds that end because their executor is leaving.
 	It("recalls from a leaving executor and renews only what is in use", func() {
 		l, h := newTestLedger(1), NewHolder("a")
