Poll the membership list only when it has changed

Change: a poll names the revision that is known; an unchanged list has no rows. Conclusion: what remains is one list for each change; a list of the changes since a revision would carry more.

--- a/internal/platform/membership/client.go
+++ b/internal/platform/membership/client.go
@@ -14,6 +14,8 @@
 const (
 	// ListPath takes GET and answers with a Snapshot.
 	ListPath = "/membership"
+	// ListAfterPath takes POST of a ListAfterRequest and answers with a ListAfterAnswer.
+	ListAfterPath = "/membership/after"
 	// AnnouncePath takes POST with an Instance.
 	AnnouncePath = "/membership/announce"
 	// WithdrawPath takes POST with a WithdrawRequest.
@@ -56,6 +58,25 @@
 	return exchange[Snapshot](ctx, c, http.MethodGet, ListPath, nil)
 }
 
+// ListAfterRequest asks for the list if its revision isn't Revision.
+type ListAfterRequest struct {
+	Revision uint64
+}
+
+// ListAfterAnswer has the list, or no list if it is unchanged.
+type ListAfterAnswer struct {
+	Unchanged bool
+	Snapshot  Snapshot
+}
+
+// ListAfter returns the list, or reports that it still has the revision. At 20,000
+// workers the list has about 20 MB and changes once in several seconds, so most polls
+// need not carry it. It fails with ErrUnavailable.
+func (c Client) ListAfter(ctx context.Context, revision uint64) (snapshot Snapshot, changed bool, err error) {
+	answer, err := exchange[ListAfterAnswer](ctx, c, http.MethodPost, ListAfterPath, ListAfterRequest{Revision: revision})
+	return answer.Snapshot, !answer.Unchanged, err
+}
+
 // Announce lists an instance for AnnounceTerm, or updates its entry. It fails
 // with ErrUnavailable or ErrInvalid and may be repeated.
 func (c Client) Announce(ctx context.Context, instance Instance) error {
--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -71,5 +71,6 @@
 
 // Lister returns the current list.
 type Lister interface {
-	List(ctx context.Context) (Snapshot, error)
+	// ListAfter returns the list, or reports that it still has the revision.
+	ListAfter(ctx context.Context, revision uint64) (snapshot Snapshot, changed bool, err error)
 }
--- a/internal/platform/membership/view.go
+++ b/internal/platform/membership/view.go
@@ -30,12 +30,18 @@
 // is dropped and doesn't count as a successful read.
 func (v *View) Refresh(ctx context.Context) (Snapshot, error) {
 	began := v.clock.Now()
-	snapshot, err := v.lister.List(ctx)
+	snapshot, changed, err := v.lister.ListAfter(ctx, v.revision())
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	if err != nil {
 		return v.snapshot, err
 	}
+	if !changed {
+		if began.After(v.read) {
+			v.read = began
+		}
+		return v.snapshot, nil
+	}
 	if !v.read.IsZero() && snapshot.Revision < v.snapshot.Revision {
 		v.older++
 		return v.snapshot, nil
@@ -47,6 +53,12 @@
 	return v.snapshot, nil
 }
 
+func (v *View) revision() uint64 {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.snapshot.Revision
+}
+
 // Latest returns the newest list known and the time since the beginning of the
 // last successful read. It reports false before the first. Callers must not
 // change the list.
--- a/internal/platform/membership/view_test.go
+++ b/internal/platform/membership/view_test.go
@@ -16,7 +16,12 @@
 	err  error
 }
 
-func (l *lists) List(context.Context) (membership.Snapshot, error) { return l.next, l.err }
+func (l *lists) ListAfter(_ context.Context, revision uint64) (membership.Snapshot, bool, error) {
+	if l.err == nil && revision == l.next.Revision {
+		return membership.Snapshot{}, false, nil
+	}
+	return l.next, true, l.err
+}
 
 var _ = Describe("View", func() {
 	var (
--- a/internal/standin/platform/routes.go
+++ b/internal/standin/platform/routes.go
@@ -26,6 +26,7 @@
 	s.mux.Handle("POST "+table.CommitPath, route(s, tableService, write, s.table.Commit))
 	s.mux.Handle("POST "+table.OutcomePath, route(s, tableService, read, s.outcome))
 	s.mux.Handle("GET "+membership.ListPath, route(s, membershipService, read, s.listInstances))
+	s.mux.Handle("POST "+membership.ListAfterPath, route(s, membershipService, read, s.listAfter))
 	s.mux.Handle("POST "+membership.AnnouncePath, route(s, membershipService, write, s.announce))
 	s.mux.Handle("POST "+membership.WithdrawPath, route(s, membershipService, write, s.withdraw))
 	s.mux.Handle("PUT "+FaultsPath, control(func(f Faults) (Faults, error) { return f, s.SetFaults(f) }))
--- a/internal/standin/platform/services.go
+++ b/internal/standin/platform/services.go
@@ -52,6 +52,14 @@
 	return s.list.shown(s.clock.Now()), nil
 }
 
+func (s *Server) listAfter(_ context.Context, request membership.ListAfterRequest) (membership.ListAfterAnswer, error) {
+	snapshot := s.list.shown(s.clock.Now())
+	if snapshot.Revision == request.Revision {
+		return membership.ListAfterAnswer{Unchanged: true}, nil
+	}
+	return membership.ListAfterAnswer{Snapshot: snapshot}, nil
+}
+
 func (s *Server) announce(_ context.Context, instance membership.Instance) (membership.Done, error) {
 	return membership.Done{}, s.list.announce(s.clock.Now(), instance)
 }
