--- a/internal/caller/claim/bucket.go
+++ b/internal/caller/claim/bucket.go
@@ -66,6 +66,6 @@
 	if _, err := c.Store.Commit(ctx, tx); err != nil {
 		return 0, fmt.Errorf("delete expired start records: %w", err)
 	}
-	c.Counters.Add("claim.swept", int64(len(tx.Writes)))
+	c.Counters.Add("Claim.Swept", int64(len(tx.Writes)))
 	return len(tx.Writes), nil
 }
--- a/internal/caller/claim/write.go
+++ b/internal/caller/claim/write.go
@@ -36,7 +36,7 @@
 			c.finish(group, err)
 			return
 		}
-		c.Counters.Add("claim.retried.Conflict", 1)
+		c.Counters.Add("Claim.Retried.Conflict", 1)
 		if group, err = c.withoutStarted(ctx, now, group); err != nil {
 			c.finish(group, err)
 			return
@@ -53,7 +53,7 @@
 	started := service.Started{First: err == nil}
 	switch {
 	case err == nil:
-		c.Counters.Add("claim.written", int64(len(group)))
+		c.Counters.Add("Claim.Written", int64(len(group)))
 	case errors.Is(err, table.ErrUnavailable):
 		err = refusal(ReasonStoreDown, retryUnavailable)
 	case errors.Is(err, table.ErrConflict):
@@ -61,7 +61,7 @@
 	case errors.Is(err, errNotWritten):
 		err = refusal(ReasonNotWritten, retrySoon)
 	default:
-		c.Counters.Add("claim.uncertain", int64(len(group)))
+		c.Counters.Add("Claim.Uncertain", int64(len(group)))
 		err = ErrUncertain
 	}
 	for _, p := range group {
@@ -130,7 +130,7 @@
 	if err == nil || errors.Is(err, table.ErrConflict) || errors.Is(err, table.ErrUnavailable) {
 		return err
 	}
-	c.Counters.Add("claim.retried.LostAnswer", 1)
+	c.Counters.Add("Claim.Retried.LostAnswer", 1)
 	return c.resolve(ctx, tx.ID)
 }
 
@@ -147,7 +147,7 @@
 		case err == nil:
 			return errNotWritten
 		}
-		c.Counters.Add("claim.retried.Outcome", 1)
+		c.Counters.Add("Claim.Retried.Outcome", 1)
 		select {
 		case <-limited.Done():
 			return ErrUncertain
--- a/internal/caller/service/deliver.go
+++ b/internal/caller/service/deliver.go
@@ -11,7 +11,7 @@
 
 // abort closes the caller's connection, so that the answer can't look complete.
 func (h *Handler) abort(c *call, reason Reason) {
-	h.Counters.Add("service.aborted."+string(reason), 1)
+	h.Counters.Add("Service.Aborted."+string(reason), 1)
 	h.record(c, "Aborted", reason)
 	panic(http.ErrAbortHandler)
 }
@@ -51,7 +51,7 @@
 	if err != nil {
 		h.abort(c, ReasonCallerGone)
 	}
-	h.Counters.Add("service.completed", 1)
+	h.Counters.Add("Service.Completed", 1)
 }
 
 // deliverRest passes on what is longer than the buffer. When the caller has left or
@@ -83,7 +83,7 @@
 	case caller.detach():
 		h.abort(c, ReasonCallerGone)
 	}
-	h.Counters.Add("service.completed", 1)
+	h.Counters.Add("Service.Completed", 1)
 }
 
 // detachable passes on what is written until the caller is gone, and drops the rest.
--- a/internal/caller/service/exchange.go
+++ b/internal/caller/service/exchange.go
@@ -276,10 +276,10 @@
 		return 0, false
 	}
 	if !x.Governor.AllowExtra(x.call.service) {
-		x.Counters.Add("service.denied."+string(ReasonBudget), 1)
+		x.Counters.Add("Service.Denied."+string(ReasonBudget), 1)
 		return 0, false
 	}
-	x.Counters.Add("service.retried."+string(ended.reason), 1)
+	x.Counters.Add("Service.Retried."+string(ended.reason), 1)
 	x.record(x.call, "Retry", ended.reason, Fact{Name: "Executor", Value: string(ended.executor)})
 	return delay, true
 }
@@ -290,11 +290,11 @@
 		return
 	}
 	if !x.Governor.AllowExtra(x.call.service) {
-		x.Counters.Add("service.denied."+string(ReasonBudget), 1)
+		x.Counters.Add("Service.Denied."+string(ReasonBudget), 1)
 		return
 	}
 	x.hedges++
-	x.Counters.Add("service.retried."+string(ReasonHedge), 1)
+	x.Counters.Add("Service.Retried."+string(ReasonHedge), 1)
 	x.record(x.call, "Hedge", ReasonHedge)
 	x.start(true)
 }
--- a/internal/caller/service/feed.go
+++ b/internal/caller/service/feed.go
@@ -70,8 +70,8 @@
 			forced.Reset(min(grace, c.maxDuration()/2))
 		})
 	}
-	h.Counters.Add("service.feeds.open", 1)
-	defer h.Counters.Add("service.feeds.open", -1)
+	h.Counters.Add("Service.FeedsOpen", 1)
+	defer h.Counters.Add("Service.FeedsOpen", -1)
 	writeHead(w, won.response)
 	err := pass(w, won.response.Body, end)
 	switch {
--- a/internal/caller/service/handler.go
+++ b/internal/caller/service/handler.go
@@ -93,7 +93,7 @@
 		return
 	}
 	h.Governor.Arrived(c.service)
-	h.Counters.Add("service.requests", 1)
+	h.Counters.Add("Service.Requests", 1)
 	h.serve(r.Context(), ctx, c, w)
 }
 
@@ -213,9 +213,9 @@
 
 func counterName(outcome Outcome, reason Reason) string {
 	if outcome == NotRun {
-		return "service.refused." + string(reason)
+		return "Service.Refused." + string(reason)
 	}
-	return "service.unknown." + string(reason)
+	return "Service.Unknown." + string(reason)
 }
 
 func (h *Handler) record(c *call, action string, reason Reason, facts ...Fact) {
--- a/internal/caller/service/handler_test.go
+++ b/internal/caller/service/handler_test.go
@@ -32,7 +32,7 @@
 		got := b.advance(time.Millisecond, replies)
 		Expect(got.body).To(Equal("whole"))
 		Expect(got.response.Header.Get(service.HeaderOutcome)).To(Equal("Completed"))
-		Expect(b.count("service.retried.Truncated")).To(Equal(int64(1)))
+		Expect(b.count("Service.Retried.Truncated")).To(Equal(int64(1)))
 		Expect(b.needs[1].Exclude).To(HaveLen(1))
 		expectDone(b.uses(), false, true)
 	})
@@ -43,7 +43,7 @@
 		}
 		_, _, err := b.ask("")
 		Expect(err).To(HaveOccurred())
-		Eventually(func() int64 { return b.count("service.aborted.Truncated") }).Should(Equal(int64(1)))
+		Eventually(func() int64 { return b.count("Service.Aborted.Truncated") }).Should(Equal(int64(1)))
 		Expect(b.sentCount()).To(Equal(1))
 	})
 
@@ -120,7 +120,7 @@
 		expectOutcome(response, service.NotRun, "Full")
 		Expect(response.Header.Get("Retry-After")).To(Equal("2"))
 		Expect(response.Header.Get(service.HeaderRetryAfter)).To(Equal("1.5s"))
-		Expect(b.count("service.refused.Full")).To(Equal(int64(1)))
+		Expect(b.count("Service.Refused.Full")).To(Equal(int64(1)))
 		Expect(b.seen[0].Manifest).To(BeEquivalentTo(7))
 	})
 
@@ -171,7 +171,7 @@
 		response, _, err := b.ask("")
 		Expect(err).NotTo(HaveOccurred())
 		expectOutcome(response, service.NotRun, "Refused")
-		Expect(b.count("service.denied.RetryBudget")).To(Equal(int64(1)))
+		Expect(b.count("Service.Denied.RetryBudget")).To(Equal(int64(1)))
 	})
 
 	It("reports every fault of the headers together", func() {
--- a/internal/caller/ticket/issue.go
+++ b/internal/caller/ticket/issue.go
@@ -39,7 +39,7 @@
 		h.refuse(w, http.StatusServiceUnavailable, service.Refusal{Reason: ReasonFull, RetryAfter: time.Second})
 		return
 	}
-	h.Counters.Add("ticket.issued", int64(count))
+	h.Counters.Add("Ticket.Issued", int64(count))
 	body := Issued{Window: Window.String()}
 	for _, t := range tickets {
 		body.Tickets = append(body.Tickets, t.String())
@@ -50,7 +50,7 @@
 }
 
 func (h *Handler) refuse(w http.ResponseWriter, status int, refusal service.Refusal, findings ...service.Finding) {
-	h.Counters.Add("ticket.refused."+string(refusal.Reason), 1)
+	h.Counters.Add("Ticket.Refused."+string(refusal.Reason), 1)
 	service.Refuse(w, status, refusal, findings...)
 }
 
--- a/internal/peer/entry/entry.go
+++ b/internal/peer/entry/entry.go
@@ -37,22 +37,22 @@
 
 // Names of the counters of this package.
 const (
-	CountCalls              = "PeerCalls"
-	CountCallsFailed        = "PeerCallsFailed"
-	CountCallsNotSent       = "PeerCallsNotSent"
-	CountCallsServed        = "PeerCallsServed"
-	CountRefusedBusy        = "PeerRefusedBusy"
-	CountRefusedConnection  = "PeerRefusedConnection"
-	CountRefusedMalformed   = "PeerRefusedMalformed"
-	CountRefusedMethod      = "PeerRefusedMethod"
-	CountRefusedParams      = "PeerRefusedParams"
-	CountRefusedTooLarge    = "PeerRefusedTooLarge"
-	CountConnectionsDialed  = "PeerConnectionsDialed"
-	CountConnectionsLost    = "PeerConnectionsLost"
-	CountConnectionsSilent  = "PeerConnectionsSilent"
-	CountDialsFailed        = "PeerDialsFailed"
-	CountAcceptsFailed      = "PeerAcceptsFailed"
-	CountResponsesUnmatched = "PeerResponsesUnmatched"
+	CountCalls              = "Peer.Calls"
+	CountCallsFailed        = "Peer.CallsFailed"
+	CountCallsNotSent       = "Peer.CallsNotSent"
+	CountCallsServed        = "Peer.CallsServed"
+	CountRefusedBusy        = "Peer.RefusedBusy"
+	CountRefusedConnection  = "Peer.RefusedConnection"
+	CountRefusedMalformed   = "Peer.RefusedMalformed"
+	CountRefusedMethod      = "Peer.RefusedMethod"
+	CountRefusedParams      = "Peer.RefusedParams"
+	CountRefusedTooLarge    = "Peer.RefusedTooLarge"
+	CountConnectionsDialed  = "Peer.ConnectionsDialed"
+	CountConnectionsLost    = "Peer.ConnectionsLost"
+	CountConnectionsSilent  = "Peer.ConnectionsSilent"
+	CountDialsFailed        = "Peer.DialsFailed"
+	CountAcceptsFailed      = "Peer.AcceptsFailed"
+	CountResponsesUnmatched = "Peer.ResponsesUnmatched"
 )
 
 // count adds one to a counter that may be nil.
