Look at the queue of requests without the lock of the grants

Cause: ClearWants held the lock of the grants while it took that of the queue. An arriving request takes them in the other order, through Candidates. Both then wait for ever, and with them every later request of the instance. The cause was found by reading the order of the locks; no stack of a stuck process was taken.

Ruled out: the shares of the grants, whose change left the fault as it was.

Change: ClearWants asks the queue before it takes its lock.

--- a/internal/entry/routing/exchange.go
+++ b/internal/entry/routing/exchange.go
@@ -1,10 +1,13 @@
 package routing
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
 	grants "github.com/jacinthtrail/jacinthtrail/internal/decision/slots"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/grant"
 )
 
@@ -80,20 +83,33 @@
 }
 
 // ClearWants forgets the wants that all asked owners have answered. A want that is
-// still there arises again with the next look at the queue.
+// still there arises again with the next look at the queue. stillWaiting is called
+// without the lock: it takes that of the queue, which is held while the queue asks for
+// Candidates.
 func (h *Holdings) ClearWants(stillWaiting func(service string) int) {
+	waiting := map[manifest.ServiceName]int{}
+	for _, name := range h.wantedServices() {
+		waiting[name] = stillWaiting(string(name))
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for name, w := range h.wants {
-		w.waiting = stillWaiting(string(name))
-		if w.waiting == 0 {
+	for name, count := range waiting {
+		w, known := h.wants[name]
+		if !known || count == 0 {
 			delete(h.wants, name)
 			continue
 		}
+		w.waiting = count
 		h.wants[name] = w
 	}
 }
 
+func (h *Holdings) wantedServices() []manifest.ServiceName {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Collect(maps.Keys(h.wants))
+}
+
 // HasWants reports whether a request waits for a slot.
 func (h *Holdings) HasWants() bool {
 	h.mu.Lock()
