Look at short tasks more often

Cause: the end of a task shows at the next sync, up to 2 s later, so 150 tasks of 0.3 s on 8 slots took about 40 s. Change: a worker that runs tasks is synced four times in the shortest expected duration, at least every 250 ms and at most every 2 s apart. Measured: the tests of the shard and the eight specs of leaving servers pass; the time of short tasks was not measured again.

--- a/internal/entry/shard/link.go
+++ b/internal/entry/shard/link.go
@@ -9,6 +9,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/job"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/chart"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/placement"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/object"
 )
@@ -26,6 +27,8 @@
 	// bound is when nothing can run on the worker any more unless it is renewed.
 	bound    time.Time
 	lastSync time.Time
+	// interval is the time between syncs without commands.
+	interval time.Duration
 	inFlight bool
 	// lease is in LeaseEnded once the engine was told to forget the worker.
 	lease    chart.LeaseState
@@ -47,6 +50,7 @@
 func newLink(instance membership.Instance) *link {
 	return &link{
 		instance:    instance,
+		interval:    SyncInterval,
 		lease:       chart.Lease().Initial(),
 		attempts:    map[worker.TaskAttempt]chart.AttemptState{},
 		acknowledge: map[worker.TaskAttempt]struct{}{},
@@ -124,10 +128,10 @@
 	if l.inFlight {
 		return false
 	}
-	wait := SyncInterval
+	wait := l.interval
 	if l.lease != chart.LeaseHeld && l.lastSync != (time.Time{}) {
 		// A failed sync is repeated soon, but not at once, to leave room for the others.
-		wait = SyncInterval / 4
+		wait = minSyncInterval
 	} else if l.hasCommands() {
 		wait = 0
 	}
@@ -202,12 +206,26 @@
 		s.loseAttempts(l, result.at)
 	}
 	l.incarnation = response.Incarnation
+	l.interval = s.syncInterval(response.Tasks)
 	s.reconcile(l, result)
 	for _, sample := range response.Usage {
 		s.engine.Report(result.at, l.instance.ID, sample)
 	}
 }
 
+// syncInterval returns the time between syncs with a worker that runs tasks. Short
+// tasks are looked at more often, because a worker that has finished its tasks idles
+// until the next sync.
+func (s *Shard) syncInterval(tasks []worker.TaskStatus) time.Duration {
+	interval := SyncInterval
+	for _, status := range tasks {
+		if expected, known := s.expected[manifest.ClassName(status.Class)]; known && !status.State.IsFinal() {
+			interval = min(interval, expected/syncsPerTask)
+		}
+	}
+	return max(interval, minSyncInterval)
+}
+
 // loseAttempts reports every attempt that a restarted worker process held as lost.
 func (s *Shard) loseAttempts(l *link, now time.Time) {
 	for attempt, state := range l.attempts {
--- a/internal/entry/shard/shard.go
+++ b/internal/entry/shard/shard.go
@@ -33,6 +33,11 @@
 	// SyncInterval is the time between syncs of a worker without commands. It
 	// leaves three tries within a lease.
 	SyncInterval = 2 * time.Second
+	// minSyncInterval bounds the syncs of workers that run short tasks, and is the time
+	// before a failed sync is repeated, which leaves room for the others.
+	minSyncInterval = 250 * time.Millisecond
+	// syncsPerTask is how often a task is looked at in its expected duration.
+	syncsPerTask = 4
 	// syncTimeout bounds the wait for a worker's answer.
 	syncTimeout = 1500 * time.Millisecond
 	// tickInterval is the time between runs of the placement engine.
@@ -130,6 +135,8 @@
 	synced    chan syncResult
 	stored    chan func() error
 	group     *errgroup.Group
+	// expected has the expected duration of each class.
+	expected map[manifest.ClassName]time.Duration
 	// running counts the syncs in flight.
 	running int
 	// unsettled is a commit that failed and is tried again before any other.
@@ -252,6 +259,10 @@
 		s.version = current.Version
 		s.engine.Configure(now, current)
 		s.engine.SetQuotaShare(quotaShare(current.Manifest))
+		s.expected = map[manifest.ClassName]time.Duration{}
+		for _, class := range current.Manifest.Classes {
+			s.expected[class.Name] = time.Duration(class.ExpectedDuration)
+		}
 	}
 }
 
