Offer only slots that have a connection under the same grant

Cause: the free slots and connections of an executor were added up over its grants. With a free slot under one grant, such as that of a feed, and a free connection under another, admission chose the executor for every request and each attempt to take it failed. The cause was found by reading the code.

Change: Free counts pairs under one grant, and demand grants give the unpaired part back. The model test goes on to count unpaired parts.

--- a/internal/decision/slots/holder.go
+++ b/internal/decision/slots/holder.go
@@ -130,17 +130,36 @@
 	return nil, false
 }
 
-// Free returns what this instance could start now on an executor.
+// Free returns what can be started on an executor now: pairs of a slot and a connection
+// under the same grant. A slot under one grant and a connection under another start
+// nothing.
 func (h *Holder) Free(now time.Time, executor membership.InstanceID) Amount {
 	var free Amount
 	for _, held := range h.holdings[executor] {
 		if !held.recalled && now.Before(held.expiry) {
-			free = free.plus(held.grant.Amount.minus(held.used))
+			free = free.plus(held.pairs())
 		}
 	}
 	return free
 }
 
+// pairs returns the free slots and connections that can be used together.
+func (h *holding) pairs() Amount {
+	free := h.grant.Amount.minus(h.used).orNone()
+	n := min(free.Slots, free.Connections)
+	return Amount{n, n}
+}
+
+// TrimUnpaired gives back what demand grants have of free slots without connections and
+// the reverse, such as the slot of a feed. The next Renewals tell the owner.
+func (h *Holder) TrimUnpaired() {
+	for _, held := range h.byID {
+		if held.grant.Kind == Demand {
+			h.shrink(held, held.used.plus(held.pairs()))
+		}
+	}
+}
+
 // FirstByte frees the slot of a feed; the feed keeps its connection.
 func (h *Holder) FirstByte(use *Use) {
 	if _, open := h.uses[use]; open && use.Feed && use.slot {
--- a/internal/decision/slots/model_test.go
+++ b/internal/decision/slots/model_test.go
@@ -200,7 +200,7 @@
 	var total Amount
 	for _, p := range m.peers {
 		now := m.clock(p.side)
-		total = total.plus(p.holder.Free(now, e.ID).orNone())
+		total = total.plus(unused(p.holder, now, e.ID).orNone())
 		for use := range p.holder.uses {
 			if use.Executor != e.ID || !now.Before(use.deadline()) {
 				continue
@@ -253,3 +253,13 @@
 		})
 	}
 }
+
+// unused returns what a holder has free of an executor, also slots without connections.
+func unused(h *Holder, now time.Time, executor membership.InstanceID) (free Amount) {
+	for _, held := range h.holdings[executor] {
+		if !held.recalled && now.Before(held.expiry) {
+			free = free.plus(held.grant.Amount.minus(held.used))
+		}
+	}
+	return free
+}
--- a/internal/decision/slots/slots_test.go
+++ b/internal/decision/slots/slots_test.go
@@ -88,6 +88,21 @@
 })
 
 var _ = Describe("Holder", func() {
+	// Guards against an executor that is offered for every request and takes none,
+	// because the free slot and the free connection belong to different grants.
+	It("offers only slots with a connection and gives the slot of a feed back", func() {
+		h := NewHolder("a")
+		Expect(h.Granted(start, 1, []Grant{
+			{ID: GrantID{1, 1}, Executor: "e", Holder: "a", Kind: Demand, Amount: Amount{1, 1}, Term: time.Second},
+			{ID: GrantID{1, 2}, Executor: "e", Holder: "a", Kind: Demand, Amount: Amount{0, 1}, Term: time.Second},
+		})).To(Succeed())
+		use, _ := h.Take(start, []membership.InstanceID{"e"}, true)
+		h.FirstByte(use)
+		Expect(h.Free(start, "e")).To(Equal(Amount{}))
+		h.TrimUnpaired()
+		Expect(h.Renewals(start)[0].Amount).To(Equal(Amount{0, 1}))
+	})
+
 	// Guards against messages of a superseded owner that change grants.
 	It("refuses lower epochs after a fence and reports feeds", func() {
 		l, h := newTestLedger(1), NewHolder("a")
--- a/internal/entry/routing/exchange.go
+++ b/internal/entry/routing/exchange.go
@@ -29,6 +29,7 @@
 	if len(h.wants) == 0 {
 		holder.TrimDemand(grants.Amount{Slots: spareSlots, Connections: spareSlots})
 	}
+	holder.TrimUnpaired()
 	request := grant.AcquireRequest{
 		Holder: h.Self, Shard: id, Base: id.Zone == h.Zone,
 		Renewals: holder.Renewals(now),
