--- a/internal/decision/slots/holder.go
+++ b/internal/decision/slots/holder.go
@@ -150,8 +150,8 @@
 }
 
 // pairs returns the free slots and connections that can be used together.
-func (h *holding) pairs() Amount {
-	free := h.grant.Amount.minus(h.used).orNone()
+func (held *holding) pairs() Amount {
+	free := held.grant.Amount.minus(held.used).orNone()
 	n := min(free.Slots, free.Connections)
 	return Amount{n, n}
 }
