--- a/internal/caller/job/record.go
+++ b/internal/caller/job/record.go
@@ -105,6 +105,9 @@
 type InboxEntry struct {
 	Kind InboxKind
 	Job  worker.JobID
+	// Team and Key name the job to its caller.
+	Team manifest.TeamName
+	Key  CallerKey
 }
 
 // Location is the content of a caller key's row: where the job's record is.
--- a/internal/caller/job/repository.go
+++ b/internal/caller/job/repository.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return table.Transaction{}, fmt.Errorf("encode the location of job %s: %w", record.ID, err)
 	}
-	notice, err := json.Marshal(InboxEntry{Kind: InboxJob, Job: record.ID})
+	notice, err := json.Marshal(InboxEntry{Kind: InboxJob, Job: record.ID, Team: record.Team, Key: record.Key})
 	if err != nil {
 		return table.Transaction{}, fmt.Errorf("encode an inbox entry for job %s: %w", record.ID, err)
 	}
@@ -98,6 +98,12 @@
 	}, nil
 }
 
+// Locate returns the shard of a team's job, or ErrNotFound.
+func (r Repository) Locate(ctx context.Context, team manifest.TeamName, key CallerKey) (worker.ShardID, error) {
+	location, _, err := r.locate(ctx, team, key)
+	return location.Shard, err
+}
+
 // locate returns where a job's record is and the version of the row that says so.
 func (r Repository) locate(ctx context.Context, team manifest.TeamName, key CallerKey) (Location, table.Version, error) {
 	rows, err := r.Store.Read(ctx, KeyRow(team, key))
@@ -141,7 +147,7 @@
 		if err != nil {
 			return err
 		}
-		notice, err := json.Marshal(InboxEntry{Kind: InboxCancel, Job: location.ID})
+		notice, err := json.Marshal(InboxEntry{Kind: InboxCancel, Job: location.ID, Team: team, Key: key})
 		if err != nil {
 			return fmt.Errorf("encode an inbox entry for job %s: %w", location.ID, err)
 		}
--- a/internal/entry/shard/move_test.go
+++ b/internal/entry/shard/move_test.go
@@ -84,6 +84,30 @@
 	})
 })
 
+var _ = Describe("A cancellation of a job that has moved", func() {
+	// Guards against a cancellation that is lost because the job left between the
+	// look-up of its shard and the owner's look at the inbox.
+	It("is passed on to the job's shard", func(ctx SpecContext) {
+		f := newFleet(GinkgoTB(), 0, 0)
+		moved := worker.ShardID{Zone: "zone-b"}
+		jobs := job.Repository{Store: &f.store, Clock: clockwork.NewRealClock()}
+		record := job.Record{ID: job.NewID("rotas", "week"), Team: "rotas", Key: "week", State: job.Queued}
+		_, _, err := jobs.Submit(ctx, record, moved)
+		Expect(err).NotTo(HaveOccurred())
+		s := New(&Shard{ID: fleetShard, Store: &f.store, Clock: clockwork.NewRealClock(), Counters: &withheld{}})
+		entry := job.InboxEntry{Kind: job.InboxCancel, Job: record.ID, Team: "rotas", Key: "week"}
+		_, err = f.store.Commit(ctx, table.Transaction{ID: "cancel", Writes: []table.Write{
+			encoded(GinkgoTB(), job.InboxRow(fleetShard, "cancel"), entry),
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.readInbox(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		rows, err := f.store.Scan(ctx, job.InboxPrefix(moved), "", 10)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows).To(HaveLen(2), "the submission and the cancellation")
+	})
+})
+
 // ownedRow is the condition of a shard whose row has a version.
 type ownedRow struct {
 	benchRights
--- a/internal/entry/shard/store.go
+++ b/internal/entry/shard/store.go
@@ -300,6 +300,9 @@
 	}
 	for i, row := range found {
 		if row.Version == 0 {
+			if err := s.forwardCancel(ctx, items[i].entry); err != nil {
+				return nil, err
+			}
 			continue
 		}
 		if items[i].record, err = job.DecodeRecord(row); err != nil {
@@ -311,6 +314,24 @@
 	return items, nil
 }
 
+// forwardCancel passes a cancellation on whose job moved to another shard after the
+// entry was written.
+func (s *Shard) forwardCancel(ctx context.Context, entry job.InboxEntry) error {
+	if entry.Kind != job.InboxCancel {
+		return nil
+	}
+	jobs := job.Repository{Store: s.Store, Clock: s.Clock}
+	shard, err := jobs.Locate(ctx, entry.Team, entry.Key)
+	if errors.Is(err, job.ErrNotFound) || err == nil && shard == s.ID {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	s.Counters.Add("Job.CancelForwarded", 1)
+	return jobs.Cancel(ctx, entry.Team, entry.Key)
+}
+
 func (s *Shard) takeInbox(items []inboxItem) {
 	now := s.Clock.Now()
 	for _, item := range items {
