Remove two limits of the manifest that had no effect

Cause: Limits.IsolationLimit and Limits.MaxCallerKeyAge were checked but never used. The isolation limit can't follow a manifest as it is: an owner with the longer old limit and a claimant with the shorter new one would act at once.

--- a/internal/operator/manifest/check.go
+++ b/internal/operator/manifest/check.go
@@ -41,11 +41,6 @@
 	MaxQueue                        = 10_000_000
 	MaxTasks                        = 1_000_000
 	MaxRamp                         = Duration(24 * time.Hour)
-	// MinIsolationLimit is the AuthorityTerm of the design; promises would end before it.
-	MinIsolationLimit = Duration(5 * time.Second)
-	MaxIsolationLimit = Duration(time.Hour)
-	MinCallerKeyAge   = Duration(time.Minute)
-	MaxCallerKeyAge   = Duration(7 * 24 * time.Hour)
 )
 
 // Check returns all findings about a manifest, in the order of its fields. A
@@ -198,9 +193,6 @@
 	within(c, "Limits.MaxPayload", l.MaxPayload, 0, MaxBodySize)
 	within(c, "Limits.MaxResult", l.MaxResult, 0, MaxResultSize)
 	within(c, "Limits.ReturnRamp", l.ReturnRamp, 0, MaxRamp)
-	filled := l.withDefaults()
-	within(c, "Limits.IsolationLimit", filled.IsolationLimit, MinIsolationLimit, MaxIsolationLimit)
-	within(c, "Limits.MaxCallerKeyAge", filled.MaxCallerKeyAge, MinCallerKeyAge, MaxCallerKeyAge)
 }
 
 func (c *checker) amount(place string, v resource.Vector) {
--- a/internal/operator/manifest/defaults.go
+++ b/internal/operator/manifest/defaults.go
@@ -7,15 +7,12 @@
 	// DefaultShardsPerZone keeps a shard at about 5 to 20 workers at present sizes.
 	DefaultShardsPerZone = 4
 	// DefaultMaxQueuedJobs is about the number of jobs that two years' growth brings in a day.
-	DefaultMaxQueuedJobs  = 300_000
-	DefaultMaxTasksPerJob = 10_000
-	DefaultMaxPayload     = 1 << 20
-	DefaultMaxResult      = 1 << 20
-	DefaultMaxBody        = 1 << 20
-	DefaultReturnRamp     = Duration(time.Minute)
-	// DefaultIsolationLimit and DefaultMaxCallerKeyAge are those of the design.
-	DefaultIsolationLimit  = Duration(10 * time.Minute)
-	DefaultMaxCallerKeyAge = Duration(24 * time.Hour)
+	DefaultMaxQueuedJobs   = 300_000
+	DefaultMaxTasksPerJob  = 10_000
+	DefaultMaxPayload      = 1 << 20
+	DefaultMaxResult       = 1 << 20
+	DefaultMaxBody         = 1 << 20
+	DefaultReturnRamp      = Duration(time.Minute)
 	DefaultIdleTimeout     = Duration(15 * time.Second)
 	DefaultMaxFeedDuration = Duration(time.Hour)
 	DefaultMaxAttempts     = 3
@@ -38,8 +35,6 @@
 	fill(&l.MaxPayload, DefaultMaxPayload)
 	fill(&l.MaxResult, DefaultMaxResult)
 	fill(&l.ReturnRamp, DefaultReturnRamp)
-	fill(&l.IsolationLimit, DefaultIsolationLimit)
-	fill(&l.MaxCallerKeyAge, DefaultMaxCallerKeyAge)
 	return l
 }
 
--- a/internal/operator/manifest/manifest.go
+++ b/internal/operator/manifest/manifest.go
@@ -107,14 +107,12 @@
 
 // Limits bounds what the system accepts.
 type Limits struct {
-	ShardsPerZone   int
-	MaxQueuedJobs   int
-	MaxTasksPerJob  int
-	MaxPayload      resource.Bytes
-	MaxResult       resource.Bytes
-	ReturnRamp      Duration
-	IsolationLimit  Duration
-	MaxCallerKeyAge Duration
+	ShardsPerZone  int
+	MaxQueuedJobs  int
+	MaxTasksPerJob int
+	MaxPayload     resource.Bytes
+	MaxResult      resource.Bytes
+	ReturnRamp     Duration
 }
 
 // Published is an accepted manifest with its version.
