Lift the write deadline of an answer that was delivered

Cause: found by reading. The function that limits writes could run while the handler returned, and its past deadline would then break the next answer on the connection, since the server sets no write deadline of its own. Change: the handler waits for the function and lifts the deadline. Measured: the tests of the package pass; the race itself was not provoked. Conclusion: a kept connection starts each answer without a deadline.

--- a/internal/caller/service/deliver.go
+++ b/internal/caller/service/deliver.go
@@ -31,12 +31,7 @@
 	if won.whole && len(won.prefix) > 0 {
 		won.response.Header = withLength(won.response.Header, len(won.prefix))
 	}
-	control := http.NewResponseController(w)
-	stop := context.AfterFunc(ctx, func() {
-		// Writers without deadlines, as in tests, leave the write to its own end.
-		_ = control.SetWriteDeadline(time.Unix(1, 0))
-	})
-	defer stop()
+	defer limitWrites(ctx, w)()
 	writeHead(w, won.response)
 	_, err := w.Write(won.prefix)
 	if won.whole {
@@ -47,6 +42,26 @@
 	h.deliverRest(ctx, c, w, won, err)
 }
 
+// limitWrites ends writes when ctx does. The function that it returns lifts the limit,
+// because a server without a write timeout keeps a deadline for the next request on
+// the connection.
+func limitWrites(ctx context.Context, w http.ResponseWriter) (lift func()) {
+	control := http.NewResponseController(w)
+	limited := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(limited)
+		// Writers without deadlines, as in tests, leave the write to its own end.
+		_ = control.SetWriteDeadline(time.Unix(1, 0))
+	})
+	return func() {
+		if stop() {
+			return
+		}
+		<-limited
+		_ = control.SetWriteDeadline(time.Time{})
+	}
+}
+
 func (h *Handler) delivered(c *call, err error) {
 	if err != nil {
 		h.abort(c, ReasonCallerGone)
