Explain finished jobs and leave out facts that are zero

Cause: a finished job could not be explained, and explanations listed facts that did not matter. Change: decisions about tasks are kept under their job too; the command prints only facts that are set.

--- a/internal/cmd/explain/explain.go
+++ b/internal/cmd/explain/explain.go
@@ -64,7 +64,7 @@
 	}
 	fmt.Fprintf(out, "%s %s %s\n", answer.Kind, answer.ID, answer.State)
 	for _, event := range answer.Events {
-		facts, err := json.Marshal(event.Facts)
+		facts, err := json.Marshal(withoutZeros(event.Facts))
 		if err != nil {
 			return fmt.Errorf("encode the facts: %w", err)
 		}
@@ -73,3 +73,24 @@
 	}
 	return nil
 }
+
+// withoutZeros drops the facts that don't matter for a decision, which are zero.
+func withoutZeros(value any) any {
+	fields, ok := value.(map[string]any)
+	if !ok {
+		return value
+	}
+	kept := map[string]any{}
+	for name, field := range fields {
+		field = withoutZeros(field)
+		switch field {
+		case nil, "", 0.0, false:
+			continue
+		}
+		if nested, ok := field.(map[string]any); ok && len(nested) == 0 {
+			continue
+		}
+		kept[name] = field
+	}
+	return kept
+}
--- a/internal/entry/instance/backend.go
+++ b/internal/entry/instance/backend.go
@@ -224,9 +224,9 @@
 	}
 	if d.Task != "" {
 		r.explanations.Add(control.Task, string(d.Task), event)
-		return
 	}
 	if d.Job != "" {
+		event.What += " " + string(d.Task)
 		r.explanations.Add(control.Job, string(d.Job), event)
 	}
 }
