Renew grants while an instance drains

Cause: a stopping instance no longer renewed its grants, and feeds are ended once their grant has expired, so three of five specs of graceful-stop saw feeds cut after 28 of 60 lines. Feed revocation and the stop were written apart. Ruled out: the drain bound and the delay of readiness, which held. Change: grants are renewed until they are given back after the drain. A shard is not stopped for its release while the table can't be reached, since nobody could claim it. Conclusion: what is in flight keeps its grant until it ends.

--- a/internal/entry/instance/ownership.go
+++ b/internal/entry/instance/ownership.go
@@ -190,18 +190,32 @@
 		i.owned.writes.Go(func() { i.writeShard(ctx, id, node, action) })
 	case ownership.Release:
 		running := i.owned.running[id]
-		i.owned.writes.Go(func() {
-			if running != nil {
-				running.stop()
-			}
-			i.writeShard(context.WithoutCancel(ctx), id, node, action)
-		})
+		i.owned.writes.Go(func() { i.releaseShard(context.WithoutCancel(ctx), id, node, running, action) })
 	default:
 		owner, epoch := node.Owner()
 		i.log.Info().Stringer("Shard", id).Str("Owner", string(owner)).Uint64("Epoch", uint64(epoch)).Msg(string(action.Kind))
 	}
 }
 
+// releaseShard stops the run of a shard and writes its release. While the table can't
+// be reached the shard runs on, because nobody could claim it and feeds need its grants.
+func (i *Instance) releaseShard(ctx context.Context, id worker.ShardID, node *ownership.Node, running *runningShard, action ownership.Action) {
+	if running != nil {
+		probe, cancel := context.WithTimeout(ctx, ownershipWriteTimeout)
+		_, err := i.store.Read(probe, shardKey(id))
+		cancel()
+		if err != nil {
+			i.counters.Add("Ownership.ReleasePutOff", 1)
+			i.owned.mu.Lock()
+			defer i.owned.mu.Unlock()
+			node.WriteResult(i.clock.Now(), action, ownership.NotWritten, 0)
+			return
+		}
+		running.stop()
+	}
+	i.writeShard(ctx, id, node, action)
+}
+
 // follow starts or stops the run of a shard as its ownership says. The lock is held.
 func (i *Instance) follow(ctx context.Context, id worker.ShardID, node *ownership.Node) {
 	epoch := node.Epoch()
--- a/internal/entry/instance/routing.go
+++ b/internal/entry/instance/routing.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/executor"
@@ -37,6 +38,9 @@
 	governor service.AdmissionGovernor
 	holdings *routing.Holdings
 	kicked   chan struct{}
+	// returned is set once the grants were given back. Until then a stopping instance
+	// renews them, since its requests and feeds in flight use them.
+	returned atomic.Bool
 }
 
 func newSlots(i *Instance) *slots {
@@ -90,7 +94,7 @@
 
 // exchangeAll asks the owners of the shards for grants.
 func (s *slots) exchangeAll(ctx context.Context) {
-	if s.draining.Load() {
+	if s.returned.Load() {
 		return
 	}
 	var group sync.WaitGroup
@@ -186,6 +190,7 @@
 
 // returnAll gives the grants back at a planned stop.
 func (s *slots) returnAll(ctx context.Context) {
+	s.returned.Store(true)
 	for _, request := range s.holdings.ReturnAll() {
 		if _, err := s.acquire(ctx, request); err != nil {
 			s.counters.Add("Slots.ReturnFailed", 1)
