Ask each owner for grants on its own

Cause: found by reading. A round of requests for grants waited for all owners, so an owner in a zone that is cut off held up the requests to the others for 1.5 s each time. Change: each owner has its own request under way; the next round leaves out owners that have not answered. Conclusion: a cut to one zone doesn't slow the grants of another; no test cuts peers yet.

--- a/internal/entry/instance/routing.go
+++ b/internal/entry/instance/routing.go
@@ -41,6 +41,9 @@
 	// returned is set once the grants were given back. Until then a stopping instance
 	// renews them, since its requests and feeds in flight use them.
 	returned atomic.Bool
+	// asked holds the shards whose owners have not answered yet.
+	asked     sync.Map
+	exchanges sync.WaitGroup
 }
 
 func newSlots(i *Instance) *slots {
@@ -64,6 +67,7 @@
 
 // run renews grants and asks for more while requests wait, until ctx ends.
 func (s *slots) run(ctx context.Context) error {
+	defer s.exchanges.Wait()
 	renew := s.clock.NewTicker(renewInterval)
 	defer renew.Stop()
 	backoff := wantBackoff
@@ -92,26 +96,35 @@
 	}
 }
 
-// exchangeAll asks the owners of the shards for grants.
+// exchangeAll asks the owners of the shards for grants, but for those that have not
+// answered the last request yet: an owner that can't be reached must not hold up the
+// requests to the others.
 func (s *slots) exchangeAll(ctx context.Context) {
 	if s.returned.Load() {
 		return
 	}
-	var group sync.WaitGroup
 	for _, id := range s.holdings.Shards() {
-		group.Go(func() {
-			sent := s.clock.Now()
-			answer, err := s.acquire(ctx, s.holdings.Request(id))
-			if err != nil {
-				s.counters.Add("Slots.AcquireFailed", 1)
-				return
-			}
-			if s.holdings.Answered(id, sent, answer) {
-				s.serveWaiting()
-			}
+		if _, asked := s.asked.LoadOrStore(id, true); asked {
+			continue
+		}
+		s.exchanges.Go(func() {
+			defer s.asked.Delete(id)
+			s.exchange(ctx, id)
 		})
 	}
-	group.Wait()
+}
+
+// exchange asks the owner of a shard for grants.
+func (s *slots) exchange(ctx context.Context, id worker.ShardID) {
+	sent := s.clock.Now()
+	answer, err := s.acquire(ctx, s.holdings.Request(id))
+	if err != nil {
+		s.counters.Add("Slots.AcquireFailed", 1)
+		return
+	}
+	if s.holdings.Answered(id, sent, answer) {
+		s.serveWaiting()
+	}
 	s.holdings.ClearWants(s.waiting)
 }
 
