Wait for the isolation limit only if the earlier owner could promise

Cause: a member that joined after the owner's claim waited for the isolation limit, 10 minutes, even if the dead owner was the only member and could not go on by promises. Change: an owner goes on by promises only after its shard row says so, which it writes once it has seen another member; a claim is conditional on the row, so the claimant knows. The wait remains if the row says so. Before: the unit test waits 10 minutes; after: AuthorityTerm. Ruled out: two owners at once. Conclusion: replacing the only entry instance of a zone costs seconds.

--- a/internal/decision/ownership/authority.go
+++ b/internal/decision/ownership/authority.go
@@ -33,7 +33,7 @@
 		ready = later(ready, n.lastPromise.Add(term))
 	}
 	joined, _ := n.claimSet.Joined(n.group.self)
-	if joined <= n.row.Base || n.named {
+	if joined <= n.row.Base || n.named || !n.row.EarlierPromising {
 		return ready
 	}
 	// An earlier owner may not know that it needs our promise.
@@ -54,7 +54,7 @@
 // time when one is missing or there is no other member.
 func (n *Node) promisedUntil() time.Time {
 	required := n.required()
-	if len(required) == 0 {
+	if len(required) == 0 || !n.row.Promising {
 		return time.Time{}
 	}
 	until := n.confirmedBegan.Add(n.terms.Isolation)
--- /dev/null
+++ b/internal/decision/ownership/latejoin_test.go
@@ -0,0 +1,62 @@
+package ownership
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
+)
+
+var _ = Describe("A member that joined after the owner's claim", func() {
+	terms := DefaultTerms()
+	start := time.Unix(0, 0)
+
+	// claim lets member b claim the shard of a, which was last heard at the start, and
+	// returns the node and when the claim took effect.
+	claim := func(row ShardRow) (*Node, time.Time) {
+		GinkgoHelper()
+		n := NewGroup("b", terms).Node(worker.ShardID{Zone: "zone-a"})
+		read := TableRead{
+			Shard: row, ShardVersion: 1, MembersVersion: 1,
+			Members: MemberSet{Revision: 2, Members: []Member{{ID: "a", Joined: 1}, {ID: "b", Joined: 2}}},
+		}
+		for now := start; now.Before(start.Add(time.Minute)); now = now.Add(100 * time.Millisecond) {
+			for _, action := range n.Tick(now) {
+				switch action.Kind {
+				case Read:
+					read.Began = now
+					n.TableRead(now, read)
+				case Claim:
+					read.Began, read.Shard, read.ShardVersion = now, action.Row, 2
+					n.WriteResult(now, action, Written, 2)
+					return n, now
+				}
+			}
+		}
+		Fail("no claim")
+		return nil, start
+	}
+
+	expectReadyAfter := func(row ShardRow, wait time.Duration) {
+		GinkgoHelper()
+		n, claimed := claim(row)
+		Expect(n.EndOfPrevious().Sub(claimed)).To(BeNumerically("~", wait, wait/20))
+	}
+
+	row := ShardRow{Owner: "a", Epoch: 1, Settled: true, Claimed: 1, Base: 1}
+
+	// Guards against ten minutes without lent slots when the only member of a zone dies
+	// and is replaced.
+	It("waits for the table's authority only if the owner could not go on by promises", func() {
+		expectReadyAfter(row, terms.Authority)
+	})
+
+	// Guards against two owners: a may go on by the promises of members that b can't reach.
+	It("waits for the isolation limit if the owner could go on by promises", func() {
+		promising := row
+		promising.Promising = true
+		expectReadyAfter(promising, terms.Isolation)
+	})
+})
--- a/internal/decision/ownership/tick.go
+++ b/internal/decision/ownership/tick.go
@@ -66,9 +66,10 @@
 		action.Kind = Release
 		action.Row.Released = true
 		action.Row = settled(action.Row)
-	case n.epoch != 0 && !n.row.Settled && n.hasAuthority(now):
+	case n.epoch != 0 && (!n.row.Settled || n.shouldPromise()) && n.hasAuthority(now):
 		action.Kind = Settle
 		action.Row = settled(action.Row)
+		action.Row.Promising = n.row.Promising || n.shouldPromise()
 	case n.wouldClaim(now) && !now.Before(n.claimAt(now)) && n.rowIsFresh(now):
 		n.move(chart.OwnershipOnClaim)
 		n.claimSent, n.claimSet = now, n.group.read
@@ -109,9 +110,16 @@
 	row.Settled = true
 	row.Base = row.Claimed
 	row.Previous, row.PreviousEpoch = "", 0
+	row.EarlierPromising = false
 	return row
 }
 
+// shouldPromise reports whether the row is to say that the owner may go on by
+// promises.
+func (n *Node) shouldPromise() bool {
+	return !n.row.Promising && len(n.confirmed.Members) > 1
+}
+
 // wouldClaim reports whether this instance is a candidate for a shard that is free
 // or has a silent owner.
 func (n *Node) wouldClaim(now time.Time) bool {
@@ -162,8 +170,10 @@
 	case n.row.Settled:
 		row.Base = n.row.Claimed
 		row.Previous, row.PreviousEpoch = n.row.Owner, n.row.Epoch
+		row.EarlierPromising = n.row.Promising
 	default:
 		row.Base = min(n.row.Base, n.row.Claimed)
+		row.EarlierPromising = n.row.Promising || n.row.EarlierPromising
 	}
 	return row
 }
--- a/internal/decision/ownership/types.go
+++ b/internal/decision/ownership/types.go
@@ -47,6 +47,11 @@
 	Claimed Revision
 	// Base is the lowest Claimed of the owners that may still have authority.
 	Base Revision
+	// Promising reports that the owner may go on by promises when it can't read the
+	// table. It is written once the owner has seen another member.
+	Promising bool
+	// EarlierPromising reports that an owner that may still have authority was Promising.
+	EarlierPromising bool
 	// Previous and PreviousEpoch name the only other owner that may still have
 	// authority; empty when there may be none or several.
 	Previous      membership.InstanceID
