--- a/internal/caller/service/router.go
+++ b/internal/caller/service/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"time"
@@ -21,6 +22,13 @@
 // although no slot was freed. Executors that were avoided may be tried by then.
 const recheckInterval = 50 * time.Millisecond
 
+// A request that finds no slot in hand asks grantWaits more times, grantWait apart. An
+// owner answers a request for slots within a few ms.
+const (
+	grantWait  = 20 * time.Millisecond
+	grantWaits = 5
+)
+
 // Holdings are the slots that this entry instance has in hand. Its methods must
 // not block and must not call the Router.
 type Holdings interface {
@@ -63,8 +71,28 @@
 }
 
 // Acquire lends a slot, waits for one, or fails with *Refusal as soon as the
-// deadline can't be met.
+// deadline can't be met. Without any slot in hand it asks again a few times: a request
+// for slots is under way then, for example because the owner has recalled the last.
 func (r *Router) Acquire(ctx context.Context, need Need) (Slot, error) {
+	for range grantWaits {
+		slot, err := r.acquire(ctx, need)
+		var refusal *Refusal
+		if !errors.As(err, &refusal) || refusal.Reason != Reason(admission.NoSlots) {
+			return slot, err
+		}
+		if need.Immediate || !r.Clock.Now().Add(grantWait).Before(need.Deadline) {
+			return slot, err
+		}
+		select {
+		case <-ctx.Done():
+			return Slot{}, ctx.Err()
+		case <-r.Clock.After(grantWait):
+		}
+	}
+	return r.acquire(ctx, need)
+}
+
+func (r *Router) acquire(ctx context.Context, need Need) (Slot, error) {
 	w := &waiter{need: need, grant: make(chan grant, 1)}
 	id := r.arrive(w)
 	for {
