Remove dead code and simplify two look-ups

Cause: read again as a whole. Group.Left and a field of commit were unused, serves went through a map to find one key, and the experiment built its ledger twice. Change: they are gone or direct; behaviour is unchanged. Measured: build, vet, formatter, linter and the tests of the touched packages pass; the process proofs were not run again after this change.

--- a/internal/decision/ownership/group.go
+++ b/internal/decision/ownership/group.go
@@ -77,12 +77,6 @@
 	}
 }
 
-// Left reports whether the table showed the set without this leaving instance.
-func (g *Group) Left() bool {
-	_, member := g.read.Joined(g.self)
-	return g.leaving && g.hasRead && !member
-}
-
 // tableRead takes in the member row of a table read.
 func (g *Group) tableRead(now time.Time, set MemberSet, version table.Version) {
 	g.hasRead = true
--- a/internal/decision/slots/experiment.go
+++ b/internal/decision/slots/experiment.go
@@ -8,6 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
@@ -174,11 +175,8 @@
 	return time.Unix(0, 0).Add(time.Hour + t.now)
 }
 
-func (t *trial) newLedger(epoch int) *Ledger {
-	l := NewLedger(t.clock(), 1, DefaultTerms(), epoch == 1)
-	if epoch > 1 {
-		l = NewLedger(t.clock(), 2, DefaultTerms(), false)
-	}
+func (t *trial) newLedger(epoch worker.Epoch) *Ledger {
+	l := NewLedger(t.clock(), epoch, DefaultTerms(), epoch == 1)
 	for _, id := range t.names {
 		l.SetExecutor(Executor{
 			ID: id, Service: experimentService, MaxDuration: experimentMaxDuration,
--- a/internal/entry/routing/exchange.go
+++ b/internal/entry/routing/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
@@ -34,31 +35,21 @@
 		Renewals: holder.Renewals(now),
 	}
 	for name, w := range h.wants {
-		if !h.serves(id, string(name)) {
+		if !h.serves(id, name) {
 			continue
 		}
-		slots := min(w.waiting, maxWant)
+		count := min(w.waiting, maxWant)
 		request.Wants = append(request.Wants, grants.Request{
 			Service: string(name), Waiting: w.waiting,
-			Want: grants.Amount{Slots: slots, Connections: slots},
+			Want: grants.Amount{Slots: count, Connections: count},
 		})
 	}
 	return request
 }
 
 // serves reports whether a shard has executors of a service. The lock is held.
-func (h *Holdings) serves(id worker.ShardID, name string) bool {
-	for service, targets := range h.targets {
-		if string(service) != name {
-			continue
-		}
-		for _, t := range targets {
-			if t.shard == id {
-				return true
-			}
-		}
-	}
-	return false
+func (h *Holdings) serves(id worker.ShardID, name manifest.ServiceName) bool {
+	return slices.ContainsFunc(h.targets[name], func(t target) bool { return t.shard == id })
 }
 
 // Answered takes in the answer to a request that was sent at a time. It reports
--- a/internal/entry/shard/records.go
+++ b/internal/entry/shard/records.go
@@ -89,7 +89,6 @@
 	workers   map[membership.InstanceID]workerRow
 	moved     []worker.JobID
 	ended     []worker.JobID
-	rows      int
 }
 
 // settled names a result that is in the table after the commit.
