--- a/internal/backend/worker/worker.go
+++ b/internal/backend/worker/worker.go
@@ -64,7 +64,8 @@
 }
 
 // StartTask asks a worker to start a task. If Checkpoint is set the task resumes
-// from that object.
+// from that object; an object that doesn't exist stands for the beginning. A
+// worker that can't read it for another reason refuses the start.
 type StartTask struct {
 	TaskAttempt
 	Class      string
@@ -105,11 +106,16 @@
 // The lease runs LeaseTerm from the moment at which the worker sent the answer
 // with the counter Basis. A Basis of 0 renews nothing and must carry no commands;
 // it raises the epoch and asks for the state.
+//
+// Starts are refused when more than StartWithin has passed since the worker sent
+// the answer with the counter Basis, so that a delayed request can't start a task
+// after the sender's right to start it has ended.
 type SyncRequest struct {
 	Shard       ShardID
 	Epoch       Epoch
 	Basis       Counter
 	LeaseTerm   time.Duration
+	StartWithin time.Duration
 	Start       []StartTask
 	Stop        []StopTask
 	Throttle    []ThrottleTask
--- /dev/null
+++ b/internal/caller/job/handler.go
@@ -0,0 +1,348 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
+)
+
+// Limits of job requests.
+const (
+	// MaxKey is the longest caller key in bytes.
+	MaxKey = 128
+	// MaxWait is the longest time that a look-up waits for a job to end.
+	MaxWait = 60 * time.Second
+	// maxEnvelope is the size of a submission besides its payload, in bytes.
+	maxEnvelope = 4 << 10
+	// storeTimeout bounds the table accesses of a request.
+	storeTimeout = 5 * time.Second
+	// pollInterval is the time between reads of a job whose end a caller waits for.
+	pollInterval = 250 * time.Millisecond
+	// retryAfter is when callers may come back after a refusal for want of the table.
+	retryAfter = 2 * time.Second
+)
+
+var keyPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+// Destinations chooses the shard of a new job.
+type Destinations interface {
+	// Submission returns a shard in a zone that is in service.
+	Submission(now time.Time) (worker.ShardID, bool)
+}
+
+// Configuration is the manifest in force.
+type Configuration interface {
+	Current() manifest.Published
+}
+
+// Membership is the cached list of instances.
+type Membership interface {
+	Snapshot() membership.Snapshot
+}
+
+// Counters counts events by name.
+type Counters interface {
+	Add(name string, delta int64)
+}
+
+// Handler serves /jobs/<team>/<key>: PUT submits, GET looks up and DELETE cancels.
+type Handler struct {
+	Repository    Repository
+	Destinations  Destinations
+	Configuration Configuration
+	Membership    Membership
+	Counters      Counters
+	Clock         clockwork.Clock
+}
+
+// Answer describes a job to its caller.
+type Answer struct {
+	ID        worker.JobID
+	Team      manifest.TeamName
+	Key       CallerKey
+	State     State
+	Reason    string `json:",omitempty"`
+	Tasks     int
+	Done      int
+	Submitted time.Time
+	// Results are listed once the job has ended.
+	Results []TaskResult `json:",omitempty"`
+}
+
+// Finding is something wrong with a request.
+type Finding struct {
+	Place   string
+	Problem string
+	Fix     string
+}
+
+// Refusal is the body of an answer that refuses a request.
+type Refusal struct {
+	Outcome    string
+	Reason     string
+	Findings   []Finding     `json:",omitempty"`
+	RetryAfter time.Duration `json:",omitempty"`
+}
+
+// Register adds the routes of the handler to a mux.
+func (h *Handler) Register(mux *http.ServeMux) {
+	mux.HandleFunc("PUT /jobs/{team}/{key}", h.submit)
+	mux.HandleFunc("GET /jobs/{team}/{key}", h.find)
+	mux.HandleFunc("DELETE /jobs/{team}/{key}", h.cancel)
+}
+
+func (h *Handler) submit(w http.ResponseWriter, r *http.Request) {
+	current := h.Configuration.Current()
+	spec, findings := decodeSpec(w, r, current.Manifest.Limits)
+	team, key := manifest.TeamName(r.PathValue("team")), CallerKey(r.PathValue("key"))
+	findings = append(findings, h.check(current.Manifest, team, key, spec)...)
+	if len(findings) > 0 {
+		h.refuse(w, http.StatusBadRequest, Refusal{Outcome: "NotRun", Reason: "Invalid", Findings: findings})
+		return
+	}
+	now := h.Clock.Now()
+	shard, ok := h.Destinations.Submission(now)
+	if !ok {
+		h.refuse(w, http.StatusServiceUnavailable, Refusal{Outcome: "NotRun", Reason: "NoZoneInService", RetryAfter: retryAfter})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), storeTimeout)
+	defer cancel()
+	record, created, err := h.Repository.Submit(ctx, Record{
+		ID: NewID(team, key), Team: team, Key: key, Spec: spec, State: Queued,
+		Submitted: now.UTC(), Manifest: current.Version,
+	}, shard)
+	if err != nil {
+		h.refuseStore(w, err)
+		return
+	}
+	status := http.StatusOK
+	if created {
+		status = http.StatusCreated
+		h.Counters.Add("Job.Submitted", 1)
+	} else {
+		h.Counters.Add("Job.KnownKey", 1)
+	}
+	writeJSON(w, status, answer(record))
+}
+
+func (h *Handler) find(w http.ResponseWriter, r *http.Request) {
+	wait, err := parseWait(r.URL.Query().Get("wait"))
+	if err != nil {
+		h.refuse(w, http.StatusBadRequest, Refusal{Outcome: "NotRun", Reason: "Invalid", Findings: []Finding{{
+			Place: "Query.wait", Problem: err.Error(), Fix: fmt.Sprintf("give a duration up to %s, such as 10s", MaxWait),
+		}}})
+		return
+	}
+	deadline := h.Clock.Now().Add(wait)
+	for {
+		record, err := h.lookUp(r)
+		if err != nil {
+			h.refuseStore(w, err)
+			return
+		}
+		if record.State.IsFinal() || record.State == Parked || !h.Clock.Now().Before(deadline) {
+			h.writeRecord(w, r, record)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-h.Clock.After(pollInterval):
+		}
+	}
+}
+
+func (h *Handler) lookUp(r *http.Request) (Record, error) {
+	ctx, cancel := context.WithTimeout(r.Context(), storeTimeout)
+	defer cancel()
+	return h.Repository.Find(ctx, manifest.TeamName(r.PathValue("team")), CallerKey(r.PathValue("key")))
+}
+
+func (h *Handler) writeRecord(w http.ResponseWriter, r *http.Request, record Record) {
+	body := answer(record)
+	if record.State.IsFinal() {
+		ctx, cancel := context.WithTimeout(r.Context(), storeTimeout)
+		defer cancel()
+		results, err := h.Repository.Results(ctx, record.ID)
+		if err != nil {
+			h.refuseStore(w, err)
+			return
+		}
+		body.Results = results
+	}
+	writeJSON(w, http.StatusOK, body)
+}
+
+func (h *Handler) cancel(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), storeTimeout)
+	defer cancel()
+	err := h.Repository.Cancel(ctx, manifest.TeamName(r.PathValue("team")), CallerKey(r.PathValue("key")))
+	if err != nil {
+		h.refuseStore(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// check returns what is wrong with a submission.
+func (h *Handler) check(m manifest.Manifest, team manifest.TeamName, key CallerKey, spec Spec) []Finding {
+	var findings []Finding
+	add := func(place, problem, fix string) {
+		findings = append(findings, Finding{Place: place, Problem: problem, Fix: fix})
+	}
+	if len(key) > MaxKey || !keyPattern.MatchString(string(key)) {
+		add("Path.key", fmt.Sprintf("%q is not a valid key", key),
+			fmt.Sprintf("use up to %d letters, digits, dots, dashes or underscores", MaxKey))
+	}
+	if !hasTeam(m, team) {
+		add("Path.team", fmt.Sprintf("the manifest has no team %q", team), "use a team of the manifest in force")
+	}
+	if spec.Priority != Normal && spec.Priority != Urgent {
+		add("Priority", fmt.Sprintf("%q is not a priority", spec.Priority), "use Normal or Urgent")
+	}
+	if spec.Tasks < 1 || m.Limits.MaxTasksPerJob > 0 && spec.Tasks > m.Limits.MaxTasksPerJob {
+		add("Tasks", fmt.Sprintf("%d tasks", spec.Tasks), fmt.Sprintf("ask for 1 to %d tasks", m.Limits.MaxTasksPerJob))
+	}
+	class, ok := findClass(m, spec.Class)
+	if !ok {
+		add("Class", fmt.Sprintf("the manifest has no class %q", spec.Class), "use a class of the manifest in force")
+		return findings
+	}
+	if class.Team != team {
+		add("Class", fmt.Sprintf("class %q belongs to team %q", class.Name, class.Team), "use a class of this team")
+	}
+	if !h.fitsAnyWorker(class.Resources) {
+		add("Class", fmt.Sprintf("a task of class %q needs more than any worker has", class.Name),
+			"declare smaller tasks in the manifest")
+	}
+	return findings
+}
+
+// fitsAnyWorker reports whether a worker is large enough, or none is known yet.
+func (h *Handler) fitsAnyWorker(need resource.Vector) bool {
+	known := false
+	for _, instance := range h.Membership.Snapshot().Instances {
+		if instance.Kind != membership.Worker {
+			continue
+		}
+		known = true
+		if need.FitsIn(instance.Capacity) {
+			return true
+		}
+	}
+	return !known
+}
+
+func hasTeam(m manifest.Manifest, name manifest.TeamName) bool {
+	for _, team := range m.Teams {
+		if team.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func findClass(m manifest.Manifest, name manifest.ClassName) (manifest.Class, bool) {
+	for _, class := range m.Classes {
+		if class.Name == name {
+			return class, true
+		}
+	}
+	return manifest.Class{}, false
+}
+
+func decodeSpec(w http.ResponseWriter, r *http.Request, limits manifest.Limits) (Spec, []Finding) {
+	var spec Spec
+	limit := int64(limits.MaxPayload) + maxEnvelope
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&spec); err != nil {
+		return spec, []Finding{bodyFinding(err, limit)}
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return spec, []Finding{{Place: "Body", Problem: "data after the JSON object", Fix: "send one JSON object"}}
+	}
+	if spec.Priority == "" {
+		spec.Priority = Normal
+	}
+	return spec, nil
+}
+
+func bodyFinding(err error, limit int64) Finding {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return Finding{
+			Place: "Body", Problem: fmt.Sprintf("larger than %d bytes", limit),
+			Fix: "send a smaller payload, or raise Limits.MaxPayload in the manifest",
+		}
+	}
+	return Finding{Place: "Body", Problem: err.Error(), Fix: "send a JSON object with the fields of a job"}
+}
+
+func parseWait(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, fmt.Errorf("%q is not a duration", text)
+	}
+	if wait < 0 || wait > MaxWait {
+		return 0, fmt.Errorf("%s is not between 0s and %s", wait, MaxWait)
+	}
+	return wait, nil
+}
+
+// refuseStore answers an error of the repository.
+func (h *Handler) refuseStore(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, ErrNotFound):
+		h.refuse(w, http.StatusNotFound, Refusal{Outcome: "NotRun", Reason: "NotFound"})
+	case errors.Is(err, table.ErrOutcomeUnknown):
+		// A repeat with the same key is the same job, so the caller may simply repeat.
+		h.refuse(w, http.StatusServiceUnavailable, Refusal{Outcome: "Unknown", Reason: "StoreAnswerLost", RetryAfter: retryAfter})
+	default:
+		h.refuse(w, http.StatusServiceUnavailable, Refusal{Outcome: "NotRun", Reason: "StoreUnavailable", RetryAfter: retryAfter})
+	}
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, status int, refusal Refusal) {
+	h.Counters.Add("Job.Refused."+refusal.Reason, 1)
+	w.Header().Set("Jacinthtrail-Outcome", refusal.Outcome)
+	w.Header().Set("Jacinthtrail-Reason", refusal.Reason)
+	if refusal.RetryAfter > 0 {
+		seconds := int64((refusal.RetryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+		w.Header().Set("Jacinthtrail-Retry-After", refusal.RetryAfter.String())
+	}
+	writeJSON(w, status, refusal)
+}
+
+func answer(record Record) Answer {
+	return Answer{
+		ID: record.ID, Team: record.Team, Key: record.Key, State: record.State, Reason: record.Reason,
+		Tasks: record.Spec.Tasks, Done: record.Done.Len(), Submitted: record.Submitted,
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(status)
+	// The caller may be gone; there is no one else to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/internal/caller/job/repository.go
@@ -0,0 +1,162 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
+)
+
+// ErrNotFound reports that a team has no job with a key.
+var ErrNotFound = errors.New("job: not found")
+
+// maxMoveRetries bounds how often a look-up or a cancellation follows a job that
+// moves to another shard meanwhile.
+const maxMoveRetries = 3
+
+// Repository reads and writes jobs in the table.
+type Repository struct {
+	Store table.Store
+	Clock clockwork.Clock
+}
+
+// Submit makes a job durable and tells its shard. If the team already has a job
+// with the key, Submit changes nothing and returns that job with created false.
+func (r Repository) Submit(ctx context.Context, record Record, shard worker.ShardID) (stored Record, created bool, err error) {
+	tx, err := submission(record, shard)
+	if err != nil {
+		return Record{}, false, err
+	}
+	_, err = table.CommitResolved(ctx, r.Store, r.Clock, tx)
+	if errors.Is(err, table.ErrConflict) {
+		stored, err = r.Find(ctx, record.Team, record.Key)
+		return stored, false, err
+	}
+	if err != nil {
+		return Record{}, false, fmt.Errorf("submit job %s: %w", record.ID, err)
+	}
+	return record, true, nil
+}
+
+func submission(record Record, shard worker.ShardID) (table.Transaction, error) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return table.Transaction{}, fmt.Errorf("encode job %s: %w", record.ID, err)
+	}
+	location, err := json.Marshal(Location{ID: record.ID, Shard: shard})
+	if err != nil {
+		return table.Transaction{}, fmt.Errorf("encode the location of job %s: %w", record.ID, err)
+	}
+	notice, err := json.Marshal(InboxEntry{Kind: InboxJob, Job: record.ID})
+	if err != nil {
+		return table.Transaction{}, fmt.Errorf("encode an inbox entry for job %s: %w", record.ID, err)
+	}
+	id := uuid.NewString()
+	return table.Transaction{
+		ID:         table.TransactionID(id),
+		Conditions: []table.Condition{{Key: KeyRow(record.Team, record.Key)}},
+		Writes: []table.Write{
+			{Key: KeyRow(record.Team, record.Key), Value: location},
+			{Key: RecordRow(shard, record.ID), Value: value},
+			{Key: InboxRow(shard, id), Value: notice},
+		},
+	}, nil
+}
+
+// locate returns where a job's record is and the version of the row that says so.
+func (r Repository) locate(ctx context.Context, team manifest.TeamName, key CallerKey) (Location, table.Version, error) {
+	rows, err := r.Store.Read(ctx, KeyRow(team, key))
+	if err != nil {
+		return Location{}, 0, fmt.Errorf("look up job %s/%s: %w", team, key, err)
+	}
+	if rows[0].Version == 0 {
+		return Location{}, 0, fmt.Errorf("%w: team %s has no job %q", ErrNotFound, team, key)
+	}
+	var location Location
+	if err := json.Unmarshal(rows[0].Value, &location); err != nil {
+		return Location{}, 0, fmt.Errorf("row %s: %w", rows[0].Key, err)
+	}
+	return location, rows[0].Version, nil
+}
+
+// Find returns the record of a team's job, or ErrNotFound.
+func (r Repository) Find(ctx context.Context, team manifest.TeamName, key CallerKey) (Record, error) {
+	for range maxMoveRetries {
+		location, _, err := r.locate(ctx, team, key)
+		if err != nil {
+			return Record{}, err
+		}
+		rows, err := r.Store.Read(ctx, RecordRow(location.Shard, location.ID))
+		if err != nil {
+			return Record{}, fmt.Errorf("read job %s: %w", location.ID, err)
+		}
+		if rows[0].Version != 0 {
+			return DecodeRecord(rows[0])
+		}
+		// The job moved to another shard between the two reads.
+	}
+	return Record{}, fmt.Errorf("read job %s/%s: %w", team, key, table.ErrUnavailable)
+}
+
+// Cancel tells the job's shard to cancel it. Cancelling a job that has ended
+// changes nothing.
+func (r Repository) Cancel(ctx context.Context, team manifest.TeamName, key CallerKey) error {
+	for range maxMoveRetries {
+		location, version, err := r.locate(ctx, team, key)
+		if err != nil {
+			return err
+		}
+		notice, err := json.Marshal(InboxEntry{Kind: InboxCancel, Job: location.ID})
+		if err != nil {
+			return fmt.Errorf("encode an inbox entry for job %s: %w", location.ID, err)
+		}
+		id := uuid.NewString()
+		_, err = table.CommitResolved(ctx, r.Store, r.Clock, table.Transaction{
+			ID: table.TransactionID(id),
+			// The condition fails if the job moves, since the inbox would be the wrong one.
+			Conditions: []table.Condition{{Key: KeyRow(team, key), Version: version}},
+			Writes:     []table.Write{{Key: InboxRow(location.Shard, id), Value: notice}},
+		})
+		if errors.Is(err, table.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("cancel job %s: %w", location.ID, err)
+		}
+		return nil
+	}
+	return fmt.Errorf("cancel job %s/%s: it keeps moving: %w", team, key, table.ErrUnavailable)
+}
+
+// Results returns the recorded results of a job by index.
+func (r Repository) Results(ctx context.Context, id worker.JobID) ([]TaskResult, error) {
+	var results []TaskResult
+	after := table.Key("")
+	for {
+		rows, err := r.Store.Scan(ctx, ResultPrefix(id), after, resultPage)
+		if err != nil {
+			return nil, fmt.Errorf("read the results of job %s: %w", id, err)
+		}
+		for _, row := range rows {
+			var batch []TaskResult
+			if err := json.Unmarshal(row.Value, &batch); err != nil {
+				return nil, fmt.Errorf("row %s: %w", row.Key, err)
+			}
+			results = append(results, batch...)
+		}
+		if len(rows) < resultPage {
+			return results, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// resultPage is the number of result rows that one scan asks for.
+const resultPage = 100
--- /dev/null
+++ b/internal/cmd/explain/explain.go
@@ -0,0 +1,75 @@
+// Package explain has the command that tells what became of a task, job or
+// request and why.
+package explain
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/operatorflags"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/control"
+)
+
+// Options are the settings of the command.
+type Options struct {
+	operatorflags.Flags
+	Factory *factory.Factory
+	Kind    control.Kind
+	ID      string
+}
+
+// NewCmd returns the command. Tests replace its run function with runF.
+func NewCmd(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{Factory: f}
+	if runF == nil {
+		runF = run
+	}
+	cmd := &cobra.Command{
+		Use:   "explain {task|job|request} <id>",
+		Short: "Tell what was decided about a task, job or request, and why",
+		Example: "  $ jacinthtrail explain task 4f0c8a6d9b1e2f3a4f0c8a6d9b1e2f3a/0\n" +
+			"  $ jacinthtrail explain job 4f0c8a6d9b1e2f3a4f0c8a6d9b1e2f3a --json",
+		Args: cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := opts.Check(cmd, f); err != nil {
+				return err
+			}
+			opts.Kind, opts.ID = control.Kind(args[0]), args[1]
+			switch opts.Kind {
+			case control.Task, control.Job, control.Request:
+				return runF(cmd.Context(), opts)
+			}
+			return fmt.Errorf("%q can't be explained; use task, job or request", args[0])
+		},
+	}
+	opts.Add(cmd)
+	return cmd
+}
+
+func run(ctx context.Context, opts *Options) error {
+	ctx, cancel := context.WithTimeout(ctx, opts.Timeout)
+	defer cancel()
+	answer, err := opts.Client().Explain(ctx, opts.Kind, opts.ID)
+	if err != nil {
+		return err
+	}
+	out := opts.Factory.IO.Out
+	if opts.JSON {
+		return operatorflags.PrintJSON(out, answer)
+	}
+	fmt.Fprintf(out, "%s %s %s\n", answer.Kind, answer.ID, answer.State)
+	for _, event := range answer.Events {
+		facts, err := json.Marshal(event.Facts)
+		if err != nil {
+			return fmt.Errorf("encode the facts: %w", err)
+		}
+		fmt.Fprintf(out, "%s  %s  %s  %s  manifest %d  %s\n", event.At.Format(time.RFC3339Nano),
+			event.Instance, event.What, event.Reason, event.Manifest, facts)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cmd/root/commands.go
@@ -0,0 +1,38 @@
+package root
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/explain"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/manifestpublish"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/manifestshow"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/serve"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/standinexecutor"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/standinplatform"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/standinworker"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/status"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/zonein"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/zonelist"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/zoneout"
+)
+
+// addCommands attaches the subcommands, in groups where several act on one thing.
+func addCommands(root *cobra.Command, f *factory.Factory) {
+	root.AddCommand(serve.NewCmd(f, nil), status.NewCmd(f, nil), explain.NewCmd(f, nil))
+	root.AddCommand(group("manifest", "Check, publish and show manifests",
+		"  $ jacinthtrail manifest check examples/umhlanga.json",
+		manifestpublish.NewCmd(f, nil), manifestshow.NewCmd(f, nil)))
+	root.AddCommand(group("zone", "Take availability zones out of service and bring them back",
+		"  $ jacinthtrail zone out kzn-bal",
+		zoneout.NewCmd(f, nil), zonein.NewCmd(f, nil), zonelist.NewCmd(f, nil)))
+	root.AddCommand(group("standin", "Run stand-ins of outside systems for tests and demonstrations",
+		"  $ jacinthtrail standin platform --address 127.0.0.1:7400",
+		standinplatform.NewCmd(f, nil), standinworker.NewCmd(f, nil), standinexecutor.NewCmd(f, nil)))
+}
+
+func group(name, short, example string, commands ...*cobra.Command) *cobra.Command {
+	cmd := &cobra.Command{Use: name + " <command>", Short: short, Example: example}
+	cmd.AddCommand(commands...)
+	return cmd
+}
--- a/internal/cmd/root/root.go
+++ b/internal/cmd/root/root.go
@@ -30,6 +30,7 @@
 	cmd.SetIn(f.IO.In)
 	cmd.SetOut(f.IO.Out)
 	cmd.SetErr(f.IO.ErrOut)
+	addCommands(cmd, f)
 	return cmd
 }
 
--- /dev/null
+++ b/internal/cmd/serve/serve.go
@@ -0,0 +1,93 @@
+// Package serve has the command that runs an entry instance.
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/settings"
+	"github.com/jacinthtrail/jacinthtrail/internal/entry/instance"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// Options are the settings of the command.
+type Options struct {
+	Factory  *factory.Factory
+	Settings instance.Settings
+	LogLevel string
+}
+
+// NewCmd returns the command. Tests replace its run function with runF.
+func NewCmd(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{Factory: f}
+	if runF == nil {
+		runF = run
+	}
+	var id, zone, region string
+	cmd := &cobra.Command{
+		Use:   "serve",
+		Short: "Run an entry instance",
+		Long: "Run an entry instance. Every flag can also be given as an environment variable, " +
+			"for example JACINTHTRAIL_CALLER_ADDRESS for --caller-address. The command prints the addresses " +
+			"that it listens on as one line of JSON. SIGTERM starts a graceful stop.",
+		Example: "  $ jacinthtrail serve --id entry-1 --zone kzn-dbn --region kzn --platform 127.0.0.1:7400",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := settings.Apply(cmd, f.LookupEnv); err != nil {
+				return err
+			}
+			opts.Settings.ID = membership.InstanceID(id)
+			opts.Settings.Zone = membership.Zone(zone)
+			opts.Settings.Region = membership.Region(region)
+			if err := opts.check(); err != nil {
+				return err
+			}
+			return runF(cmd.Context(), opts)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&id, "id", "", "`id` of the instance; a replacement needs a new one")
+	flags.StringVar(&zone, "zone", "", "availability `zone` of the instance")
+	flags.StringVar(&region, "region", "", "`region` of the instance")
+	flags.StringVar(&opts.Settings.CallerAddress, "caller-address", "127.0.0.1:7401", "`address` for callers")
+	flags.StringVar(&opts.Settings.OperatorAddress, "operator-address", "127.0.0.1:7402", "`address` for operators")
+	flags.StringVar(&opts.Settings.PeerAddress, "peer-address", "127.0.0.1:7403", "`address` for other entry instances")
+	flags.StringVar(&opts.Settings.Platform, "platform", "127.0.0.1:7400", "`address` of the platform's services")
+	flags.StringSliceVar(&opts.Settings.Peers, "peers", nil, "peer `addresses` to ask when the platform can't be reached")
+	flags.DurationVar(&opts.Settings.DrainTimeout, "drain-timeout", instance.DefaultDrainTimeout, "longest wait for requests and feeds in flight at a planned stop")
+	flags.StringVar(&opts.LogLevel, "log-level", "info", "lowest `level` that is logged: debug, info, warn or error")
+	return cmd
+}
+
+func (o *Options) check() error {
+	var findings settings.Findings
+	o.Settings.Check(findings.Add)
+	if _, err := zerolog.ParseLevel(o.LogLevel); err != nil {
+		findings.Add("log-level", fmt.Sprintf("%q is not a level", o.LogLevel), "use debug, info, warn or error")
+	}
+	return findings.Err()
+}
+
+func run(ctx context.Context, opts *Options) error {
+	level, err := zerolog.ParseLevel(opts.LogLevel)
+	if err != nil {
+		return err
+	}
+	log := zerolog.New(opts.Factory.IO.ErrOut).Level(level).With().
+		Timestamp().Str("Instance", string(opts.Settings.ID)).Str("Zone", string(opts.Settings.Zone)).Logger()
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	entry, err := instance.Listen(opts.Settings, opts.Factory.Clock, log)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(opts.Factory.IO.Out).Encode(entry.Addresses()); err != nil {
+		return err
+	}
+	return entry.Run(ctx)
+}
--- a/internal/cmd/standinexecutor/standinexecutor.go
+++ b/internal/cmd/standinexecutor/standinexecutor.go
@@ -34,6 +34,9 @@
 	// HostAddress is the host:port of the worker on the executor's instance, which
 	// gets the usage each second; empty means none.
 	HostAddress string
+	// AnnounceAddress is the host:port to announce if it isn't the one that the process
+	// listens on, for example that of a proxy.
+	AnnounceAddress string
 	// JournalFile receives the journal as JSON lines; empty means none.
 	JournalFile string
 }
@@ -76,6 +79,7 @@
 	flags.Int64Var((*int64)(&instance.Capacity.Memory), "memory", 0, "bytes of memory reserved on the host")
 	flags.StringVar(&o.Platform, "platform", "", "host:port of the platform")
 	flags.StringVar(&o.HostAddress, "host-address", "", "host:port of the worker that gets the usage")
+	flags.StringVar(&o.AnnounceAddress, "announce-address", "", "host:port to announce (default: the one that the process listens on)")
 	flags.StringVar(&o.JournalFile, "journal-file", "", "file to append the journal to")
 }
 
@@ -118,6 +122,9 @@
 	}
 	instance := o.Instance
 	instance.Address = listener.Addr().String()
+	if o.AnnounceAddress != "" {
+		instance.Address = o.AnnounceAddress
+	}
 	loop := announce.Loop{
 		Clock:    o.Factory.Clock,
 		Instance: func() membership.Instance { return e.Describe(instance) },
--- a/internal/cmd/standinworker/standinworker.go
+++ b/internal/cmd/standinworker/standinworker.go
@@ -31,6 +31,9 @@
 	// Platform is the host:port of the platform; empty for a worker without
 	// membership and object store.
 	Platform string
+	// AnnounceAddress is the host:port to announce if it isn't the one that the process
+	// listens on, for example that of a proxy.
+	AnnounceAddress string
 	// JournalFile receives the journal as JSON lines; empty means none.
 	JournalFile string
 }
@@ -70,6 +73,7 @@
 	flags.Int64Var((*int64)(&capacity.Memory), "memory", 60e9, "bytes of memory")
 	flags.Int64Var((*int64)(&capacity.Accelerators), "accelerators", 0, "accelerators")
 	flags.StringVar(&o.Platform, "platform", "", "host:port of the platform")
+	flags.StringVar(&o.AnnounceAddress, "announce-address", "", "host:port to announce (default: the one that the process listens on)")
 	flags.StringVar(&o.JournalFile, "journal-file", "", "file to append the journal to")
 }
 
@@ -104,6 +108,9 @@
 	}
 	instance := o.Instance
 	instance.Address = listener.Addr().String()
+	if o.AnnounceAddress != "" {
+		instance.Address = o.AnnounceAddress
+	}
 	loop := announce.Loop{
 		Clock:    o.Factory.Clock,
 		Instance: func() membership.Instance { return w.Describe(instance) },
--- /dev/null
+++ b/internal/entry/configuration/holder.go
@@ -0,0 +1,50 @@
+// Package configuration keeps the manifest that is in force on an entry instance,
+// reads newer ones from the table and publishes new ones.
+package configuration
+
+import (
+	"sync"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
+)
+
+// Holder keeps the manifest in force. Its version never goes down. The zero value
+// holds no manifest (Version 0).
+type Holder struct {
+	mu      sync.RWMutex
+	current manifest.Published
+	changed chan struct{}
+}
+
+// Current returns the manifest in force; its Version is 0 before the first one.
+func (h *Holder) Current() manifest.Published {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.current
+}
+
+// Offer puts a manifest in force if it is newer than the current one, and reports
+// whether it did.
+func (h *Holder) Offer(p manifest.Published) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p.Version <= h.current.Version {
+		return false
+	}
+	h.current = p
+	if h.changed != nil {
+		close(h.changed)
+		h.changed = nil
+	}
+	return true
+}
+
+// Changed returns a channel that is closed when a newer manifest is in force.
+func (h *Holder) Changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.changed == nil {
+		h.changed = make(chan struct{})
+	}
+	return h.changed
+}
--- /dev/null
+++ b/internal/entry/instance/routing.go
@@ -0,0 +1,56 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/executor"
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/service"
+	"github.com/jacinthtrail/jacinthtrail/internal/entry/routing"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/control"
+)
+
+// slots is the instance's part of the routing of service requests.
+type slots struct {
+	*Instance
+	router routing.Router
+}
+
+func newSlots(i *Instance) *slots {
+	s := &slots{Instance: i}
+	s.router.Clock = i.clock
+	s.router.Counters = i.counters
+	s.router.Hand = &routing.Share{Zone: i.settings.Zone, Membership: i.members}
+	return s
+}
+
+func (s *slots) run(ctx context.Context) error {
+	return s.router.Run(ctx)
+}
+
+func (s *slots) registerMethods() {}
+
+func (s *slots) returnAll(context.Context) {}
+
+// serviceHandler returns the handler of service requests.
+func (i *Instance) serviceHandler() *service.Handler {
+	return service.NewHandler(service.Config{
+		Slots:     &i.slots.router,
+		Sender:    routing.Sender{Client: &executor.Client{Clock: i.clock}},
+		Manifests: &i.config,
+		Governor:  &i.slots.router,
+		Counters:  i.counters,
+		Recorder:  recorder{i},
+		Clock:     i.clock,
+	})
+}
+
+// Record keeps a decision about a service request for Explain.
+func (r recorder) Record(d service.Decision) {
+	r.explanations.Add(control.Request, d.Request, control.Event{
+		At: d.Time.UTC(), Instance: r.settings.ID, What: d.Action, Reason: string(d.Reason),
+		Manifest: d.Manifest, Facts: d.Facts,
+	})
+}
+
+func (i *Instance) registerTickets(*http.ServeMux) {}
--- /dev/null
+++ b/internal/entry/instance/settings.go
@@ -0,0 +1,75 @@
+// Package instance assembles an entry instance: the addresses that callers, peers
+// and operators use, the shards that it owns and the loops that keep it informed.
+package instance
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// Settings of an entry instance.
+type Settings struct {
+	ID     membership.InstanceID
+	Zone   membership.Zone
+	Region membership.Region
+	// CallerAddress, PeerAddress and OperatorAddress are where the instance listens:
+	// IP number and port; port 0 takes a free one.
+	CallerAddress   string
+	PeerAddress     string
+	OperatorAddress string
+	// Platform is the address of the platform's services.
+	Platform string
+	// Peers are addresses of other entry instances to ask when the platform can't be reached.
+	Peers []string
+	// DrainTimeout bounds the wait for requests and feeds in flight at a planned stop.
+	DrainTimeout time.Duration
+}
+
+// DefaultDrainTimeout is longer than the longest feed that a manifest allows.
+const DefaultDrainTimeout = time.Hour
+
+// Check reports everything that is wrong with the settings, each with the name of
+// its flag.
+func (s Settings) Check(report func(flag, problem, fix string)) {
+	if s.ID == "" {
+		report("id", "it is empty", "give the instance's id; a replacement needs a new one")
+	}
+	if s.Zone == "" {
+		report("zone", "it is empty", "give the instance's availability zone")
+	}
+	if s.Region == "" {
+		report("region", "it is empty", "give the instance's region")
+	}
+	for flag, address := range map[string]string{
+		"caller-address":   s.CallerAddress,
+		"peer-address":     s.PeerAddress,
+		"operator-address": s.OperatorAddress,
+		"platform":         s.Platform,
+	} {
+		if err := checkAddress(address); err != nil {
+			report(flag, err.Error(), "give an IP number and a port, such as 127.0.0.1:7401")
+		}
+	}
+	for _, address := range s.Peers {
+		if err := checkAddress(address); err != nil {
+			report("peers", err.Error(), "give IP numbers with ports, separated by commas")
+		}
+	}
+	if s.DrainTimeout < 0 {
+		report("drain-timeout", "it is negative", "give a duration such as 10m")
+	}
+}
+
+func checkAddress(address string) error {
+	if address == "" {
+		return errors.New("it is empty")
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return fmt.Errorf("%q is not an IP number with a port", address)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/integration/proof/deployment_test.go
@@ -0,0 +1,329 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/job"
+	"github.com/jacinthtrail/jacinthtrail/internal/entry/instance"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/control"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/zone"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/httpserver"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/platform"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/proxy"
+	"github.com/jacinthtrail/jacinthtrail/internal/standin/worker"
+)
+
+const (
+	// readyBound is the time in which a started deployment must be ready.
+	readyBound = 20 * time.Second
+	// configBound is the stated time in which a manifest is in force everywhere.
+	configBound = 11 * time.Second
+)
+
+// zones of the test deployment.
+const (
+	zoneA = "zone-a"
+	zoneB = "zone-b"
+)
+
+// deployment is a set of processes: the platform, entry instances, workers and
+// executors.
+type deployment struct {
+	directory string
+	platform  *process
+	address   string
+	entries   map[string]*entryProcess
+	workers   map[string]*workerProcess
+	executors map[string]*executorProcess
+}
+
+// executorProcess is a stand-in executor behind a proxy.
+type executorProcess struct {
+	*process
+	id      string
+	address string
+	proxy   *proxy.Proxy
+	journal string
+}
+
+// entryProcess is an entry instance. Its platform traffic passes through a proxy.
+type entryProcess struct {
+	*process
+	instance.Addresses
+	platform *proxy.Proxy
+}
+
+// workerProcess is a stand-in worker behind a proxy.
+type workerProcess struct {
+	*process
+	id      string
+	address string
+	proxy   *proxy.Proxy
+	journal string
+}
+
+// deploy starts the platform.
+func deploy() *deployment {
+	GinkgoHelper()
+	d := &deployment{
+		directory: GinkgoT().TempDir(),
+		entries:   map[string]*entryProcess{},
+		workers:   map[string]*workerProcess{},
+		executors: map[string]*executorProcess{},
+	}
+	var ready httpserver.Ready
+	d.platform = start(&ready, "standin", "platform", "--address", "127.0.0.1:0")
+	d.address = ready.Address
+	return d
+}
+
+func newProxy(target string) *proxy.Proxy {
+	GinkgoHelper()
+	p, err := proxy.New(target)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(p.Close)
+	return p
+}
+
+// startEntry starts an entry instance in a zone.
+func (d *deployment) startEntry(id, zoneName string, args ...string) *entryProcess {
+	GinkgoHelper()
+	e := &entryProcess{platform: newProxy(d.address)}
+	e.process = start(&e.Addresses, append([]string{
+		"serve", "--id", id, "--zone", zoneName, "--region", "region-" + zoneName,
+		"--caller-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0",
+		"--platform", e.platform.Address(), "--drain-timeout", "20s",
+	}, args...)...)
+	d.entries[id] = e
+	return e
+}
+
+// startWorker starts a worker with 4 processors and 8 GB in a zone.
+func (d *deployment) startWorker(id, zoneName string) *workerProcess {
+	GinkgoHelper()
+	w := &workerProcess{id: id, journal: filepath.Join(d.directory, id+".jsonl")}
+	w.proxy = newProxy("")
+	var ready httpserver.Ready
+	w.process = start(&ready, "standin", "worker", "--id", id, "--zone", zoneName, "--region", "region-"+zoneName,
+		"--rack", "rack-"+zoneName, "--processors", "4000", "--memory", "8000000000",
+		"--platform", d.address, "--announce-address", w.proxy.Address(), "--journal-file", w.journal)
+	w.address = ready.Address
+	w.proxy.SetTarget(ready.Address)
+	d.workers[id] = w
+	return w
+}
+
+// startExecutor starts an executor of the service desk on a worker of the zone.
+func (d *deployment) startExecutor(id, zoneName, host string) *executorProcess {
+	GinkgoHelper()
+	e := &executorProcess{id: id, journal: filepath.Join(d.directory, id+".jsonl"), proxy: newProxy("")}
+	var ready httpserver.Ready
+	e.process = start(&ready, "standin", "executor", "--id", id, "--zone", zoneName, "--region", "region-"+zoneName,
+		"--host", host, "--service", "desk", "--slots", "8", "--connections", "64", "--processors", "1000", "--memory", "1000000000",
+		"--platform", d.address, "--announce-address", e.proxy.Address(), "--journal-file", e.journal)
+	e.address = ready.Address
+	e.proxy.SetTarget(ready.Address)
+	d.executors[id] = e
+	return e
+}
+
+// entry returns a running entry instance by id.
+func (d *deployment) entry(id string) *entryProcess {
+	GinkgoHelper()
+	Expect(d.entries).To(HaveKey(id))
+	return d.entries[id]
+}
+
+// control returns a client of an instance's operator API.
+func (e *entryProcess) control() control.Client {
+	return control.Client{Address: e.Operator}
+}
+
+// testManifest declares the zones, a service and a job class of the tests.
+func testManifest() manifest.Manifest {
+	return manifest.Manifest{
+		Zones: []manifest.Zone{
+			{Name: zoneA, Region: "region-zone-a"},
+			{Name: zoneB, Region: "region-zone-b"},
+		},
+		Services: []manifest.Service{{
+			Name: "desk", Target: manifest.Duration(100 * time.Millisecond), MaxDuration: manifest.Duration(2 * time.Second),
+			FirstByteTimeout: manifest.Duration(time.Second), IdleTimeout: manifest.Duration(time.Second),
+			MaxFeedDuration: manifest.Duration(time.Minute), RetryShare: 100, HedgePercentile: 99, ErrorBudget: 10, MaxBody: 1 << 20,
+		}},
+		Classes: []manifest.Class{{
+			Name: "build", Team: "rotas", Resources: resource.Vector{Processors: 1000, Memory: 1e9},
+			ExpectedDuration: manifest.Duration(time.Second), Checkpointable: true, MaxAttempts: 3,
+		}},
+		Teams: []manifest.Team{{
+			Name: "rotas", Quota: resource.Vector{Processors: 1e6, Memory: 1e12},
+			UrgentQuota: resource.Vector{Processors: 1e6, Memory: 1e12}, Weight: 1,
+		}},
+		Limits: manifest.Limits{
+			ShardsPerZone: 1, MaxQueuedJobs: 1000, MaxTasksPerJob: 1000, MaxPayload: 64 << 10, MaxResult: 64 << 10,
+			ReturnRamp: manifest.Duration(2 * time.Second), IsolationLimit: manifest.Duration(10 * time.Minute),
+			MaxCallerKeyAge: manifest.Duration(24 * time.Hour),
+		},
+	}
+}
+
+// publish publishes the test manifest through an instance and waits until it is
+// in force everywhere.
+func (d *deployment) publish(through *entryProcess) {
+	GinkgoHelper()
+	Eventually(func(g Gomega) {
+		ctx, cancel := context.WithTimeout(context.Background(), configBound)
+		defer cancel()
+		current, err := through.control().Manifest(ctx)
+		g.Expect(err).NotTo(HaveOccurred())
+		answer, err := through.control().Publish(ctx, testManifest(), current.Version, "test", configBound)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Missing).To(BeEmpty())
+	}).WithTimeout(readyBound).Should(Succeed())
+}
+
+// expectReady waits until an instance tells the balancer that it is ready.
+func (e *entryProcess) expectReady() {
+	GinkgoHelper()
+	Eventually(func(g Gomega) {
+		response, err := http.Get("http://" + e.Caller + "/ready")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(response.Body.Close()).To(Succeed())
+		g.Expect(response.StatusCode).To(Equal(http.StatusNoContent))
+	}).WithTimeout(readyBound).Should(Succeed())
+}
+
+// expectOwner waits until an instance of the zone runs the zone's shard, and
+// returns it.
+func (d *deployment) expectOwner(zoneName string, bound time.Duration) *entryProcess {
+	GinkgoHelper()
+	var owner *entryProcess
+	Eventually(func(g Gomega) {
+		for _, e := range d.entries {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			status, err := e.control().Status(ctx)
+			cancel()
+			if err != nil || string(status.Zone) != zoneName {
+				continue
+			}
+			for _, shard := range status.Shards {
+				if shard.State == "Owned" {
+					owner = e
+				}
+			}
+		}
+		g.Expect(owner).NotTo(BeNil(), "no instance of %s owns its shard", zoneName)
+	}).WithTimeout(bound).Should(Succeed())
+	return owner
+}
+
+// payload is what the stand-in worker simulates.
+type payload struct {
+	Work     time.Duration
+	Observed resource.Vector
+	Result   string
+}
+
+// submit submits a job of the class build.
+func (e *entryProcess) submit(key string, tasks int, p payload) {
+	GinkgoHelper()
+	raw, err := json.Marshal(p)
+	Expect(err).NotTo(HaveOccurred())
+	body, err := json.Marshal(job.Spec{Class: "build", Priority: job.Normal, Tasks: tasks, Payload: raw})
+	Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequest(http.MethodPut, "http://"+e.Caller+"/jobs/rotas/"+key, bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.StatusCode).To(Equal(http.StatusCreated), string(text))
+}
+
+// expectSucceeded waits until a job has finished and checks that each task has
+// exactly one result.
+func (e *entryProcess) expectSucceeded(key string, tasks int, bound time.Duration) {
+	GinkgoHelper()
+	var answer job.Answer
+	Eventually(func(g Gomega) {
+		response, err := http.Get("http://" + e.Caller + "/jobs/rotas/" + key)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		answer = job.Answer{}
+		g.Expect(json.NewDecoder(response.Body).Decode(&answer)).To(Succeed())
+		g.Expect(answer.State).To(Equal(job.Succeeded), "%+v", answer)
+	}).WithTimeout(bound).Should(Succeed())
+	seen := map[int]int{}
+	for _, result := range answer.Results {
+		seen[result.Index]++
+	}
+	Expect(seen).To(HaveLen(tasks))
+	for index, count := range seen {
+		Expect(count).To(Equal(1), "task %d has %d results", index, count)
+	}
+}
+
+// setFaults switches the faults of the platform.
+func (d *deployment) setFaults(faults platform.Faults) {
+	GinkgoHelper()
+	body, err := json.Marshal(faults)
+	Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequest(http.MethodPut, "http://"+d.address+"/faults", bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.Body.Close()).To(Succeed())
+	Expect(response.StatusCode).To(BeNumerically("<", 300))
+}
+
+// setZone takes a zone out of service or brings it back.
+func (e *entryProcess) setZone(name string, to zone.Service) {
+	GinkgoHelper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := e.control().SetZone(ctx, membership.Zone(name), to, "test")
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// readJournal returns the entries of a journal file, which outlives its process.
+func readJournal[T any](file string) []T {
+	GinkgoHelper()
+	content, err := os.ReadFile(file)
+	Expect(err).NotTo(HaveOccurred())
+	var events []T
+	for line := range strings.Lines(string(content)) {
+		var event T
+		if err := json.Unmarshal([]byte(line), &event); err != nil {
+			// The process was killed in the middle of the last line.
+			continue
+		}
+		events = append(events, event)
+	}
+	return events
+}
+
+// events returns the journal of a worker.
+func (w *workerProcess) events() []worker.Event {
+	GinkgoHelper()
+	return readJournal[worker.Event](w.journal)
+}
+
+func (d *deployment) String() string {
+	return fmt.Sprintf("platform %s, %d entry instances, %d workers", d.address, len(d.entries), len(d.workers))
+}
--- /dev/null
+++ b/internal/integration/proof/path_test.go
@@ -0,0 +1,82 @@
+package proof
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// takeoverBound is the stated time in which a dead owner's shard has a new owner.
+const takeoverBound = 15 * time.Second
+
+// twoZones starts a deployment of two zones with two entry instances, two workers
+// and one executor each, and publishes the test manifest.
+func twoZones() *deployment {
+	GinkgoHelper()
+	d := deploy()
+	for _, zoneName := range []string{zoneA, zoneB} {
+		for _, n := range []string{"1", "2"} {
+			d.startEntry("entry-"+zoneName+"-"+n, zoneName)
+			d.startWorker("worker-"+zoneName+"-"+n, zoneName)
+		}
+		d.startExecutor("executor-"+zoneName, zoneName, "worker-"+zoneName+"-1")
+	}
+	d.publish(d.entry("entry-zone-a-1"))
+	for _, e := range d.entries {
+		e.expectReady()
+	}
+	d.expectOwner(zoneA, takeoverBound)
+	d.expectOwner(zoneB, takeoverBound)
+	return d
+}
+
+// request sends a request to the service desk and returns status, outcome and body.
+func (e *entryProcess) request(path string, header http.Header) (int, string, string) {
+	GinkgoHelper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+e.Caller+"/services/desk"+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return response.StatusCode, response.Header.Get("Jacinthtrail-Outcome"), string(body)
+}
+
+// expectServed waits until a request through the instance is served.
+func (e *entryProcess) expectServed(bound time.Duration) {
+	GinkgoHelper()
+	Eventually(func(g Gomega) {
+		status, outcome, body := e.request("/check?work=5ms&size=100", nil)
+		g.Expect(status).To(Equal(http.StatusOK), "%s %s", outcome, body)
+		g.Expect(outcome).To(Equal("Completed"))
+	}).WithTimeout(bound).Should(Succeed())
+}
+
+var _ = Describe("The whole path", Label("path"), func() {
+	// Guards against a path that works only while every process lives.
+	It("serves requests and finishes a job when an entry instance is killed in between", func() {
+		d := twoZones()
+		for _, e := range d.entries {
+			e.expectServed(readyBound)
+		}
+		owner := d.expectOwner(zoneA, takeoverBound)
+		other := d.entry("entry-zone-a-1")
+		if other == owner {
+			other = d.entry("entry-zone-a-2")
+		}
+		other.submit("before", 6, payload{Work: 3 * time.Second, Result: "built"})
+		owner.kill()
+		delete(d.entries, string(owner.ID))
+		other.expectServed(time.Second)
+		other.submit("after", 4, payload{Work: 100 * time.Millisecond, Result: "built"})
+		other.expectSucceeded("before", 6, takeoverBound+20*time.Second)
+		other.expectSucceeded("after", 4, takeoverBound+20*time.Second)
+	})
+})
--- /dev/null
+++ b/internal/integration/proof/process_test.go
@@ -0,0 +1,92 @@
+package proof
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+)
+
+// startBound is the time in which a process must print its addresses.
+const startBound = 10 * time.Second
+
+// process is a running command of the program.
+type process struct {
+	session *gexec.Session
+	log     *lockedBuffer
+	// first is the line of JSON that the process printed when it was ready.
+	first []byte
+}
+
+// lockedBuffer collects output that is read while the process writes.
+type lockedBuffer struct {
+	mu      sync.Mutex
+	content bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.content.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.content.String()
+}
+
+// start runs a command until the end of the spec and decodes its first line.
+func start(ready any, args ...string) *process {
+	GinkgoHelper()
+	log := &lockedBuffer{}
+	command := exec.Command(binary, args...)
+	session, err := gexec.Start(command, nil, log)
+	Expect(err).NotTo(HaveOccurred())
+	p := &process{session: session, log: log}
+	DeferCleanup(p.kill)
+	Eventually(func() bool {
+		return bytes.ContainsRune(session.Out.Contents(), '\n') || session.ExitCode() >= 0
+	}).WithTimeout(startBound).Should(BeTrue(), "%v did not start", args)
+	line, _, found := bytes.Cut(session.Out.Contents(), []byte("\n"))
+	Expect(found).To(BeTrue(), "%v ended: %s", args, log)
+	p.first = line
+	Expect(json.Unmarshal(line, ready)).To(Succeed())
+	AddReportEntry(fmt.Sprint(args), ReportEntryVisibilityFailureOrVerbose, log)
+	return p
+}
+
+// kill ends the process at once, as a crash does.
+func (p *process) kill() {
+	p.session.Kill().Wait(startBound)
+}
+
+// terminate asks for a planned stop.
+func (p *process) terminate() {
+	p.session.Terminate()
+}
+
+// freeze stops the process without its knowledge.
+func (p *process) freeze() {
+	GinkgoHelper()
+	Expect(p.signal(syscall.SIGSTOP)).To(Succeed())
+	DeferCleanup(func() { _ = p.signal(syscall.SIGCONT) })
+}
+
+// thaw continues a frozen process.
+func (p *process) thaw() {
+	GinkgoHelper()
+	Expect(p.signal(syscall.SIGCONT)).To(Succeed())
+}
+
+func (p *process) signal(s os.Signal) error {
+	return p.session.Command.Process.Signal(s)
+}
--- /dev/null
+++ b/internal/operator/control/server.go
@@ -0,0 +1,191 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/zone"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
+)
+
+const (
+	// DefaultWait is how long a publication waits for the version to be in force everywhere.
+	DefaultWait = 11 * time.Second
+	// maxWait bounds the wait that a request may ask for.
+	maxWait = time.Minute
+	// storeTimeout bounds the table accesses of a request.
+	storeTimeout = 10 * time.Second
+)
+
+// Errors that a Backend returns.
+var (
+	// ErrNotFound reports that nothing is known of what was asked for.
+	ErrNotFound = errors.New("nothing is known of it")
+	// ErrConflict reports that another operator's change came first.
+	ErrConflict = errors.New("another change came first")
+)
+
+// Backend is the entry instance behind the API.
+type Backend interface {
+	// Manifest returns the manifest in force on the instance.
+	Manifest() manifest.Published
+	// Publish accepts a manifest as the version after base and waits until it is in
+	// force everywhere or ctx ends.
+	Publish(ctx context.Context, m manifest.Manifest, base manifest.Version, by string, wait time.Duration) (PublishAnswer, error)
+	// Zones returns the availability zones of the manifest.
+	Zones(ctx context.Context) ([]ZoneAnswer, error)
+	// SetZone takes a zone out of service or brings it back.
+	SetZone(ctx context.Context, name membership.Zone, to zone.Service, by string) (ZoneAnswer, error)
+	// Status describes the instance.
+	Status(ctx context.Context) StatusAnswer
+	// Explain tells what became of a task, job or request, or fails with ErrNotFound.
+	Explain(ctx context.Context, kind Kind, id string) (ExplainAnswer, error)
+}
+
+// Counters serves counters and counts.
+type Counters interface {
+	http.Handler
+	Add(name string, delta int64)
+}
+
+// Server serves the operator API.
+type Server struct {
+	Backend  Backend
+	Counters Counters
+}
+
+// Handler returns the routes of the API.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /manifest", s.showManifest)
+	mux.HandleFunc("PUT /manifest", s.publish)
+	mux.HandleFunc("GET /zones", s.zones)
+	mux.HandleFunc("POST /zones/{zone}/out", s.setZone(zone.Out))
+	mux.HandleFunc("POST /zones/{zone}/in", s.setZone(zone.In))
+	mux.HandleFunc("GET /status", s.status)
+	mux.HandleFunc("GET /explain/{kind}/{id...}", s.explain)
+	mux.Handle("GET /debug/vars", s.Counters)
+	return mux
+}
+
+func (s *Server) showManifest(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Backend.Manifest())
+}
+
+func (s *Server) publish(w http.ResponseWriter, r *http.Request) {
+	base, err := strconv.ParseUint(r.URL.Query().Get("base"), 10, 64)
+	if err != nil {
+		s.fail(w, http.StatusBadRequest, "Invalid", fmt.Errorf("query parameter base: %q is not a version number", r.URL.Query().Get("base")))
+		return
+	}
+	wait, err := parseWait(r.URL.Query().Get("wait"))
+	if err != nil {
+		s.fail(w, http.StatusBadRequest, "Invalid", err)
+		return
+	}
+	m, err := manifest.Load(r.Body)
+	if err != nil {
+		s.fail(w, http.StatusUnprocessableEntity, "InvalidManifest", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), storeTimeout+wait)
+	defer cancel()
+	answer, err := s.Backend.Publish(ctx, m, manifest.Version(base), r.URL.Query().Get("by"), wait)
+	if err != nil {
+		s.failBackend(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func parseWait(text string) (time.Duration, error) {
+	if text == "" {
+		return DefaultWait, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 || wait > maxWait {
+		return 0, fmt.Errorf("query parameter wait: %q is not a duration between 0s and %s", text, maxWait)
+	}
+	return wait, nil
+}
+
+func (s *Server) zones(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), storeTimeout)
+	defer cancel()
+	answer, err := s.Backend.Zones(ctx)
+	if err != nil {
+		s.failBackend(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func (s *Server) setZone(to zone.Service) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), storeTimeout)
+		defer cancel()
+		answer, err := s.Backend.SetZone(ctx, membership.Zone(r.PathValue("zone")), to, r.URL.Query().Get("by"))
+		if err != nil {
+			s.failBackend(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, answer)
+	}
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, s.Backend.Status(r.Context()))
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	kind := Kind(r.PathValue("kind"))
+	if kind != Task && kind != Job && kind != Request {
+		s.fail(w, http.StatusBadRequest, "Invalid", fmt.Errorf("%q can't be explained; use task, job or request", kind))
+		return
+	}
+	answer, err := s.Backend.Explain(r.Context(), kind, r.PathValue("id"))
+	if err != nil {
+		s.failBackend(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func (s *Server) failBackend(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, ErrNotFound):
+		s.fail(w, http.StatusNotFound, "NotFound", err)
+	case errors.Is(err, ErrConflict):
+		s.fail(w, http.StatusConflict, "Conflict", err)
+	case errors.Is(err, table.ErrOutcomeUnknown):
+		s.fail(w, http.StatusServiceUnavailable, "OutcomeUnknown", err)
+	case errors.Is(err, table.ErrUnavailable):
+		s.fail(w, http.StatusServiceUnavailable, "StoreUnavailable", err)
+	default:
+		s.fail(w, http.StatusInternalServerError, "Internal", err)
+	}
+}
+
+func (s *Server) fail(w http.ResponseWriter, status int, reason string, err error) {
+	s.Counters.Add("Operator.Refused."+reason, 1)
+	answer := ErrorAnswer{Reason: reason, Message: err.Error()}
+	var findings manifest.Findings
+	if errors.As(err, &findings) {
+		answer.Findings = findings
+	}
+	writeJSON(w, status, answer)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(status)
+	// The operator may be gone; there is no one else to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/internal/operator/zone/zone.go
@@ -0,0 +1,135 @@
+// Package zone keeps whether an availability zone is in service.
+package zone
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
+)
+
+// Service tells whether an availability zone is in service.
+type Service string
+
+// Values of Service.
+const (
+	In  Service = "In"
+	Out Service = "Out"
+)
+
+// Errors of a Repository.
+var (
+	// ErrRace reports that another operator changed the zone at the same time.
+	ErrRace = errors.New("another operator changed the availability zone first")
+	// ErrUnchanged reports that the zone already is as requested.
+	ErrUnchanged = errors.New("the availability zone already is in this state")
+)
+
+// Status is the content of a zone's row. The zero value stands for a zone that
+// was never taken out.
+type Status struct {
+	Service Service
+	// Change identifies the change that led to this status.
+	Change string
+	// At is when the entry instance that served the operator made the change, by its clock.
+	At time.Time
+	By string
+}
+
+// IsOut reports whether the zone is out of service.
+func (s Status) IsOut() bool {
+	return s.Service == Out
+}
+
+// Key returns the key of a zone's row.
+func Key(name membership.Zone) table.Key {
+	return table.Key("zone/" + string(name))
+}
+
+// Decode returns the content of a row that was read under a zone's key. An absent
+// row stands for a zone in service.
+func Decode(row table.Row) (Status, error) {
+	if row.Version == 0 {
+		return Status{Service: In}, nil
+	}
+	var status Status
+	if err := json.Unmarshal(row.Value, &status); err != nil {
+		return Status{}, fmt.Errorf("row %s: %w", row.Key, err)
+	}
+	return status, nil
+}
+
+// Repository reads and writes the rows of zones.
+type Repository struct {
+	Store table.Store
+	Clock clockwork.Clock
+}
+
+// List returns the status of each zone, in order.
+func (r Repository) List(ctx context.Context, names []membership.Zone) ([]Status, error) {
+	keys := make([]table.Key, len(names))
+	for i, name := range names {
+		keys[i] = Key(name)
+	}
+	rows, err := r.Store.Read(ctx, keys...)
+	if err != nil {
+		return nil, fmt.Errorf("read the availability zones: %w", err)
+	}
+	statuses := make([]Status, len(rows))
+	for i, row := range rows {
+		if statuses[i], err = Decode(row); err != nil {
+			return nil, err
+		}
+	}
+	return statuses, nil
+}
+
+// Set takes a zone out of service or brings it back. It fails with ErrUnchanged
+// if the zone already is in the state, and with ErrRace, naming the winner's
+// change, if another operator's change came between.
+func (r Repository) Set(ctx context.Context, name membership.Zone, to Service, by string) (Status, error) {
+	rows, err := r.Store.Read(ctx, Key(name))
+	if err != nil {
+		return Status{}, fmt.Errorf("read availability zone %s: %w", name, err)
+	}
+	current, err := Decode(rows[0])
+	if err != nil {
+		return Status{}, err
+	}
+	if current.Service == to {
+		return current, fmt.Errorf("%w: %s has been %s since change %s by %q", ErrUnchanged, name, to, current.Change, current.By)
+	}
+	next := Status{Service: to, Change: uuid.NewString(), At: r.Clock.Now().UTC(), By: by}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return Status{}, fmt.Errorf("encode the status of availability zone %s: %w", name, err)
+	}
+	_, err = table.CommitResolved(ctx, r.Store, r.Clock, table.Transaction{
+		ID:         table.TransactionID(next.Change),
+		Conditions: []table.Condition{{Key: Key(name), Version: rows[0].Version}},
+		Writes:     []table.Write{{Key: Key(name), Value: value}},
+	})
+	if errors.Is(err, table.ErrConflict) {
+		return r.lostRace(ctx, name)
+	}
+	if err != nil {
+		return Status{}, fmt.Errorf("write availability zone %s: %w", name, err)
+	}
+	return next, nil
+}
+
+func (r Repository) lostRace(ctx context.Context, name membership.Zone) (Status, error) {
+	winners, err := r.List(ctx, []membership.Zone{name})
+	if err != nil {
+		return Status{}, fmt.Errorf("%w: %s", ErrRace, name)
+	}
+	w := winners[0]
+	return w, fmt.Errorf("%w: %s is now %s by %q, change %s", ErrRace, name, w.Service, w.By, w.Change)
+}
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -40,7 +40,6 @@
 
 // Proxy forwards the connections to its address to a target.
 type Proxy struct {
-	target   string
 	port     *port
 	group    sync.WaitGroup
 	toServer *rate.Limiter
@@ -50,6 +49,7 @@
 	bytesToClient atomic.Int64
 
 	mutex    sync.Mutex
+	target   string
 	faults   Faults
 	changed  chan struct{} // closed when faults change
 	listener net.Listener  // nil while connections are refused
@@ -65,8 +65,8 @@
 		return nil, fmt.Errorf("proxy to %s: %w", target, err)
 	}
 	p := &Proxy{
-		target:   target,
 		port:     port,
+		target:   target,
 		toServer: rate.NewLimiter(rate.Inf, chunkSize),
 		toClient: rate.NewLimiter(rate.Inf, chunkSize),
 		changed:  make(chan struct{}),
@@ -102,6 +102,21 @@
 	return p.refuse(faults.Refuse)
 }
 
+// SetTarget changes where new connections are forwarded to, for a server that
+// learns its port only after its proxy's address was given out.
+func (p *Proxy) SetTarget(target string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.target = target
+}
+
+// Target returns where new connections are forwarded to.
+func (p *Proxy) Target() string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.target
+}
+
 // Faults returns the faults that are set.
 func (p *Proxy) Faults() Faults {
 	p.mutex.Lock()
@@ -205,7 +220,7 @@
 	defer p.remove(link)
 	ctx, cancel := context.WithTimeout(link.ctx, dialTimeout)
 	defer cancel()
-	server, err := new(net.Dialer).DialContext(ctx, "tcp", p.target)
+	server, err := new(net.Dialer).DialContext(ctx, "tcp", p.Target())
 	if err != nil {
 		link.reset()
 		return
--- a/internal/standin/worker/command.go
+++ b/internal/standin/worker/command.go
@@ -17,6 +17,8 @@
 	ReasonUnknownTask = "UnknownTask"
 	// ReasonNotFinal refuses the acknowledgement of a task that still runs.
 	ReasonNotFinal = "NotFinal"
+	// ReasonStartExpired refuses a start that came later than StartWithin allows.
+	ReasonStartExpired = "StartExpired"
 	// ReasonBadShare refuses a throttle outside 0 to 1000.
 	ReasonBadShare = "BadShare"
 )
@@ -46,6 +48,10 @@
 		note(throttle.TaskAttempt, w.throttle(throttle))
 	}
 	for _, start := range request.Start {
+		if now.Sub(w.sent) > request.StartWithin {
+			note(start.TaskAttempt, ReasonStartExpired)
+			continue
+		}
 		note(start.TaskAttempt, w.start(now, start))
 	}
 	return refusals
--- a/internal/standin/worker/storage.go
+++ b/internal/standin/worker/storage.go
@@ -46,6 +46,10 @@
 		return payload, Checkpoint{}, nil
 	}
 	content, err := w.store().Get(ctx, start.Checkpoint)
+	if errors.Is(err, object.ErrNotFound) {
+		// No attempt got as far as a checkpoint.
+		return payload, Checkpoint{}, nil
+	}
 	if err != nil {
 		return nil, Checkpoint{}, err
 	}
