--- a/internal/cmd/root/root.go
+++ b/internal/cmd/root/root.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/replay"
 )
 
 // Exit codes of the program.
@@ -30,6 +31,7 @@
 	cmd.SetIn(f.IO.In)
 	cmd.SetOut(f.IO.Out)
 	cmd.SetErr(f.IO.ErrOut)
+	cmd.AddCommand(replay.NewCmd(f, nil))
 	return cmd
 }
 
--- a/internal/decision/placement/hold.go
+++ b/internal/decision/placement/hold.go
@@ -11,7 +11,7 @@
 const (
 	// holdAfter is how long a job waits for room before workers are held free for
 	// it. Small tasks would otherwise take every gap before it is large enough.
-	holdAfter = 20 * time.Second
+	holdAfter = 60 * time.Second
 	// evictAfter is how long a normal job waits before others are evicted from the
 	// workers that are held for it.
 	evictAfter = 5 * time.Minute
--- a/internal/decision/placement/lifecycle.go
+++ b/internal/decision/placement/lifecycle.go
@@ -150,8 +150,8 @@
 		return
 	}
 	j.latest = j.Deadline.Add(-max(j.ExpectedDuration, j.class.duration))
-	if j.latest.Before(j.rank) {
-		j.rank = j.latest
+	if j.Deadline.Before(j.rank) {
+		j.rank = j.Deadline
 	}
 }
 
--- a/internal/decision/placement/node.go
+++ b/internal/decision/placement/node.go
@@ -27,9 +27,10 @@
 	// highRatio is the predicted p99 against the target from which no normal task
 	// starts. The margin of a fifth covers the rise of the load within a sample's lag.
 	highRatio = 0.8
-	// relaxedRatio takes its place while the service has used less than half of its
-	// error budget. In the rota rush the lower limit costs a fortieth of the throughput.
-	relaxedRatio = 0.95
+	// relaxedRatio takes its place while the late share of the service is below
+	// relaxedBudget percent of its error budget.
+	relaxedRatio  = 0.95
+	relaxedBudget = 50
 	// volatileFor is how long a worker counts as one where eviction is likely.
 	volatileFor = 10 * time.Minute
 )
--- a/internal/decision/placement/queue.go
+++ b/internal/decision/placement/queue.go
@@ -14,7 +14,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/object"
 )
 
-// ageLimit is the latest start that is assumed for a job without a deadline, or
+// ageLimit is the deadline that is assumed for a job without a deadline, or
 // with a far one, after its submission. It keeps such jobs from starving behind
 // later ones with deadlines.
 const ageLimit = time.Hour
@@ -30,7 +30,7 @@
 	lane  *lane
 	// pos is the position in the lane's heap, -1 outside.
 	pos int
-	// rank orders the jobs of a lane: the latest start, or the age limit.
+	// rank orders the jobs of a lane: the deadline, or the age limit.
 	rank time.Time
 	// latest is the latest start that still meets the deadline; zero without one.
 	latest time.Time
@@ -141,13 +141,22 @@
 
 type jobHeap []*job
 
+// before orders jobs by their rank. Of those with one deadline the first that was
+// submitted is next, so that more of them are whole when not all can be in time.
+func (j *job) before(other *job) bool {
+	if !j.rank.Equal(other.rank) {
+		return j.rank.Before(other.rank)
+	}
+	if !j.Submitted.Equal(other.Submitted) {
+		return j.Submitted.Before(other.Submitted)
+	}
+	return j.ID < other.ID
+}
+
 func (h jobHeap) Len() int { return len(h) }
 
 func (h jobHeap) Less(a, b int) bool {
-	if !h[a].rank.Equal(h[b].rank) {
-		return h[a].rank.Before(h[b].rank)
-	}
-	return h[a].ID < h[b].ID
+	return h[a].before(h[b])
 }
 
 func (h jobHeap) Swap(a, b int) {
--- a/internal/decision/replay/generate.go
+++ b/internal/decision/replay/generate.go
@@ -103,7 +103,7 @@
 }
 
 func (g *generator) rotaRush() {
-	g.umhlanga(20*time.Minute, Outcome{MaxLateShare: 0.01, MinFinished: 600, MaxUrgentWait: manifest.Duration(urgentBound)})
+	g.umhlanga(20*time.Minute, Outcome{MaxLateShare: 0.01, MinFinished: 1000, MaxUrgentWait: manifest.Duration(urgentBound)})
 	g.load(0, 20)
 	g.load(10*time.Minute, 45)
 	g.mix(0, 10*time.Minute, 110, umhlangaClasses)
@@ -119,7 +119,7 @@
 }
 
 func (g *generator) rain() {
-	g.trust(15*time.Minute, Outcome{MaxLateShare: 0.02, MinFinished: 300})
+	g.trust(15*time.Minute, Outcome{MaxLateShare: 0.01, MinFinished: 1000})
 	g.load(0, 15)
 	g.load(5*time.Minute, 70)
 	g.load(10*time.Minute, 20)
@@ -127,7 +127,7 @@
 }
 
 func (g *generator) noisy() {
-	g.trust(15*time.Minute, Outcome{MaxLateShare: 0.02, MinFinished: 300})
+	g.trust(15*time.Minute, Outcome{MaxLateShare: 0.01, MinFinished: 1000})
 	g.load(0, 30)
 	g.add(4*time.Minute, KindNoise, Noise{"scan", 3})
 	g.add(9*time.Minute, KindNoise, Noise{"scan", 1})
@@ -135,7 +135,7 @@
 }
 
 func (g *generator) sizes() {
-	g.umhlanga(15*time.Minute, Outcome{MaxLateShare: 0.02, MinFinished: 200})
+	g.umhlanga(15*time.Minute, Outcome{MaxLateShare: 0.01, MinFinished: 580})
 	g.load(0, 25)
 	for i := range 40 {
 		small := g.job("export", 16, cores(1, 2), 60*time.Second)
@@ -150,14 +150,14 @@
 }
 
 func (g *generator) badWorker() {
-	g.umhlanga(12*time.Minute, Outcome{MaxLateShare: 0.01, MinFinished: 400, Quarantined: []int{3}})
+	g.umhlanga(12*time.Minute, Outcome{MaxLateShare: 0.01, MinFinished: 650, Quarantined: []int{3}})
 	g.load(0, 20)
 	g.add(time.Minute, KindFault, Fault{3, true})
 	g.mix(0, 8*time.Minute, 80, umhlangaClasses)
 }
 
 func (g *generator) impossible() {
-	g.umhlanga(12*time.Minute, Outcome{MaxLateShare: 0.01, MinFinished: 400, Parked: []worker.JobID{"build-1"}, Refused: []worker.JobID{"build-2"}})
+	g.umhlanga(12*time.Minute, Outcome{MaxLateShare: 0.01, MinFinished: 550, Parked: []worker.JobID{"build-1"}, Refused: []worker.JobID{"build-2"}})
 	g.load(0, 20)
 	failing := g.job("build", 3, cores(1, 2), 30*time.Second)
 	failing.Fails = true
@@ -167,7 +167,7 @@
 }
 
 func (g *generator) cancellations() {
-	g.trust(12*time.Minute, Outcome{MaxLateShare: 0.02, MinFinished: 300})
+	g.trust(12*time.Minute, Outcome{MaxLateShare: 0.01, MinFinished: 420})
 	g.load(0, 25)
 	g.mix(0, 8*time.Minute, 50, trustClasses)
 	for range 150 {
@@ -178,7 +178,7 @@
 }
 
 func (g *generator) zone() {
-	g.umhlanga(20*time.Minute, Outcome{MaxLateShare: 0.02, MinFinished: 500})
+	g.umhlanga(20*time.Minute, Outcome{MaxLateShare: 0.01, MinFinished: 980, MinAwayWork: 40_000})
 	g.load(0, 20)
 	g.add(5*time.Minute, KindZone, Zone{Out: true})
 	g.add(12*time.Minute, KindZone, Zone{Out: false})
--- a/internal/decision/replay/loop.go
+++ b/internal/decision/replay/loop.go
@@ -150,7 +150,12 @@
 		return err
 	case KindFault:
 		f, err := fact[Fault](record)
-		l.hosts[f.Worker].fails = f.Fails
+		if err == nil && (f.Worker < 0 || f.Worker >= len(l.hosts)) {
+			err = fmt.Errorf("%s: there is no worker %d", record.Kind, f.Worker)
+		}
+		if err == nil {
+			l.hosts[f.Worker].fails = f.Fails
+		}
 		return err
 	case KindCancel:
 		f, err := fact[Cancel](record)
--- a/internal/decision/replay/report.go
+++ b/internal/decision/replay/report.go
@@ -6,7 +6,6 @@
 	"math"
 	"slices"
 	"strconv"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -137,6 +136,7 @@
 	}
 	demand(o.MaxLateShare == 0 || r.LateShare <= o.MaxLateShare, "late share %.4f is over %.4f", r.LateShare, o.MaxLateShare)
 	demand(r.Finished >= o.MinFinished, "%d tasks finished, fewer than %d", r.Finished, o.MinFinished)
+	demand(r.AwayWork >= o.MinAwayWork, "%.0f processor seconds while the zone was away, fewer than %.0f", r.AwayWork, o.MinAwayWork)
 	demand(o.MaxUrgentWait == 0 || r.UrgentWait <= time.Duration(o.MaxUrgentWait), "urgent work waited %s, over %s", r.UrgentWait, time.Duration(o.MaxUrgentWait))
 	demand(r.Duplicates == 0, "%d tasks finished twice", r.Duplicates)
 	demand(slices.Equal(o.Parked, r.Parked), "parked %q, not %q", r.Parked, o.Parked)
@@ -166,7 +166,7 @@
 }
 
 func (r Report) mark(reports []Report, user User) string {
-	text := strings.TrimPrefix(strconv.FormatFloat(r.Scores[user], 'f', 3, 64), " ")
+	text := strconv.FormatFloat(r.Scores[user], 'f', 3, 64)
 	for _, other := range reports {
 		if other.Trace == r.Trace && other.Scores[user] > r.Scores[user]+0.0005 {
 			return text + "-"
--- a/internal/decision/replay/trace.go
+++ b/internal/decision/replay/trace.go
@@ -60,6 +60,8 @@
 	MaxLateShare float64
 	// MinFinished bounds the finished tasks from below.
 	MinFinished int
+	// MinAwayWork bounds the work completed while a zone is away, in processor seconds.
+	MinAwayWork float64
 	// MaxUrgentWait bounds the time from the submission to the start of urgent tasks.
 	MaxUrgentWait manifest.Duration
 	Quarantined   []int
