--- a/internal/cmd/root/commands.go
+++ b/internal/cmd/root/commands.go
@@ -3,10 +3,13 @@
 import (
 	"github.com/spf13/cobra"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/experimentadmission"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/explain"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/manifestcheck"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/manifestpublish"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/manifestshow"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/replay"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/serve"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/standinexecutor"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/standinplatform"
@@ -19,10 +22,13 @@
 
 // addCommands attaches the subcommands, in groups where several act on one thing.
 func addCommands(root *cobra.Command, f *factory.Factory) {
-	root.AddCommand(serve.NewCmd(f, nil), status.NewCmd(f, nil), explain.NewCmd(f, nil))
+	root.AddCommand(serve.NewCmd(f, nil), status.NewCmd(f, nil), explain.NewCmd(f, nil), replay.NewCmd(f, nil))
+	root.AddCommand(group("experiment", "Compare policies in simulated time",
+		"  $ jacinthtrail experiment admission --seed 1",
+		experimentadmission.NewCmd(f, nil)))
 	root.AddCommand(group("manifest", "Check, publish and show manifests",
 		"  $ jacinthtrail manifest check examples/umhlanga.json",
-		manifestpublish.NewCmd(f, nil), manifestshow.NewCmd(f, nil)))
+		manifestcheck.NewCmd(f, nil), manifestpublish.NewCmd(f, nil), manifestshow.NewCmd(f, nil)))
 	root.AddCommand(group("zone", "Take availability zones out of service and bring them back",
 		"  $ jacinthtrail zone out kzn-bal",
 		zoneout.NewCmd(f, nil), zonein.NewCmd(f, nil), zonelist.NewCmd(f, nil)))
--- a/internal/decision/placement/queue.go
+++ b/internal/decision/placement/queue.go
@@ -14,7 +14,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/object"
 )
 
-// ageLimit is the latest start that is assumed for a job without a deadline, or
+// ageLimit is the deadline that is assumed for a job without a deadline, or
 // with a far one, after its submission. It keeps such jobs from starving behind
 // later ones with deadlines.
 const ageLimit = time.Hour
@@ -30,7 +30,7 @@
 	lane  *lane
 	// pos is the position in the lane's heap, -1 outside.
 	pos int
-	// rank orders the jobs of a lane: the latest start, or the age limit.
+	// rank orders the jobs of a lane: the deadline, or the age limit.
 	rank time.Time
 	// latest is the latest start that still meets the deadline; zero without one.
 	latest time.Time
@@ -39,10 +39,12 @@
 	freshCount  int
 	again       []int32
 	checkpoints map[int32]object.Key
-	byIndex     map[int32]*attempt
-	running     []*attempt
-	done        int
-	queuedAt    time.Time
+	// peak is what a task of the job was seen to use.
+	peak     resource.Vector
+	byIndex  map[int32]*attempt
+	running  []*attempt
+	done     int
+	queuedAt time.Time
 	// notBefore delays the next start after failures.
 	notBefore time.Time
 	asleep    bool
@@ -117,17 +119,6 @@
 	return true
 }
 
-// need is what a task of the job reserves: the larger of what it declares and of
-// what its class was seen to use.
-func (e *Engine) need(j *job) resource.Vector {
-	need := j.Resources.Max(j.class.size)
-	if need == j.Resources || e.fits(need) {
-		return need
-	}
-	// A class that was seen to use more than any worker has gets a worker as it declares.
-	return j.Resources
-}
-
 // laneKey collects jobs that can start in the same places. Sizes are rounded to
 // index buckets, which bounds the number of lanes.
 type laneKey struct {
@@ -150,13 +141,22 @@
 
 type jobHeap []*job
 
+// before orders jobs by their rank. Of those with one deadline the first that was
+// submitted is next, so that more of them are whole when not all can be in time.
+func (j *job) before(other *job) bool {
+	if !j.rank.Equal(other.rank) {
+		return j.rank.Before(other.rank)
+	}
+	if !j.Submitted.Equal(other.Submitted) {
+		return j.Submitted.Before(other.Submitted)
+	}
+	return j.ID < other.ID
+}
+
 func (h jobHeap) Len() int { return len(h) }
 
 func (h jobHeap) Less(a, b int) bool {
-	if !h[a].rank.Equal(h[b].rank) {
-		return h[a].rank.Before(h[b].rank)
-	}
-	return h[a].ID < h[b].ID
+	return h[a].before(h[b])
 }
 
 func (h jobHeap) Swap(a, b int) {
@@ -344,4 +344,6 @@
 	byTask   map[int32]int
 	failures []Failure
 	total    int
+	// outgrown counts attempts that needed more than any worker has.
+	outgrown int
 }
--- a/internal/decision/replay/report.go
+++ b/internal/decision/replay/report.go
@@ -6,7 +6,6 @@
 	"math"
 	"slices"
 	"strconv"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -86,12 +85,18 @@
 	r := l.report
 	r.P99 = math.Cbrt(l.ratios / l.weights)
 	r.LateShare = l.lates / l.weights
+	for _, j := range l.jobs {
+		if j.Deadline > 0 && j.Deadline <= l.Length {
+			r.LateJobs++
+		}
+	}
 	r.Throughput = r.Work / time.Duration(l.Length).Seconds()
 }
 
 // Score sets the scores of the reports of one trace. Throughput and work while
-// away count against the best policy, late answers against the budget, evictions
-// against the finished tasks. Without a zone leaving its weight goes to the rest.
+// away count against the best policy, late answers against the budget, attempts
+// that were evicted or failed against the finished tasks. Without a zone leaving
+// its weight goes to the rest.
 func Score(reports []Report) {
 	work, away := 0.0, 0.0
 	for _, r := range reports {
@@ -100,7 +105,7 @@
 	for i := range reports {
 		r := &reports[i]
 		tail := min(1, lateBudget/max(r.LateShare, 1e-9))
-		evictions := float64(r.Finished) / float64(max(r.Finished+r.Evictions, 1))
+		evictions := float64(r.Finished) / float64(max(r.Finished+r.Evictions+r.Failures, 1))
 		parts := [4]float64{r.Work / max(work, 1), r.AwayWork / max(away, 1), tail, evictions}
 		r.Scores = map[User]float64{}
 		for user, w := range weights {
@@ -131,6 +136,7 @@
 	}
 	demand(o.MaxLateShare == 0 || r.LateShare <= o.MaxLateShare, "late share %.4f is over %.4f", r.LateShare, o.MaxLateShare)
 	demand(r.Finished >= o.MinFinished, "%d tasks finished, fewer than %d", r.Finished, o.MinFinished)
+	demand(r.AwayWork >= o.MinAwayWork, "%.0f processor seconds while the zone was away, fewer than %.0f", r.AwayWork, o.MinAwayWork)
 	demand(o.MaxUrgentWait == 0 || r.UrgentWait <= time.Duration(o.MaxUrgentWait), "urgent work waited %s, over %s", r.UrgentWait, time.Duration(o.MaxUrgentWait))
 	demand(r.Duplicates == 0, "%d tasks finished twice", r.Duplicates)
 	demand(slices.Equal(o.Parked, r.Parked), "parked %q, not %q", r.Parked, o.Parked)
@@ -160,7 +166,7 @@
 }
 
 func (r Report) mark(reports []Report, user User) string {
-	text := strings.TrimPrefix(strconv.FormatFloat(r.Scores[user], 'f', 3, 64), " ")
+	text := strconv.FormatFloat(r.Scores[user], 'f', 3, 64)
 	for _, other := range reports {
 		if other.Trace == r.Trace && other.Scores[user] > r.Scores[user]+0.0005 {
 			return text + "-"
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -16,7 +16,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/claim"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/service"
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/ticket"
 	"github.com/jacinthtrail/jacinthtrail/internal/entry/configuration"
 	"github.com/jacinthtrail/jacinthtrail/internal/entry/explanation"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/control"
@@ -71,6 +73,8 @@
 	zones      zones
 	workers    worker.Syncer
 	services   *service.Handler
+	tickets    *ticket.Home
+	claims     *claim.Claims
 
 	peers        heartbeat.Table
 	server       *entry.Server
@@ -131,6 +135,7 @@
 	i.workers = &worker.Client{}
 	i.client = entry.NewClient(entry.ClientOptions{Clock: i.clock, Counter: i.counters})
 	i.server = entry.NewServer(entry.ServerOptions{Clock: i.clock, Counter: i.counters})
+	i.initKeys()
 	i.slots = newSlots(i)
 	i.services = i.serviceHandler()
 	i.registerMethods()
@@ -210,6 +215,8 @@
 	loop(pollInterval, i.announce)
 	loop(pollInterval, i.pollTable)
 	loop(pollInterval, i.fetchManifest)
+	loop(sweepInterval, i.sweepClaims)
+	group.Go(func() error { return i.claims.Run(ctx) })
 	group.Go(func() error {
 		i.beat(ctx)
 		return nil
--- a/internal/entry/instance/routing.go
+++ b/internal/entry/instance/routing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/executor"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/service"
@@ -13,11 +12,14 @@
 // slots is the instance's part of the routing of service requests.
 type slots struct {
 	*Instance
-	router routing.Router
+	router   routing.Router
+	governor service.AdmissionGovernor
 }
 
 func newSlots(i *Instance) *slots {
 	s := &slots{Instance: i}
+	s.governor.Clock = i.clock
+	s.router.Governor = &s.governor
 	s.router.Clock = i.clock
 	s.router.Counters = i.counters
 	s.router.Hand = &routing.Share{Zone: i.settings.Zone, Membership: i.members}
@@ -38,7 +40,8 @@
 		Slots:     &i.slots.router,
 		Sender:    routing.Sender{Client: &executor.Client{Clock: i.clock}},
 		Manifests: &i.config,
-		Governor:  &i.slots.router,
+		Governor:  &i.slots.governor,
+		Keys:      service.KeyRouter{Tickets: i.ticketClaimer(), CallerMade: i.claims},
 		Counters:  i.counters,
 		Recorder:  recorder{i},
 		Clock:     i.clock,
@@ -52,5 +55,3 @@
 		Manifest: d.Manifest, Facts: d.Facts,
 	})
 }
-
-func (i *Instance) registerTickets(*http.ServeMux) {}
--- a/internal/entry/routing/router.go
+++ b/internal/entry/routing/router.go
@@ -44,21 +44,16 @@
 	Add(name string, delta int64)
 }
 
-// Router lends the slots in hand to requests. It implements service.SlotSource
-// and service.Governor.
+// Router lends the slots in hand to requests. It implements service.SlotSource.
 type Router struct {
-	Hand     Hand
+	Hand Hand
+	// Governor has the admission state of each service.
+	Governor *service.AdmissionGovernor
 	Counters Counters
 	Clock    clockwork.Clock
 
-	mu       sync.Mutex
-	services map[manifest.ServiceName]*state
-}
-
-// state is what the router knows of a service.
-type state struct {
-	admission admission.Service
-	waiting   map[string]*waiter
+	mu      sync.Mutex
+	waiting map[manifest.ServiceName]map[string]*waiter
 }
 
 // waiter is a request that waits for a slot.
@@ -79,21 +74,28 @@
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
 	f(now)
-	for name := range r.services {
+	for name := range r.waiting {
 		r.pump(now, name)
 	}
 }
 
-func (r *Router) state(name manifest.ServiceName) *state {
-	if r.services == nil {
-		r.services = map[manifest.ServiceName]*state{}
+// waiters returns the waiting requests of a service. The lock is held.
+func (r *Router) waiters(name manifest.ServiceName) map[string]*waiter {
+	if r.waiting == nil {
+		r.waiting = map[manifest.ServiceName]map[string]*waiter{}
 	}
-	s, known := r.services[name]
-	if !known {
-		s = &state{waiting: map[string]*waiter{}}
-		r.services[name] = s
+	if r.waiting[name] == nil {
+		r.waiting[name] = map[string]*waiter{}
 	}
-	return s
+	return r.waiting[name]
+}
+
+// remove forgets a waiting request.
+func (r *Router) remove(name manifest.ServiceName, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Governor.With(name, func(_ time.Time, state *admission.Service) { state.Leave(id) })
+	delete(r.waiters(name), id)
 }
 
 // Acquire returns a slot, waits for one, or refuses with *service.Refusal.
@@ -109,10 +111,7 @@
 		return a.slot, a.err
 	case <-ctx.Done():
 	}
-	r.mu.Lock()
-	r.state(need.Service).admission.Leave(id)
-	delete(r.state(need.Service).waiting, id)
-	r.mu.Unlock()
+	r.remove(need.Service, id)
 	select {
 	case a := <-w.answer:
 		// The slot came at the same moment; it was not used.
@@ -129,27 +128,37 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
-	s := r.state(w.need.Service)
-	verdict := s.admission.Arrive(now, admission.Request{
-		ID: id, Deadline: w.need.Deadline, NonIdempotent: w.need.NonIdempotent,
-		Immediate: w.need.Immediate, Exclude: w.need.Exclude,
-	}, r.Hand.Candidates(now, w.need.Service))
+	name := w.need.Service
+	verdict, waiting := r.admit(now, id, w.need)
 	switch verdict.Action {
 	case admission.Serve:
-		if slot, ok := r.take(now, w.need.Service, verdict.Choice.Executor); ok {
+		if slot, ok := r.take(now, name, verdict.Choice.Executor); ok {
 			return slot, true, nil
 		}
 		verdict.Reason, verdict.RetryAfter = admission.NoSlots, service.DefaultRetryAfter
 	case admission.Wait:
-		s.waiting[id] = w
-		r.Hand.Wants(w.need.Service, s.admission.Waiting())
+		r.waiters(name)[id] = w
+		r.Hand.Wants(name, waiting)
 		return service.Slot{}, false, nil
 	}
 	r.Counters.Add("Admission.Refused."+string(verdict.Reason), 1)
-	r.Hand.Wants(w.need.Service, s.admission.Waiting()+1)
+	r.Hand.Wants(name, waiting+1)
 	return service.Slot{}, true, &service.Refusal{Reason: service.Reason(verdict.Reason), RetryAfter: verdict.RetryAfter}
 }
 
+// admit asks admission for its verdict and returns how many requests wait.
+func (r *Router) admit(now time.Time, id string, need service.Need) (verdict admission.Verdict, waiting int) {
+	candidates := r.Hand.Candidates(now, need.Service)
+	r.Governor.With(need.Service, func(_ time.Time, state *admission.Service) {
+		verdict = state.Arrive(now, admission.Request{
+			ID: id, Deadline: need.Deadline, NonIdempotent: need.NonIdempotent,
+			Immediate: need.Immediate, Exclude: need.Exclude,
+		}, candidates)
+		waiting = state.Waiting()
+	})
+	return verdict, waiting
+}
+
 // take takes a slot in hand. The lock is held.
 func (r *Router) take(now time.Time, name manifest.ServiceName, executor membership.InstanceID) (service.Slot, bool) {
 	use, address, ok := r.Hand.Take(now, name, executor)
@@ -174,14 +183,14 @@
 
 // pump serves waiting requests from the slots in hand. The lock is held.
 func (r *Router) pump(now time.Time, name manifest.ServiceName) {
-	s := r.state(name)
-	for {
-		id, choice, ok := s.admission.Next(now, r.Hand.Candidates(now, name))
+	waiting := r.waiters(name)
+	for len(waiting) > 0 {
+		id, choice, ok := r.next(now, name)
 		if !ok {
 			return
 		}
-		w := s.waiting[id]
-		delete(s.waiting, id)
+		w := waiting[id]
+		delete(waiting, id)
 		if w == nil {
 			continue
 		}
@@ -194,6 +203,15 @@
 	}
 }
 
+// next returns the waiting request to serve now.
+func (r *Router) next(now time.Time, name manifest.ServiceName) (id string, choice admission.Choice, ok bool) {
+	candidates := r.Hand.Candidates(now, name)
+	r.Governor.With(name, func(_ time.Time, state *admission.Service) {
+		id, choice, ok = state.Next(now, candidates)
+	})
+	return id, choice, ok
+}
+
 // Run refuses waiting requests at once when their deadline can't be met any more,
 // until ctx ends.
 func (r *Router) Run(ctx context.Context) error {
@@ -213,48 +231,28 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
-	for name, s := range r.services {
-		for _, id := range s.admission.Expire(now) {
-			w := s.waiting[id]
-			delete(s.waiting, id)
-			if w == nil {
-				continue
-			}
-			r.Counters.Add("Admission.Refused."+string(admission.Dropped), 1)
-			w.answer <- answer{err: &service.Refusal{
-				Reason: service.Reason(admission.Dropped), RetryAfter: service.DefaultRetryAfter,
-			}}
+	for name, waiting := range r.waiting {
+		if len(waiting) == 0 {
+			continue
+		}
+		var expired []string
+		r.Governor.With(name, func(_ time.Time, state *admission.Service) { expired = state.Expire(now) })
+		for _, id := range expired {
+			r.drop(waiting, id)
 		}
 		r.pump(now, name)
 	}
 }
 
-// Arrived credits the retry budget of a service with one request.
-func (r *Router) Arrived(s manifest.Service) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.state(s.Name).admission.Budget.Arrived(s.RetryShare)
-}
-
-// AllowExtra takes one retry or hedge from the budget of a service.
-func (r *Router) AllowExtra(s manifest.Service) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.state(s.Name).admission.Budget.Take()
-}
-
-// HedgeDelay returns how long to wait before a hedge, and false for no hedge.
-func (r *Router) HedgeDelay(s manifest.Service) (time.Duration, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.state(s.Name).admission.HedgeDelay(r.Clock.Now(), s.HedgePercentile)
-}
-
-// Observe takes in how an attempt on an executor ended.
-func (r *Router) Observe(s manifest.Service, executor membership.InstanceID, seen service.Observation) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.state(s.Name).admission.Observe(r.Clock.Now(), executor, admission.Observation{
-		Took: seen.Took, Failed: seen.Outcome != service.Completed, Cancelled: seen.Cancelled,
-	})
+// drop refuses a waiting request. The lock is held.
+func (r *Router) drop(waiting map[string]*waiter, id string) {
+	w := waiting[id]
+	delete(waiting, id)
+	if w == nil {
+		return
+	}
+	r.Counters.Add("Admission.Refused."+string(admission.Dropped), 1)
+	w.answer <- answer{err: &service.Refusal{
+		Reason: service.Reason(admission.Dropped), RetryAfter: service.DefaultRetryAfter,
+	}}
 }
