--- a/internal/cmd/root/commands.go
+++ b/internal/cmd/root/commands.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/demo"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/experimentadmission"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/explain"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
@@ -22,7 +23,7 @@
 
 // addCommands attaches the subcommands, in groups where several act on one thing.
 func addCommands(root *cobra.Command, f *factory.Factory) {
-	root.AddCommand(serve.NewCmd(f, nil), status.NewCmd(f, nil), explain.NewCmd(f, nil), replay.NewCmd(f, nil))
+	root.AddCommand(demo.NewCmd(f, nil), serve.NewCmd(f, nil), status.NewCmd(f, nil), explain.NewCmd(f, nil), replay.NewCmd(f, nil))
 	root.AddCommand(group("experiment", "Compare policies in simulated time",
 		"  $ jacinthtrail experiment admission --seed 1",
 		experimentadmission.NewCmd(f, nil)))
