--- /dev/null
+++ b/internal/cmd/load/report.go
@@ -0,0 +1,91 @@
+package load
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/operatorflags"
+)
+
+// Step is what came of one rate.
+type Step struct {
+	// Rate is in requests per second.
+	Rate float64
+	// Due counts the requests of the step, NotSent those that found too many others
+	// without an answer.
+	Due       int
+	NotSent   int
+	Completed int
+	// InTime counts the answers within the timeout of the request.
+	InTime int
+	// Refused counts requests that were not run by reason, Failed all other outcomes.
+	Refused map[string]int
+	Failed  map[string]int
+	// InTimeShare is InTime over Due, InTimeRate InTime per second.
+	InTimeShare float64
+	InTimeRate  float64
+	// P50, P99 and P999 are latencies of the completed requests from the times at which
+	// they were due.
+	P50, P99, P999  time.Duration
+	JobsAccepted    int
+	JobsNotAccepted int
+	// StartsPerSecond are batch tasks; it is 0 for targets in other processes.
+	StartsPerSecond float64
+	// ProcessorShare, in cores, and HeapBytes are those of the whole process for each
+	// entry instance. Stand-ins and callers run in it.
+	ProcessorShare float64
+	HeapBytes      uint64
+}
+
+func (s *Step) finish(latency *hdrhistogram.Histogram, duration time.Duration) {
+	at := func(quantile float64) time.Duration {
+		return time.Duration(latency.ValueAtQuantile(quantile)) * time.Microsecond
+	}
+	s.P50, s.P99, s.P999 = at(50), at(99), at(99.9)
+	if s.Due > 0 {
+		s.InTimeShare = float64(s.InTime) / float64(s.Due)
+	}
+	s.InTimeRate = float64(s.InTime) / duration.Seconds()
+}
+
+// Outcome is the JSON output.
+type Outcome struct {
+	Targets []string
+	// Capacity is what the executors can run, in requests per second; 0 if not known.
+	Capacity float64
+	Steps    []Step
+}
+
+func (o Outcome) print(opts *Options) error {
+	if opts.JSON {
+		return operatorflags.PrintJSON(opts.Factory.IO.Out, o)
+	}
+	out := opts.Factory.IO.Out
+	fmt.Fprintf(out, "%d entry instances, capacity %.0f requests/s, %s for each step\n", len(o.Targets), o.Capacity, opts.Duration)
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "rate/s\tin time/s\tin time\tp50\tp99\tp99.9\tstarts/s\tcores/entry\theap/entry\trefused\tfailed\t")
+	for _, s := range o.Steps {
+		fmt.Fprintf(table, "%.0f\t%.0f\t%.2f%%\t%s\t%s\t%s\t%.0f\t%.3f\t%.1f MB\t%s\t%s\t\n",
+			s.Rate, s.InTimeRate, 100*s.InTimeShare, s.P50, s.P99, s.P999, s.StartsPerSecond,
+			s.ProcessorShare, float64(s.HeapBytes)/1e6, reasons(s.Refused), reasons(s.Failed))
+	}
+	return table.Flush()
+}
+
+// reasons lists counts by reason, sorted by reason.
+func reasons(counts map[string]int) string {
+	var parts []string
+	for reason, count := range counts {
+		parts = append(parts, fmt.Sprintf("%s %d", reason, count))
+	}
+	if len(parts) == 0 {
+		return "-"
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
--- a/internal/cmd/root/commands.go
+++ b/internal/cmd/root/commands.go
@@ -7,6 +7,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/experimentadmission"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/explain"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/load"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/manifestcheck"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/manifestpublish"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/manifestshow"
@@ -23,7 +24,7 @@
 
 // addCommands attaches the subcommands, in groups where several act on one thing.
 func addCommands(root *cobra.Command, f *factory.Factory) {
-	root.AddCommand(demo.NewCmd(f, nil), serve.NewCmd(f, nil), status.NewCmd(f, nil), explain.NewCmd(f, nil), replay.NewCmd(f, nil))
+	root.AddCommand(demo.NewCmd(f, nil), load.NewCmd(f, nil), serve.NewCmd(f, nil), status.NewCmd(f, nil), explain.NewCmd(f, nil), replay.NewCmd(f, nil))
 	root.AddCommand(group("experiment", "Compare policies in simulated time",
 		"  $ jacinthtrail experiment admission --seed 1",
 		experimentadmission.NewCmd(f, nil)))
