Blame pairs of images for slow serving tasks, and evict the fillers at fault

Cause: the largest tail of five serving tasks is noisy (mean 7.7 ms, deviation 2.5 ms, target 18 ms), so nearly every worker's fillers were slowed down for good. Of 45 pairs of images about a dozen push the tail far over the target, and the others don't change it at all.

Change: interference.Odds keeps for each pair the odds that it disturbs; fillers of a disturbing pair are moved, others run at full pace.

--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
@@ -55,7 +56,7 @@
 	finished map[JobID]finishedJob
 	dirty    map[JobID]*job
 	commands []Command
-	pairs    pairTable
+	odds     interference.Odds
 	// recoveryEnds is when the leases that an earlier owner gave have ended.
 	recoveryEnds time.Time
 	recovering   bool
@@ -79,7 +80,6 @@
 		jobs:     map[JobID]*job{},
 		finished: map[JobID]finishedJob{},
 		dirty:    map[JobID]*job{},
-		pairs:    pairTable{},
 		tickets:  map[StepID]*stepTickets{},
 	}
 }
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -94,8 +94,8 @@
 	if float64(idle) < minFillerShare*float64(s.Resources.Processors) {
 		return 0, false
 	}
-	harm, ok := e.expectedHarm(now, s, n)
-	if !ok {
+	harm := e.expectedHarm(now, s, n)
+	if harm > evictAbove {
 		return 0, false
 	}
 	return cost + harmCost*harm - share(idle, n.Capacity.Processors), true
@@ -108,7 +108,7 @@
 	for _, a := range n.runs {
 		switch {
 		case a.task.step.Filler:
-			cost += besideFillersCost * e.pairs.harm(now, Pair{Serving: s.Image, Filler: a.task.step.Image}) *
+			cost += besideFillersCost * e.odds.Probability(now, pairOf(s.Step, a.task.step.Step)) *
 				share(a.filler, n.Capacity.Processors)
 		case a.task.step.Target > 0 && a.task.step.Image == s.Image:
 			same++
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -77,7 +77,7 @@
 	case c.Pace != nil:
 		err := o.node.Workers.Pace(ctx, o.epoch, c)
 		if err == nil {
-			o.with(func(_ time.Time, e *dispatch.Engine) { e.Paced(c.Worker, c.TaskRun, *c.Pace) })
+			o.with(func(now time.Time, e *dispatch.Engine) { e.Paced(now, c.Worker, c.TaskRun, *c.Pace) })
 		}
 		return o.checkFenced(err, "Pace")
 	}
