Let fillers use what serving tasks reserve and don't use; wait for the list after a takeover

Cause: serving tasks reserve 83 to 92% of the processors and use less than half of that, so fillers were held back by reservations. The takeover itself came from an owner without processor time: each tick searched a worker for each waiting filler.

Change: fillers count 65% of what serving tasks reserve as used; recovery waits for the list (test: starts no recovered task before all workers have reported); a tick searches once for each shape of task that finds no worker.

--- /dev/null
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -0,0 +1,266 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+func TestDispatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Dispatch")
+}
+
+var begin = time.Date(2026, 1, 5, 4, 0, 0, 0, time.UTC)
+
+const (
+	lease      = 4 * time.Second
+	batchQueue = dispatch.QueueName("batch")
+	gigabyte   = resource.Bytes(1 << 30)
+)
+
+func cores(n float64) resource.Vector {
+	return resource.Vector{Processors: resource.MilliProcessors(n * 1000), Memory: resource.Bytes(n) * gigabyte}
+}
+
+// fakeWorker carries out commands as a worker does.
+type fakeWorker struct {
+	info    dispatch.WorkerInfo
+	born    int64
+	clock   time.Duration
+	running map[dispatch.TaskID]*dispatch.RunningTask
+	ended   []dispatch.End
+	number  int64
+	silent  bool
+}
+
+// bench drives an engine with fake workers in simulated time.
+type bench struct {
+	engine  *dispatch.Engine
+	now     time.Time
+	workers map[membership.InstanceID]*fakeWorker
+	starts  []dispatch.Command
+	stops   []dispatch.Command
+	paces   []dispatch.Command
+}
+
+func newBench(epoch dispatch.Epoch, workers int) *bench {
+	b := &bench{
+		engine:  dispatch.New(dispatch.Options{Epoch: epoch, LeaseTerm: lease}),
+		now:     begin,
+		workers: map[membership.InstanceID]*fakeWorker{},
+	}
+	b.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{
+		batchQueue: {Name: batchQueue, Service: "pool", MaxAttempts: 2, SlackFactor: 2},
+	})
+	for i := range workers {
+		id := membership.InstanceID(fmt.Sprintf("w%d", i))
+		b.workers[id] = &fakeWorker{
+			info: dispatch.WorkerInfo{ID: id, Address: string(id), Service: "pool", Zone: "z", Capacity: cores(4)},
+			born: 1, running: map[dispatch.TaskID]*dispatch.RunningTask{},
+		}
+	}
+	return b
+}
+
+// list announces all workers to the engine.
+func (b *bench) list() {
+	var list []dispatch.WorkerInfo
+	for _, w := range b.workers {
+		list = append(list, w.info)
+	}
+	b.engine.SetWorkers(b.now, list)
+}
+
+// poll lets each worker that isn't silent report.
+func (b *bench) poll() {
+	for _, id := range b.engine.Workers() {
+		w := b.workers[id]
+		p, _ := b.engine.Poll(b.now, id)
+		if w == nil || w.silent {
+			b.engine.PollFailed(b.now, id)
+			continue
+		}
+		r := dispatch.Report{Born: w.born, Clock: w.clock}
+		for _, run := range w.running {
+			r.Running = append(r.Running, *run)
+		}
+		for _, end := range w.ended {
+			if end.Number > p.Observed {
+				r.Ended = append(r.Ended, end)
+			}
+		}
+		b.engine.Observe(b.now, id, r)
+	}
+}
+
+// step lets time pass, the workers report and the engine decide, and carries out
+// the commands.
+func (b *bench) step(d time.Duration) {
+	b.now = b.now.Add(d)
+	for _, w := range b.workers {
+		w.clock += d
+	}
+	b.poll()
+	b.engine.Tick(b.now)
+	for _, c := range b.engine.TakeCommands() {
+		b.carryOut(c)
+	}
+	if batch := b.engine.TakeBatch(100); !batch.IsEmpty() {
+		b.engine.Stored(b.now, batch)
+	}
+}
+
+func (b *bench) carryOut(c dispatch.Command) {
+	w := b.workers[c.Worker]
+	switch {
+	case c.Start != nil:
+		b.starts = append(b.starts, c)
+		if w.silent {
+			b.engine.Started(b.now, c.Worker, c.TaskRun, dispatch.StartUnanswered, 0)
+			return
+		}
+		w.running[c.Task] = &dispatch.RunningTask{TaskRun: c.TaskRun}
+		b.engine.Started(b.now, c.Worker, c.TaskRun, dispatch.StartAccepted, w.clock)
+	case c.Stop:
+		b.stops = append(b.stops, c)
+		if w.silent {
+			return
+		}
+		b.engine.Stopped(c.Worker, c.TaskRun, w.clock)
+		b.end(c.Worker, c.Task, dispatch.EndStopped)
+	case c.Pace != nil:
+		b.paces = append(b.paces, c)
+		b.engine.Paced(b.now, c.Worker, c.TaskRun, *c.Pace)
+	}
+}
+
+// end lets a run end.
+func (b *bench) end(id membership.InstanceID, task dispatch.TaskID, kind dispatch.EndKind) {
+	w := b.workers[id]
+	run, ok := w.running[task]
+	if !ok {
+		return
+	}
+	delete(w.running, task)
+	w.number++
+	w.ended = append(w.ended, dispatch.End{Number: w.number, TaskRun: run.TaskRun, Kind: kind})
+}
+
+// submit adds a job of steps that follow each other.
+func (b *bench) submit(id dispatch.JobID, steps ...dispatch.Step) {
+	b.engine.AddJob(b.now, dispatch.Job{ID: id, Queue: batchQueue, Accepted: b.now, Steps: steps}, dispatch.Progress{}, false)
+}
+
+func tasks(n int) dispatch.Step {
+	return dispatch.Step{Tasks: n, Resources: cores(1), Estimate: time.Second}
+}
+
+func expectState(b *bench, id dispatch.JobID, want dispatch.JobState) {
+	GinkgoHelper()
+	state, known := b.engine.State(id)
+	Expect(known).To(BeTrue())
+	Expect(state).To(Equal(want))
+}
+
+var _ = Describe("Engine", func() {
+	It("runs the steps of a job in order and shows it as completed once that is stored", func() {
+		b := newBench(1, 1)
+		b.list()
+		second := tasks(1)
+		second.After = []int{0}
+		b.submit("j", tasks(2), second)
+		b.step(0)
+		b.step(0)
+		Expect(b.starts).To(HaveLen(2))
+		expectState(b, "j", dispatch.Running)
+		b.end("w0", b.starts[0].Task, dispatch.EndDone)
+		b.step(time.Second)
+		Expect(b.starts).To(HaveLen(2))
+		b.end("w0", b.starts[1].Task, dispatch.EndDone)
+		b.step(time.Second)
+		Expect(b.starts).To(HaveLen(3))
+		b.end("w0", b.starts[2].Task, dispatch.EndDone)
+		b.step(time.Second)
+		expectState(b, "j", dispatch.Completed)
+	})
+
+	It("fails a job after the attempts that its queue allows", func() {
+		b := newBench(1, 2)
+		b.list()
+		b.submit("j", tasks(1))
+		b.step(0)
+		b.step(0)
+		for range 2 {
+			last := b.starts[len(b.starts)-1]
+			b.end(last.Worker, last.Task, dispatch.EndFailed)
+			b.step(time.Second)
+		}
+		Expect(b.starts).To(HaveLen(2))
+		Expect(b.starts[1].Worker).NotTo(Equal(b.starts[0].Worker))
+		expectState(b, "j", dispatch.Failed)
+	})
+
+	It("never gives a worker more than it has", func() {
+		b := newBench(1, 1)
+		b.list()
+		b.submit("j", tasks(9))
+		b.step(0)
+		b.step(0)
+		Expect(b.starts).To(HaveLen(4))
+	})
+
+	It("starts the task of a silent worker again only when its lease has ended", func() {
+		b := newBench(1, 2)
+		b.list()
+		b.submit("j", tasks(1))
+		b.step(0)
+		b.step(0)
+		b.workers[b.starts[0].Worker].silent = true
+		for range 39 {
+			b.step(100 * time.Millisecond)
+		}
+		Expect(b.starts).To(HaveLen(1))
+		for range 10 {
+			b.step(100 * time.Millisecond)
+		}
+		Expect(b.starts).To(HaveLen(2))
+	})
+
+	// Guards against a task that runs twice after a takeover: the new owner counted
+	// the recovery as complete before it had seen the list of workers.
+	It("starts no recovered task before all workers have reported", func() {
+		b := newBench(2, 2)
+		b.engine.AddJob(b.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: b.now, Steps: []dispatch.Step{tasks(1)}}, dispatch.Progress{}, true)
+		b.engine.Recover(b.now)
+		b.step(0)
+		run := dispatch.TaskRun{Task: dispatch.TaskID{Job: "j"}, Run: 1}
+		b.workers["w1"].running[run.Task] = &dispatch.RunningTask{TaskRun: run}
+		b.workers["w1"].silent = true
+		b.list()
+		b.step(0)
+		b.step(100 * time.Millisecond)
+		Expect(b.starts).To(BeEmpty())
+		b.workers["w1"].silent = false
+		b.step(100 * time.Millisecond)
+		Expect(b.starts).To(BeEmpty())
+		expectState(b, "j", dispatch.Running)
+	})
+
+	It("keeps stopping a run of a job that it doesn't know", func() {
+		b := newBench(1, 1)
+		b.list()
+		b.step(0)
+		run := dispatch.TaskRun{Task: dispatch.TaskID{Job: "other"}, Run: 1}
+		b.workers["w0"].running[run.Task] = &dispatch.RunningTask{TaskRun: run}
+		b.step(0)
+		Expect(b.stops).To(HaveLen(1))
+	})
+})
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
@@ -60,8 +61,12 @@
 	// recoveryEnds is when the leases that an earlier owner gave have ended.
 	recoveryEnds time.Time
 	recovering   bool
-	tickets      map[StepID]*stepTickets
-	wanted       []AdviceRequest
+	// listed reports that the list of workers is known.
+	listed  bool
+	tickets map[StepID]*stepTickets
+	wanted  []AdviceRequest
+	// unplaceable has the shapes of tasks that found no worker in this tick.
+	unplaceable map[shape]resource.Vector
 }
 
 // finishedJob is the stored outcome of a job.
@@ -81,6 +86,8 @@
 		finished: map[JobID]finishedJob{},
 		dirty:    map[JobID]*job{},
 		tickets:  map[StepID]*stepTickets{},
+
+		unplaceable: map[shape]resource.Vector{},
 	}
 }
 
@@ -96,6 +103,11 @@
 	for name, q := range queues {
 		e.queues[name] = q
 	}
+	for _, j := range e.jobs {
+		if q, known := queues[j.Queue]; known {
+			j.queue = q
+		}
+	}
 }
 
 // SetZonesOut puts the set of zones in force in which nothing may start.
@@ -106,6 +118,7 @@
 // SetWorkers replaces the list of workers. Workers that are no longer listed get
 // nothing new and are forgotten when nothing can run on them any more.
 func (e *Engine) SetWorkers(now time.Time, list []WorkerInfo) {
+	e.listed = true
 	listed := make(map[membership.InstanceID]bool, len(list))
 	for _, info := range list {
 		listed[info.ID] = true
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -74,6 +74,10 @@
 	runs      map[TaskID]*attempt
 	used      resource.Vector
 	fillers   resource.MilliProcessors
+	// serving is the part of used that serving tasks have reserved.
+	serving resource.MilliProcessors
+	// images counts the serving tasks by image.
+	images map[Image]int
 	// seen is the number of the last end that was processed, observed that of the
 	// last one that is stored.
 	seen     int64
@@ -92,6 +96,7 @@
 		listed:     true,
 		heardAt:    now,
 		runs:       map[TaskID]*attempt{},
+		images:     map[Image]int{},
 		strays:     map[TaskRun]time.Time{},
 	}
 }
@@ -147,6 +152,10 @@
 	n.runs[a.task.id] = a
 	n.used = n.used.Add(a.reserved)
 	n.fillers += a.filler
+	if a.task.step.Target > 0 {
+		n.serving += a.reserved.Processors
+		n.images[a.task.step.Image]++
+	}
 	a.task.step.perWorker[n]++
 	a.task.step.job.live++
 	a.task.attempt = a
@@ -161,6 +170,13 @@
 	delete(n.runs, a.task.id)
 	n.used = n.used.Sub(a.reserved)
 	n.fillers -= a.filler
+	if a.task.step.Target > 0 {
+		n.serving -= a.reserved.Processors
+		n.images[a.task.step.Image]--
+		if n.images[a.task.step.Image] == 0 {
+			delete(n.images, a.task.step.Image)
+		}
+	}
 	s := a.task.step
 	s.perWorker[n]--
 	if s.perWorker[n] == 0 {
--- a/internal/decision/dispatch/pace.go
+++ b/internal/decision/dispatch/pace.go
@@ -35,9 +35,9 @@
 	since time.Time
 }
 
-// pairOf names a serving step and a filler step for the interference estimates.
-func pairOf(serving, filler *Step) interference.Pair {
-	return interference.Pair{Service: manifest.ServiceName(serving.Image), Class: manifest.ClassName(filler.Image)}
+// pairOf names a serving image and a filler image for the interference estimates.
+func pairOf(serving, filler Image) interference.Pair {
+	return interference.Pair{Service: manifest.ServiceName(serving), Class: manifest.ClassName(filler)}
 }
 
 // harmControl slows down all fillers of one worker while its serving tasks are too
@@ -71,17 +71,6 @@
 	}
 }
 
-// servingTasks returns the number of serving tasks on the worker.
-func (n *node) servingTasks() int {
-	serving := 0
-	for _, a := range n.runs {
-		if a.task.step.Target > 0 {
-			serving++
-		}
-	}
-	return serving
-}
-
 // observeTails learns from the tail latencies in a report.
 func (e *Engine) observeTails(now time.Time, n *node, r Report) {
 	worst := 0.0
@@ -109,7 +98,7 @@
 			continue
 		}
 		used := float64(a.measure) / float64(max(n.Capacity.Processors, 1))
-		beside = append(beside, interference.Neighbor{Pair: pairOf(serving.Step, a.task.step.Step), Share: used})
+		beside = append(beside, interference.Neighbor{Pair: pairOf(serving.Image, a.task.step.Image), Share: used})
 	}
 	return beside
 }
@@ -163,10 +152,8 @@
 // the worker, 0 to 1.
 func (e *Engine) expectedHarm(now time.Time, s *step, n *node) float64 {
 	harm := 0.0
-	for _, a := range n.runs {
-		if a.task.step.Target > 0 {
-			harm = max(harm, e.odds.Probability(now, pairOf(a.task.step.Step, s.Step)))
-		}
+	for image := range n.images {
+		harm = max(harm, e.odds.Probability(now, pairOf(image, s.Image)))
 	}
 	return harm
 }
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -25,6 +25,9 @@
 	besideFillersCost = 1.5
 	// harmCost keeps fillers away from serving tasks that they disturb.
 	harmCost = 3.0
+	// servingUse is the part of its reserved processors, in percent, that a serving
+	// task is assumed to use at the peak of its load. Fillers get the rest.
+	servingUse = 65
 	// minFillerShare is the part of its processors that a filler must find idle.
 	minFillerShare = 0.6
 )
@@ -90,7 +93,7 @@
 // fillerCost adds what speaks against a filler on a worker: little idle capacity,
 // and serving tasks that it would disturb.
 func (e *Engine) fillerCost(now time.Time, s *step, n *node, cost float64) (float64, bool) {
-	idle := n.Capacity.Processors - n.used.Processors - n.fillers
+	idle := n.idle()
 	if float64(idle) < minFillerShare*float64(s.Resources.Processors) {
 		return 0, false
 	}
@@ -101,21 +104,28 @@
 	return cost + harmCost*harm - share(idle, n.Capacity.Processors), true
 }
 
+// idle returns the processors that fillers can still get.
+func (n *node) idle() resource.MilliProcessors {
+	unused := n.serving * (100 - servingUse) / 100
+	return n.Capacity.Processors - n.used.Processors + unused - n.fillers
+}
+
 // servingCost adds what speaks against a serving task on a worker.
 func (e *Engine) servingCost(now time.Time, s *step, n *node) float64 {
 	cost := 0.0
-	same, others := 0, 0
-	for _, a := range n.runs {
-		switch {
-		case a.task.step.Filler:
-			cost += besideFillersCost * e.odds.Probability(now, pairOf(s.Step, a.task.step.Step)) *
-				share(a.filler, n.Capacity.Processors)
-		case a.task.step.Target > 0 && a.task.step.Image == s.Image:
-			same++
-		case a.task.step.Target > 0:
-			others++
+	if n.fillers > 0 {
+		for _, a := range n.runs {
+			if a.task.step.Filler {
+				cost += besideFillersCost * e.odds.Probability(now, pairOf(s.Image, a.task.step.Image)) *
+					share(a.filler, n.Capacity.Processors)
+			}
 		}
 	}
+	same := n.images[s.Image]
+	others := len(n.images)
+	if same > 0 {
+		others--
+	}
 	if others > 0 {
 		cost += otherImageCost
 	} else if same > 0 {
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -31,7 +31,7 @@
 	}
 	p.Lease = n.renewal(now, e.options.LeaseTerm)
 	p.Wait = pollWait
-	if n.fillers > 0 && n.servingTasks() > 0 {
+	if n.fillers > 0 && n.serving > 0 {
 		p.Wait = watchWait
 	}
 	return p, true
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -41,6 +41,9 @@
 		return
 	}
 	if now.Before(e.recoveryEnds) {
+		if !e.listed {
+			return
+		}
 		for _, n := range e.fleet {
 			if !n.heard {
 				return
@@ -97,6 +100,7 @@
 func (e *Engine) startTasks(now time.Time) {
 	candidates := e.candidates(now)
 	left := maxStartsPerTick
+	clear(e.unplaceable)
 	for _, c := range candidates {
 		if left <= 0 {
 			return
@@ -105,6 +109,41 @@
 	}
 }
 
+// shape is what decides whether any worker can take a task.
+type shape struct {
+	service  ServiceName
+	filler   bool
+	image    Image
+	requires Label
+}
+
+// isUnplaceable reports whether a task of the same shape that needs no more found no
+// worker in this tick.
+func (e *Engine) isUnplaceable(s *step) bool {
+	least, failed := e.unplaceable[s.shape()]
+	return failed && least.FitsIn(s.Resources)
+}
+
+func (s *step) shape() shape {
+	own := shape{service: s.job.queue.Service, filler: s.Filler, requires: s.Requires}
+	if s.Filler {
+		own.image = s.Image
+	}
+	return own
+}
+
+// noteUnplaceable remembers that a task found no worker, unless a rule of its own
+// step is the cause.
+func (e *Engine) noteUnplaceable(s *step) {
+	if s.MaxPerWorker > 0 || s.OneRack || s.job.queue.Advised {
+		return
+	}
+	least, failed := e.unplaceable[s.shape()]
+	if !failed || s.Resources.FitsIn(least) {
+		e.unplaceable[s.shape()] = s.Resources
+	}
+}
+
 // candidates returns the steps with waiting tasks in the order in which they may start.
 func (e *Engine) candidates(now time.Time) []candidate {
 	var list []candidate
@@ -169,6 +208,9 @@
 	if s.Gang {
 		return e.startGang(now, s)
 	}
+	if e.isUnplaceable(s) {
+		return 0
+	}
 	started := 0
 	for _, t := range s.tasks {
 		if started >= limit {
@@ -179,6 +221,7 @@
 		}
 		n := e.choose(now, t)
 		if n == nil {
+			e.noteUnplaceable(s)
 			break
 		}
 		e.start(now, t, n, e.nextRun(t))
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -11,7 +11,7 @@
 
 const (
 	// commandTimeout bounds a start, stop or pace command.
-	commandTimeout = 700 * time.Millisecond
+	commandTimeout = 1200 * time.Millisecond
 	// pollTimeout bounds a poll beyond the time that the worker may wait.
 	pollTimeout = 700 * time.Millisecond
 	// pollPause is the least time between two polls of a worker.
