Blame fillers for a slow serving task only when none has just left

Cause: measurements lag by half a second, so the tail that an evicted filler had caused was blamed on those that stayed. Most pairs were believed to disturb, their fillers were held still and never cleared.

Change: a bad measurement accuses nobody while a filler has left or was slowed down within a measurement; what it adds grows with the tail.

--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -76,6 +76,9 @@
 	fillers   resource.MilliProcessors
 	// serving is the part of used that serving tasks have reserved.
 	serving resource.MilliProcessors
+	// relievedAt is when a filler last left or was slowed down. For a while after
+	// that, measurements show more than what the present fillers cause.
+	relievedAt time.Time
 	// images counts the serving tasks by image.
 	images map[Image]int
 	// seen is the number of the last end that was processed, observed that of the
@@ -163,13 +166,16 @@
 }
 
 // remove takes an attempt out of the ledger.
-func (n *node) remove(a *attempt) {
+func (n *node) remove(a *attempt, now time.Time) {
 	if n.runs[a.task.id] != a {
 		return
 	}
 	delete(n.runs, a.task.id)
 	n.used = n.used.Sub(a.reserved)
 	n.fillers -= a.filler
+	if a.filler > 0 {
+		n.relievedAt = now
+	}
 	if a.task.step.Target > 0 {
 		n.serving -= a.reserved.Processors
 		n.images[a.task.step.Image]--
--- a/internal/decision/dispatch/pace.go
+++ b/internal/decision/dispatch/pace.go
@@ -17,6 +17,8 @@
 	paceRepeat = 500 * time.Millisecond
 	// measureLag is the period of a measurement: a change shows only after it.
 	measureLag = 600 * time.Millisecond
+	// beginLag is the age from which a filler may be the cause of a bad measurement.
+	beginLag = 150 * time.Millisecond
 	// evictAbove is the probability of disturbing a serving task at which a filler
 	// must leave, and beside which none is placed.
 	evictAbove = 0.65
@@ -81,24 +83,37 @@
 		}
 		ratio := float64(run.Measure) * float64(time.Millisecond) / float64(a.task.step.Target)
 		worst = max(worst, ratio)
-		e.odds.Observe(now, ratio, n.unhinderedFillers(now, a.task.step))
+		e.odds.Observe(now, ratio, n.suspects(now, a.task.step, ratio))
 	}
 	n.harm.adjust(now, worst)
 }
 
-// unhinderedFillers returns the fillers that ran at full pace for a whole
-// measurement beside a serving step.
-func (n *node) unhinderedFillers(now time.Time, serving *step) []interference.Neighbor {
+// suspects returns the fillers on which a measurement of a serving step bears.
+// A good one clears those that ran at full pace for all of its period. A bad one
+// accuses also those that have just begun, but none while what has just left may
+// be the cause.
+func (n *node) suspects(now time.Time, serving *step, ratio float64) []interference.Neighbor {
+	least := measureLag
+	if ratio > 1 {
+		if now.Sub(n.relievedAt) < measureLag {
+			return nil
+		}
+		least = beginLag
+	}
 	var beside []interference.Neighbor
 	for _, a := range n.runs {
 		if !a.task.step.Filler || a.pace.percent != fullPace {
 			continue
 		}
-		if now.Sub(a.sentAt) < measureLag || now.Sub(a.pace.since) < measureLag {
+		if now.Sub(a.sentAt) < least || now.Sub(a.pace.since) < least {
 			continue
 		}
-		used := float64(a.measure) / float64(max(n.Capacity.Processors, 1))
-		beside = append(beside, interference.Neighbor{Pair: pairOf(serving.Image, a.task.step.Image), Share: used})
+		used := float64(a.measure)
+		if ratio > 1 && used == 0 {
+			used = float64(a.filler)
+		}
+		part := used / float64(max(n.Capacity.Processors, 1))
+		beside = append(beside, interference.Neighbor{Pair: pairOf(serving.Image, a.task.step.Image), Share: part})
 	}
 	return beside
 }
@@ -144,6 +159,9 @@
 // Paced notes that a worker accepted a pace command.
 func (e *Engine) Paced(now time.Time, id membership.InstanceID, r TaskRun, percent int) {
 	if a := e.findAttempt(id, r); a != nil {
+		if percent < a.pace.percent {
+			a.node.relievedAt = now
+		}
 		a.pace.percent, a.pace.since = percent, now
 	}
 }
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -88,12 +88,12 @@
 func (e *Engine) lose(now time.Time, a *attempt, reason string) {
 	e.count("Task.Lost")
 	e.record(now, Decision{Event: "TaskLost", Task: TaskRun{a.task.id, a.run}, Worker: a.node.ID, Reason: reason})
-	e.release(a)
+	e.release(now, a)
 }
 
 // release frees the capacity of a run that is over.
-func (e *Engine) release(a *attempt) {
-	a.node.remove(a)
+func (e *Engine) release(now time.Time, a *attempt) {
+	a.node.remove(a, now)
 	e.forgetIfOver(a.task.step.job)
 }
 
@@ -118,7 +118,7 @@
 	atWork := false
 	if a := n.runs[end.Task]; a != nil && a.run == end.Run {
 		atWork = a.percent >= atWorkPercent
-		e.release(a)
+		e.release(now, a)
 	}
 	delete(n.strays, end.TaskRun)
 	t := e.findTask(end.Task)
@@ -244,7 +244,7 @@
 		case a.phase == inDoubt:
 			e.stop(now, a, "start unanswered")
 		case a.phase == stopping && a.stopClock > 0 && r.Clock > a.stopClock:
-			e.release(a)
+			e.release(now, a)
 		}
 	}
 }
@@ -334,7 +334,7 @@
 
 // startRefused frees the capacity of a run that was not started.
 func (e *Engine) startRefused(now time.Time, a *attempt, result StartResult) {
-	e.release(a)
+	e.release(now, a)
 	switch result {
 	case StartNoRoom:
 		a.node.avoidUntil = now.Add(noRoomPause)
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -250,7 +250,7 @@
 		n := e.choose(now, t)
 		if n == nil {
 			for _, a := range placed {
-				a.node.remove(a)
+				a.node.remove(a, now)
 			}
 			s.rack = ""
 			return 0
--- a/internal/decision/interference/odds.go
+++ b/internal/decision/interference/odds.go
@@ -8,8 +8,10 @@
 const (
 	// priorScore is the log-odds that an unknown pair disturbs: about one in four.
 	priorScore = -1.0
-	// badScore is what a tail over the target adds to the pairs that may be its cause.
-	badScore = 2.5
+	// badScore is what a tail of the target adds to the pairs that may be its cause. A
+	// longer one says more, up to maxBad times as much.
+	badScore = 1.2
+	maxBad   = 2.5
 	// goodScore is what a tail well under the target takes from each pair, when the
 	// class uses goodShare of the instance. Less use proves less.
 	goodScore = 0.5
@@ -18,7 +20,7 @@
 	maxScore = 4.0
 	// badRatio and goodRatio are the tail against the target that count as too slow
 	// and as undisturbed. Between them a sample says nothing.
-	badRatio  = 0.95
+	badRatio  = 1.0
 	goodRatio = 0.7
 	// minShare is the part of an instance below which a class can't be the cause.
 	minShare = 0.01
@@ -58,7 +60,7 @@
 func (o *Odds) Observe(now time.Time, ratio float64, beside []Neighbor) {
 	switch {
 	case ratio >= badRatio:
-		o.blame(now, beside)
+		o.blame(now, min(ratio, maxBad), beside)
 	case ratio <= goodRatio:
 		for _, n := range beside {
 			o.add(now, n.Pair, -goodScore*min(n.Share/goodShare, 2))
@@ -67,7 +69,7 @@
 }
 
 // blame divides the blame by how likely each class is the cause.
-func (o *Odds) blame(now time.Time, beside []Neighbor) {
+func (o *Odds) blame(now time.Time, ratio float64, beside []Neighbor) {
 	total := 0.0
 	for _, n := range beside {
 		total += o.weight(now, n)
@@ -77,7 +79,7 @@
 	}
 	for _, n := range beside {
 		if w := o.weight(now, n); w > 0 {
-			o.add(now, n.Pair, badScore*w/total)
+			o.add(now, n.Pair, badScore*ratio*w/total)
 		}
 	}
 }
