Accuse suspicious fillers only, and be patient before slowing all of them

Cause: on busy workers some filler always has just left, so bad measurements taught nothing; and all fillers of a worker were slowed down at each peak of load.

Change: only fillers that may disturb excuse the others when they leave; fillers are slowed down together only after 1.3 s over the target; the outcomes of jobs are loaded at a takeover (tests for each).

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -263,4 +263,126 @@
 		b.step(0)
 		Expect(b.stops).To(HaveLen(1))
 	})
+
+	// Guards against a job that ran again when its submission was repeated after it
+	// had ended under an earlier owner.
+	It("doesn't run a job again that is over", func() {
+		b := newBench(2, 1)
+		b.list()
+		b.engine.AddFinished(b.now, "j", dispatch.Completed)
+		b.submit("j", tasks(1))
+		b.step(0)
+		b.step(0)
+		Expect(b.starts).To(BeEmpty())
+		expectState(b, "j", dispatch.Completed)
+	})
+})
+
+// servingStep and fillerStep are steps of a latency-critical and a batch image.
+func servingStep(n int) dispatch.Step {
+	return dispatch.Step{
+		Tasks: n, Resources: cores(2), LongRunning: true, Image: "serve",
+		Target: 20 * time.Millisecond, MaxPerWorker: 1,
+	}
+}
+
+func fillerStep(n int, image dispatch.Image) dispatch.Step {
+	return dispatch.Step{Tasks: n, Resources: cores(1), Filler: true, Image: image, Estimate: time.Second}
+}
+
+// serveAt lets all serving tasks report a tail latency in milliseconds, and the
+// fillers the use of a processor.
+func (b *bench) serveAt(tail int) {
+	for _, w := range b.workers {
+		for id, run := range w.running {
+			if id.Job == "serving" {
+				run.Percent, run.Measure = 100, tail
+			} else {
+				run.Measure = 1000
+			}
+		}
+	}
+}
+
+// workersOf lists the workers on which tasks of a job run.
+func (b *bench) workersOf(id dispatch.JobID) []membership.InstanceID {
+	var on []membership.InstanceID
+	for worker, w := range b.workers {
+		for task := range w.running {
+			if task.Job == id {
+				on = append(on, worker)
+			}
+		}
+	}
+	return on
+}
+
+var _ = Describe("Fillers", func() {
+	// setUp runs a serving task on one of two workers and a filler beside it.
+	setUp := func() *bench {
+		b := newBench(1, 1)
+		b.list()
+		b.submit("serving", servingStep(1))
+		b.step(0)
+		b.step(0)
+		b.serveAt(5)
+		b.submit("fill", fillerStep(1, "loud"))
+		b.step(time.Second)
+		Expect(b.workersOf("fill")).To(HaveLen(1))
+		return b
+	}
+
+	It("moves a filler away from a serving task that it disturbs", func() {
+		b := setUp()
+		b.workers["w1"] = &fakeWorker{
+			info: dispatch.WorkerInfo{ID: "w1", Address: "w1", Service: "pool", Zone: "z", Capacity: cores(4)},
+			born: 1, running: map[dispatch.TaskID]*dispatch.RunningTask{},
+		}
+		b.list()
+		b.step(time.Second)
+		for range 4 {
+			b.serveAt(60)
+			b.step(500 * time.Millisecond)
+		}
+		Expect(b.stops).To(HaveLen(1))
+		Expect(b.workersOf("fill")).To(Equal([]membership.InstanceID{"w1"}))
+	})
+
+	It("holds a disturbing filler still when it can't go elsewhere", func() {
+		b := setUp()
+		for range 4 {
+			b.serveAt(60)
+			b.step(500 * time.Millisecond)
+		}
+		Expect(b.stops).To(BeEmpty())
+		Expect(b.paces).NotTo(BeEmpty())
+		Expect(*b.paces[len(b.paces)-1].Pace).To(BeZero())
+	})
+
+	It("leaves a filler alone that has proved harmless when the load peaks for a moment", func() {
+		b := setUp()
+		for range 20 {
+			b.serveAt(5)
+			b.step(500 * time.Millisecond)
+		}
+		b.serveAt(22)
+		b.step(500 * time.Millisecond)
+		b.serveAt(5)
+		b.step(500 * time.Millisecond)
+		Expect(b.stops).To(BeEmpty())
+		Expect(b.paces).To(BeEmpty())
+	})
+
+	It("slows all fillers down when serving tasks stay over their target", func() {
+		b := setUp()
+		for range 20 {
+			b.serveAt(5)
+			b.step(500 * time.Millisecond)
+		}
+		for range 5 {
+			b.serveAt(22)
+			b.step(500 * time.Millisecond)
+		}
+		Expect(b.paces).NotTo(BeEmpty())
+	})
 })
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -178,6 +178,14 @@
 	e.finishIfDone(now, added)
 }
 
+// AddFinished enters the stored outcome of a job that ended under an earlier owner,
+// so that a repeated submission doesn't run it again.
+func (e *Engine) AddFinished(now time.Time, id JobID, outcome JobState) {
+	if !e.Knows(id) {
+		e.finished[id] = finishedJob{outcome, now}
+	}
+}
+
 // Knows reports whether the engine has the job or its outcome.
 func (e *Engine) Knows(id JobID) bool {
 	_, live := e.jobs[id]
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -76,9 +76,9 @@
 	fillers   resource.MilliProcessors
 	// serving is the part of used that serving tasks have reserved.
 	serving resource.MilliProcessors
-	// relievedAt is when a filler last left or was slowed down. For a while after
-	// that, measurements show more than what the present fillers cause.
-	relievedAt time.Time
+	// departed has the images of fillers that left or were slowed down lately, with
+	// the time. Measurements still show what they caused.
+	departed map[Image]time.Time
 	// images counts the serving tasks by image.
 	images map[Image]int
 	// seen is the number of the last end that was processed, observed that of the
@@ -100,6 +100,7 @@
 		heardAt:    now,
 		runs:       map[TaskID]*attempt{},
 		images:     map[Image]int{},
+		departed:   map[Image]time.Time{},
 		strays:     map[TaskRun]time.Time{},
 	}
 }
@@ -174,7 +175,7 @@
 	n.used = n.used.Sub(a.reserved)
 	n.fillers -= a.filler
 	if a.filler > 0 {
-		n.relievedAt = now
+		n.departed[a.task.step.Image] = now
 	}
 	if a.task.step.Target > 0 {
 		n.serving -= a.reserved.Processors
--- a/internal/decision/dispatch/pace.go
+++ b/internal/decision/dispatch/pace.go
@@ -25,6 +25,16 @@
 	// paceStep multiplies the pace of all fillers of a worker whose serving tasks are
 	// too slow without a filler that is known to be the cause.
 	paceStep = 0.4
+	// harmPatience is how long a serving task may be over its target before that
+	// happens: a fraction of what the platform allows, and longer than most peaks of load.
+	harmPatience = 1300 * time.Millisecond
+	// calmRatio is the tail latency against the target below which the pace rises
+	// again, by paceRise percent at a time.
+	calmRatio = 0.9
+	paceRise  = 50
+	// suspectAbove is the probability of disturbing from which a filler may be the
+	// cause of a bad measurement after it has left.
+	suspectAbove = 0.15
 	// minPace is the pace, in percent, below which fillers are held still.
 	minPace = 10
 )
@@ -45,7 +55,9 @@
 // harmControl slows down all fillers of one worker while its serving tasks are too
 // slow and no single filler is to blame.
 type harmControl struct {
-	control interference.Control
+	// overSince is when a serving task was first over its target, zero if none is.
+	overSince time.Time
+	changedAt time.Time
 	// lowered is what full pace is lowered by, in percent.
 	lowered int
 }
@@ -57,19 +69,22 @@
 
 // adjust chooses the pace after a sample of the worst serving task.
 func (c *harmControl) adjust(now time.Time, ratio float64) {
-	switch c.control.Next(now.Add(-measureLag), ratio) {
-	case interference.Relieve:
+	if ratio <= 1 {
+		c.overSince = time.Time{}
+	} else if c.overSince.IsZero() {
+		c.overSince = now
+	}
+	settled := now.Sub(c.changedAt) >= measureLag
+	switch {
+	case !settled:
+	case ratio > 1 && now.Sub(c.overSince) >= harmPatience && c.lowered < fullPace:
 		next := int(float64(c.target()) * paceStep)
 		if next < minPace {
 			next = 0
 		}
-		c.lowered = fullPace - next
-		c.control.Acted(now)
-	case interference.Lift:
-		if c.lowered > 0 {
-			c.lowered = max(c.lowered-fullPace/2, 0)
-			c.control.Acted(now)
-		}
+		c.lowered, c.changedAt = fullPace-next, now
+	case ratio < calmRatio && c.lowered > 0:
+		c.lowered, c.changedAt = max(c.lowered-paceRise, 0), now
 	}
 }
 
@@ -83,34 +98,35 @@
 		}
 		ratio := float64(run.Measure) * float64(time.Millisecond) / float64(a.task.step.Target)
 		worst = max(worst, ratio)
-		e.odds.Observe(now, ratio, n.suspects(now, a.task.step, ratio))
+		e.odds.Observe(now, ratio, e.suspects(now, n, a.task.step, ratio))
 	}
 	n.harm.adjust(now, worst)
 }
 
 // suspects returns the fillers on which a measurement of a serving step bears.
 // A good one clears those that ran at full pace for all of its period. A bad one
-// accuses also those that have just begun, but none while what has just left may
-// be the cause.
-func (n *node) suspects(now time.Time, serving *step, ratio float64) []interference.Neighbor {
-	least := measureLag
-	if ratio > 1 {
-		if now.Sub(n.relievedAt) < measureLag {
-			return nil
-		}
-		least = beginLag
+// accuses all, but none while a suspicious one that has just left may be the cause.
+func (e *Engine) suspects(now time.Time, n *node, serving *step, ratio float64) []interference.Neighbor {
+	if ratio > 1 && e.suspectLeft(now, n, serving) {
+		return nil
 	}
 	var beside []interference.Neighbor
 	for _, a := range n.runs {
-		if !a.task.step.Filler || a.pace.percent != fullPace {
-			continue
-		}
-		if now.Sub(a.sentAt) < least || now.Sub(a.pace.since) < least {
+		if !a.task.step.Filler {
 			continue
 		}
 		used := float64(a.measure)
-		if ratio > 1 && used == 0 {
-			used = float64(a.filler)
+		if ratio <= 1 {
+			if a.pace.percent != fullPace || now.Sub(a.sentAt) < measureLag || now.Sub(a.pace.since) < measureLag {
+				continue
+			}
+		} else {
+			if now.Sub(a.sentAt) < beginLag {
+				continue
+			}
+			if used == 0 {
+				used = float64(int(a.filler) * max(a.pace.percent, 0) / fullPace)
+			}
 		}
 		part := used / float64(max(n.Capacity.Processors, 1))
 		beside = append(beside, interference.Neighbor{Pair: pairOf(serving.Image, a.task.step.Image), Share: part})
@@ -118,6 +134,21 @@
 	return beside
 }
 
+// suspectLeft reports whether a filler that may disturb the step has just left.
+func (e *Engine) suspectLeft(now time.Time, n *node, serving *step) bool {
+	suspicious := false
+	for image, at := range n.departed {
+		if now.Sub(at) >= measureLag {
+			delete(n.departed, image)
+			continue
+		}
+		if e.odds.Probability(now, pairOf(serving.Image, image)) >= suspectAbove {
+			suspicious = true
+		}
+	}
+	return suspicious
+}
+
 // controlHarm moves fillers away from serving tasks that they disturb, and sends
 // the paces that fillers don't have yet.
 func (e *Engine) controlHarm(now time.Time) {
@@ -160,7 +191,7 @@
 func (e *Engine) Paced(now time.Time, id membership.InstanceID, r TaskRun, percent int) {
 	if a := e.findAttempt(id, r); a != nil {
 		if percent < a.pace.percent {
-			a.node.relievedAt = now
+			a.node.departed[a.task.step.Image] = now
 		}
 		a.pace.percent, a.pace.since = percent, now
 	}
--- a/internal/entry/dispatcher/gateway.go
+++ b/internal/entry/dispatcher/gateway.go
@@ -41,7 +41,10 @@
 	err := n.submitHere(ctx, j)
 	var refusal *queue.Refusal
 	if errors.As(err, &refusal) && refusal.Reason == RefusedStore {
-		err = n.relay(ctx, relaySubmit, submittedRequest{j}, err)
+		return n.relay(ctx, relaySubmit, submittedRequest{j}, err)
+	}
+	if errors.Is(err, errRepeated) {
+		return nil
 	}
 	if err == nil {
 		n.notify(submittedMethod, submittedRequest{j}, func(o *owner) { o.submitted(j) })
@@ -49,7 +52,11 @@
 	return err
 }
 
-// submitHere stores a job from this instance.
+// errRepeated reports that the job was stored before.
+var errRepeated = errors.New("dispatcher: the job is stored already")
+
+// submitHere stores a job from this instance. It fails with errRepeated if that was
+// done before.
 func (n *Node) submitHere(ctx context.Context, j dispatch.Job) error {
 	if lost, skip := n.store.lostFor(); skip {
 		return n.storeRefusal(lost)
@@ -65,9 +72,10 @@
 		case err == nil:
 			return nil
 		case errors.Is(err, table.ErrConflict):
-			// The row exists: an earlier request or try has stored the job.
+			// The row exists: an earlier request or try has stored the job. The owner
+			// knows of it, or follows the rows; telling it again could revive a job that is over.
 			n.Counters.Add("Submit.Repeated", 1)
-			return nil
+			return errRepeated
 		case errors.Is(err, table.ErrInvalid):
 			return err
 		case errors.Is(err, table.ErrUnavailable) && !unknown:
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -189,7 +189,10 @@
 				o.node.Counters.Add("Jobs.RowsUnreadable", 1)
 				continue
 			}
-			if content.Job != nil && content.Outcome == "" {
+			switch {
+			case content.Outcome != "":
+				e.AddFinished(now, id, content.Outcome)
+			case content.Job != nil:
 				e.AddJob(now, *content.Job, stored[id], recovered)
 			}
 		}
--- a/internal/entry/dispatcher/serve.go
+++ b/internal/entry/dispatcher/serve.go
@@ -52,7 +52,11 @@
 }
 
 func (n *Node) answerRelaySubmit(ctx context.Context, r submittedRequest) (emptyAnswer, error) {
-	if err := n.submitHere(ctx, r.Job); err != nil {
+	err := n.submitHere(ctx, r.Job)
+	if errors.Is(err, errRepeated) {
+		return emptyAnswer{}, nil
+	}
+	if err != nil {
 		return emptyAnswer{}, relayError(err)
 	}
 	n.notify(submittedMethod, r, func(o *owner) { o.submitted(r.Job) })
