Keep running after SIGHUP and read the settings again

Change: SIGHUP reads the settings again, as does a timer; only the seeds can change. Test: serve-platform goes on after SIGHUP.

--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -7,8 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -43,8 +47,16 @@
 	idleTimeout = 15 * time.Second
 )
 
+// reloadInterval is how often the settings are read again: they may change without
+// a signal.
+const reloadInterval = 5 * time.Second
+
 // process is a running entry instance.
 type process struct {
+	options *Options
+	// changed receives SIGHUP, which tells of a new settings file and would
+	// otherwise end the process.
+	changed  chan os.Signal
 	settings platform.Settings
 	node     *dispatcher.Node
 	peers    *entry.Server
@@ -63,7 +75,8 @@
 
 // listen opens the addresses and builds the parts of the process.
 func listen(opts *Options, s platform.Settings) (*process, error) {
-	p := &process{settings: s, counters: &counter.Set{}, bindings: map[*http.Server]net.Listener{}}
+	p := &process{options: opts, changed: make(chan os.Signal, 1), settings: s, counters: &counter.Set{}, bindings: map[*http.Server]net.Listener{}}
+	signal.Notify(p.changed, syscall.SIGHUP)
 	p.limitMemory()
 	if err := p.openLog(opts); err != nil {
 		return nil, err
@@ -161,6 +174,7 @@
 	}
 	group.Go(func() error { return p.peers.Serve(background, p.peerPort) })
 	group.Go(func() error { return p.node.Run(background) })
+	group.Go(func() error { return p.reload(background) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -174,6 +188,37 @@
 	return errors.Join(err, p.client.Close())
 }
 
+// reload reads the settings again after SIGHUP and from time to time. Only the
+// seeds can change while the process runs.
+func (p *process) reload(ctx context.Context) error {
+	defer signal.Stop(p.changed)
+	ticker := p.options.Factory.Clock.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-p.changed:
+		case <-ticker.Chan():
+		}
+		p.reloadOnce()
+	}
+}
+
+func (p *process) reloadOnce() {
+	read, err := platform.ReadSettings(p.options.Config)
+	if err != nil {
+		p.counters.Add("Settings.ReloadFailed", 1)
+		p.log.Error().Err(err).Msg("the settings can't be read again; the earlier ones hold")
+		return
+	}
+	if !slices.Equal(read.Seeds, p.settings.Seeds) {
+		p.log.Info().Strs("Seeds", read.Seeds).Msg("settings reloaded")
+	}
+	p.settings.Seeds = read.Seeds
+	p.node.SetSeeds(read.Seeds)
+}
+
 func serve(server *http.Server, listener net.Listener) error {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
--- /dev/null
+++ b/internal/cmd/serveplatform/serveplatform_test.go
@@ -0,0 +1,102 @@
+package serveplatform
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
+)
+
+func TestServePlatform(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ServePlatform")
+}
+
+func testFactory(environment map[string]string) *factory.Factory {
+	return &factory.Factory{
+		IO:    factory.IOStreams{In: strings.NewReader(""), Out: &bytes.Buffer{}, ErrOut: &bytes.Buffer{}},
+		Clock: clockwork.NewRealClock(),
+		LookupEnv: func(name string) (string, bool) {
+			value, ok := environment[name]
+			return value, ok
+		},
+	}
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress() string {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func writeSettings(path, ready string) {
+	GinkgoHelper()
+	content := fmt.Sprintf("nodeName = \"n1\"\nzone = \"z\"\nseeds = []\n[listen]\nfrontend = %q\nready = %q\ncontrol = %q\n"+
+		"[bounds]\nholdMaxMs = 6000\ngraceS = 1\n[platform]\naddress = %q\nform = \"table\"\n",
+		freeAddress(), ready, freeAddress(), freeAddress())
+	Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+}
+
+var _ = Describe("serve-platform", func() {
+	It("reads its settings from flags and the environment", func() {
+		var got *Options
+		cmd := NewCmd(testFactory(map[string]string{"JACINTHTRAIL_CONFIG": "/x.toml"}), func(_ context.Context, o *Options) error {
+			got = o
+			return nil
+		})
+		cmd.SetArgs([]string{"--lease-term", "3s"})
+		Expect(cmd.Execute()).To(Succeed())
+		Expect(got.Config).To(Equal("/x.toml"))
+		Expect(got.LeaseTerm).To(Equal(3 * time.Second))
+	})
+
+	It("reports all wrong settings together", func() {
+		cmd := NewCmd(testFactory(nil), func(context.Context, *Options) error { return nil })
+		cmd.SilenceErrors, cmd.SilenceUsage = true, true
+		cmd.SetArgs([]string{"--log-level", "loud", "--lease-term", "1ms"})
+		Expect(cmd.Execute()).To(MatchError(And(
+			ContainSubstring("--config"), ContainSubstring("--log-level"), ContainSubstring("--lease-term"))))
+	})
+
+	// Guards against a process that is ended by the signal that tells of new settings.
+	It("goes on after SIGHUP, without a store, and stops when told", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "settings.toml")
+		ready := freeAddress()
+		writeSettings(path, ready)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		ended := make(chan error, 1)
+		cmd := NewCmd(testFactory(map[string]string{"JACINTHTRAIL_CONFIG": path}), nil)
+		cmd.SetArgs(nil)
+		go func() { ended <- cmd.ExecuteContext(ctx) }()
+		status := func() int {
+			answer, err := http.Get("http://" + ready)
+			if err != nil {
+				return 0
+			}
+			defer answer.Body.Close()
+			return answer.StatusCode
+		}
+		Eventually(status, 5*time.Second).Should(Equal(http.StatusServiceUnavailable))
+		Expect(syscall.Kill(os.Getpid(), syscall.SIGHUP)).To(Succeed())
+		Consistently(status, 300*time.Millisecond).Should(Equal(http.StatusServiceUnavailable))
+		cancel()
+		Eventually(ended, 10*time.Second).Should(Receive(BeNil()))
+	})
+})
--- a/internal/entry/dispatcher/follow.go
+++ b/internal/entry/dispatcher/follow.go
@@ -90,7 +90,7 @@
 
 // askSeeds asks the instances that the settings name, and those known, for the owner.
 func (n *Node) askSeeds(ctx context.Context) {
-	for _, address := range append(n.peerAddresses(), n.Seeds...) {
+	for _, address := range n.seeds() {
 		if address == n.PeerAddress {
 			continue
 		}
@@ -307,7 +307,7 @@
 
 // announce tells the known instances of the new owner.
 func (n *Node) announce(ctx context.Context) {
-	for _, address := range append(n.peerAddresses(), n.Seeds...) {
+	for _, address := range n.seeds() {
 		if address == n.PeerAddress {
 			continue
 		}
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -84,6 +84,21 @@
 	return group.Wait()
 }
 
+// SetSeeds replaces the peer addresses to ask first.
+func (n *Node) SetSeeds(seeds []string) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.Seeds = seeds
+}
+
+// seeds returns the addresses of the known peers, then those of the settings.
+func (n *Node) seeds() []string {
+	known := n.peerAddresses()
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	return append(known, n.Seeds...)
+}
+
 // Ready reports whether callers can be served.
 func (n *Node) Ready() bool {
 	return n.config.Load() != nil && !n.draining.Load()
