Judge pairs by Bayes, and evict the most suspicious filler first

Cause: a bad sample raised every filler beside it by a fixed amount, so harmless pairs ended as disturbing ones, and fillers beside them stood still for good.

Change: a pair that is known to disturb explains a bad sample and excuses the others; verdicts against a pair fade within 30 s; of several suspects one is stopped at a time.

--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -76,6 +76,8 @@
 	fillers   resource.MilliProcessors
 	// serving is the part of used that serving tasks have reserved.
 	serving resource.MilliProcessors
+	// suspectEvicted is when a filler was last stopped on suspicion.
+	suspectEvicted time.Time
 	// departed has the images of fillers that left or were slowed down lately, with
 	// the time. Measurements still show what they caused.
 	departed map[Image]time.Time
--- a/internal/decision/dispatch/pace.go
+++ b/internal/decision/dispatch/pace.go
@@ -35,6 +35,9 @@
 	// suspectAbove is the probability of disturbing from which a filler may be the
 	// cause of a bad measurement after it has left.
 	suspectAbove = 0.15
+	// evictRatio is the tail latency against the target from which the most suspicious
+	// filler leaves before it is known whether it is the cause.
+	evictRatio = 1.3
 	// minPace is the pace, in percent, below which fillers are held still.
 	minPace = 10
 )
@@ -99,6 +102,9 @@
 		ratio := float64(run.Measure) * float64(time.Millisecond) / float64(a.task.step.Target)
 		worst = max(worst, ratio)
 		e.odds.Observe(now, ratio, e.suspects(now, n, a.task.step, ratio))
+		if ratio > evictRatio {
+			e.evictSuspect(now, n, a.task.step)
+		}
 	}
 	n.harm.adjust(now, worst)
 }
@@ -129,11 +135,22 @@
 			}
 		}
 		part := used / float64(max(n.Capacity.Processors, 1))
-		beside = append(beside, interference.Neighbor{Pair: pairOf(serving.Image, a.task.step.Image), Share: part})
+		beside = addNeighbor(beside, pairOf(serving.Image, a.task.step.Image), part)
 	}
 	return beside
 }
 
+// addNeighbor adds the use of a filler to that of its image.
+func addNeighbor(list []interference.Neighbor, pair interference.Pair, part float64) []interference.Neighbor {
+	for i := range list {
+		if list[i].Pair == pair {
+			list[i].Share += part
+			return list
+		}
+	}
+	return append(list, interference.Neighbor{Pair: pair, Share: part})
+}
+
 // suspectLeft reports whether a filler that may disturb the step has just left.
 func (e *Engine) suspectLeft(now time.Time, n *node, serving *step) bool {
 	suspicious := false
@@ -165,20 +182,42 @@
 }
 
 func (e *Engine) controlFiller(now time.Time, n *node, a *attempt) {
-	want := n.harm.target()
 	if e.expectedHarm(now, a.task.step, n) > evictAbove {
-		if e.choose(now, a.task) != nil {
-			e.count("Task.Evicted.Disturbs")
-			e.stop(now, a, "disturbs a serving task")
-			return
-		}
-		want = 0
+		e.count("Task.Evicted.Disturbs")
+		e.stop(now, a, "disturbs a serving task")
+		return
 	}
+	want := n.harm.target()
 	if a.pace.percent != want && now.Sub(a.pace.sentAt) >= paceRepeat {
 		e.sendPace(now, a, want)
 	}
 }
 
+// evictSuspect stops the filler that most likely makes a serving task slow, unless
+// one was stopped so recently that measurements don't show the effect yet.
+func (e *Engine) evictSuspect(now time.Time, n *node, serving *step) {
+	if now.Sub(n.suspectEvicted) < measureLag {
+		return
+	}
+	var worst *attempt
+	highest := suspectAbove
+	for _, a := range n.runs {
+		if !a.task.step.Filler || a.phase != running || now.Sub(a.sentAt) < beginLag {
+			continue
+		}
+		p := e.odds.Probability(now, pairOf(serving.Image, a.task.step.Image))
+		if p > highest {
+			worst, highest = a, p
+		}
+	}
+	if worst == nil {
+		return
+	}
+	n.suspectEvicted = now
+	e.count("Task.Evicted.Suspect")
+	e.stop(now, worst, "may disturb a serving task")
+}
+
 func (e *Engine) sendPace(now time.Time, a *attempt, percent int) {
 	a.pace.sentAt = now
 	e.count("Task.Paced")
--- a/internal/decision/interference/odds.go
+++ b/internal/decision/interference/odds.go
@@ -6,26 +6,26 @@
 )
 
 const (
-	// priorScore is the log-odds that an unknown pair disturbs: about one in four.
-	priorScore = -1.0
-	// badScore is what a tail of the target adds to the pairs that may be its cause. A
-	// longer one says more, up to maxBad times as much.
-	badScore = 1.2
-	maxBad   = 2.5
-	// goodScore is what a tail well under the target takes from each pair, when the
-	// class uses goodShare of the instance. Less use proves less.
-	goodScore = 0.5
-	goodShare = 0.08
-	// maxScore bounds what is believed of a pair, so that it can change again.
-	maxScore = 4.0
-	// badRatio and goodRatio are the tail against the target that count as too slow
-	// and as undisturbed. Between them a sample says nothing.
-	badRatio  = 1.0
+	// priorProbability is how likely an unknown pair disturbs.
+	priorProbability = 0.25
+	// minProbability and maxProbability bound what is believed of a pair, so that it
+	// can change again.
+	minProbability = 0.01
+	maxProbability = 0.98
+	// goodRatio is the tail against the target up to which a service counts as
+	// undisturbed. Between that and 1 a sample says nothing.
 	goodRatio = 0.7
+	// detection is the probability that a disturbing class shows in a sample, when it
+	// uses detectionShare of the instance. With less it shows less often.
+	detection      = 0.7
+	detectionShare = 0.1
 	// minShare is the part of an instance below which a class can't be the cause.
 	minShare = 0.01
-	// oddsHalfLife is the time after which half of the evidence is forgotten.
-	oddsHalfLife = 3 * time.Minute
+	// harmfulHalfLife is the time after which half of the evidence against a pair is
+	// forgotten, so that it is tried again; harmlessHalfLife is that of the evidence
+	// for it, which each sample renews.
+	harmfulHalfLife  = 30 * time.Second
+	harmlessHalfLife = 5 * time.Minute
 )
 
 // Neighbor is a class beside a service, with its part of the instance's processors.
@@ -36,76 +36,120 @@
 
 // Odds estimates for each pair whether the class pushes the service's tail latency
 // over its target. A disturbed tail rises steeply, so whether a pair disturbs says
-// more than by how much. The zero value knows only the prior.
+// more than by how much. A bad sample is explained by any one disturbing class, so
+// a class that is known to disturb excuses the others. The zero value knows only
+// the prior.
 type Odds struct {
-	scores map[Pair]*score
+	beliefs map[Pair]*belief
 }
 
-type score struct {
-	value float64
-	at    time.Time
+// belief is the logarithm of the odds of a pair at a time.
+type belief struct {
+	logOdds float64
+	at      time.Time
 }
 
 // Probability returns how likely the pair disturbs, 0 to 1.
 func (o *Odds) Probability(now time.Time, p Pair) float64 {
-	value := priorScore
-	if s := o.scores[p]; s != nil {
-		value = s.decayed(now)
+	b := o.beliefs[p]
+	if b == nil {
+		return priorProbability
 	}
-	return 1 / (1 + math.Exp(-value))
+	return probability(b.decayed(now))
 }
 
 // Observe learns from a sample: the tail of a service against its target, and the
-// classes that ran beside it, unhindered, for the whole period of the sample.
+// classes that ran beside it.
 func (o *Odds) Observe(now time.Time, ratio float64, beside []Neighbor) {
 	switch {
-	case ratio >= badRatio:
-		o.blame(now, min(ratio, maxBad), beside)
+	case ratio > 1:
+		o.observeBad(now, ratio, beside)
 	case ratio <= goodRatio:
-		for _, n := range beside {
-			o.add(now, n.Pair, -goodScore*min(n.Share/goodShare, 2))
-		}
+		o.observeGood(now, beside)
 	}
 }
 
-// blame divides the blame by how likely each class is the cause.
-func (o *Odds) blame(now time.Time, ratio float64, beside []Neighbor) {
-	total := 0.0
+// observeGood clears each class by how surely it would have shown.
+func (o *Odds) observeGood(now time.Time, beside []Neighbor) {
 	for _, n := range beside {
-		total += o.weight(now, n)
+		shown := detection * min(n.Share/detectionShare, 1)
+		p := o.Probability(now, n.Pair)
+		o.set(now, n.Pair, p*(1-shown)/(1-p*shown))
 	}
-	if total == 0 {
-		return
+}
+
+// observeBad raises the probability of each class that may be the cause.
+func (o *Odds) observeBad(now time.Time, ratio float64, beside []Neighbor) {
+	innocent := 1.0
+	for _, n := range beside {
+		if n.Share >= minShare {
+			innocent *= 1 - o.Probability(now, n.Pair)
+		}
 	}
+	bad := 1 - innocent + noise(ratio)*innocent
 	for _, n := range beside {
-		if w := o.weight(now, n); w > 0 {
-			o.add(now, n.Pair, badScore*ratio*w/total)
+		if n.Share >= minShare {
+			o.set(now, n.Pair, o.Probability(now, n.Pair)/bad)
 		}
 	}
 }
 
-func (o *Odds) weight(now time.Time, n Neighbor) float64 {
-	if n.Share < minShare {
-		return 0
+// noise is the probability of such a sample when no class disturbs: peaks of the
+// service's own load bring it a little over the target, and rarely far.
+func noise(ratio float64) float64 {
+	switch {
+	case ratio < 1.4:
+		return 0.4
+	case ratio < 2:
+		return 0.1
+	default:
+		return 0.03
 	}
-	return o.Probability(now, n.Pair) * n.Share
 }
 
-func (o *Odds) add(now time.Time, p Pair, delta float64) {
-	s := o.scores[p]
-	if s == nil {
-		if o.scores == nil {
-			o.scores = map[Pair]*score{}
-		}
-		s = &score{value: priorScore, at: now}
-		o.scores[p] = s
+func (o *Odds) set(now time.Time, p Pair, value float64) {
+	if o.beliefs == nil {
+		o.beliefs = map[Pair]*belief{}
+	}
+	value = min(max(value, minProbability), maxProbability)
+	o.beliefs[p] = &belief{math.Log(value / (1 - value)), now}
+}
+
+// decayed returns the odds moved towards the prior by their age.
+func (b *belief) decayed(now time.Time) float64 {
+	prior := math.Log(priorProbability / (1 - priorProbability))
+	halfLife := harmlessHalfLife
+	if b.logOdds > prior {
+		halfLife = harmfulHalfLife
 	}
-	s.value = min(max(s.decayed(now)+delta, -maxScore), maxScore)
-	s.at = now
+	keep := math.Exp2(-float64(max(now.Sub(b.at), 0)) / float64(halfLife))
+	return prior + (b.logOdds-prior)*keep
 }
 
-// decayed returns the score moved towards the prior by its age.
-func (s *score) decayed(now time.Time) float64 {
-	keep := math.Exp2(-float64(max(now.Sub(s.at), 0)) / float64(oddsHalfLife))
-	return priorScore + (s.value-priorScore)*keep
+func probability(logOdds float64) float64 {
+	return 1 / (1 + math.Exp(-logOdds))
+}
+
+// Estimate is what is believed of a pair, to be handed to another Odds.
+type Estimate struct {
+	Pair        Pair
+	Probability float64
+}
+
+// Estimates returns all pairs that differ from the prior.
+func (o *Odds) Estimates(now time.Time) []Estimate {
+	list := make([]Estimate, 0, len(o.beliefs))
+	for p, b := range o.beliefs {
+		list = append(list, Estimate{p, probability(b.decayed(now))})
+	}
+	return list
+}
+
+// Restore takes over estimates for pairs that aren't known yet.
+func (o *Odds) Restore(now time.Time, list []Estimate) {
+	for _, e := range list {
+		if _, known := o.beliefs[e.Pair]; !known {
+			o.set(now, e.Pair, e.Probability)
+		}
+	}
 }
