Hand what was learned about images to the next owner; order jobs by worth per remaining work

Cause: each takeover began with unknown pairs, which costs some seconds of blame and eviction; under a burst jobs were started in the order of their deadlines.

--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -65,6 +65,8 @@
 	listed  bool
 	tickets map[StepID]*stepTickets
 	wanted  []AdviceRequest
+	// meanWork is the mean work of the jobs of each queue, in processor seconds.
+	meanWork map[QueueName]float64
 	// unplaceable has the shapes of tasks that found no worker in this tick.
 	unplaceable map[shape]resource.Vector
 }
@@ -87,6 +89,7 @@
 		dirty:    map[JobID]*job{},
 		tickets:  map[StepID]*stepTickets{},
 
+		meanWork:    map[QueueName]float64{},
 		unplaceable: map[shape]resource.Vector{},
 	}
 }
@@ -172,6 +175,7 @@
 		return
 	}
 	added := newJob(j, e.queues[j.Queue], recovered)
+	e.learnWork(added)
 	added.restore(stored)
 	e.jobs[j.ID] = added
 	e.record(now, Decision{Event: "JobAdded", Job: j.ID, Reason: string(j.Queue)})
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -101,6 +101,55 @@
 	return longest
 }
 
+// remainingChain returns the estimated duration of the unfinished steps that follow
+// each other in the first unfinished occurrence.
+func (j *job) remainingChain() time.Duration {
+	for _, steps := range j.occurrences {
+		ends := make([]time.Duration, len(steps))
+		longest := time.Duration(0)
+		for i, s := range steps {
+			begin := time.Duration(0)
+			for _, before := range s.After {
+				begin = max(begin, ends[before])
+			}
+			ends[i] = begin
+			if s.left > 0 {
+				ends[i] += s.Estimate
+			}
+			longest = max(longest, ends[i])
+		}
+		if longest > 0 {
+			return longest
+		}
+	}
+	return 0
+}
+
+// work returns the estimated work of one occurrence in processor seconds.
+func (j *job) work() float64 {
+	work := 0.0
+	for i := range j.Steps {
+		work += j.Steps[i].work(j.Steps[i].Tasks)
+	}
+	return work
+}
+
+// remainingWork returns the estimated work of the tasks that haven't succeeded.
+func (j *job) remainingWork() float64 {
+	work := 0.0
+	for _, steps := range j.occurrences {
+		for _, s := range steps {
+			work += s.work(s.left)
+		}
+	}
+	return work
+}
+
+// work returns the estimated work of a number of tasks in processor seconds.
+func (s *Step) work(tasks int) float64 {
+	return float64(tasks) * float64(s.Resources.Processors) / 1000 * s.Estimate.Seconds()
+}
+
 func (j *job) eachTask(visit func(*task)) {
 	for _, steps := range j.occurrences {
 		for _, s := range steps {
--- a/internal/decision/dispatch/pace.go
+++ b/internal/decision/dispatch/pace.go
@@ -245,3 +245,13 @@
 	}
 	return harm
 }
+
+// Estimates returns what was learned about which images disturb each other.
+func (e *Engine) Estimates(now time.Time) []interference.Estimate {
+	return e.odds.Estimates(now)
+}
+
+// RestoreEstimates takes over what an earlier owner learned.
+func (e *Engine) RestoreEstimates(now time.Time, list []interference.Estimate) {
+	e.odds.Restore(now, list)
+}
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -95,6 +95,8 @@
 type candidate struct {
 	step    *step
 	urgency urgency
+	// density is the worth of the job for each second of work that is left.
+	density float64
 }
 
 func (e *Engine) startTasks(now time.Time) {
@@ -151,14 +153,14 @@
 		if j.ending != "" || j.cancelled || (j.recovered && e.recovering) {
 			continue
 		}
-		u := j.urgency(now)
+		u, density := j.urgency(now), e.density(j)
 		for k, steps := range j.occurrences {
 			if now.Before(j.Due(k)) {
 				continue
 			}
 			for _, s := range steps {
 				if s.left > 0 && s.hasWaiting(now) && s.ready() {
-					list = append(list, candidate{s, u})
+					list = append(list, candidate{s, u, density})
 				}
 			}
 		}
@@ -171,6 +173,7 @@
 	return cmp.Or(
 		cmp.Compare(a.urgency, b.urgency),
 		cmp.Compare(a.step.job.queue.Priority, b.step.job.queue.Priority),
+		cmp.Compare(b.density, a.density),
 		a.step.job.deadline().Compare(b.step.job.deadline()),
 		cmp.Compare(a.step.id.Job, b.step.id.Job),
 		cmp.Compare(a.step.id.Occurrence, b.step.id.Occurrence),
@@ -178,22 +181,53 @@
 	)
 }
 
-// urgency tells what a job is still worth.
+// urgency tells what a job is still worth, by what is left of its longest chain.
 func (j *job) urgency(now time.Time) urgency {
 	if j.Steps[0].LongRunning || j.Repetitions > 0 {
 		return inTime
 	}
-	age := now.Sub(j.Accepted)
+	ready := now.Sub(j.Accepted) + j.remainingChain()
 	switch {
-	case age <= j.objective:
+	case ready <= j.objective:
 		return inTime
-	case age <= lateFactor*j.objective:
+	case ready <= lateFactor*j.objective:
 		return late
 	default:
 		return overdue
 	}
 }
 
+const (
+	// fixedWorth is the part of a job's worth that doesn't grow with its work.
+	fixedWorth = 0.3
+	// leastWork keeps the density of nearly finished jobs finite.
+	leastWork = 0.05
+)
+
+// density returns the worth of a job for each unit of work that is left, so that
+// short jobs and those that are nearly complete come first when there is too much
+// to do. Work is measured against the mean of the queue.
+func (e *Engine) density(j *job) float64 {
+	mean := e.meanWork[j.Queue]
+	if mean <= 0 {
+		return 1
+	}
+	worth := fixedWorth + (1-fixedWorth)*j.work()/mean
+	return worth / max(j.remainingWork()/mean, leastWork)
+}
+
+// meanWorkWeight is the weight of a new job in the mean work of its queue.
+const meanWorkWeight = 0.05
+
+// learnWork keeps the mean work of the jobs of a queue.
+func (e *Engine) learnWork(j *job) {
+	mean, known := e.meanWork[j.Queue]
+	if !known {
+		mean = j.work()
+	}
+	e.meanWork[j.Queue] = mean + meanWorkWeight*(j.work()-mean)
+}
+
 func (s *step) hasWaiting(now time.Time) bool {
 	for _, t := range s.tasks {
 		if t.isWaiting(now) {
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -12,6 +12,7 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
 )
@@ -54,8 +55,10 @@
 	row     ownerRow
 	version table.Version
 	stored  time.Time
-	why     string
-	release atomic.Bool
+	// estimated is when the estimates were last written.
+	estimated time.Time
+	why       string
+	release   atomic.Bool
 }
 
 func newOwner(n *Node, row ownerRow, version table.Version, cancel context.CancelFunc) *owner {
@@ -153,6 +156,9 @@
 		}
 		stored[jobOf(row.Key, progressPrefix)] = p
 	}
+	if err := o.recoverEstimates(ctx); err != nil {
+		return nil, err
+	}
 	recovered := false
 	mirror := &table.Mirror{
 		Watcher: store, Prefix: jobPrefix, Clock: o.node.Clock, Wait: watchTime, Pause: jobsPause,
@@ -175,6 +181,21 @@
 	return mirror, nil
 }
 
+// recoverEstimates takes over what the earlier owner learned about images.
+func (o *owner) recoverEstimates(ctx context.Context) error {
+	row, err := o.node.read(ctx, estimatesKey)
+	if err != nil || row.Version == 0 {
+		return err
+	}
+	list, err := decode[[]interference.Estimate](row)
+	if err != nil {
+		o.node.Log.Error().Err(err).Msg("left out unreadable estimates")
+		return nil
+	}
+	o.with(func(now time.Time, e *dispatch.Engine) { e.RestoreEstimates(now, list) })
+	return nil
+}
+
 // applyJobs adds the jobs that the engine doesn't know yet.
 func (o *owner) applyJobs(rows map[table.Key]table.Row, stored map[dispatch.JobID]dispatch.Progress, recovered bool) {
 	o.with(func(now time.Time, e *dispatch.Engine) {
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -18,6 +18,8 @@
 	// maxUpdates bounds the jobs of a transaction: each takes up to three of the 100
 	// entries that the store allows.
 	maxUpdates = 30
+	// estimatesInterval is the time between two writes of what was learned about images.
+	estimatesInterval = 2 * time.Second
 	// storeRetryPause is the time before a failed transaction is sent again.
 	storeRetryPause = 150 * time.Millisecond
 )
@@ -59,17 +61,23 @@
 	next.Sequence++
 	next.Released = o.release.Load()
 	version := o.version
+	now := o.node.Clock.Now()
+	writes := writesOf(batch, now)
+	if now.Sub(o.estimated) >= estimatesInterval {
+		o.estimated = now
+		writes = append(writes, table.Write{Key: estimatesKey, Value: encode(o.engine.Estimates(now))})
+	}
 	o.lock.Unlock()
 	tx := table.Transaction{
 		Conditions: []table.Condition{{Key: ownerKey, Version: version}},
-		Writes:     append(writesOf(batch, o.node.Clock.Now()), table.Write{Key: ownerKey, Value: encode(next)}),
+		Writes:     append(writes, table.Write{Key: ownerKey, Value: encode(next)}),
 	}
 	written, err := o.commit(ctx, tx, next)
 	if err != nil {
 		return err
 	}
 	o.lock.Lock()
-	now := o.node.Clock.Now()
+	now = o.node.Clock.Now()
 	o.row, o.version, o.stored = next, written, now
 	o.engine.Stored(now, batch)
 	more := o.engine.Unstored()
--- a/internal/entry/dispatcher/rows.go
+++ b/internal/entry/dispatcher/rows.go
@@ -13,6 +13,7 @@
 // Prefixes of the rows of the shard: table, part and key.
 const (
 	ownerKey       table.Key = "owner/main/owner"
+	estimatesKey   table.Key = "owner/main/estimates"
 	jobPrefix      table.Key = "job/main/"
 	cancelPrefix   table.Key = "cancel/main/"
 	progressPrefix table.Key = "progress/main/"
