--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -83,7 +83,10 @@
 	}
 	http1 := platform.NewHTTPClient()
 	clock := opts.Factory.Clock
-	p.client = entry.NewClient(entry.ClientOptions{Clock: clock, Counter: p.counters, DialTimeout: peerDialTimeout, Dial: dialPeer})
+	p.client = entry.NewClient(entry.ClientOptions{
+		Clock: clock, Counter: p.counters, Dial: dialPeer,
+		DialTimeout: peerDialTimeout, BackoffLimit: peerBackoffLimit,
+	})
 	p.peers = entry.NewServer(entry.ServerOptions{Clock: clock, Counter: p.counters, MaxConnections: maxPeerConnections})
 	p.node = dispatcher.New(dispatcher.Options{
 		Name: s.Instance, PeerAddress: s.Peers, Seeds: s.Seeds,
@@ -107,6 +110,8 @@
 const (
 	// peerDialTimeout bounds the opening of a connection to another instance.
 	peerDialTimeout = 400 * time.Millisecond
+	// peerBackoffLimit is short, because restarted instances must find each other again.
+	peerBackoffLimit = 500 * time.Millisecond
 	// maxPeerConnections allows two from each instance of the largest deployment.
 	maxPeerConnections = 128
 )
--- a/internal/entry/dispatcher/follow.go
+++ b/internal/entry/dispatcher/follow.go
@@ -60,10 +60,9 @@
 
 func (n *Node) followOnce(ctx context.Context) {
 	current := n.currentView()
-	if current.owner.Address != "" && !current.owner.Released {
-		n.callOwner(ctx, current.owner)
-	} else {
-		n.askSeeds(ctx)
+	reachable := current.owner.Address != "" && !current.owner.Released && current.owner.Node != n.Name
+	if !reachable || !n.callOwner(ctx, current.owner) {
+		n.askPeers(ctx)
 	}
 	current = n.currentView()
 	now := n.Clock.Now()
@@ -79,27 +78,41 @@
 	return n.view
 }
 
-func (n *Node) callOwner(ctx context.Context, o ownerRow) {
+// callOwner asks the owner for news and reports whether it answered as the owner.
+func (n *Node) callOwner(ctx context.Context, o ownerRow) bool {
 	answer, err := n.hello(ctx, o.Address)
 	if err != nil {
 		n.Counters.Add("Owner.HelloFailed", 1)
-		return
+		return false
 	}
 	n.learn(answer)
+	return answer.IsOwner
 }
 
-// askSeeds asks the instances that the settings name, and those known, for the owner.
-func (n *Node) askSeeds(ctx context.Context) {
+// maxAsked bounds the instances that are asked at once, since each may be silent.
+const maxAsked = 3
+
+// askPeers asks known instances, and those that the settings name, until one knows
+// of a newer owner.
+func (n *Node) askPeers(ctx context.Context) {
+	before := n.currentView().owner
+	asked := 0
 	for _, address := range n.seeds() {
-		if address == n.PeerAddress {
+		if address == n.PeerAddress || address == before.Address {
 			continue
 		}
+		if asked++; asked > maxAsked {
+			return
+		}
 		answer, err := n.hello(ctx, address)
 		if err != nil {
 			continue
 		}
 		n.learn(answer)
-		if answer.Owner.Address != "" {
+		if answer.Owner.Epoch > before.Epoch {
+			return
+		}
+		if ctx.Err() != nil {
 			return
 		}
 	}
@@ -209,9 +222,6 @@
 func (n *Node) shouldClaim(now time.Time, row table.Row) bool {
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	if n.view.readAt.IsZero() || row.Version != n.view.row.Version {
-		n.view.row, n.view.readAt = row, now
-	}
 	if row.Version == 0 {
 		return true
 	}
@@ -221,6 +231,9 @@
 		return false
 	}
 	n.learnOwner(stored)
+	if n.view.readAt.IsZero() || row.Version != n.view.row.Version {
+		n.view.row, n.view.readAt = row, now
+	}
 	if stored.Node == n.Name {
 		// An earlier life of this instance owned the shard.
 		return true
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -124,6 +124,9 @@
 	ctx, cancel := context.WithTimeout(o.ctx, p.Wait+pollTimeout)
 	defer cancel()
 	report, err := o.node.Workers.Poll(ctx, o.epoch, id, p)
+	if o.ctx.Err() != nil {
+		return 0, nil
+	}
 	if err != nil {
 		if fenced := o.checkFenced(err, "Poll"); fenced != nil {
 			return 0, fenced
