Restart stragglers elsewhere, and replace a released owner at once

Change: tasks that are projected to take over twice the median of their step, or make no progress, are restarted; slow workers are avoided; a released shard is announced. Tests for slow, hung and merely uneven tasks.

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -453,3 +453,61 @@
 		Expect(b.paces).NotTo(BeEmpty())
 	})
 })
+
+var _ = Describe("Stragglers", func() {
+	// setUp runs three tasks on three workers.
+	setUp := func() *bench {
+		b := newBench(1, 4)
+		b.list()
+		s := tasks(3)
+		s.Estimate, s.MaxPerWorker = 2*time.Second, 1
+		b.submit("j", s)
+		b.step(0)
+		b.step(0)
+		Expect(b.starts).To(HaveLen(3))
+		return b
+	}
+	advance := func(b *bench, task, percent int) {
+		if run := b.workers[b.starts[task].Worker].running[b.starts[task].Task]; run != nil {
+			run.Percent = percent
+		}
+	}
+
+	It("restarts a task on a slow worker elsewhere", func() {
+		b := setUp()
+		for i := 1; i <= 3; i++ {
+			advance(b, 0, 25*i)
+			advance(b, 1, 24*i)
+			advance(b, 2, 4*i)
+			b.step(500 * time.Millisecond)
+		}
+		Expect(b.stops).To(HaveLen(1))
+		Expect(b.stops[0].Worker).To(Equal(b.starts[2].Worker))
+		b.step(100 * time.Millisecond)
+		Expect(b.starts).To(HaveLen(4))
+		Expect(b.starts[3].Worker).NotTo(Equal(b.starts[2].Worker))
+		Expect(b.starts[3].Run).To(BeEquivalentTo(2))
+	})
+
+	It("restarts a task that makes no progress", func() {
+		b := setUp()
+		for i := 1; i <= 8; i++ {
+			advance(b, 0, min(10*i, 99))
+			advance(b, 1, min(10*i, 99))
+			b.step(500 * time.Millisecond)
+		}
+		Expect(b.stops).To(HaveLen(1))
+		Expect(b.stops[0].Worker).To(Equal(b.starts[2].Worker))
+	})
+
+	It("leaves tasks alone that differ a little", func() {
+		b := setUp()
+		for i := 1; i <= 4; i++ {
+			advance(b, 0, 20*i)
+			advance(b, 1, 24*i)
+			advance(b, 2, 14*i)
+			b.step(500 * time.Millisecond)
+		}
+		Expect(b.stops).To(BeEmpty())
+	})
+})
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -66,7 +66,8 @@
 	tickets map[StepID]*stepTickets
 	wanted  []AdviceRequest
 	// meanWork is the mean work of the jobs of each queue, in processor seconds.
-	meanWork map[QueueName]float64
+	meanWork     map[QueueName]float64
+	stragglersAt time.Time
 	// unplaceable has the shapes of tasks that found no worker in this tick.
 	unplaceable map[shape]resource.Vector
 }
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -36,6 +36,8 @@
 	left int
 	// perWorker counts the attempts on each worker.
 	perWorker map[*node]int
+	// durations are those of the tasks that have succeeded.
+	durations []time.Duration
 	// rack is where the tasks of a OneRack step run.
 	rack Label
 }
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -45,6 +45,8 @@
 	sentAt time.Time
 	// since is the worker's clock at which the run was accepted.
 	since time.Duration
+	// adopted runs were started by an earlier owner.
+	adopted bool
 	// stopWanted attempts are stopped once the start is answered.
 	stopWanted bool
 	stopSent   time.Time
@@ -52,6 +54,8 @@
 	stopClock time.Duration
 	percent   int
 	measure   int
+	// begin is where the progress was first seen.
+	begin progress
 	// progressAt is when percent last rose.
 	progressAt time.Time
 	pace       pace
@@ -92,6 +96,7 @@
 	// avoidUntil is when a worker that refused starts is tried again.
 	avoidUntil time.Time
 	health     health
+	slowness   slowness
 	harm       harmControl
 }
 
@@ -200,6 +205,7 @@
 // newAttempt returns an attempt of the task with what it takes from a worker.
 func newAttempt(t *task, run Run, n *node, now time.Time) *attempt {
 	a := &attempt{task: t, run: run, node: n, reserved: t.step.Reserved(), sentAt: now, progressAt: now}
+	a.begin.at = now
 	a.pace.percent = fullPace
 	if t.step.Filler {
 		a.filler = t.step.Resources.Processors
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -118,6 +118,9 @@
 	atWork := false
 	if a := n.runs[end.Task]; a != nil && a.run == end.Run {
 		atWork = a.percent >= atWorkPercent
+		if end.Kind == EndDone && a.begin.from == 0 {
+			a.task.step.durations = append(a.task.step.durations, now.Sub(a.begin.at))
+		}
 		e.release(now, a)
 	}
 	delete(n.strays, end.TaskRun)
@@ -196,6 +199,9 @@
 	}
 	a.task.step.job.began = true
 	if r.Percent > a.percent {
+		if a.percent == 0 && (a.adopted || a.task.checkpoint != "") {
+			a.begin = progress{r.Percent, now}
+		}
 		a.percent, a.progressAt = r.Percent, now
 	}
 	a.measure = r.Measure
@@ -212,6 +218,7 @@
 	}
 	a := newAttempt(t, r.Run, n, now)
 	a.phase = running
+	a.adopted = true
 	a.pace.percent = unknownPace
 	n.add(a)
 	e.record(now, Decision{Event: "TaskAdopted", Task: r, Worker: n.ID})
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -32,6 +32,7 @@
 	e.dropSilentWorkers(now)
 	e.repeatStops(now)
 	e.forgetFinished(now)
+	e.findStragglers(now)
 	e.startTasks(now)
 	e.controlHarm(now)
 }
--- a/internal/entry/dispatcher/follow.go
+++ b/internal/entry/dispatcher/follow.go
@@ -53,11 +53,20 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-n.followNow:
 		case <-ticker.Chan():
 		}
 	}
 }
 
+// followSoon lets the instance look for an owner at once.
+func (n *Node) followSoon() {
+	select {
+	case n.followNow <- struct{}{}:
+	default:
+	}
+}
+
 func (n *Node) followOnce(ctx context.Context) {
 	current := n.currentView()
 	reachable := current.owner.Address != "" && !current.owner.Released && current.owner.Node != n.Name
@@ -146,6 +155,10 @@
 
 // learnOwner takes over a newer owner. The lock must be held.
 func (n *Node) learnOwner(o ownerRow) {
+	if o.Epoch == n.view.owner.Epoch && o.Released && !n.view.owner.Released {
+		n.view.owner.Released = true
+		n.followSoon()
+	}
 	if o.Epoch <= n.view.owner.Epoch {
 		return
 	}
@@ -312,12 +325,23 @@
 		defer cancel()
 		err := o.run(ctx)
 		n.owned.CompareAndSwap(o, nil)
+		if errors.Is(err, errReleased) {
+			n.announceRelease(o.currentRow())
+		}
 		n.Log.Info().Err(err).Str("Reason", o.reason()).Int64("Epoch", int64(row.Epoch)).Msg("no longer owns the shard")
 		return nil
 	})
 	n.announce(ctx)
 }
 
+// announceRelease tells the known instances that the shard has no owner.
+func (n *Node) announceRelease(row ownerRow) {
+	n.lock.Lock()
+	n.learnOwner(row)
+	n.lock.Unlock()
+	n.announce(context.Background())
+}
+
 // announce tells the known instances of the new owner.
 func (n *Node) announce(ctx context.Context) {
 	for _, address := range n.seeds() {
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -32,7 +32,9 @@
 	// owned is the shard while this instance owns it, else nil.
 	owned    atomic.Pointer[owner]
 	draining atomic.Bool
-	group    *errgroup.Group
+	// followNow wakes the loop that follows the owner.
+	followNow chan struct{}
+	group     *errgroup.Group
 
 	lock    sync.Mutex
 	view    view
@@ -53,9 +55,10 @@
 // New returns a Node. Register and Run make it work.
 func New(options Options) *Node {
 	n := &Node{
-		Options: options,
-		peers:   map[membership.InstanceID]knownPeer{},
-		pending: map[dispatch.QueueName]pendingCount{},
+		Options:   options,
+		followNow: make(chan struct{}, 1),
+		peers:     map[membership.InstanceID]knownPeer{},
+		pending:   map[dispatch.QueueName]pendingCount{},
 	}
 	n.store = guardedStore{Store: options.Store, clock: options.Clock, counters: options.Counters, log: options.Log}
 	return n
