Place serving tasks where they keep no fillers away, and move stray ones

Change: the cost of a worker for a serving task is the part of the filler demand that it would lose; a single task that blocks more than a quarter of the demand is moved while all of its step are at work.

--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -68,6 +68,10 @@
 	// meanWork is the mean work of the jobs of each queue, in processor seconds.
 	meanWork     map[QueueName]float64
 	stragglersAt time.Time
+	// movedAt is when a serving task was last moved.
+	movedAt time.Time
+	// demand is the share of each filler image in what jobs ask for.
+	demand map[Image]float64
 	// unplaceable has the shapes of tasks that found no worker in this tick.
 	unplaceable map[shape]resource.Vector
 }
@@ -177,6 +181,7 @@
 	}
 	added := newJob(j, e.queues[j.Queue], recovered)
 	e.learnWork(added)
+	e.learnDemand(added)
 	added.restore(stored)
 	e.jobs[j.ID] = added
 	e.record(now, Decision{Event: "JobAdded", Job: j.ID, Reason: string(j.Queue)})
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -55,6 +55,8 @@
 	failed     []Run
 	failedOn   []*node
 	checkpoint Checkpoint
+	// movedAt is when the task was last moved to make room for fillers.
+	movedAt time.Time
 	// notBefore delays the next start.
 	notBefore time.Time
 }
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -16,13 +16,6 @@
 	sameFailureCost = 4.0
 	// remoteCost times the slowdown away from the preferred rack.
 	remoteCost = 1.0
-	// otherImageCost spreads serving tasks so that those of one image share workers,
-	// which leaves most workers free of most pairs that disturb each other.
-	otherImageCost = 0.35
-	// sameImageBonus draws a serving task to workers with its image.
-	sameImageBonus = 0.5
-	// besideFillersCost keeps serving tasks away from fillers that disturb them.
-	besideFillersCost = 1.5
 	// harmCost keeps fillers away from serving tasks that they disturb.
 	harmCost = 3.0
 	// servingUse is the part of its reserved processors, in percent, that a serving
@@ -113,30 +106,6 @@
 	return n.Capacity.Processors - n.used.Processors + unused - n.fillers
 }
 
-// servingCost adds what speaks against a serving task on a worker.
-func (e *Engine) servingCost(now time.Time, s *step, n *node) float64 {
-	cost := 0.0
-	if n.fillers > 0 {
-		for _, a := range n.runs {
-			if a.task.step.Filler {
-				cost += besideFillersCost * e.odds.Probability(now, pairOf(s.Image, a.task.step.Image)) *
-					share(a.filler, n.Capacity.Processors)
-			}
-		}
-	}
-	same := n.images[s.Image]
-	others := len(n.images)
-	if same > 0 {
-		others--
-	}
-	if others > 0 {
-		cost += otherImageCost
-	} else if same > 0 {
-		cost -= sameImageBonus
-	}
-	return cost
-}
-
 func share(part, whole resource.MilliProcessors) float64 {
 	if whole <= 0 {
 		return 1
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -35,6 +35,7 @@
 	e.findStragglers(now)
 	e.startTasks(now)
 	e.controlHarm(now)
+	e.consolidate(now)
 }
 
 func (e *Engine) endRecovery(now time.Time) {
