--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -18,6 +18,12 @@
 	remoteCost = 1.0
 	// harmCost keeps fillers away from serving tasks that they disturb.
 	harmCost = 3.0
+	// knownBelow is the probability of disturbing below which a pair counts as known to
+	// be harmless.
+	knownBelow = 0.1
+	// uncertainMixCost keeps fillers of two uncertain images apart, so that a slow
+	// serving task tells which one is the cause.
+	uncertainMixCost = 1.0
 	// servingUse is the part of its reserved processors, in percent, that a serving
 	// task is assumed to use at the peak of its load. Fillers get the rest.
 	servingUse = 65
@@ -97,9 +103,26 @@
 	if harm > evictAbove {
 		return 0, false
 	}
+	if harm > knownBelow && e.hasUncertain(now, n, s.Image) {
+		cost += uncertainMixCost
+	}
 	return cost + harmCost*harm - share(idle, n.Capacity.Processors), true
 }
 
+// hasUncertain reports whether a filler of another image runs on the worker of which
+// it isn't known whether it disturbs.
+func (e *Engine) hasUncertain(now time.Time, n *node, other Image) bool {
+	if n.fillers == 0 {
+		return false
+	}
+	for _, a := range n.runs {
+		if a.task.step.Filler && a.task.step.Image != other && e.expectedHarm(now, a.task.step, n) > knownBelow {
+			return true
+		}
+	}
+	return false
+}
+
 // idle returns the processors that fillers can still get.
 func (n *node) idle() resource.MilliProcessors {
 	unused := n.serving * (100 - servingUse) / 100
