Ask the placement policy, count gangs as a whole, and remember the workers in use

Cause: queues with a placement policy were never served; a gang whose tasks failed in turn got more attempts than the queue allows; a new owner didn't wait for workers whose entries had lapsed with the store.

Change: steps of advised queues ask about their best workers and start with tickets; failures of a gang count once for each run; the owner stores the workers in use and the next one waits for all of them.

--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -88,12 +88,16 @@
 		DialTimeout: peerDialTimeout, BackoffLimit: peerBackoffLimit,
 	})
 	p.peers = entry.NewServer(entry.ServerOptions{Clock: clock, Counter: p.counters, MaxConnections: maxPeerConnections})
+	var policy dispatcher.Policy
+	if s.Policy != "" {
+		policy = platform.Policy{Address: s.Policy, HTTP: http1}
+	}
 	p.node = dispatcher.New(dispatcher.Options{
 		Name: s.Instance, PeerAddress: s.Peers, Seeds: s.Seeds,
 		LeaseTerm: min(opts.LeaseTerm, s.MaxLease), RemoteFactor: s.RemoteFactor, MaxHarm: s.MaxHarm,
 		Store:   platform.Store{Address: s.Store, HTTP: http1},
 		Workers: platform.Workers{HTTP: http1, Counters: p.counters},
-		Catalog: platform.Catalog{}, Peers: p.client, Counters: p.counters, Clock: clock, Log: p.log,
+		Catalog: platform.Catalog{}, Policy: policy, Peers: p.client, Counters: p.counters, Clock: clock, Log: p.log,
 	})
 	p.node.Register(p.peers)
 	p.callers = &http.Server{
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
@@ -511,3 +512,154 @@
 		Expect(b.stops).To(BeEmpty())
 	})
 })
+
+var _ = Describe("Advice", func() {
+	It("starts an advised step only on workers that the policy allows", func() {
+		b := newBench(1, 3)
+		b.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{
+			batchQueue: {Name: batchQueue, Service: "pool", MaxAttempts: 2, Advised: true},
+		})
+		b.list()
+		b.submit("j", tasks(2))
+		b.step(0)
+		b.step(0)
+		asked := b.engine.TakeAdviceRequests()
+		Expect(asked).To(HaveLen(1))
+		Expect(asked[0].Workers).To(HaveLen(3))
+		Expect(b.starts).To(BeEmpty())
+		b.engine.Advised(b.now, asked[0], []dispatch.Grant{{Worker: "w1", Ticket: "t"}}, 3*time.Second)
+		b.step(100 * time.Millisecond)
+		Expect(b.starts).To(HaveLen(2))
+		for _, c := range b.starts {
+			Expect(c.Worker).To(Equal(membership.InstanceID("w1")))
+			Expect(c.Start.Ticket).To(Equal(dispatch.Ticket("t")))
+		}
+		Expect(b.engine.TakeAdviceRequests()).To(BeEmpty())
+	})
+})
+
+var _ = Describe("Gangs", func() {
+	gang := func() dispatch.Step {
+		s := tasks(3)
+		s.Gang = true
+		return s
+	}
+
+	It("start together with one run, or not at all", func() {
+		b := newBench(1, 1)
+		b.list()
+		b.submit("small", tasks(5))
+		b.step(0)
+		b.step(0)
+		b.submit("j", gang())
+		b.step(time.Second)
+		Expect(b.starts).To(HaveLen(5))
+		for _, c := range b.starts {
+			b.end(c.Worker, c.Task, dispatch.EndDone)
+		}
+		b.step(time.Second)
+		Expect(b.starts).To(HaveLen(8))
+		for _, c := range b.starts[5:] {
+			Expect(c.Run).To(BeEquivalentTo(1))
+		}
+	})
+
+	It("fail as a whole, whichever task fails", func() {
+		b := newBench(1, 1)
+		b.list()
+		b.submit("j", gang())
+		b.step(0)
+		b.step(0)
+		for failing := range 2 {
+			for i, c := range b.starts[len(b.starts)-3:] {
+				kind := dispatch.EndBroken
+				if i == failing {
+					kind = dispatch.EndFailed
+				}
+				b.end(c.Worker, c.Task, kind)
+			}
+			b.step(time.Second)
+		}
+		Expect(b.starts).To(HaveLen(6))
+		expectState(b, "j", dispatch.Failed)
+	})
+})
+
+var _ = Describe("Recovery", func() {
+	// Guards against a second run of a task on a worker whose entry has lapsed while the
+	// store was away: it isn't listed and may still run the task.
+	It("waits for workers that the earlier owner used and the list lacks", func() {
+		b := newBench(2, 2)
+		hidden := b.workers["w1"]
+		b.engine.RememberWorkers(b.now, []dispatch.WorkerInfo{hidden.info})
+		b.engine.AddJob(b.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: b.now, Steps: []dispatch.Step{tasks(1)}}, dispatch.Progress{}, true)
+		b.engine.Recover(b.now)
+		b.engine.SetWorkers(b.now, []dispatch.WorkerInfo{b.workers["w0"].info})
+		hidden.silent = true
+		for range 35 {
+			b.step(100 * time.Millisecond)
+		}
+		Expect(b.starts).To(BeEmpty())
+		for range 15 {
+			b.step(100 * time.Millisecond)
+		}
+		Expect(b.starts).To(HaveLen(1))
+	})
+
+	It("restores stored progress", func() {
+		b := newBench(2, 1)
+		b.list()
+		second := tasks(1)
+		second.After = []int{0}
+		b.engine.AddJob(b.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: b.now, Steps: []dispatch.Step{tasks(3), second}},
+			dispatch.Progress{Steps: []dispatch.StepProgress{{Done: []dispatch.TaskRange{{First: 0, Last: 1}}, Checkpoints: map[int]dispatch.Checkpoint{2: "c"}}}}, true)
+		b.step(0)
+		b.step(0)
+		Expect(b.starts).To(HaveLen(1))
+		Expect(b.starts[0].Task.Index).To(Equal(2))
+		Expect(b.starts[0].Start.Checkpoint).To(Equal(dispatch.Checkpoint("c")))
+	})
+})
+
+var _ = Describe("Serving tasks", func() {
+	// Replays scale-1 of a site: a single serving task of an image that most fillers
+	// disturb kept all fillers off a worker with tasks of another image.
+	It("move off a worker on which they alone keep fillers away", func() {
+		b := newBench(1, 2)
+		b.list()
+		var learned []interference.Estimate
+		learned = append(learned, interference.Estimate{Pair: interference.Pair{Service: "touchy", Class: "fill"}, Probability: 0.97},
+			interference.Estimate{Pair: interference.Pair{Service: "calm", Class: "fill"}, Probability: 0.02})
+		serving := func(image dispatch.Image, n int) dispatch.Step {
+			return dispatch.Step{Tasks: n, Resources: cores(1), LongRunning: true, Image: image, Target: 20 * time.Millisecond}
+		}
+		b.submit("calm", serving("calm", 3))
+		b.step(0)
+		b.step(0)
+		calm := b.starts[0].Worker
+		other := membership.InstanceID("w0")
+		if calm == "w0" {
+			other = "w1"
+		}
+		b.submit("touchy-home", serving("touchy", 1))
+		b.step(0)
+		Expect(b.workersOf("touchy-home")).To(Equal([]membership.InstanceID{other}))
+		b.workers[other].silent = true
+		b.step(0)
+		b.submit("touchy", serving("touchy", 1))
+		b.step(0)
+		b.workers[other].silent = false
+		Expect(b.workersOf("touchy")).To(Equal([]membership.InstanceID{calm}))
+		b.engine.RestoreEstimates(b.now, learned)
+		b.submit("fill", fillerStep(1, "fill"))
+		for range 4 {
+			for _, w := range b.workers {
+				for _, run := range w.running {
+					run.Percent = 100
+				}
+			}
+			b.step(300 * time.Millisecond)
+		}
+		Expect(b.workersOf("touchy")).To(Equal([]membership.InstanceID{other}))
+	})
+})
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -123,6 +123,29 @@
 	e.zonesOut = zones
 }
 
+// RememberWorkers enters the workers that an earlier owner used. Those that the list
+// lacks may still run tasks, so recovery waits for them too.
+func (e *Engine) RememberWorkers(now time.Time, list []WorkerInfo) {
+	for _, info := range list {
+		if e.workers[info.ID] != nil {
+			continue
+		}
+		n := newNode(info, now)
+		n.listed, n.unlistedAt = false, now
+		e.workers[info.ID] = n
+		e.insert(n)
+	}
+}
+
+// UsedWorkers returns the workers on which something may run.
+func (e *Engine) UsedWorkers() []WorkerInfo {
+	list := make([]WorkerInfo, 0, len(e.fleet))
+	for _, n := range e.fleet {
+		list = append(list, n.WorkerInfo)
+	}
+	return list
+}
+
 // SetWorkers replaces the list of workers. Workers that are no longer listed get
 // nothing new and are forgotten when nothing can run on them any more.
 func (e *Engine) SetWorkers(now time.Time, list []WorkerInfo) {
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -224,6 +224,21 @@
 	return true
 }
 
+// failures returns how often the task has failed. A gang fails as a whole, whichever
+// of its tasks fails.
+func (t *task) failures() int {
+	if !t.step.Gang {
+		return len(t.failed)
+	}
+	runs := map[Run]bool{}
+	for _, member := range t.step.tasks {
+		for _, run := range member.failed {
+			runs[run] = true
+		}
+	}
+	return len(runs)
+}
+
 // TaskRange is the tasks with the indices First to Last, both included.
 type TaskRange struct {
 	First int
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -45,6 +45,8 @@
 	sentAt time.Time
 	// since is the worker's clock at which the run was accepted.
 	since time.Duration
+	// earlier is the task's highest run before a gang's attempt to find room.
+	earlier Run
 	// adopted runs were started by an earlier owner.
 	adopted bool
 	// stopWanted attempts are stopped once the start is answered.
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -50,6 +50,15 @@
 // mayRun reports whether rules and room allow the task on the worker.
 func (e *Engine) mayRun(now time.Time, t *task, n *node) bool {
 	s := t.step
+	if s.job.queue.Advised && e.ticket(now, s, n) == "" {
+		return false
+	}
+	return e.suits(now, s, n)
+}
+
+// suits reports whether a worker may run a task of the step, as far as the
+// placement policy isn't concerned.
+func (e *Engine) suits(now time.Time, s *step, n *node) bool {
 	switch {
 	case !n.isSound(now), n.health.isQuarantined(now), e.zonesOut[n.Zone]:
 		return false
@@ -61,8 +70,6 @@
 		return false
 	case s.OneRack && s.rack != "" && rackOf(n) != s.rack:
 		return false
-	case s.job.queue.Advised && e.ticket(s, n) == "":
-		return false
 	}
 	return s.Reserved().FitsIn(n.free())
 }
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -174,7 +174,7 @@
 		return
 	}
 	e.markDirty(j)
-	if j.queue.MaxAttempts > 0 && len(t.failed) >= j.queue.MaxAttempts {
+	if j.queue.MaxAttempts > 0 && t.failures() >= j.queue.MaxAttempts {
 		e.end(now, j, Failed, "a task failed as often as the queue allows")
 	}
 }
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -38,6 +38,7 @@
 	e.consolidate(now)
 }
 
+// endRecovery lets recovered jobs go on once nothing of them can run unseen.
 func (e *Engine) endRecovery(now time.Time) {
 	if !e.recovering {
 		return
@@ -66,6 +67,9 @@
 		if n.listed || len(n.runs) > 0 || now.Sub(n.unlistedAt) < heardWithin {
 			return false
 		}
+		if e.recovering && !n.heard {
+			return false
+		}
 		if n.misses == 0 && now.Sub(n.heardAt) < heardWithin {
 			return false
 		}
@@ -241,9 +245,19 @@
 
 // startStep starts waiting tasks of a step, at most limit, and returns their number.
 func (e *Engine) startStep(now time.Time, s *step, limit int) int {
+	started := 0
 	if s.Gang {
-		return e.startGang(now, s)
+		started = e.startGang(now, s)
+	} else {
+		started = e.startSingly(now, s, limit)
+	}
+	if s.job.queue.Advised && s.hasWaiting(now) {
+		e.askAdvice(now, s)
 	}
+	return started
+}
+
+func (e *Engine) startSingly(now time.Time, s *step, limit int) int {
 	if e.isUnplaceable(s) {
 		return 0
 	}
@@ -287,12 +301,14 @@
 		if n == nil {
 			for _, a := range placed {
 				a.node.remove(a, now)
+				a.task.run = a.earlier
 			}
 			s.rack = ""
 			return 0
 		}
 		t.checkpoint = saved
 		a := newAttempt(t, run, n, now)
+		a.earlier = t.run
 		n.add(a)
 		placed = append(placed, a)
 		if s.OneRack && s.rack == "" {
@@ -325,7 +341,7 @@
 	n, t := a.node, a.task
 	e.commands = append(e.commands, Command{
 		Worker: n.ID, Address: n.Address, TaskRun: TaskRun{t.id, a.run},
-		Start: &Start{Spec: t.step.job.Spec, Checkpoint: t.checkpoint, Ticket: e.ticket(t.step, n)},
+		Start: &Start{Spec: t.step.job.Spec, Checkpoint: t.checkpoint, Ticket: e.ticket(now, t.step, n)},
 		Lease: n.renewal(now, e.options.LeaseTerm),
 	})
 	e.count("Task.Starts")
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -55,6 +55,8 @@
 	row     ownerRow
 	version table.Version
 	stored  time.Time
+	// fleet is the row of the workers in use as it was last written.
+	fleet []byte
 	// estimated is when the estimates were last written.
 	estimated time.Time
 	why       string
@@ -159,6 +161,9 @@
 	if err := o.recoverEstimates(ctx); err != nil {
 		return nil, err
 	}
+	if err := o.recoverFleet(ctx); err != nil {
+		return nil, err
+	}
 	recovered := false
 	mirror := &table.Mirror{
 		Watcher: store, Prefix: jobPrefix, Clock: o.node.Clock, Wait: watchTime, Pause: jobsPause,
@@ -196,6 +201,23 @@
 	return nil
 }
 
+// recoverFleet enters the workers that the earlier owner used, so that those that
+// the list lacks are asked as well.
+func (o *owner) recoverFleet(ctx context.Context) error {
+	row, err := o.node.read(ctx, fleetKey)
+	if err != nil || row.Version == 0 {
+		return err
+	}
+	list, err := decode[[]dispatch.WorkerInfo](row)
+	if err != nil {
+		return err
+	}
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.engine.RememberWorkers(o.node.Clock.Now(), list)
+	return nil
+}
+
 // applyJobs adds the jobs that the engine doesn't know yet.
 func (o *owner) applyJobs(rows map[table.Key]table.Row, stored map[dispatch.JobID]dispatch.Progress, recovered bool) {
 	o.with(func(now time.Time, e *dispatch.Engine) {
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -41,11 +41,15 @@
 		o.lock.Lock()
 		o.engine.Tick(o.node.Clock.Now())
 		commands := o.engine.TakeCommands()
+		questions := o.engine.TakeAdviceRequests()
 		unstored := o.engine.Unstored()
 		o.lock.Unlock()
 		if unstored {
 			o.wake()
 		}
+		for _, q := range questions {
+			o.group.Go(func() error { o.ask(ctx, q); return nil })
+		}
 		for _, c := range commands {
 			o.group.Go(func() error { return o.send(ctx, c) })
 		}
@@ -56,6 +60,27 @@
 	}
 }
 
+// adviceTimeout bounds a question to the placement policy.
+const adviceTimeout = 3 * time.Second
+
+// ask asks the placement policy and tells the engine the answer.
+func (o *owner) ask(ctx context.Context, r dispatch.AdviceRequest) {
+	if o.node.Policy == nil {
+		o.node.Counters.Add("Advice.NoPolicy", 1)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, adviceTimeout)
+	defer cancel()
+	grants, validity, err := o.node.Policy.Advise(ctx, r)
+	o.with(func(now time.Time, e *dispatch.Engine) {
+		if err != nil {
+			e.AdviceFailed(r)
+			return
+		}
+		e.Advised(now, r, grants, validity)
+	})
+}
+
 // send carries out a command and tells the engine what came of it.
 func (o *owner) send(ctx context.Context, c dispatch.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -67,6 +68,10 @@
 		o.estimated = now
 		writes = append(writes, table.Write{Key: estimatesKey, Value: encode(o.engine.Estimates(now))})
 	}
+	fleet := encode(o.engine.UsedWorkers())
+	if !bytes.Equal(fleet, o.fleet) {
+		writes = append(writes, table.Write{Key: fleetKey, Value: fleet})
+	}
 	o.lock.Unlock()
 	tx := table.Transaction{
 		Conditions: []table.Condition{{Key: ownerKey, Version: version}},
@@ -78,7 +83,7 @@
 	}
 	o.lock.Lock()
 	now = o.node.Clock.Now()
-	o.row, o.version, o.stored = next, written, now
+	o.row, o.version, o.stored, o.fleet = next, written, now, fleet
 	o.engine.Stored(now, batch)
 	more := o.engine.Unstored()
 	o.lock.Unlock()
--- a/internal/entry/dispatcher/ports.go
+++ b/internal/entry/dispatcher/ports.go
@@ -46,6 +46,12 @@
 // ErrFenced reports that a worker has seen a higher epoch. Nothing was done.
 var ErrFenced = errors.New("dispatcher: the worker has seen a higher epoch")
 
+// Policy is the service that knows which workers may run a step.
+type Policy interface {
+	// Advise returns the workers that may run the step, and how long the tickets hold.
+	Advise(ctx context.Context, r dispatch.AdviceRequest) ([]dispatch.Grant, time.Duration, error)
+}
+
 // Catalog reads what the operator and the workers have written to the store.
 type Catalog interface {
 	// OperatorPrefix and WorkersPrefix begin the keys of those rows.
@@ -71,9 +77,11 @@
 	RemoteFactor float64
 	MaxHarm      time.Duration
 
-	Store    Store
-	Workers  Workers
-	Catalog  Catalog
+	Store   Store
+	Workers Workers
+	Catalog Catalog
+	// Policy is nil where there is none.
+	Policy   Policy
 	Peers    *entry.Client
 	Counters *counter.Set
 	Clock    clockwork.Clock
--- a/internal/entry/dispatcher/rows.go
+++ b/internal/entry/dispatcher/rows.go
@@ -14,6 +14,7 @@
 const (
 	ownerKey       table.Key = "owner/main/owner"
 	estimatesKey   table.Key = "owner/main/estimates"
+	fleetKey       table.Key = "owner/main/fleet"
 	jobPrefix      table.Key = "job/main/"
 	cancelPrefix   table.Key = "cancel/main/"
 	progressPrefix table.Key = "progress/main/"
