Serve counters and latencies as text, and bound the log

Cause: the operators have only logs and metrics; the log had no bound and its latencies could not be read.

--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -4,33 +4,28 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/entry/dispatcher"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/counter"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/logging"
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
 	"github.com/jacinthtrail/jacinthtrail/platform"
 )
 
 const (
-	// logLines is the number of log lines that wait to be written; more are dropped
-	// and counted, so that logging never blocks the work.
-	logLines = 4096
-	// logPoll is how often waiting log lines are written.
-	logPoll = 25 * time.Millisecond
 	// memoryShare of the instance's memory, in percent, is the soft limit of the heap.
 	memoryShare = 70
 	// heapGrowth is the garbage collector's target in percent: processor time is
@@ -62,6 +57,8 @@
 	peers    *entry.Server
 	client   *entry.Client
 	counters *counter.Set
+	latency  *counter.Histograms
+	logs     *logging.Loggers
 	log      zerolog.Logger
 	stopping atomic.Bool
 
@@ -70,12 +67,11 @@
 	metrics  *http.Server
 	bindings map[*http.Server]net.Listener
 	peerPort net.Listener
-	close    io.Closer
 }
 
 // listen opens the addresses and builds the parts of the process.
 func listen(opts *Options, s platform.Settings) (*process, error) {
-	p := &process{options: opts, changed: make(chan os.Signal, 1), settings: s, counters: &counter.Set{}, bindings: map[*http.Server]net.Listener{}}
+	p := &process{options: opts, changed: make(chan os.Signal, 1), settings: s, counters: &counter.Set{}, latency: &counter.Histograms{}, bindings: map[*http.Server]net.Listener{}}
 	signal.Notify(p.changed, syscall.SIGHUP)
 	p.limitMemory()
 	if err := p.openLog(opts); err != nil {
@@ -97,7 +93,8 @@
 		LeaseTerm: min(opts.LeaseTerm, s.MaxLease), RemoteFactor: s.RemoteFactor, MaxHarm: s.MaxHarm,
 		Store:   platform.Store{Address: s.Store, HTTP: http1},
 		Workers: platform.Workers{HTTP: http1, Counters: p.counters},
-		Catalog: platform.Catalog{}, Policy: policy, Peers: p.client, Counters: p.counters, Clock: clock, Log: p.log,
+		Catalog: platform.Catalog{}, Policy: policy, Peers: p.client, Counters: p.counters, Latencies: p.latency,
+		Clock: clock, Log: p.log, Routine: p.logs.Routine,
 	})
 	p.node.Register(p.peers)
 	p.callers = &http.Server{
@@ -107,8 +104,8 @@
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 	}
 	p.ready = &http.Server{Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	p.metrics = &http.Server{Handler: p.counters, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	return p, p.bind(opts.MetricsAddress)
+	p.metrics = &http.Server{Handler: counter.Text{Counters: p.counters, Histograms: p.latency}, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	return p, p.bind(opts)
 }
 
 const (
@@ -136,18 +133,14 @@
 	if err != nil {
 		return err
 	}
-	writer := diode.NewWriter(opts.Factory.IO.Out, logLines, logPoll, func(missed int) {
-		p.counters.Add("Log.LinesDropped", int64(missed))
-	})
-	zerolog.TimeFieldFormat = time.RFC3339Nano
-	p.log = zerolog.New(writer).Level(level).With().Timestamp().
-		Str("Instance", string(p.settings.Instance)).Logger()
-	p.close = writer
+	p.logs = logging.Open(opts.Factory.IO.Out, level, p.counters)
+	p.logs.With("Instance", string(p.settings.Instance))
+	p.log = p.logs.Important
 	return nil
 }
 
 // bind opens all addresses and reports all that can't be opened.
-func (p *process) bind(metrics string) error {
+func (p *process) bind(opts *Options) error {
 	var errs []error
 	open := func(address string) net.Listener {
 		listener, err := net.Listen("tcp", address)
@@ -159,8 +152,8 @@
 	p.bindings[p.callers] = open(p.settings.Callers)
 	p.bindings[p.ready] = open(p.settings.Ready)
 	p.peerPort = open(p.settings.Peers)
-	if metrics != "" {
-		p.bindings[p.metrics] = open(metrics)
+	if opts.MetricsPort != 0 {
+		p.bindings[p.metrics] = open(net.JoinHostPort(p.settings.IP, strconv.Itoa(opts.MetricsPort)))
 	}
 	return errors.Join(errs...)
 }
@@ -173,7 +166,7 @@
 
 // run serves until ctx ends, then stops gracefully.
 func (p *process) run(ctx context.Context) error {
-	defer p.close.Close()
+	defer p.logs.Close()
 	p.log.Info().Str("Zone", string(p.settings.Zone)).Str("Store", p.settings.Store).Msg("started")
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -184,6 +177,7 @@
 	group.Go(func() error { return p.peers.Serve(background, p.peerPort) })
 	group.Go(func() error { return p.node.Run(background) })
 	group.Go(func() error { return p.reload(background) })
+	group.Go(func() error { return p.logs.Run(background, p.options.Factory.Clock) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/cmd/serveplatform/serveplatform.go
+++ b/internal/cmd/serveplatform/serveplatform.go
@@ -24,14 +24,17 @@
 	LogLevel string
 	// LeaseTerm is how long a worker goes on without a renewal.
 	LeaseTerm time.Duration
-	// MetricsAddress serves the counters; empty for none.
-	MetricsAddress string
+	// MetricsPort serves counters and latencies as text; 0 for none.
+	MetricsPort int
 }
 
 // defaultLeaseTerm covers the replacement of a lost owner, and bounds how long the
 // tasks of a lost worker wait.
 const defaultLeaseTerm = 4500 * time.Millisecond
 
+// maxPort is the highest port number.
+const maxPort = 65535
+
 // NewCmd returns the command. Tests replace its run function with runF.
 func NewCmd(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
 	opts := &Options{Factory: f}
@@ -60,7 +63,7 @@
 	flags.StringVar(&opts.Config, "config", "", "`path` of the platform's settings file")
 	flags.StringVar(&opts.LogLevel, "log-level", "info", "lowest `level` that is logged: debug, info, warn or error")
 	flags.DurationVar(&opts.LeaseTerm, "lease-term", defaultLeaseTerm, "`time` for which a worker goes on without a renewal")
-	flags.StringVar(&opts.MetricsAddress, "metrics-address", "", "`address` that serves the counters; empty for none")
+	flags.IntVar(&opts.MetricsPort, "metrics-port", 0, "`port` that serves counters and latencies as text; 0 for none")
 	return cmd
 }
 
@@ -72,6 +75,9 @@
 	if _, err := zerolog.ParseLevel(o.LogLevel); err != nil {
 		findings.Add("log-level", fmt.Sprintf("%q is not a level", o.LogLevel), "use debug, info, warn or error")
 	}
+	if o.MetricsPort < 0 || o.MetricsPort > maxPort {
+		findings.Add("metrics-port", "it is no port", "give a number from 0 to 65535")
+	}
 	if o.LeaseTerm < time.Second {
 		findings.Add("lease-term", "it is shorter than a takeover", "give 1s or more")
 	}
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -15,6 +15,11 @@
 	Add(name string, delta int64)
 }
 
+// Latencies keeps durations by name.
+type Latencies interface {
+	Observe(name string, latency time.Duration)
+}
+
 // Recorder keeps decisions, so that they can be explained later.
 type Recorder interface {
 	RecordDecision(now time.Time, d Decision)
@@ -42,7 +47,9 @@
 	// MaxHarm is how long the tail latency of a serving task may be over its target.
 	MaxHarm  time.Duration
 	Counters Counters
-	Recorder Recorder
+	// Latencies may be nil.
+	Latencies Latencies
+	Recorder  Recorder
 }
 
 // Engine places the tasks of one shard. It must be used by one goroutine at a time.
@@ -298,6 +305,12 @@
 	}
 }
 
+func (e *Engine) observe(name string, latency time.Duration) {
+	if e.options.Latencies != nil {
+		e.options.Latencies.Observe(name, latency)
+	}
+}
+
 func (e *Engine) record(now time.Time, d Decision) {
 	if e.options.Recorder != nil {
 		e.options.Recorder.RecordDecision(now, d)
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -62,6 +62,7 @@
 	if n.misses > 0 {
 		e.record(now, Decision{Event: "WorkerAnswers", Worker: id, Age: now.Sub(n.heardAt)})
 	}
+	e.observe("Age.Report", now.Sub(n.heardAt))
 	n.born, n.heard, n.heardAt, n.clock, n.misses = r.Born, true, now, r.Clock, 0
 	e.observeEnds(now, n, r.Ended)
 	e.observeRunning(now, n, r.Running)
@@ -318,7 +319,11 @@
 	switch result {
 	case StartAccepted:
 		a.phase, a.since = running, clock
-		a.task.step.job.began = true
+		e.observe("Latency.StartCommand", now.Sub(a.sentAt))
+		if j := a.task.step.job; !j.began {
+			j.began = true
+			e.observe("Latency.FirstStart", now.Sub(j.Due(a.task.id.Occurrence)))
+		}
 	case StartUnanswered:
 		a.phase = inDoubt
 	default:
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -60,7 +60,7 @@
 
 // projected returns how long the whole task takes at the present speed, 0 if that
 // can't be told yet.
-func (a *attempt) projected(now time.Time) time.Duration {
+func (a *attempt) projected() time.Duration {
 	done := a.percent - a.begin.from
 	if done < minProgress || a.progressAt.Sub(a.begin.at) < minElapsed {
 		return 0
@@ -90,7 +90,7 @@
 }
 
 func (e *Engine) checkStep(now time.Time, s *step) {
-	usual, lonely := s.usualDuration(now)
+	usual, lonely := s.usualDuration()
 	if usual == 0 {
 		return
 	}
@@ -103,11 +103,11 @@
 
 // usualDuration returns the median duration of the tasks of a step, finished or
 // projected, or the client's estimate if there are too few.
-func (s *step) usualDuration(now time.Time) (usual time.Duration, lonely bool) {
+func (s *step) usualDuration() (usual time.Duration, lonely bool) {
 	durations := slices.Clone(s.durations)
 	for _, t := range s.tasks {
 		if t.attempt != nil && t.attempt.phase == running {
-			if p := t.attempt.projected(now); p > 0 {
+			if p := t.attempt.projected(); p > 0 {
 				durations = append(durations, p)
 			}
 		}
@@ -120,7 +120,7 @@
 }
 
 func (e *Engine) checkAttempt(now time.Time, a *attempt, usual time.Duration, lonely bool) {
-	projected := a.projected(now)
+	projected := a.projected()
 	if projected > 0 && !lonely {
 		a.node.slowness.observe(now, float64(projected)/float64(usual))
 	}
--- a/internal/entry/dispatcher/gateway.go
+++ b/internal/entry/dispatcher/gateway.go
@@ -38,7 +38,9 @@
 // if the job isn't accepted and never will be, and queue.ErrOutcomeUnknown if that
 // is not known.
 func (n *Node) Submit(ctx context.Context, j dispatch.Job) error {
+	began := n.Clock.Now()
 	err := n.submitHere(ctx, j)
+	n.Latencies.Observe("Latency.Accept", n.Clock.Now().Sub(began))
 	var refusal *queue.Refusal
 	if errors.As(err, &refusal) && refusal.Reason == RefusedStore {
 		return n.relay(ctx, relaySubmit, submittedRequest{j}, err)
@@ -252,7 +254,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	return entry.Call[Request, Answer](ctx, n.Peers, address, method, request)
+	began := n.Clock.Now()
+	answer, err := entry.Call[Request, Answer](ctx, n.Peers, address, method, request)
+	n.Latencies.Observe("Latency.AskOwner", n.Clock.Now().Sub(began))
+	return answer, err
 }
 
 // Cancel stores the cancellation of a job. It fails with queue.ErrUnknownJob, a
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -60,7 +60,7 @@
 		peers:     map[membership.InstanceID]knownPeer{},
 		pending:   map[dispatch.QueueName]pendingCount{},
 	}
-	n.store = guardedStore{Store: options.Store, clock: options.Clock, counters: options.Counters, log: options.Log}
+	n.store = guardedStore{Store: options.Store, clock: options.Clock, counters: options.Counters, latencies: options.Latencies, log: options.Log}
 	return n
 }
 
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -72,7 +72,7 @@
 	}
 	o.engine = dispatch.New(dispatch.Options{
 		Epoch: row.Epoch, LeaseTerm: n.LeaseTerm, RemoteFactor: n.RemoteFactor, MaxHarm: n.MaxHarm,
-		Counters: n.Counters, Recorder: o,
+		Counters: n.Counters, Latencies: n.Latencies, Recorder: o,
 	})
 	return o
 }
@@ -98,7 +98,11 @@
 
 // RecordDecision logs a decision of the engine.
 func (o *owner) RecordDecision(_ time.Time, d dispatch.Decision) {
-	line := o.node.Log.Info().Str("Event", d.Event).Int64("Epoch", int64(o.epoch))
+	log := &o.node.Log
+	if isRoutine(d) {
+		log = &o.node.Routine
+	}
+	line := log.Info().Str("Event", d.Event).Int64("Epoch", int64(o.epoch))
 	if d.Job != "" {
 		line = line.Str("Job", string(d.Job))
 	}
@@ -117,6 +121,19 @@
 	line.Send()
 }
 
+// isRoutine reports whether a decision is part of the ordinary course of a task.
+func isRoutine(d dispatch.Decision) bool {
+	switch d.Event {
+	case "TaskStart":
+		return d.Reason == string(dispatch.StartAccepted)
+	case "TaskEnded":
+		return d.Reason == string(dispatch.EndDone)
+	case "TaskStopping", "TaskAdopted":
+		return true
+	}
+	return false
+}
+
 // with runs f with the engine and then lets it decide.
 func (o *owner) with(f func(now time.Time, e *dispatch.Engine)) {
 	o.lock.Lock()
--- a/internal/entry/dispatcher/ports.go
+++ b/internal/entry/dispatcher/ports.go
@@ -84,6 +84,10 @@
 	Policy   Policy
 	Peers    *entry.Client
 	Counters *counter.Set
-	Clock    clockwork.Clock
-	Log      zerolog.Logger
+	// Latencies may be nil.
+	Latencies *counter.Histograms
+	Clock     clockwork.Clock
+	// Log is for changes of state, Routine for the ordinary course of each task.
+	Log     zerolog.Logger
+	Routine zerolog.Logger
 }
--- a/internal/entry/dispatcher/store.go
+++ b/internal/entry/dispatcher/store.go
@@ -18,7 +18,9 @@
 	Store
 	clock    clockwork.Clock
 	counters *counter.Set
-	log      zerolog.Logger
+	// latencies may be nil.
+	latencies *counter.Histograms
+	log       zerolog.Logger
 
 	lock sync.Mutex
 	// failures counts the calls without an answer since the last answer.
@@ -33,14 +35,18 @@
 
 // Read returns a row.
 func (s *guardedStore) Read(ctx context.Context, key table.Key) (table.Row, error) {
+	began := s.clock.Now()
 	row, err := s.Store.Read(ctx, key)
+	s.latencies.Observe("Latency.StoreRead", s.clock.Now().Sub(began))
 	s.note("Read", err)
 	return row, err
 }
 
 // Commit applies a transaction.
 func (s *guardedStore) Commit(ctx context.Context, tx table.Transaction) (table.Version, error) {
+	began := s.clock.Now()
 	version, err := s.Store.Commit(ctx, tx)
+	s.latencies.Observe("Latency.StoreCommit", s.clock.Now().Sub(began))
 	s.note("Commit", err)
 	return version, err
 }
--- /dev/null
+++ b/internal/operator/counter/histogram.go
@@ -0,0 +1,89 @@
+package counter
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// maxLatency bounds what a histogram tells apart.
+	maxLatency = 5 * time.Minute
+	// significantDigits of the values of a histogram.
+	significantDigits = 2
+)
+
+// Histograms keeps latencies by name. The zero value is empty and ready to use.
+type Histograms struct {
+	lock   sync.Mutex
+	byName map[string]*hdrhistogram.Histogram
+}
+
+// Observe adds a latency. Observe on nil Histograms does nothing.
+func (h *Histograms) Observe(name string, latency time.Duration) {
+	if h == nil {
+		return
+	}
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if h.byName == nil {
+		h.byName = map[string]*hdrhistogram.Histogram{}
+	}
+	histogram := h.byName[name]
+	if histogram == nil {
+		histogram = hdrhistogram.New(1, maxLatency.Microseconds(), significantDigits)
+		h.byName[name] = histogram
+	}
+	// A value beyond the bound is entered as the bound, so that it isn't lost.
+	_ = histogram.RecordValue(min(max(latency.Microseconds(), 1), maxLatency.Microseconds()))
+}
+
+// Text serves counters and latency histograms as lines of name and value.
+// Latencies are in milliseconds.
+type Text struct {
+	Counters   *Set
+	Histograms *Histograms
+}
+
+// ServeHTTP writes all counters and histograms in the order of their names.
+func (t Text) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	values := t.Counters.Values()
+	names := make([]string, 0, len(values))
+	for name := range values {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(w, "%s %d\n", name, values[name])
+	}
+	t.Histograms.write(w)
+}
+
+func (h *Histograms) write(w io.Writer) {
+	if h == nil {
+		return
+	}
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	names := make([]string, 0, len(h.byName))
+	for name := range h.byName {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		var line strings.Builder
+		histogram := h.byName[name]
+		fmt.Fprintf(&line, "%s count=%d", name, histogram.TotalCount())
+		for _, quantile := range []float64{50, 90, 99, 100} {
+			fmt.Fprintf(&line, " p%g=%.1f", quantile, float64(histogram.ValueAtQuantile(quantile))/1000)
+		}
+		fmt.Fprintln(w, line.String())
+	}
+}
