Let new jobs wait after a takeover until the earlier owner must know of it

Change: no job starts before all workers have reported to the new owner, new ones at most 2 s. Besides, the queue's priority comes before the urgency of a job: estimates are off by up to a factor of two, so small urgent jobs were taken for hopeless ones.

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -606,6 +606,36 @@
 		Expect(b.starts).To(HaveLen(1))
 	})
 
+	// Guards against two runs of a task of a new job: an owner that didn't know yet that
+	// it was replaced had started it on a worker that the new owner hadn't reached
+	// (TWICE, amagasa-kyushu, mix with seed 608627514168).
+	It("starts no new job either until the earlier owner must know of it", func() {
+		b := newBench(2, 2)
+		b.workers["w1"].silent = true
+		b.engine.Recover(b.now)
+		b.list()
+		b.submit("new", tasks(1))
+		for range 15 {
+			b.step(100 * time.Millisecond)
+		}
+		Expect(b.starts).To(BeEmpty())
+		for range 10 {
+			b.step(100 * time.Millisecond)
+		}
+		Expect(b.starts).To(HaveLen(1))
+		Expect(b.starts[0].Worker).To(Equal(membership.InstanceID("w0")))
+	})
+
+	It("starts new jobs at once when all workers have reported", func() {
+		b := newBench(2, 2)
+		b.engine.Recover(b.now)
+		b.list()
+		b.submit("new", tasks(1))
+		b.step(0)
+		b.step(0)
+		Expect(b.starts).To(HaveLen(1))
+	})
+
 	It("restores stored progress", func() {
 		b := newBench(2, 1)
 		b.list()
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -35,6 +35,9 @@
 	Reason string
 	// Age of the worker's report on which the decision rests.
 	Age time.Duration
+	// Took is the age of a job at its end, Objective what it should be at most.
+	Took      time.Duration
+	Objective time.Duration
 }
 
 // Options are the settings of an Engine.
@@ -68,6 +71,8 @@
 	// recoveryEnds is when the leases that an earlier owner gave have ended.
 	recoveryEnds time.Time
 	recovering   bool
+	// recoveryBegan is when this owner took over.
+	recoveryBegan time.Time
 	// listed reports that the list of workers is known.
 	listed  bool
 	tickets map[StepID]*stepTickets
@@ -107,9 +112,10 @@
 }
 
 // Recover makes the tasks of recovered jobs wait until each worker that the
-// earlier owner used has reported, at most until its leases have ended.
+// earlier owner used has reported, at most until its leases have ended. New jobs
+// wait as well, but for a shorter time.
 func (e *Engine) Recover(now time.Time) {
-	e.recovering = true
+	e.recovering, e.recoveryBegan = true, now
 	e.recoveryEnds = now.Add(lapse(e.options.LeaseTerm) + inFlightMargin)
 }
 
@@ -214,7 +220,7 @@
 	e.learnDemand(added)
 	added.restore(stored)
 	e.jobs[j.ID] = added
-	e.record(now, Decision{Event: "JobAdded", Job: j.ID, Reason: string(j.Queue)})
+	e.record(now, Decision{Event: "JobAdded", Job: j.ID, Reason: string(j.Queue), Objective: added.objective})
 	e.finishIfDone(now, added)
 }
 
@@ -273,7 +279,10 @@
 	}
 	j.ending = state
 	e.markDirty(j)
-	e.record(now, Decision{Event: "Job" + string(state), Job: j.ID, Reason: reason})
+	e.record(now, Decision{
+		Event: "Job" + string(state), Job: j.ID, Reason: reason,
+		Took: now.Sub(j.Accepted), Objective: j.objective,
+	})
 	e.count("Job." + string(state))
 	j.eachTask(func(t *task) {
 		if t.attempt != nil {
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -156,7 +156,7 @@
 func (e *Engine) candidates(now time.Time) []candidate {
 	var list []candidate
 	for _, j := range e.jobs {
-		if j.ending != "" || j.cancelled || (j.recovered && e.recovering) {
+		if j.ending != "" || j.cancelled || e.mustWait(now, j) {
 			continue
 		}
 		u, density := j.urgency(now), e.density(j)
@@ -175,10 +175,20 @@
 	return list
 }
 
+// newJobWait is the time after a takeover in which an earlier owner that lives must
+// have learned of it: its transactions conflict, and workers refuse its polls.
+const newJobWait = 2 * time.Second
+
+// mustWait reports whether a job may be running unseen on a worker that hasn't
+// reported to this owner yet.
+func (e *Engine) mustWait(now time.Time, j *job) bool {
+	return e.recovering && (j.recovered || now.Sub(e.recoveryBegan) < newJobWait)
+}
+
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
-		cmp.Compare(a.urgency, b.urgency),
 		cmp.Compare(a.step.job.queue.Priority, b.step.job.queue.Priority),
+		cmp.Compare(a.urgency, b.urgency),
 		cmp.Compare(b.density, a.density),
 		a.step.job.deadline().Compare(b.step.job.deadline()),
 		cmp.Compare(a.step.id.Job, b.step.id.Job),
--- a/internal/entry/dispatcher/gateway.go
+++ b/internal/entry/dispatcher/gateway.go
@@ -49,6 +49,8 @@
 		return nil
 	}
 	if err == nil {
+		n.Routine.Info().Str("Event", "JobAccepted").Str("Job", string(j.ID)).Str("Queue", string(j.Queue)).
+			Dur("Took", n.Clock.Now().Sub(began)).Send()
 		n.notify(submittedMethod, submittedRequest{j}, func(o *owner) { o.submitted(j) })
 	}
 	return err
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -118,6 +118,12 @@
 	if d.Age > 0 {
 		line = line.Dur("Age", d.Age)
 	}
+	if d.Took > 0 {
+		line = line.Dur("Took", d.Took)
+	}
+	if d.Objective > 0 {
+		line = line.Dur("Objective", d.Objective)
+	}
 	line.Send()
 }
 
