--- /dev/null
+++ b/internal/decision/dispatch/bench_test.go
@@ -0,0 +1,87 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
+)
+
+const benchSeed = 7
+
+func serviceName(i int) manifest.ServiceName { return manifest.ServiceName(fmt.Sprintf("serve-%d", i)) }
+
+func className(i int) manifest.ClassName { return manifest.ClassName(fmt.Sprintf("fill-%d", i)) }
+
+// loaded returns a bench of a full site: serving tasks on all workers and a backlog
+// of fillers of nine images, about a third of whose pairs disturb.
+func loaded(workers, backlog int) *bench {
+	random := rand.New(rand.NewPCG(benchSeed, benchSeed))
+	b := newBench(1, workers)
+	for _, w := range b.workers {
+		w.info.Capacity = cores(16)
+	}
+	b.list()
+	var learned []interference.Estimate
+	for serving := range 5 {
+		for filler := range 9 {
+			p := 0.02
+			if random.IntN(3) == 0 {
+				p = 0.9
+			}
+			learned = append(learned, interference.Estimate{Pair: interference.Pair{
+				Service: serviceName(serving), Class: className(filler),
+			}, Probability: p})
+		}
+	}
+	for i := range workers {
+		step := servingStep(4)
+		step.Image = dispatch.Image(serviceName(i % 5))
+		step.MaxPerWorker = 0
+		b.submit(dispatch.JobID(fmt.Sprintf("serving-%d", i)), step)
+	}
+	for range 5 {
+		b.step(200 * time.Millisecond)
+	}
+	b.engine.RestoreEstimates(b.now, learned)
+	for i := range backlog {
+		b.submit(dispatch.JobID(fmt.Sprintf("fill-%d", i)), fillerStep(8, dispatch.Image(className(i%9))))
+	}
+	for range 5 {
+		b.step(200 * time.Millisecond)
+	}
+	return b
+}
+
+// BenchmarkTick measures a decision with a backlog that finds no room.
+func BenchmarkTick(b *testing.B) {
+	for _, workers := range []int{48, 400} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			site := loaded(workers, 3*workers)
+			for b.Loop() {
+				site.now = site.now.Add(10 * time.Millisecond)
+				site.engine.Tick(site.now)
+				site.engine.TakeCommands()
+			}
+		})
+	}
+}
+
+// BenchmarkObserve measures the report of a worker.
+func BenchmarkObserve(b *testing.B) {
+	site := loaded(48, 144)
+	w := site.workers["w0"]
+	r := dispatch.Report{Born: w.born}
+	for _, run := range w.running {
+		r.Running = append(r.Running, *run)
+	}
+	for b.Loop() {
+		w.clock += time.Millisecond
+		r.Clock = w.clock
+		site.engine.Observe(site.now, "w0", r)
+	}
+}
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -68,6 +68,8 @@
 	dirty    map[JobID]*job
 	commands []Command
 	odds     interference.Odds
+	// trials counts the fillers that began lately, by pair.
+	trials map[interference.Pair]int
 	// recoveryEnds is when the leases that an earlier owner gave have ended.
 	recoveryEnds time.Time
 	recovering   bool
@@ -107,6 +109,7 @@
 		tickets:  map[StepID]*stepTickets{},
 
 		meanWork:    map[QueueName]float64{},
+		trials:      map[interference.Pair]int{},
 		unplaceable: map[shape]resource.Vector{},
 	}
 }
--- a/internal/decision/dispatch/pace.go
+++ b/internal/decision/dispatch/pace.go
@@ -20,8 +20,14 @@
 	// beginLag is the age from which a filler may be the cause of a bad measurement.
 	beginLag = 150 * time.Millisecond
 	// evictAbove is the probability of disturbing a serving task at which a filler
-	// must leave, and beside which none is placed.
+	// must leave, and placeBelow that up to which one is placed. The gap keeps fillers
+	// from coming back at once.
 	evictAbove = 0.65
+	placeBelow = 0.62
+	// maxTrials bounds the fillers that try an uncertain pair at the same time, and
+	// trialTime is how long a filler counts as trying.
+	maxTrials = 2
+	trialTime = 1200 * time.Millisecond
 	// paceStep multiplies the pace of all fillers of a worker whose serving tasks are
 	// too slow without a filler that is known to be the cause.
 	paceStep = 0.4
@@ -236,6 +242,39 @@
 	}
 }
 
+// countTrials counts the fillers that began lately beside each serving image.
+func (e *Engine) countTrials(now time.Time) {
+	clear(e.trials)
+	for _, n := range e.fleet {
+		if n.fillers == 0 || len(n.images) == 0 {
+			continue
+		}
+		for _, a := range n.runs {
+			if a.task.step.Filler && now.Sub(a.sentAt) < trialTime {
+				e.addTrial(n, a.task.step.Image)
+			}
+		}
+	}
+}
+
+func (e *Engine) addTrial(n *node, filler Image) {
+	for serving := range n.images {
+		e.trials[pairOf(serving, filler)]++
+	}
+}
+
+// mayTry reports whether a filler may begin beside serving images of which it isn't
+// known whether it disturbs them. A few at a time find out what all would suffer from.
+func (e *Engine) mayTry(now time.Time, s *step, n *node) bool {
+	for serving := range n.images {
+		pair := pairOf(serving, s.Image)
+		if e.odds.Probability(now, pair) > knownBelow && e.trials[pair] >= maxTrials {
+			return false
+		}
+	}
+	return true
+}
+
 // expectedHarm returns how likely a filler of the step disturbs a serving task of
 // the worker, 0 to 1.
 func (e *Engine) expectedHarm(now time.Time, s *step, n *node) float64 {
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -107,7 +107,7 @@
 		return 0, false
 	}
 	harm := e.expectedHarm(now, s, n)
-	if harm > evictAbove {
+	if harm > placeBelow || (harm > knownBelow && !e.mayTry(now, s, n)) {
 		return 0, false
 	}
 	if harm > knownBelow && e.hasUncertain(now, n, s.Image) {
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -10,7 +10,7 @@
 	// pollWait is how long a worker may hold back an answer when nothing ends.
 	pollWait = time.Second
 	// watchWait is the same for a worker on which fillers may disturb serving tasks.
-	watchWait = 400 * time.Millisecond
+	watchWait = 500 * time.Millisecond
 	// atWorkPercent is the progress of a long-running task that has started up.
 	atWorkPercent = 100
 	// forgetFinished is how long the outcome of a job is kept in memory.
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -109,6 +109,7 @@
 	candidates := e.candidates(now)
 	left := maxStartsPerTick
 	clear(e.unplaceable)
+	e.countTrials(now)
 	for _, c := range candidates {
 		if left <= 0 {
 			return
@@ -344,6 +345,9 @@
 func (e *Engine) start(now time.Time, t *task, n *node, run Run) {
 	a := newAttempt(t, run, n, now)
 	n.add(a)
+	if t.step.Filler {
+		e.addTrial(n, t.step.Image)
+	}
 	e.sendStart(now, a)
 }
 
--- a/internal/decision/interference/odds.go
+++ b/internal/decision/interference/odds.go
@@ -47,15 +47,25 @@
 type belief struct {
 	logOdds float64
 	at      time.Time
+	// probability is what the odds had decayed to at readAt.
+	probability float64
+	readAt      time.Time
 }
 
+// readInterval is how long a probability is repeated: it is read for each pair of a
+// filler and a worker, and changes by a hundredth in that time.
+const readInterval = 250 * time.Millisecond
+
 // Probability returns how likely the pair disturbs, 0 to 1.
 func (o *Odds) Probability(now time.Time, p Pair) float64 {
 	b := o.beliefs[p]
 	if b == nil {
 		return priorProbability
 	}
-	return probability(b.decayed(now))
+	if now.Sub(b.readAt) >= readInterval {
+		b.probability, b.readAt = probability(b.decayed(now)), now
+	}
+	return b.probability
 }
 
 // Observe learns from a sample: the tail of a service against its target, and the
@@ -112,7 +122,7 @@
 		o.beliefs = map[Pair]*belief{}
 	}
 	value = min(max(value, minProbability), maxProbability)
-	o.beliefs[p] = &belief{math.Log(value / (1 - value)), now}
+	o.beliefs[p] = &belief{math.Log(value / (1 - value)), now, value, now}
 }
 
 // decayed returns the odds moved towards the prior by their age.
