--- a/internal/decision/dispatch/pace.go
+++ b/internal/decision/dispatch/pace.go
@@ -26,7 +26,7 @@
 	placeBelow = 0.62
 	// maxTrials bounds the fillers that try an uncertain pair at the same time, and
 	// trialTime is how long a filler counts as trying.
-	maxTrials = 2
+	maxTrials = 6
 	trialTime = 1200 * time.Millisecond
 	// paceStep multiplies the pace of all fillers of a worker whose serving tasks are
 	// too slow without a filler that is known to be the cause.
