--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -693,3 +693,49 @@
 		Expect(b.workersOf("touchy")).To(Equal([]membership.InstanceID{other}))
 	})
 })
+
+var _ = Describe("Leaving workers", func() {
+	drain := func(b *bench, id membership.InstanceID) {
+		w := b.workers[id]
+		w.info.Draining, w.info.Remaining = true, 2*time.Second
+		b.list()
+	}
+
+	It("lose long-running tasks at once and short ones not at all", func() {
+		b := newBench(1, 2)
+		b.list()
+		b.submit("long", servingStep(1))
+		b.step(0)
+		b.step(0)
+		leaving := b.starts[0].Worker
+		b.submit("short", dispatch.Step{Tasks: 2, Resources: cores(1), Estimate: time.Second, MaxPerWorker: 1})
+		b.step(100 * time.Millisecond)
+		drain(b, leaving)
+		b.step(100 * time.Millisecond)
+		Expect(b.stops).To(HaveLen(1))
+		Expect(b.stops[0].Task.Job).To(Equal(dispatch.JobID("long")))
+		b.step(100 * time.Millisecond)
+		Expect(b.workersOf("long")).NotTo(ContainElement(leaving))
+	})
+
+	// Guards against waiting out the lease of a worker that has left as announced.
+	It("free their tasks when they are gone from the list and silent", func() {
+		b := newBench(1, 2)
+		b.list()
+		b.submit("j", dispatch.Step{Tasks: 1, Resources: cores(1), Estimate: time.Second})
+		b.step(0)
+		b.step(0)
+		leaving := b.starts[0].Worker
+		drain(b, leaving)
+		b.step(100 * time.Millisecond)
+		gone := b.workers[leaving]
+		gone.silent = true
+		b.step(100 * time.Millisecond)
+		Expect(b.starts).To(HaveLen(1))
+		delete(b.workers, leaving)
+		b.list()
+		b.step(100 * time.Millisecond)
+		b.step(100 * time.Millisecond)
+		Expect(b.starts).To(HaveLen(2))
+	})
+})
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -177,6 +177,7 @@
 			e.record(now, Decision{Event: "WorkerJoined", Worker: info.ID})
 		}
 		if info.Draining && !n.Draining {
+			n.drainingAt = now
 			e.record(now, Decision{Event: "WorkerDraining", Worker: info.ID})
 		}
 		n.update(info)
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -68,6 +68,8 @@
 	WorkerInfo
 	listed     bool
 	unlistedAt time.Time
+	// drainingAt is when the worker was first listed as draining.
+	drainingAt time.Time
 	born       int64
 	// heard reports that the worker has answered this owner.
 	heard   bool
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -32,6 +32,7 @@
 	e.dropSilentWorkers(now)
 	e.repeatStops(now)
 	e.forgetFinished(now)
+	e.emptyLeavingWorkers(now)
 	e.findStragglers(now)
 	e.startTasks(now)
 	e.controlHarm(now)
@@ -64,6 +65,9 @@
 		if n.misses > 0 && n.heard && len(n.runs) > 0 && now.After(n.lapsesAt()) {
 			e.loseRuns(now, n, "lease ended")
 		}
+		if n.hasLeft() {
+			e.loseRuns(now, n, "worker left")
+		}
 		if n.listed || len(n.runs) > 0 || now.Sub(n.unlistedAt) < heardWithin {
 			return false
 		}
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -27,6 +27,9 @@
 	// jobsPause is the least time between two looks at the accepted jobs. The
 	// instances also tell of them at once.
 	jobsPause = 400 * time.Millisecond
+	// outcomeMemory is how long the outcome of a job can be asked for, twice the time
+	// that the platform requires. It also bounds how late a submission may be repeated.
+	outcomeMemory = 4 * time.Minute
 	// storeLostAfter is the time without a stored transaction after which the owner
 	// says that it can't reach the store.
 	storeLostAfter = 1200 * time.Millisecond
@@ -57,6 +60,8 @@
 	stored  time.Time
 	// fleet is the row of the workers in use as it was last written.
 	fleet []byte
+	// expired has the rows of outcomes that nobody asks for any more, with their versions.
+	expired map[dispatch.JobID]table.Version
 	// estimated is when the estimates were last written.
 	estimated time.Time
 	why       string
@@ -69,6 +74,8 @@
 		kicked: make(chan struct{}, 1),
 		dirty:  make(chan struct{}, 1),
 		polled: map[membership.InstanceID]bool{},
+
+		expired: map[dispatch.JobID]table.Version{},
 	}
 	o.engine = dispatch.New(dispatch.Options{
 		Epoch: row.Epoch, LeaseTerm: n.LeaseTerm, RemoteFactor: n.RemoteFactor, MaxHarm: n.MaxHarm,
@@ -256,6 +263,8 @@
 				continue
 			}
 			switch {
+			case content.Outcome != "" && now.Sub(content.Ended) > outcomeMemory:
+				o.expired[id] = row.Version
 			case content.Outcome != "":
 				e.AddFinished(now, id, content.Outcome)
 			case content.Job != nil:
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -68,6 +68,13 @@
 		o.estimated = now
 		writes = append(writes, table.Write{Key: estimatesKey, Value: encode(o.engine.Estimates(now))})
 	}
+	for id := range o.expired {
+		if len(writes) >= maxUpdates {
+			break
+		}
+		delete(o.expired, id)
+		writes = append(writes, table.Write{Key: jobKey(id), Delete: true})
+	}
 	fleet := encode(o.engine.UsedWorkers())
 	if !bytes.Equal(fleet, o.fleet) {
 		writes = append(writes, table.Write{Key: fleetKey, Value: fleet})
