Let an owner rest that may have been replaced

Change: an owner acts for 1.6 s after its last transaction, or while every other instance confirms that it can't reach the store either; else it starts and renews nothing. A successor waits 1.6 s longer for silent workers.

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -241,7 +241,7 @@
 	It("starts no recovered task before all workers have reported", func() {
 		b := newBench(2, 2)
 		b.engine.AddJob(b.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: b.now, Steps: []dispatch.Step{tasks(1)}}, dispatch.Progress{}, true)
-		b.engine.Recover(b.now)
+		b.engine.Recover(b.now, 0)
 		b.step(0)
 		run := dispatch.TaskRun{Task: dispatch.TaskID{Job: "j"}, Run: 1}
 		b.workers["w1"].running[run.Task] = &dispatch.RunningTask{TaskRun: run}
@@ -256,6 +256,29 @@
 		expectState(b, "j", dispatch.Running)
 	})
 
+	It("rests while another owner may have taken over", func() {
+		b := newBench(1, 2)
+		b.list()
+		b.submit("j", tasks(1))
+		b.step(0)
+		b.step(0)
+		b.workers[b.starts[0].Worker].silent = true
+		b.step(100 * time.Millisecond)
+		b.engine.Suspend(b.now, true)
+		b.submit("new", tasks(1))
+		for range 60 {
+			b.step(100 * time.Millisecond)
+		}
+		Expect(b.starts).To(HaveLen(1))
+		for _, id := range b.engine.Workers() {
+			p, _ := b.engine.Poll(b.now, id)
+			Expect(p.Lease).To(BeZero())
+		}
+		b.engine.Suspend(b.now, false)
+		b.step(100 * time.Millisecond)
+		Expect(b.starts).To(HaveLen(3))
+	})
+
 	It("keeps stopping a run of a job that it doesn't know", func() {
 		b := newBench(1, 1)
 		b.list()
@@ -593,7 +616,7 @@
 		hidden := b.workers["w1"]
 		b.engine.RememberWorkers(b.now, []dispatch.WorkerInfo{hidden.info})
 		b.engine.AddJob(b.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: b.now, Steps: []dispatch.Step{tasks(1)}}, dispatch.Progress{}, true)
-		b.engine.Recover(b.now)
+		b.engine.Recover(b.now, 0)
 		b.engine.SetWorkers(b.now, []dispatch.WorkerInfo{b.workers["w0"].info})
 		hidden.silent = true
 		for range 35 {
@@ -612,7 +635,7 @@
 	It("starts no new job either until the earlier owner must know of it", func() {
 		b := newBench(2, 2)
 		b.workers["w1"].silent = true
-		b.engine.Recover(b.now)
+		b.engine.Recover(b.now, 0)
 		b.list()
 		b.submit("new", tasks(1))
 		for range 15 {
@@ -628,7 +651,7 @@
 
 	It("starts new jobs at once when all workers have reported", func() {
 		b := newBench(2, 2)
-		b.engine.Recover(b.now)
+		b.engine.Recover(b.now, 0)
 		b.list()
 		b.submit("new", tasks(1))
 		b.step(0)
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -73,6 +73,8 @@
 	// recoveryEnds is when the leases that an earlier owner gave have ended.
 	recoveryEnds time.Time
 	recovering   bool
+	// suspended reports that another owner may have taken over.
+	suspended bool
 	// recoveryBegan is when this owner took over.
 	recoveryBegan time.Time
 	// listed reports that the list of workers is known.
@@ -117,9 +119,25 @@
 // Recover makes the tasks of recovered jobs wait until each worker that the
 // earlier owner used has reported, at most until its leases have ended. New jobs
 // wait as well, but for a shorter time.
-func (e *Engine) Recover(now time.Time) {
+// The earlier owner may act for a further term before it rests.
+func (e *Engine) Recover(now time.Time, term time.Duration) {
 	e.recovering, e.recoveryBegan = true, now
-	e.recoveryEnds = now.Add(lapse(e.options.LeaseTerm) + inFlightMargin)
+	e.recoveryEnds = now.Add(lapse(e.options.LeaseTerm) + inFlightMargin + term)
+}
+
+// Suspend lets the engine rest while another owner may have taken over: it starts
+// nothing, renews no leases and draws no conclusions from silence, since the other
+// owner may keep the runs on silent workers going.
+func (e *Engine) Suspend(now time.Time, rest bool) {
+	if e.suspended == rest {
+		return
+	}
+	e.suspended = rest
+	event := "AuthorityRegained"
+	if rest {
+		event = "AuthorityLost"
+	}
+	e.record(now, Decision{Event: event})
 }
 
 // SetQueues puts a configuration of the queues in force.
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -26,7 +26,7 @@
 		return Poll{}, false
 	}
 	p := Poll{Address: n.Address, Observed: n.observed}
-	if !n.heard || n.misses > 0 {
+	if !n.heard || n.misses > 0 || e.suspended {
 		return p, true
 	}
 	p.Lease = n.renewal(now, e.options.LeaseTerm)
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -28,6 +28,9 @@
 
 // Tick notes the passing of time and starts what can start.
 func (e *Engine) Tick(now time.Time) {
+	if e.suspended {
+		return
+	}
 	e.endRecovery(now)
 	e.dropSilentWorkers(now)
 	e.repeatStops(now)
--- /dev/null
+++ b/internal/entry/dispatcher/authority.go
@@ -0,0 +1,113 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+const (
+	// authorityTerm is how long an owner acts after a proof that nobody has replaced
+	// it. A successor waits that much longer for silent workers.
+	authorityTerm = 1600 * time.Millisecond
+	// confirmAfter is the age of the last transaction from which the owner asks the
+	// other instances whether they could replace it.
+	confirmAfter = 700 * time.Millisecond
+	// confirmInterval is the time between two such questions.
+	confirmInterval = 250 * time.Millisecond
+)
+
+// authority decides whether an owner may act. A transaction proves that it is still
+// the owner. While the store is away, so does the word of every other instance that
+// it can't reach the store either: an instance needs the store for a while before it
+// can claim the shard.
+type authority struct {
+	// stored is the time of the last transaction.
+	stored time.Time
+	// confirmed is when each instance last said that it can't claim the shard.
+	confirmed map[membership.InstanceID]time.Time
+}
+
+// confirm notes the word of an instance.
+func (a *authority) confirm(from membership.InstanceID, at time.Time) {
+	if a.confirmed == nil {
+		a.confirmed = map[membership.InstanceID]time.Time{}
+	}
+	a.confirmed[from] = at
+}
+
+// mayAct reports whether the owner may start tasks and renew leases, given all other
+// instances that were heard of lately.
+func (a *authority) mayAct(now time.Time, others []membership.InstanceID) bool {
+	if now.Sub(a.stored) <= authorityTerm {
+		return true
+	}
+	if len(others) == 0 {
+		return false
+	}
+	for _, name := range others {
+		if now.Sub(a.confirmed[name]) > authorityTerm {
+			return false
+		}
+	}
+	return true
+}
+
+// confirmAuthority asks the other instances, while the store doesn't answer, whether
+// they could replace this owner.
+func (o *owner) confirmAuthority(ctx context.Context) error {
+	ticker := o.node.Clock.NewTicker(confirmInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
+		}
+		o.lock.Lock()
+		age := o.node.Clock.Now().Sub(o.authority.stored)
+		o.lock.Unlock()
+		if age < confirmAfter {
+			continue
+		}
+		for _, p := range o.node.others() {
+			o.group.Go(func() error { o.askConfirmation(ctx, p); return nil })
+		}
+	}
+}
+
+func (o *owner) askConfirmation(ctx context.Context, p peer) {
+	asked := o.node.Clock.Now()
+	answer, err := o.node.hello(ctx, p.Address)
+	if err != nil {
+		return
+	}
+	if answer.Owner.Epoch > o.epoch {
+		o.node.learn(answer)
+		return
+	}
+	if answer.CanClaim {
+		return
+	}
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.authority.confirm(p.Name, asked)
+}
+
+// checkAuthority lets the engine rest while the owner may have been replaced.
+func (o *owner) checkAuthority(now time.Time) {
+	others := o.node.others()
+	names := make([]membership.InstanceID, len(others))
+	for i, p := range others {
+		names[i] = p.Name
+	}
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	may := o.authority.mayAct(now, names)
+	if may == o.suspended {
+		o.suspended = !may
+		o.engine.Suspend(now, !may)
+		o.node.Counters.Add("Owner.AuthorityChanged", 1)
+	}
+}
--- a/internal/entry/dispatcher/follow.go
+++ b/internal/entry/dispatcher/follow.go
@@ -176,7 +176,8 @@
 	if r.From.Name != "" {
 		n.peers[r.From.Name] = knownPeer{r.From, n.Clock.Now()}
 	}
-	answer := helloAnswer{Owner: n.view.owner, Peers: n.livePeers()}
+	_, storeLost := n.store.lostFor()
+	answer := helloAnswer{Owner: n.view.owner, Peers: n.livePeers(), CanClaim: !storeLost}
 	if o := n.owned.Load(); o != nil {
 		answer.IsOwner = true
 		answer.Owner = o.currentRow()
@@ -200,6 +201,13 @@
 	return list
 }
 
+// others returns the instances that were heard of lately.
+func (n *Node) others() []peer {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	return n.livePeers()
+}
+
 func (n *Node) peerAddresses() []string {
 	n.lock.Lock()
 	defer n.lock.Unlock()
--- a/internal/entry/dispatcher/messages.go
+++ b/internal/entry/dispatcher/messages.go
@@ -37,7 +37,10 @@
 	IsOwner bool
 	// StoreLost reports that the owner can't reach the store.
 	StoreLost bool
-	Peers     []peer
+	// CanClaim reports that the instance reaches the store, so that it could replace
+	// an owner.
+	CanClaim bool
+	Peers    []peer
 	// Load has what the owner advises the other instances to refuse.
 	Load load
 }
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -53,11 +53,13 @@
 	lock   sync.Mutex
 	engine *dispatch.Engine
 	// loaded reports that the stored jobs are in the engine.
-	loaded  bool
-	polled  map[membership.InstanceID]bool
-	row     ownerRow
-	version table.Version
-	stored  time.Time
+	loaded    bool
+	polled    map[membership.InstanceID]bool
+	row       ownerRow
+	version   table.Version
+	authority authority
+	// suspended reports that the owner may have been replaced and rests.
+	suspended bool
 	// fleet is the row of the workers in use as it was last written.
 	fleet []byte
 	// expired has the rows of outcomes that nobody asks for any more, with their versions.
@@ -70,7 +72,7 @@
 
 func newOwner(n *Node, row ownerRow, version table.Version, cancel context.CancelFunc) *owner {
 	o := &owner{
-		node: n, epoch: row.Epoch, cancel: cancel, row: row, version: version, stored: n.Clock.Now(),
+		node: n, epoch: row.Epoch, cancel: cancel, row: row, version: version, authority: authority{stored: n.Clock.Now()},
 		kicked: make(chan struct{}, 1),
 		dirty:  make(chan struct{}, 1),
 		polled: map[membership.InstanceID]bool{},
@@ -99,6 +101,7 @@
 	group.Go(func() error { return jobs.Run(ctx) })
 	group.Go(func() error { return o.mirrorCancels().Run(ctx) })
 	group.Go(func() error { return o.decide(ctx) })
+	group.Go(func() error { return o.confirmAuthority(ctx) })
 	group.Go(func() error { return o.write(ctx) })
 	return group.Wait()
 }
@@ -210,7 +213,7 @@
 	o.lock.Lock()
 	o.loaded = true
 	if o.epoch > 1 {
-		o.engine.Recover(o.node.Clock.Now())
+		o.engine.Recover(o.node.Clock.Now(), authorityTerm)
 	}
 	o.lock.Unlock()
 	return mirror, nil
@@ -339,7 +342,7 @@
 func (o *owner) storeLost() bool {
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	return o.node.Clock.Now().Sub(o.stored) > storeLostAfter
+	return o.node.Clock.Now().Sub(o.authority.stored) > storeLostAfter
 }
 
 // load returns what callers should be told.
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -84,13 +84,14 @@
 		Conditions: []table.Condition{{Key: ownerKey, Version: version}},
 		Writes:     append(writes, table.Write{Key: ownerKey, Value: encode(next)}),
 	}
-	written, err := o.commit(ctx, tx, next)
+	written, sent, err := o.commit(ctx, tx, next)
 	if err != nil {
 		return err
 	}
 	o.lock.Lock()
 	now = o.node.Clock.Now()
-	o.row, o.version, o.stored, o.fleet = next, written, now, fleet
+	o.row, o.version, o.fleet = next, written, fleet
+	o.authority.stored = sent
 	o.engine.Stored(now, batch)
 	more := o.engine.Unstored()
 	o.lock.Unlock()
@@ -120,19 +121,22 @@
 }
 
 // commit applies a transaction, and sends the same again until its outcome is known.
-func (o *owner) commit(ctx context.Context, tx table.Transaction, next ownerRow) (table.Version, error) {
+// It returns when the try that proved the ownership was sent.
+func (o *owner) commit(ctx context.Context, tx table.Transaction, next ownerRow) (table.Version, time.Time, error) {
 	for {
+		sent := o.node.Clock.Now()
 		version, err := o.node.commit(ctx, tx)
 		if err == nil {
-			return version, nil
+			return version, sent, nil
 		}
 		if ctx.Err() != nil {
-			return 0, ctx.Err()
+			return 0, sent, ctx.Err()
 		}
 		if errors.Is(err, table.ErrConflict) {
+			sent = o.node.Clock.Now()
 			version, err = o.resolveConflict(ctx, next)
 			if err == nil || errors.Is(err, errSuperseded) {
-				return version, err
+				return version, sent, err
 			}
 		}
 		if errors.Is(err, table.ErrInvalid) {
@@ -140,7 +144,7 @@
 		}
 		o.node.Counters.Add("Store.CommitRetries", 1)
 		if !o.sleep(storeRetryPause) {
-			return 0, ctx.Err()
+			return 0, sent, ctx.Err()
 		}
 	}
 }
