--- a/internal/entry/dispatcher/follow.go
+++ b/internal/entry/dispatcher/follow.go
@@ -70,7 +70,7 @@
 func (n *Node) followOnce(ctx context.Context) {
 	current := n.currentView()
 	reachable := current.owner.Address != "" && !current.owner.Released && current.owner.Node != n.Name
-	if !reachable || !n.callOwner(ctx, current.owner) {
+	if !current.owner.Released && (!reachable || !n.callOwner(ctx, current.owner)) {
 		n.askPeers(ctx)
 	}
 	current = n.currentView()
--- a/internal/entry/dispatcher/gateway.go
+++ b/internal/entry/dispatcher/gateway.go
@@ -39,20 +39,38 @@
 // is not known.
 func (n *Node) Submit(ctx context.Context, j dispatch.Job) error {
 	began := n.Clock.Now()
-	err := n.submitHere(ctx, j)
-	n.Latencies.Observe("Latency.Accept", n.Clock.Now().Sub(began))
-	var refusal *queue.Refusal
-	if errors.As(err, &refusal) && refusal.Reason == RefusedStore {
-		return n.relay(ctx, relaySubmit, submittedRequest{j}, err)
+	err := n.submit(ctx, j)
+	took := n.Clock.Now().Sub(began)
+	n.Latencies.Observe("Latency.Accept", took)
+	if err == nil {
+		n.Routine.Info().Str("Event", "JobAccepted").Str("Job", string(j.ID)).Str("Queue", string(j.Queue)).
+			Dur("Took", took).Send()
 	}
+	return err
+}
+
+// submit lets the owner store the job, else stores it from here, else lets a peer.
+func (n *Node) submit(ctx context.Context, j dispatch.Job) error {
+	ownerErr := n.submitToOwner(ctx, j)
+	if ownerErr == nil {
+		n.Counters.Add("Submit.ByOwner", 1)
+		return nil
+	}
+	err := n.submitHere(ctx, j)
 	if errors.Is(err, errRepeated) {
 		return nil
 	}
-	if err == nil {
-		n.Routine.Info().Str("Event", "JobAccepted").Str("Job", string(j.ID)).Str("Queue", string(j.Queue)).
-			Dur("Took", n.Clock.Now().Sub(began)).Send()
+	var refusal *queue.Refusal
+	if errors.As(err, &refusal) {
+		err = n.relay(ctx, relaySubmit, submittedRequest{j}, err)
+	} else if err == nil {
+		n.Counters.Add("Submit.Here", 1)
 		n.notify(submittedMethod, submittedRequest{j}, func(o *owner) { o.submitted(j) })
 	}
+	if errors.As(err, &refusal) && errors.Is(ownerErr, queue.ErrOutcomeUnknown) {
+		// The owner may still store the job, so it can't be called refused.
+		return queue.ErrOutcomeUnknown
+	}
 	return err
 }
 
--- a/internal/entry/dispatcher/messages.go
+++ b/internal/entry/dispatcher/messages.go
@@ -13,6 +13,7 @@
 	cancelledMethod = "Dispatch.Cancelled"
 	stateMethod     = "Dispatch.State"
 	pendingMethod   = "Dispatch.Pending"
+	acceptMethod    = "Dispatch.Accept"
 	relaySubmit     = "Dispatch.RelaySubmit"
 	relayCancel     = "Dispatch.RelayCancel"
 )
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -71,6 +71,7 @@
 	entry.Handle(server, cancelledMethod, n.answerCancelled)
 	entry.Handle(server, stateMethod, n.answerState)
 	entry.Handle(server, pendingMethod, n.answerPending)
+	entry.Handle(server, acceptMethod, n.answerAccept)
 	entry.Handle(server, relaySubmit, n.answerRelaySubmit)
 	entry.Handle(server, relayCancel, n.answerRelayCancel)
 }
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -62,6 +62,8 @@
 	suspended bool
 	// fleet is the row of the workers in use as it was last written.
 	fleet []byte
+	// submissions are jobs that wait to be stored.
+	submissions []*submission
 	// expired has the rows of outcomes that nobody asks for any more, with their versions.
 	expired map[dispatch.JobID]table.Version
 	// estimated is when the estimates were last written.
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -17,8 +17,10 @@
 	// groupPause collects the updates of a transaction.
 	groupPause = 15 * time.Millisecond
 	// maxUpdates bounds the jobs of a transaction: each takes up to three of the 100
-	// entries that the store allows.
-	maxUpdates = 30
+	// entries that the store allows, beside new jobs and the owner's own rows.
+	maxUpdates = 18
+	// maxWrites bounds the writes of a transaction before the owner's own rows.
+	maxWrites = 95
 	// estimatesInterval is the time between two writes of what was learned about images.
 	estimatesInterval = 2 * time.Second
 	// storeRetryPause is the time before a failed transaction is sent again.
@@ -63,13 +65,14 @@
 	next.Released = o.release.Load()
 	version := o.version
 	now := o.node.Clock.Now()
-	writes := writesOf(batch, now)
+	submissions := o.takeSubmissions()
+	writes := append(writesOf(batch, now), writesOfSubmissions(submissions)...)
 	if now.Sub(o.estimated) >= estimatesInterval {
 		o.estimated = now
 		writes = append(writes, table.Write{Key: estimatesKey, Value: encode(o.engine.Estimates(now))})
 	}
 	for id := range o.expired {
-		if len(writes) >= maxUpdates {
+		if len(writes) >= maxWrites {
 			break
 		}
 		delete(o.expired, id)
@@ -85,6 +88,14 @@
 		Writes:     append(writes, table.Write{Key: ownerKey, Value: encode(next)}),
 	}
 	written, sent, err := o.commit(ctx, tx, next)
+	if errors.Is(err, table.ErrUnavailable) {
+		o.lock.Lock()
+		o.engine.NotStored(batch)
+		o.lock.Unlock()
+		dropSubmissions(submissions)
+		o.sleep(storeRetryPause)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -93,7 +104,8 @@
 	o.row, o.version, o.fleet = next, written, fleet
 	o.authority.stored = sent
 	o.engine.Stored(now, batch)
-	more := o.engine.Unstored()
+	o.enterSubmissions(now, submissions)
+	more := o.engine.Unstored() || len(o.submissions) > 0
 	o.lock.Unlock()
 	if more {
 		o.wake()
@@ -121,8 +133,10 @@
 }
 
 // commit applies a transaction, and sends the same again until its outcome is known.
-// It returns when the try that proved the ownership was sent.
+// It returns when the try that proved the ownership was sent. It fails with
+// table.ErrUnavailable if nothing was written, for certain.
 func (o *owner) commit(ctx context.Context, tx table.Transaction, next ownerRow) (table.Version, time.Time, error) {
+	certain := true
 	for {
 		sent := o.node.Clock.Now()
 		version, err := o.node.commit(ctx, tx)
@@ -143,6 +157,10 @@
 			o.node.Log.Error().Err(err).Msg("the store refuses a transaction")
 		}
 		o.node.Counters.Add("Store.CommitRetries", 1)
+		certain = certain && errors.Is(err, table.ErrUnavailable)
+		if certain {
+			return 0, sent, err
+		}
 		if !o.sleep(storeRetryPause) {
 			return 0, sent, ctx.Err()
 		}
