Ask peers at the same time for a newer owner

Cause: a follower that couldn't reach the owner asked up to three others in turn, 0.4 s each, before it looked at the owner's row.

--- a/internal/entry/dispatcher/follow.go
+++ b/internal/entry/dispatcher/follow.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
@@ -101,29 +103,29 @@
 // maxAsked bounds the instances that are asked at once, since each may be silent.
 const maxAsked = 3
 
-// askPeers asks known instances, and those that the settings name, until one knows
-// of a newer owner.
+// askPeers asks some known instances, and those that the settings name, for a newer
+// owner, all at the same time.
 func (n *Node) askPeers(ctx context.Context) {
 	before := n.currentView().owner
+	var group errgroup.Group
 	asked := 0
 	for _, address := range n.seeds() {
 		if address == n.PeerAddress || address == before.Address {
 			continue
 		}
 		if asked++; asked > maxAsked {
-			return
-		}
-		answer, err := n.hello(ctx, address)
-		if err != nil {
-			continue
-		}
-		n.learn(answer)
-		if answer.Owner.Epoch > before.Epoch {
-			return
-		}
-		if ctx.Err() != nil {
-			return
+			break
 		}
+		group.Go(func() error {
+			answer, err := n.hello(ctx, address)
+			if err == nil {
+				n.learn(answer)
+			}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		n.Counters.Add("Owner.PeerSilent", 1)
 	}
 }
 
@@ -173,6 +175,7 @@
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	n.learnOwner(r.Owner)
+	n.Counters.Add("Owner.Hellos", 1)
 	if r.From.Name != "" {
 		n.peers[r.From.Name] = knownPeer{r.From, n.Clock.Now()}
 	}
