Let submissions wait a moment for an owner

All instances then stored submissions themselves, and the claim of the shard waited behind them for 6 s.

Change: a submission waits up to 1.5 s for an owner before its instance stores it.

--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -15,6 +15,12 @@
 	// acceptTimeout bounds the wait for the owner to store a job. Its transaction may
 	// have to wait for the one before it.
 	acceptTimeout = 1500 * time.Millisecond
+	// ownerWait is how long a submission waits for the shard to get an owner. Nobody
+	// would start the job earlier, and many transactions at once would hold up the
+	// claim while the store is slow.
+	ownerWait = 1500 * time.Millisecond
+	// ownerRetry is the time between two looks for an owner.
+	ownerRetry = 150 * time.Millisecond
 	// maxSubmissions bounds the jobs that wait to be stored by the owner.
 	maxSubmissions = 512
 	// submissionsPerBatch bounds the jobs in one transaction, whose size is limited.
@@ -31,6 +37,24 @@
 // errNotTaken reports that the owner didn't take a job and won't store it.
 var errNotTaken = errors.New("dispatcher: the owner took no job")
 
+// submitWhenOwned passes a job to the owner, and waits for one if there is none.
+func (n *Node) submitWhenOwned(ctx context.Context, j dispatch.Job) error {
+	deadline := n.Clock.Now().Add(ownerWait)
+	for {
+		err := n.submitToOwner(ctx, j)
+		_, lost := n.store.lostFor()
+		if !errors.Is(err, errNotTaken) || lost || n.Clock.Now().After(deadline) {
+			return err
+		}
+		n.Counters.Add("Submit.WaitedForOwner", 1)
+		select {
+		case <-ctx.Done():
+			return err
+		case <-n.Clock.After(ownerRetry):
+		}
+	}
+}
+
 // submitToOwner lets the owner store a job with its next transaction: one writer
 // stores many jobs at once, which matters most while the store is slow. It fails
 // with errNotTaken, or queue.ErrOutcomeUnknown.
--- a/internal/entry/dispatcher/gateway.go
+++ b/internal/entry/dispatcher/gateway.go
@@ -51,7 +51,7 @@
 
 // submit lets the owner store the job, else stores it from here, else lets a peer.
 func (n *Node) submit(ctx context.Context, j dispatch.Job) error {
-	ownerErr := n.submitToOwner(ctx, j)
+	ownerErr := n.submitWhenOwned(ctx, j)
 	if ownerErr == nil {
 		n.Counters.Add("Submit.ByOwner", 1)
 		return nil
