--- /dev/null
+++ b/internal/decision/dispatch/command.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// stop asks the worker to end a run. The capacity stays reserved until the end
+// is listed.
+func (e *Engine) stop(now time.Time, a *attempt, reason string) {
+	if a.phase == sending {
+		a.stopWanted = true
+		return
+	}
+	if a.phase == stopping {
+		return
+	}
+	a.phase = stopping
+	e.record(now, Decision{Event: "TaskStopping", Task: TaskRun{a.task.id, a.run}, Worker: a.node.ID, Reason: reason})
+	e.count("Task.Stopping")
+	e.sendStop(now, a)
+}
+
+func (e *Engine) sendStop(now time.Time, a *attempt) {
+	a.stopSent = now
+	e.commands = append(e.commands, Command{
+		Worker: a.node.ID, Address: a.node.Address, TaskRun: TaskRun{a.task.id, a.run}, Stop: true,
+	})
+}
+
+// Stopped notes that a worker accepted a stop command at the given time of its clock.
+func (e *Engine) Stopped(id membership.InstanceID, r TaskRun, clock time.Duration) {
+	if a := e.findAttempt(id, r); a != nil && a.phase == stopping && a.stopClock == 0 {
+		a.stopClock = clock
+	}
+}
+
+func (e *Engine) findAttempt(id membership.InstanceID, r TaskRun) *attempt {
+	n := e.workers[id]
+	if n == nil {
+		return nil
+	}
+	a := n.runs[r.Task]
+	if a == nil || a.run != r.Run {
+		return nil
+	}
+	return a
+}
+
+// Started takes over the answer to a start command.
+func (e *Engine) Started(now time.Time, id membership.InstanceID, r TaskRun, result StartResult, clock time.Duration) {
+	a := e.findAttempt(id, r)
+	if a == nil || a.phase != sending {
+		return
+	}
+	e.count("Start." + string(result))
+	e.record(now, Decision{Event: "TaskStart", Task: r, Worker: id, Reason: string(result), Age: now.Sub(a.sentAt)})
+	switch result {
+	case StartAccepted:
+		a.phase, a.since = running, clock
+		e.observe("Latency.StartCommand", now.Sub(a.sentAt))
+		if j := a.task.step.job; !j.began {
+			j.began = true
+			e.observe("Latency.FirstStart", now.Sub(j.Due(a.task.id.Occurrence)))
+		}
+	case StartUnanswered:
+		a.phase = inDoubt
+	default:
+		e.startRefused(now, a, result)
+		return
+	}
+	if a.stopWanted {
+		e.stop(now, a, "no longer wanted")
+	}
+}
+
+const (
+	// noRoomPause lets the worker's next report show what takes its room.
+	noRoomPause = 400 * time.Millisecond
+	// unhealthyPause is how long a worker that refuses all starts is left alone.
+	unhealthyPause = 2 * time.Second
+	// invalidPause keeps a command that a worker can't read from being repeated at once.
+	invalidPause = time.Second
+)
+
+// startRefused frees the capacity of a run that was not started.
+func (e *Engine) startRefused(now time.Time, a *attempt, result StartResult) {
+	e.release(now, a)
+	switch result {
+	case StartNoRoom:
+		a.node.avoidUntil = now.Add(noRoomPause)
+	case StartUnhealthy, StartRestarted:
+		a.node.avoidUntil = now.Add(unhealthyPause)
+	case StartInvalid:
+		a.task.notBefore = now.Add(invalidPause)
+	case StartNoTicket:
+		e.dropTicket(a.task.step.id, a.node)
+	}
+}
--- a/internal/entry/dispatcher/messages.go
+++ b/internal/entry/dispatcher/messages.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
@@ -42,13 +41,6 @@
 	// an owner.
 	CanClaim bool
 	Peers    []peer
-	// Load has what the owner advises the other instances to refuse.
-	Load load
-}
-
-// load is what callers of a queue should be told.
-type load struct {
-	Refusals map[dispatch.QueueName]queue.Refusal `json:",omitempty"`
 }
 
 type submittedRequest struct{ Job dispatch.Job }
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -12,7 +12,6 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
-	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
 )
@@ -69,7 +68,10 @@
 	// estimated is when the estimates were last written.
 	estimated time.Time
 	why       string
-	release   atomic.Bool
+	// release asks for the shard to be given back, released reports that it was. The
+	// error of run doesn't tell: another goroutine may see the end of the context first.
+	release  atomic.Bool
+	released atomic.Bool
 }
 
 func newOwner(n *Node, row ownerRow, version table.Version, cancel context.CancelFunc) *owner {
@@ -174,164 +176,6 @@
 	})
 }
 
-// recoverJobs loads the stored jobs and returns the mirror that follows them.
-func (o *owner) recoverJobs(ctx context.Context) (*table.Mirror, error) {
-	store := &o.node.store
-	cancels, _, err := store.Snapshot(ctx, cancelPrefix)
-	if err != nil {
-		return nil, err
-	}
-	progress, _, err := store.Snapshot(ctx, progressPrefix)
-	if err != nil {
-		return nil, err
-	}
-	stored := make(map[dispatch.JobID]dispatch.Progress, len(progress))
-	for _, row := range progress {
-		p, err := decode[dispatch.Progress](row)
-		if err != nil {
-			return nil, err
-		}
-		stored[jobOf(row.Key, progressPrefix)] = p
-	}
-	if err := o.recoverEstimates(ctx); err != nil {
-		return nil, err
-	}
-	if err := o.recoverFleet(ctx); err != nil {
-		return nil, err
-	}
-	recovered := false
-	mirror := &table.Mirror{
-		Watcher: store, Prefix: jobPrefix, Clock: o.node.Clock, Wait: watchTime, Pause: jobsPause,
-		Failed: func(error) { o.node.Counters.Add("Jobs.WatchFailed", 1) },
-	}
-	mirror.Apply = func(rows map[table.Key]table.Row) {
-		o.applyJobs(rows, stored, !recovered)
-		recovered = true
-	}
-	if err := mirror.Load(ctx); err != nil {
-		return nil, err
-	}
-	o.applyCancels(keysOf(cancels))
-	o.lock.Lock()
-	o.loaded = true
-	if o.epoch > 1 {
-		o.engine.Recover(o.node.Clock.Now(), authorityTerm)
-	}
-	o.lock.Unlock()
-	return mirror, nil
-}
-
-// recoverEstimates takes over what the earlier owner learned about images.
-func (o *owner) recoverEstimates(ctx context.Context) error {
-	row, err := o.node.read(ctx, estimatesKey)
-	if err != nil || row.Version == 0 {
-		return err
-	}
-	list, err := decode[[]interference.Estimate](row)
-	if err != nil {
-		o.node.Log.Error().Err(err).Msg("left out unreadable estimates")
-		return nil
-	}
-	o.with(func(now time.Time, e *dispatch.Engine) { e.RestoreEstimates(now, list) })
-	return nil
-}
-
-// recoverFleet enters the workers that the earlier owner used, so that those that
-// the list lacks are asked as well.
-func (o *owner) recoverFleet(ctx context.Context) error {
-	row, err := o.node.read(ctx, fleetKey)
-	if err != nil || row.Version == 0 {
-		return err
-	}
-	list, err := decode[[]dispatch.WorkerInfo](row)
-	if err != nil {
-		return err
-	}
-	o.lock.Lock()
-	defer o.lock.Unlock()
-	o.engine.RememberWorkers(o.node.Clock.Now(), list)
-	return nil
-}
-
-// applyJobs adds the jobs that the engine doesn't know yet.
-func (o *owner) applyJobs(rows map[table.Key]table.Row, stored map[dispatch.JobID]dispatch.Progress, recovered bool) {
-	o.with(func(now time.Time, e *dispatch.Engine) {
-		for key, row := range rows {
-			id := jobOf(key, jobPrefix)
-			if e.Knows(id) {
-				continue
-			}
-			content, err := decode[jobRow](row)
-			if err != nil {
-				o.node.Log.Error().Err(err).Msg("unreadable job row")
-				o.node.Counters.Add("Jobs.RowsUnreadable", 1)
-				continue
-			}
-			switch {
-			case content.Outcome != "" && now.Sub(content.Ended) > outcomeMemory:
-				o.expired[id] = row.Version
-			case content.Outcome != "":
-				e.AddFinished(now, id, content.Outcome)
-			case content.Job != nil:
-				e.AddJob(now, *content.Job, stored[id], recovered)
-			}
-		}
-	})
-}
-
-func keysOf(rows []table.Row) map[table.Key]table.Row {
-	byKey := make(map[table.Key]table.Row, len(rows))
-	for _, r := range rows {
-		byKey[r.Key] = r
-	}
-	return byKey
-}
-
-func (o *owner) applyCancels(rows map[table.Key]table.Row) {
-	o.with(func(now time.Time, e *dispatch.Engine) {
-		for key := range rows {
-			e.Cancel(now, jobOf(key, cancelPrefix))
-		}
-	})
-}
-
-func (o *owner) mirrorCancels() *table.Mirror {
-	return &table.Mirror{
-		Watcher: &o.node.store, Prefix: cancelPrefix, Clock: o.node.Clock, Wait: watchTime, Pause: jobsPause,
-		Apply:  o.applyCancels,
-		Failed: func(error) { o.node.Counters.Add("Cancels.WatchFailed", 1) },
-	}
-}
-
-func (o *owner) mirrorWorkers() *table.Mirror {
-	return &table.Mirror{
-		Watcher: &o.node.store, Prefix: o.node.Catalog.WorkersPrefix(), Clock: o.node.Clock,
-		Wait: watchTime, Pause: workersPause,
-		Apply:  o.applyWorkers,
-		Failed: func(error) { o.node.Counters.Add("Workers.WatchFailed", 1) },
-	}
-}
-
-func (o *owner) applyWorkers(rows map[table.Key]table.Row) {
-	list, err := o.node.Catalog.Workers(rows)
-	if err != nil {
-		o.node.Counters.Add("Workers.RowsLeftOut", 1)
-	}
-	var ids []membership.InstanceID
-	o.with(func(now time.Time, e *dispatch.Engine) {
-		e.SetWorkers(now, list)
-		for _, id := range e.Workers() {
-			if !o.polled[id] {
-				o.polled[id] = true
-				ids = append(ids, id)
-			}
-		}
-	})
-	for _, id := range ids {
-		o.group.Go(func() error { return o.pollWorker(id) })
-	}
-}
-
 // currentRow returns the owner's row as it was last written.
 func (o *owner) currentRow() ownerRow {
 	o.lock.Lock()
@@ -347,11 +191,6 @@
 	return o.node.Clock.Now().Sub(o.authority.stored) > storeLostAfter
 }
 
-// load returns what callers should be told.
-func (o *owner) load() load {
-	return load{}
-}
-
 // supersede ends the ownership, which another instance has taken over.
 func (o *owner) supersede(why string) {
 	o.note(why)
--- /dev/null
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -0,0 +1,187 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
+)
+
+// recoverJobs loads the stored jobs and returns the mirror that follows them. The
+// rows are read at the same time, because the store may be slow.
+func (o *owner) recoverJobs(ctx context.Context) (*table.Mirror, error) {
+	store := &o.node.store
+	var cancels, progress []table.Row
+	var group errgroup.Group
+	group.Go(func() error { return o.recoverEstimates(ctx) })
+	group.Go(func() error { return o.recoverFleet(ctx) })
+	group.Go(func() (err error) {
+		cancels, _, err = store.Snapshot(ctx, cancelPrefix)
+		return err
+	})
+	group.Go(func() (err error) {
+		progress, _, err = store.Snapshot(ctx, progressPrefix)
+		return err
+	})
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	stored, err := decodeProgress(progress)
+	if err != nil {
+		return nil, err
+	}
+	mirror := o.mirrorJobs(stored)
+	if err := mirror.Load(ctx); err != nil {
+		return nil, err
+	}
+	o.applyCancels(keysOf(cancels))
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.loaded = true
+	if o.epoch > 1 {
+		o.engine.Recover(o.node.Clock.Now(), authorityTerm)
+	}
+	return mirror, nil
+}
+
+func decodeProgress(rows []table.Row) (map[dispatch.JobID]dispatch.Progress, error) {
+	stored := make(map[dispatch.JobID]dispatch.Progress, len(rows))
+	for _, row := range rows {
+		p, err := decode[dispatch.Progress](row)
+		if err != nil {
+			return nil, err
+		}
+		stored[jobOf(row.Key, progressPrefix)] = p
+	}
+	return stored, nil
+}
+
+// mirrorJobs follows the accepted jobs. Those of the first look were accepted under
+// an earlier owner.
+func (o *owner) mirrorJobs(stored map[dispatch.JobID]dispatch.Progress) *table.Mirror {
+	recovered := false
+	return &table.Mirror{
+		Watcher: &o.node.store, Prefix: jobPrefix, Clock: o.node.Clock, Wait: watchTime, Pause: jobsPause,
+		Failed: func(error) { o.node.Counters.Add("Jobs.WatchFailed", 1) },
+		Apply: func(rows map[table.Key]table.Row) {
+			o.applyJobs(rows, stored, !recovered)
+			recovered = true
+		},
+	}
+}
+
+// recoverEstimates takes over what the earlier owner learned about images.
+func (o *owner) recoverEstimates(ctx context.Context) error {
+	row, err := o.node.read(ctx, estimatesKey)
+	if err != nil || row.Version == 0 {
+		return err
+	}
+	list, err := decode[[]interference.Estimate](row)
+	if err != nil {
+		o.node.Log.Error().Err(err).Msg("left out unreadable estimates")
+		return nil
+	}
+	o.with(func(now time.Time, e *dispatch.Engine) { e.RestoreEstimates(now, list) })
+	return nil
+}
+
+// recoverFleet enters the workers that the earlier owner used, so that those that
+// the list lacks are asked as well.
+func (o *owner) recoverFleet(ctx context.Context) error {
+	row, err := o.node.read(ctx, fleetKey)
+	if err != nil || row.Version == 0 {
+		return err
+	}
+	list, err := decode[[]dispatch.WorkerInfo](row)
+	if err != nil {
+		return err
+	}
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.engine.RememberWorkers(o.node.Clock.Now(), list)
+	return nil
+}
+
+// applyJobs adds the jobs that the engine doesn't know yet.
+func (o *owner) applyJobs(rows map[table.Key]table.Row, stored map[dispatch.JobID]dispatch.Progress, recovered bool) {
+	o.with(func(now time.Time, e *dispatch.Engine) {
+		for key, row := range rows {
+			id := jobOf(key, jobPrefix)
+			if e.Knows(id) {
+				continue
+			}
+			content, err := decode[jobRow](row)
+			if err != nil {
+				o.node.Log.Error().Err(err).Msg("unreadable job row")
+				o.node.Counters.Add("Jobs.RowsUnreadable", 1)
+				continue
+			}
+			switch {
+			case content.Outcome != "" && now.Sub(content.Ended) > outcomeMemory:
+				o.expired[id] = row.Version
+			case content.Outcome != "":
+				e.AddFinished(now, id, content.Outcome)
+			case content.Job != nil:
+				e.AddJob(now, *content.Job, stored[id], recovered)
+			}
+		}
+	})
+}
+
+func keysOf(rows []table.Row) map[table.Key]table.Row {
+	byKey := make(map[table.Key]table.Row, len(rows))
+	for _, r := range rows {
+		byKey[r.Key] = r
+	}
+	return byKey
+}
+
+func (o *owner) applyCancels(rows map[table.Key]table.Row) {
+	o.with(func(now time.Time, e *dispatch.Engine) {
+		for key := range rows {
+			e.Cancel(now, jobOf(key, cancelPrefix))
+		}
+	})
+}
+
+func (o *owner) mirrorCancels() *table.Mirror {
+	return &table.Mirror{
+		Watcher: &o.node.store, Prefix: cancelPrefix, Clock: o.node.Clock, Wait: watchTime, Pause: jobsPause,
+		Apply:  o.applyCancels,
+		Failed: func(error) { o.node.Counters.Add("Cancels.WatchFailed", 1) },
+	}
+}
+
+func (o *owner) mirrorWorkers() *table.Mirror {
+	return &table.Mirror{
+		Watcher: &o.node.store, Prefix: o.node.Catalog.WorkersPrefix(), Clock: o.node.Clock,
+		Wait: watchTime, Pause: workersPause,
+		Apply:  o.applyWorkers,
+		Failed: func(error) { o.node.Counters.Add("Workers.WatchFailed", 1) },
+	}
+}
+
+func (o *owner) applyWorkers(rows map[table.Key]table.Row) {
+	list, err := o.node.Catalog.Workers(rows)
+	if err != nil {
+		o.node.Counters.Add("Workers.RowsLeftOut", 1)
+	}
+	var ids []membership.InstanceID
+	o.with(func(now time.Time, e *dispatch.Engine) {
+		e.SetWorkers(now, list)
+		for _, id := range e.Workers() {
+			if !o.polled[id] {
+				o.polled[id] = true
+				ids = append(ids, id)
+			}
+		}
+	})
+	for _, id := range ids {
+		o.group.Go(func() error { return o.pollWorker(id) })
+	}
+}
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -50,7 +50,7 @@
 		if err := o.writeBatch(ctx); err != nil {
 			return err
 		}
-		if o.release.Load() {
+		if o.released.Load() {
 			o.cancel()
 			return errReleased
 		}
@@ -99,6 +99,7 @@
 	if err != nil {
 		return err
 	}
+	o.released.Store(next.Released)
 	o.lock.Lock()
 	now = o.node.Clock.Now()
 	o.row, o.version, o.fleet = next, written, fleet
