Take away the owner's authority after its machine was suspended

Cause: the steady clock doesn't count a suspension, so after one every age, and with it the owner's authority, looked younger than it was.

Change: the boot clock against the steady clock tells of a suspension; the owner then rests until a transaction succeeds.

--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -94,7 +94,8 @@
 		Store:   platform.Store{Address: s.Store, HTTP: http1},
 		Workers: platform.Workers{HTTP: http1, Counters: p.counters},
 		Catalog: platform.Catalog{}, Policy: policy, Peers: p.client, Counters: p.counters, Latencies: p.latency,
-		Clock: clock, Log: p.log, Routine: p.logs.Routine,
+		Suspended: platform.Suspended,
+		Clock:     clock, Log: p.log, Routine: p.logs.Routine,
 	})
 	p.node.Register(p.peers)
 	p.callers = &http.Server{
--- a/internal/entry/dispatcher/authority_test.go
+++ b/internal/entry/dispatcher/authority_test.go
@@ -38,6 +38,14 @@
 		}
 	})
 
+	It("is gone after the machine was suspended", func() {
+		s := suspension{}
+		Expect(s.noticed(5 * time.Second)).To(BeFalse())
+		Expect(s.noticed(5*time.Second + 20*time.Millisecond)).To(BeFalse())
+		Expect(s.noticed(8 * time.Second)).To(BeTrue())
+		Expect(s.noticed(8 * time.Second)).To(BeFalse())
+	})
+
 	It("ends when one instance is silent", func() {
 		a := authority{stored: at(0)}
 		a.confirm("b", at(1000))
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -52,11 +52,12 @@
 	lock   sync.Mutex
 	engine *dispatch.Engine
 	// loaded reports that the stored jobs are in the engine.
-	loaded    bool
-	polled    map[membership.InstanceID]bool
-	row       ownerRow
-	version   table.Version
-	authority authority
+	loaded     bool
+	polled     map[membership.InstanceID]bool
+	row        ownerRow
+	version    table.Version
+	authority  authority
+	suspension suspension
 	// suspended reports that the owner may have been replaced and rests.
 	suspended bool
 	// fleet is the row of the workers in use as it was last written.
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -38,6 +38,7 @@
 		if o.release.Load() {
 			continue
 		}
+		o.checkSuspension(o.node.Clock.Now())
 		o.checkAuthority(o.node.Clock.Now())
 		o.lock.Lock()
 		o.engine.Tick(o.node.Clock.Now())
--- a/internal/entry/dispatcher/ports.go
+++ b/internal/entry/dispatcher/ports.go
@@ -84,6 +84,9 @@
 	Policy   Policy
 	Peers    *entry.Client
 	Counters *counter.Set
+	// Suspended returns for how long the machine has been suspended since its start;
+	// nil if that can't be told.
+	Suspended func() time.Duration
 	// Latencies may be nil.
 	Latencies *counter.Histograms
 	Clock     clockwork.Clock
