Confirm an owner's authority by a probe of the store

Change: an instance that is asked probes the store (0.4 s) and answers by the outcome; the term is 2.4 s, so that slow transactions don't end it. A successor waits as much longer for silent workers.

--- a/internal/entry/dispatcher/authority.go
+++ b/internal/entry/dispatcher/authority.go
@@ -4,13 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
 const (
 	// authorityTerm is how long an owner acts after a proof that nobody has replaced
 	// it. A successor waits that much longer for silent workers.
-	authorityTerm = 1600 * time.Millisecond
+	authorityTerm = 2400 * time.Millisecond
 	// confirmAfter is the age of the last transaction from which the owner asks the
 	// other instances whether they could replace it.
 	confirmAfter = 700 * time.Millisecond
@@ -79,12 +80,15 @@
 
 func (o *owner) askConfirmation(ctx context.Context, p peer) {
 	asked := o.node.Clock.Now()
-	answer, err := o.node.hello(ctx, p.Address)
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	answer, err := entry.Call[confirmRequest, confirmAnswer](ctx, o.node.Peers, p.Address, confirmMethod, confirmRequest{o.currentRow()})
 	if err != nil {
+		o.node.Counters.Add("Owner.ConfirmFailed", 1)
 		return
 	}
 	if answer.Owner.Epoch > o.epoch {
-		o.node.learn(answer)
+		o.node.hear(answer.Owner)
 		return
 	}
 	if answer.CanClaim {
@@ -95,6 +99,19 @@
 	o.authority.confirm(p.Name, asked)
 }
 
+// answerConfirm tells an owner whether this instance could replace it.
+func (n *Node) answerConfirm(_ context.Context, r confirmRequest) (confirmAnswer, error) {
+	n.hear(r.Owner)
+	return confirmAnswer{Owner: n.currentView().owner, CanClaim: n.canClaim()}, nil
+}
+
+// hear takes over a newer owner.
+func (n *Node) hear(o ownerRow) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.learnOwner(o)
+}
+
 // checkAuthority lets the engine rest while the owner may have been replaced.
 func (o *owner) checkAuthority(now time.Time) {
 	others := o.node.others()
--- a/internal/entry/dispatcher/hello.go
+++ b/internal/entry/dispatcher/hello.go
@@ -56,8 +56,7 @@
 	if r.From.Name != "" {
 		n.peers[r.From.Name] = knownPeer{r.From, n.Clock.Now()}
 	}
-	_, storeLost := n.store.lostFor()
-	answer := helloAnswer{Owner: n.view.owner, Peers: n.livePeers(), CanClaim: !storeLost}
+	answer := helloAnswer{Owner: n.view.owner, Peers: n.livePeers()}
 	if o := n.owned.Load(); o != nil {
 		answer.IsOwner = true
 		answer.Owner = o.currentRow()
--- a/internal/entry/dispatcher/messages.go
+++ b/internal/entry/dispatcher/messages.go
@@ -8,6 +8,7 @@
 // Methods of the calls between entry instances.
 const (
 	helloMethod     = "Dispatch.Hello"
+	confirmMethod   = "Dispatch.Confirm"
 	submittedMethod = "Dispatch.Submitted"
 	cancelledMethod = "Dispatch.Cancelled"
 	stateMethod     = "Dispatch.State"
@@ -37,10 +38,7 @@
 	IsOwner bool
 	// StoreLost reports that the owner can't reach the store.
 	StoreLost bool
-	// CanClaim reports that the instance reaches the store, so that it could replace
-	// an owner.
-	CanClaim bool
-	Peers    []peer
+	Peers     []peer
 }
 
 type submittedRequest struct{ Job dispatch.Job }
@@ -57,3 +55,13 @@
 type pendingAnswer struct{ Pending int }
 
 type emptyAnswer struct{}
+
+// confirmRequest asks whether the instance could replace the owner.
+type confirmRequest struct{ Owner ownerRow }
+
+type confirmAnswer struct {
+	// Owner is the newest owner that the instance knows.
+	Owner ownerRow
+	// CanClaim reports that the instance may reach the store.
+	CanClaim bool
+}
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -32,6 +32,7 @@
 	// owned is the shard while this instance owns it, else nil.
 	owned    atomic.Pointer[owner]
 	draining atomic.Bool
+	probe    storeProbe
 	// followNow wakes the loop that follows the owner.
 	followNow chan struct{}
 	group     *errgroup.Group
@@ -67,6 +68,7 @@
 // Register adds the methods that peers call to a server.
 func (n *Node) Register(server *entry.Server) {
 	entry.Handle(server, helloMethod, n.answerHello)
+	entry.Handle(server, confirmMethod, n.answerConfirm)
 	entry.Handle(server, submittedMethod, n.answerSubmitted)
 	entry.Handle(server, cancelledMethod, n.answerCancelled)
 	entry.Handle(server, stateMethod, n.answerState)
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -19,7 +19,7 @@
 	// unstoredPause is the same while the worker repeats ends that aren't stored.
 	unstoredPause = 40 * time.Millisecond
 	// storeLostPause is the same while the store is away.
-	storeLostPause = 200 * time.Millisecond
+	storeLostPause = 400 * time.Millisecond
 	// silentPause is the time between polls of a worker that doesn't answer.
 	silentPause = 200 * time.Millisecond
 )
