Bound the tasks of a job in all its repetitions

Cause: the owner keeps every task in memory, and 4,096 tasks repeated 1,024 times would end it.

Change: at most 65,536 tasks in all; the check of jobs and the choice of a route get tests.

--- a/internal/caller/queue/queue.go
+++ b/internal/caller/queue/queue.go
@@ -95,6 +95,9 @@
 	maxSteps = 64
 	// maxTasks bounds the tasks of a step.
 	maxTasks = 4096
+	// maxTotalTasks bounds the tasks of all steps and repetitions together, which the
+	// owner keeps in memory.
+	maxTotalTasks = 65536
 	// maxRepetitions bounds the occurrences of a job.
 	maxRepetitions = 1024
 )
@@ -115,8 +118,13 @@
 	if j.Repetitions > 1 && j.Interval <= 0 {
 		found("the interval of a repeated job must be positive")
 	}
+	total := 0
 	for i := range j.Steps {
 		checkStep(i, &j.Steps[i], found)
+		total += j.Steps[i].Tasks * j.Occurrences()
+	}
+	if total > maxTotalTasks {
+		found("there are %d tasks in all steps and repetitions; at most %d are allowed", total, maxTotalTasks)
 	}
 	return errors.Join(findings...)
 }
--- /dev/null
+++ b/internal/caller/queue/queue_test.go
@@ -0,0 +1,53 @@
+package queue_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+)
+
+func TestQueue(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Queue")
+}
+
+var _ = Describe("Check", func() {
+	It("accepts an ordinary job", func() {
+		Expect(queue.Check(&dispatch.Job{Steps: []dispatch.Step{{Tasks: 3}, {Tasks: 2, After: []int{0}}}})).To(Succeed())
+	})
+
+	It("reports all findings together, each with its place", func() {
+		j := dispatch.Job{
+			Spec:        strings.Repeat("x", 4001),
+			Steps:       []dispatch.Step{{Tasks: 0}, {Tasks: 1, After: []int{1}}},
+			Repetitions: 2,
+		}
+		Expect(queue.Check(&j)).To(MatchError(And(
+			ContainSubstring("spec has 4001 bytes"), ContainSubstring("step 0 has 0 tasks"),
+			ContainSubstring("step 1 comes after step 1"), ContainSubstring("interval"))))
+	})
+
+	It("bounds the tasks of all repetitions", func() {
+		j := dispatch.Job{Steps: []dispatch.Step{{Tasks: 4096}}, Repetitions: 1000, Interval: time.Second}
+		Expect(queue.Check(&j)).To(MatchError(ContainSubstring("4096000 tasks")))
+	})
+})
+
+var _ = Describe("Configuration", func() {
+	It("leads a path to the route with the longest prefix of its host", func() {
+		c := queue.Configuration{Routes: []queue.Route{
+			{Host: "h", Prefix: "/a/", Queue: "short"}, {Host: "h", Prefix: "/a/b/", Queue: "long"}, {Host: "other", Prefix: "/a/b/c/", Queue: "other"},
+		}}
+		r, ok := c.Match("h", "/a/b/c/1")
+		Expect(ok).To(BeTrue())
+		Expect(r.Queue).To(Equal(dispatch.QueueName("long")))
+		_, ok = c.Match("h", "/x")
+		Expect(ok).To(BeFalse())
+	})
+})
