Remember finished jobs for longer than their rows last

Cause: found by reading: outcomes were kept in memory for 150 s and in the store for 4 minutes. A submission repeated in between would have replaced the outcome and run the job again.

Change: 5 minutes in memory; test failed first.

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -659,6 +659,21 @@
 		Expect(b.starts).To(HaveLen(1))
 	})
 
+	// Guards against an owner that forgets a finished job before its row is removed: it
+	// would store a repeated submission over the outcome and run the job again.
+	It("knows a finished job for longer than its outcome is stored", func() {
+		b := newBench(1, 1)
+		b.list()
+		b.submit("j", tasks(1))
+		b.step(0)
+		b.step(0)
+		b.end("w0", b.starts[0].Task, dispatch.EndDone)
+		b.step(time.Second)
+		expectState(b, "j", dispatch.Completed)
+		b.step(4 * time.Minute)
+		Expect(b.engine.Knows("j")).To(BeTrue())
+	})
+
 	It("restores stored progress", func() {
 		b := newBench(2, 1)
 		b.list()
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -13,8 +13,9 @@
 	watchWait = 500 * time.Millisecond
 	// atWorkPercent is the progress of a long-running task that has started up.
 	atWorkPercent = 100
-	// forgetFinished is how long the outcome of a job is kept in memory.
-	forgetFinished = 150 * time.Second
+	// forgetFinished is how long the outcome of a job is kept in memory: longer than its
+	// row, so that a repeated submission never replaces the outcome.
+	forgetFinished = 5 * time.Minute
 )
 
 // Poll returns the next status request to a worker, and false when the worker
