Keep progress rows within what the store takes

Cause: found by reading: a job of 4,096 tasks with failures and checkpoints would make a progress row of more than 64 KiB, and the owner would repeat the refused transaction for ever.

Change: a job has at most 2,500 tasks in all its steps and repetitions; a row that is too large goes without checkpoints.

--- a/internal/caller/queue/queue.go
+++ b/internal/caller/queue/queue.go
@@ -94,10 +94,10 @@
 	// maxSteps bounds the steps of a job.
 	maxSteps = 64
 	// maxTasks bounds the tasks of a step.
-	maxTasks = 4096
-	// maxTotalTasks bounds the tasks of all steps and repetitions together, which the
-	// owner keeps in memory.
-	maxTotalTasks = 65536
+	maxTasks = 2500
+	// maxTotalTasks bounds the tasks of all steps and repetitions together: their
+	// progress must fit in one row of the store.
+	maxTotalTasks = 2500
 	// maxRepetitions bounds the occurrences of a job.
 	maxRepetitions = 1024
 )
--- a/internal/caller/queue/queue_test.go
+++ b/internal/caller/queue/queue_test.go
@@ -34,8 +34,8 @@
 	})
 
 	It("bounds the tasks of all repetitions", func() {
-		j := dispatch.Job{Steps: []dispatch.Step{{Tasks: 4096}}, Repetitions: 1000, Interval: time.Second}
-		Expect(queue.Check(&j)).To(MatchError(ContainSubstring("4096000 tasks")))
+		j := dispatch.Job{Steps: []dispatch.Step{{Tasks: 2000}}, Repetitions: 1000, Interval: time.Second}
+		Expect(queue.Check(&j)).To(MatchError(ContainSubstring("2000000 tasks")))
 	})
 })
 
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -120,7 +120,7 @@
 	var writes []table.Write
 	for _, u := range b.Updates {
 		if u.Outcome == "" {
-			writes = append(writes, table.Write{Key: progressKey(u.ID), Value: encode(u.Progress)})
+			writes = append(writes, table.Write{Key: progressKey(u.ID), Value: encodeProgress(u.Progress)})
 			continue
 		}
 		writes = append(writes,
--- a/internal/entry/dispatcher/rows.go
+++ b/internal/entry/dispatcher/rows.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
@@ -58,6 +59,24 @@
 	return value
 }
 
+// maxProgressBytes keeps a progress row within what the store takes: 64 KiB before
+// it is encoded for the wire.
+const maxProgressBytes = 60 << 10
+
+// encodeProgress returns the content of a progress row. A row that would be too large
+// goes without checkpoints, which costs only work that is done again.
+func encodeProgress(p dispatch.Progress) []byte {
+	value := encode(p)
+	if len(value) <= maxProgressBytes {
+		return value
+	}
+	steps := slices.Clone(p.Steps)
+	for i := range steps {
+		steps[i].Checkpoints = nil
+	}
+	return encode(dispatch.Progress{Steps: steps})
+}
+
 // decode reads the content of a row.
 func decode[Content any](row table.Row) (Content, error) {
 	var content Content
