Lead fillers to workers whose serving tasks have most reserve

Cause: fillers went to the emptiest worker, also when its serving tasks were close to their targets.

Change: the smoothed worst tail of a worker, beyond half the target, adds to its cost.

--- a/internal/decision/dispatch/filler.go
+++ b/internal/decision/dispatch/filler.go
@@ -44,6 +44,8 @@
 	// evictRatio is the tail latency against the target from which the most suspicious
 	// filler leaves before it is known whether it is the cause.
 	evictRatio = 1.3
+	// tailWeight is the weight of a new sample in the smoothed tail of a worker.
+	tailWeight = 0.3
 	// minPace is the pace, in percent, below which fillers are held still.
 	minPace = 10
 )
@@ -112,6 +114,7 @@
 			e.evictSuspect(now, n, a.task.step)
 		}
 	}
+	n.tail += tailWeight * (worst - n.tail)
 	n.harm.adjust(now, worst)
 }
 
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -102,6 +102,8 @@
 	health     health
 	slowness   slowness
 	harm       harmControl
+	// tail is the smoothed worst tail latency of the serving tasks, against the target.
+	tail float64
 }
 
 func newNode(info WorkerInfo, now time.Time) *node {
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -24,6 +24,10 @@
 	// uncertainMixCost keeps fillers of two uncertain images apart, so that a slow
 	// serving task tells which one is the cause.
 	uncertainMixCost = 1.0
+	// tailCost times the tail latency of the serving tasks of a worker, against their
+	// targets and beyond easyTail, leads fillers to where there is most reserve.
+	tailCost = 1.0
+	easyTail = 0.5
 	// servingUse is the part of its reserved processors, in percent, that a serving
 	// task is assumed to use at the peak of its load. Fillers get the rest.
 	servingUse = 65
@@ -110,6 +114,7 @@
 	if harm > placeBelow || (harm > knownBelow && !e.mayTry(now, s, n)) {
 		return 0, false
 	}
+	cost += tailCost * max(n.tail-easyTail, 0)
 	if harm > knownBelow && e.hasUncertain(now, n, s.Image) {
 		cost += uncertainMixCost
 	}
