Let urgent queues take the room of batch tasks, and log verdicts on pairs

And the log didn't tell which images disturb each other, on which most evictions rest.

Change: a step that waits 250 ms for room stops up to four runs of less urgent queues, those that lose no work first (test replays the load); PairDisturbs and PairHarmless are logged.

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -777,3 +777,47 @@
 		Expect(b.starts).To(HaveLen(2))
 	})
 })
+
+// Replays a quiet day on which all processors were reserved: tasks of the most urgent
+// queue waited up to 8 s behind batch tasks.
+var _ = Describe("Preemption", func() {
+	setUp := func(urgent, batch int) *bench {
+		b := newBench(1, 1)
+		b.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{
+			batchQueue: {Name: batchQueue, Service: "pool", MaxAttempts: 2, Priority: batch},
+			"urgent":   {Name: "urgent", Service: "pool", MaxAttempts: 2, Priority: urgent},
+		})
+		b.list()
+		saving := tasks(3)
+		saving.Checkpointing = true
+		b.submit("saving", saving)
+		b.submit("other", tasks(3))
+		b.step(0)
+		b.step(0)
+		Expect(b.starts).To(HaveLen(6))
+		b.engine.AddJob(b.now, dispatch.Job{ID: "urgent", Queue: "urgent", Accepted: b.now, Steps: []dispatch.Step{tasks(2)}}, dispatch.Progress{}, false)
+		return b
+	}
+
+	It("stops batch tasks that lose no work for a more urgent queue that waits", func() {
+		b := setUp(0, 2)
+		b.step(100 * time.Millisecond)
+		Expect(b.stops).To(BeEmpty())
+		for range 4 {
+			b.step(100 * time.Millisecond)
+		}
+		Expect(b.stops).To(HaveLen(2))
+		for _, c := range b.stops {
+			Expect(c.Task.Job).To(Equal(dispatch.JobID("saving")))
+		}
+		Expect(b.workersOf("urgent")).To(HaveLen(2))
+	})
+
+	It("doesn't stop tasks of a queue that is as urgent", func() {
+		b := setUp(2, 2)
+		for range 10 {
+			b.step(100 * time.Millisecond)
+		}
+		Expect(b.stops).To(BeEmpty())
+	})
+})
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -68,6 +68,8 @@
 	dirty    map[JobID]*job
 	commands []Command
 	odds     interference.Odds
+	// verdicts has the last recorded verdict of each pair: whether it disturbs.
+	verdicts map[interference.Pair]bool
 	// trials counts the fillers that began lately, by pair.
 	trials map[interference.Pair]int
 	// recoveryEnds is when the leases that an earlier owner gave have ended.
@@ -111,6 +113,7 @@
 		tickets:  map[StepID]*stepTickets{},
 
 		meanWork:    map[QueueName]float64{},
+		verdicts:    map[interference.Pair]bool{},
 		trials:      map[interference.Pair]int{},
 		unplaceable: map[shape]resource.Vector{},
 	}
--- a/internal/decision/dispatch/filler.go
+++ b/internal/decision/dispatch/filler.go
@@ -109,7 +109,9 @@
 		}
 		ratio := float64(run.Measure) * float64(time.Millisecond) / float64(a.task.step.Target)
 		worst = max(worst, ratio)
-		e.odds.Observe(now, ratio, e.suspects(now, n, a.task.step, ratio))
+		beside := e.suspects(now, n, a.task.step, ratio)
+		e.odds.Observe(now, ratio, beside)
+		e.noteVerdicts(now, n, beside)
 		if ratio > evictRatio {
 			e.evictSuspect(now, n, a.task.step)
 		}
@@ -118,6 +120,22 @@
 	n.harm.adjust(now, worst)
 }
 
+// noteVerdicts records when it becomes known that a pair disturbs, or that it doesn't.
+func (e *Engine) noteVerdicts(now time.Time, n *node, beside []interference.Neighbor) {
+	for _, b := range beside {
+		p := e.odds.Probability(now, b.Pair)
+		disturbs, judged := e.verdicts[b.Pair]
+		switch {
+		case p > evictAbove && (!judged || !disturbs):
+			e.verdicts[b.Pair] = true
+			e.record(now, Decision{Event: "PairDisturbs", Worker: n.ID, Reason: string(b.Pair.Class) + " beside " + string(b.Pair.Service)})
+		case p < knownBelow && (!judged || disturbs):
+			e.verdicts[b.Pair] = false
+			e.record(now, Decision{Event: "PairHarmless", Worker: n.ID, Reason: string(b.Pair.Class) + " beside " + string(b.Pair.Service)})
+		}
+	}
+}
+
 // suspects returns the fillers on which a measurement of a serving step bears.
 // A good one clears those that ran at full pace for all of its period. A bad one
 // accuses all, but none while a suspicious one that has just left may be the cause.
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -36,6 +36,10 @@
 	left int
 	// perWorker counts the attempts on each worker.
 	perWorker map[*node]int
+	// blockedAt is when a task first found no room, zero after one did; preemptedAt is
+	// when room was last made for the step.
+	blockedAt   time.Time
+	preemptedAt time.Time
 	// durations are those of the tasks that have succeeded.
 	durations []time.Duration
 	// rack is where the tasks of a OneRack step run.
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -63,6 +63,11 @@
 // suits reports whether a worker may run a task of the step, as far as the
 // placement policy isn't concerned.
 func (e *Engine) suits(now time.Time, s *step, n *node) bool {
+	return e.suitsBut(now, s, n) && s.Reserved().FitsIn(n.free())
+}
+
+// suitsBut is the same without regard to room.
+func (e *Engine) suitsBut(now time.Time, s *step, n *node) bool {
 	switch {
 	case !n.isSound(now), n.health.isQuarantined(now), e.zonesOut[n.Zone]:
 		return false
@@ -75,7 +80,7 @@
 	case s.OneRack && s.rack != "" && rackOf(n) != s.rack:
 		return false
 	}
-	return s.Reserved().FitsIn(n.free())
+	return true
 }
 
 // cost returns how little a worker suits a task, and false if it doesn't at all.
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -174,6 +174,7 @@
 
 func (e *Engine) startSingly(now time.Time, s *step, limit int) int {
 	if e.isUnplaceable(s) {
+		e.noteBlockedStep(now, s)
 		return 0
 	}
 	started := 0
@@ -187,8 +188,10 @@
 		n := e.choose(now, t)
 		if n == nil {
 			e.noteUnplaceable(s)
+			e.noteBlocked(now, t)
 			break
 		}
+		s.blockedAt = time.Time{}
 		e.start(now, t, n, e.nextRun(t))
 		started++
 	}
