Count a measurement of a worker once

Change: one sample for each serving image in 450 ms, that of its slowest task. Test failed first: learns once from a measurement that is reported several times.

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -419,6 +419,21 @@
 		Expect(b.workersOf("fill")).To(HaveLen(1))
 	})
 
+	// Guards against counting one measurement several times: a worker repeats it in
+	// each report until the next one.
+	It("learns once from a measurement that is reported several times", func() {
+		b := setUp()
+		b.serveAt(21)
+		for range 12 {
+			b.step(30 * time.Millisecond)
+		}
+		b.serveAt(5)
+		for range 4 {
+			b.step(500 * time.Millisecond)
+		}
+		Expect(b.stops).To(BeEmpty())
+	})
+
 	// Guards against blaming harmless fillers for what another one causes, which
 	// once left most fillers of a site idle.
 	It("finds the one of several images that disturbs", func() {
--- a/internal/decision/dispatch/filler.go
+++ b/internal/decision/dispatch/filler.go
@@ -17,6 +17,8 @@
 	paceRepeat = 500 * time.Millisecond
 	// measureLag is the period of a measurement: a change shows only after it.
 	measureLag = 600 * time.Millisecond
+	// measurePeriod is the time between two measurements of a worker.
+	measurePeriod = 450 * time.Millisecond
 	// beginLag is the age from which a filler may be the cause of a bad measurement.
 	beginLag = 150 * time.Millisecond
 	// evictAbove is the probability of disturbing a serving task at which a filler
@@ -102,22 +104,46 @@
 // observeTails learns from the tail latencies in a report.
 func (e *Engine) observeTails(now time.Time, n *node, r Report) {
 	worst := 0.0
+	for image, sample := range n.tails(r) {
+		worst = max(worst, sample.ratio)
+		if sample.ratio > evictRatio {
+			e.evictSuspect(now, n, sample.step)
+		}
+		// A measurement is repeated until the next one, and counts once.
+		if now.Sub(n.sampledAt[image]) < measurePeriod {
+			continue
+		}
+		n.sampledAt[image] = now
+		beside := e.suspects(now, n, sample.step, sample.ratio)
+		e.odds.Observe(now, sample.ratio, beside)
+		e.noteVerdicts(now, n, beside)
+	}
+	n.tail += tailWeight * (worst - n.tail)
+	n.harm.adjust(now, worst)
+}
+
+// tailSample is the slowest serving task of an image on a worker.
+type tailSample struct {
+	step *step
+	// ratio is its tail latency against its target.
+	ratio float64
+}
+
+// tails returns the slowest task of each serving image in a report. Tasks of one image
+// behave alike, so together they say no more than one.
+func (n *node) tails(r Report) map[Image]tailSample {
+	slowest := map[Image]tailSample{}
 	for _, run := range r.Running {
 		a := n.runs[run.Task]
 		if a == nil || a.run != run.Run || a.task.step.Target <= 0 || run.Percent < atWorkPercent {
 			continue
 		}
 		ratio := float64(run.Measure) * float64(time.Millisecond) / float64(a.task.step.Target)
-		worst = max(worst, ratio)
-		beside := e.suspects(now, n, a.task.step, ratio)
-		e.odds.Observe(now, ratio, beside)
-		e.noteVerdicts(now, n, beside)
-		if ratio > evictRatio {
-			e.evictSuspect(now, n, a.task.step)
+		if known, seen := slowest[a.task.step.Image]; !seen || ratio > known.ratio {
+			slowest[a.task.step.Image] = tailSample{a.task.step, ratio}
 		}
 	}
-	n.tail += tailWeight * (worst - n.tail)
-	n.harm.adjust(now, worst)
+	return slowest
 }
 
 // noteVerdicts records when it becomes known that a pair disturbs, or that it doesn't.
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -86,6 +86,8 @@
 	serving resource.MilliProcessors
 	// suspectEvicted is when a filler was last stopped on suspicion.
 	suspectEvicted time.Time
+	// sampledAt is when a measurement of each serving image was last learned from.
+	sampledAt map[Image]time.Time
 	// departed has the images of fillers that left or were slowed down lately, with
 	// the time. Measurements still show what they caused.
 	departed map[Image]time.Time
@@ -114,6 +116,7 @@
 		runs:       map[TaskID]*attempt{},
 		images:     map[Image]int{},
 		departed:   map[Image]time.Time{},
+		sampledAt:  map[Image]time.Time{},
 		strays:     map[TaskRun]time.Time{},
 	}
 }
