Charge the quota of the fault proxy before the bytes are sent

Cause: "cuts a connection after a number of bytes to the client" got nothing in place of "hel" now and then. The proxy charged its quota after Write had returned; the test had read the bytes by then and set a new quota, which was charged for the old bytes. Nothing was reset too early.

Change: the quota is taken before the bytes are written; the check stays.

--- a/internal/standin/proxy/link.go
+++ b/internal/standin/proxy/link.go
@@ -158,19 +158,32 @@
 
 // send writes as much as the quota leaves and reports whether the link goes on.
 func (d direction) send(content []byte) bool {
-	if d.quota != nil {
-		content = content[:min(int64(len(content)), d.quota.Load())]
-	}
-	// Counted first: the receiver may act on the bytes before Write returns.
+	content = content[:reserve(d.quota, len(content))]
+	// Counted first: the receiver may act on the bytes before Write returns, for
+	// example by setting a new quota.
 	d.count.Add(int64(len(content)))
 	n, err := d.to.Write(content)
 	d.count.Add(int64(n - len(content)))
-	if d.quota != nil && d.quota.Add(-int64(n)) <= 0 {
+	if d.quota != nil && d.quota.Load() <= 0 {
 		return false
 	}
 	return err == nil
 }
 
+// reserve takes up to n bytes from a quota and returns how many; a nil quota has no end.
+func reserve(quota *atomic.Int64, n int) int {
+	if quota == nil {
+		return n
+	}
+	for {
+		left := quota.Load()
+		taken := min(int64(n), max(left, 0))
+		if quota.CompareAndSwap(left, left-taken) {
+			return int(taken)
+		}
+	}
+}
+
 // await waits for the delay of what was read at a time and for the end of a
 // silence. It reports whether the link goes on.
 func (d direction) await(read time.Time) bool {
