Keep the settings of a queue with each job

Cause: found by reading the change: a new owner that finds a job of a queue whose route was removed meanwhile knew neither its pool of workers nor its attempts, so the job never ran. The service was stored with the job and not used.

Change: the job has the settings of its queue at acceptance, which hold when the queue isn't configured any more. Test failed first.

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -674,6 +674,23 @@
 		Expect(b.starts).To(HaveLen(1))
 	})
 
+	// Guards against a job that never runs: a new owner doesn't know a queue whose route
+	// was removed after the job had been accepted.
+	It("runs a recovered job whose queue is no longer configured", func() {
+		b := newBench(2, 2)
+		b.list()
+		removed := dispatch.Queue{Name: "removed", Service: "pool", MaxAttempts: 1}
+		b.engine.AddJob(b.now, dispatch.Job{
+			ID: "j", Queue: removed.Name, Settings: removed, Accepted: b.now, Steps: []dispatch.Step{tasks(1)},
+		}, dispatch.Progress{}, true)
+		b.step(0)
+		b.step(0)
+		Expect(b.starts).To(HaveLen(1))
+		b.end(b.starts[0].Worker, b.starts[0].Task, dispatch.EndFailed)
+		b.step(time.Second)
+		expectState(b, "j", dispatch.Failed)
+	})
+
 	// Guards against an owner that forgets a finished job before its row is removed: it
 	// would store a repeated submission over the outcome and run the job again.
 	It("knows a finished job for longer than its outcome is stored", func() {
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -240,7 +240,11 @@
 	if _, known := e.finished[j.ID]; known {
 		return
 	}
-	added := newJob(j, e.queues[j.Queue], recovered)
+	q, configured := e.queues[j.Queue]
+	if !configured {
+		q = j.Settings
+	}
+	added := newJob(j, q, recovered)
 	e.learnWork(added)
 	e.learnDemand(added)
 	added.restore(stored)
--- a/internal/decision/dispatch/types.go
+++ b/internal/decision/dispatch/types.go
@@ -118,8 +118,9 @@
 type Job struct {
 	ID    JobID
 	Queue QueueName
-	// Service is the pool of workers that the queue used when the job was accepted.
-	Service  ServiceName
+	// Settings are those of the queue when the job was accepted. They hold when the
+	// queue is no longer configured.
+	Settings Queue
 	Spec     string
 	Steps    []Step
 	Accepted time.Time
