Join twins and drop what nothing uses

Cause: found by reading the whole change: four mirrors of rows written out alike, two ways to call the owner, the list of workers encoded for every transaction of the owner, settings and fields that nothing read, a refusal that was counted twice.

--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -90,7 +90,7 @@
 	}
 	p.node = dispatcher.New(dispatcher.Options{
 		Name: s.Instance, PeerAddress: s.Peers, Seeds: s.Seeds,
-		LeaseTerm: min(opts.LeaseTerm, s.MaxLease), RemoteFactor: s.RemoteFactor, MaxHarm: s.MaxHarm,
+		LeaseTerm: min(opts.LeaseTerm, s.MaxLease), RemoteFactor: s.RemoteFactor,
 		Store:   platform.Store{Address: s.Store, HTTP: http1},
 		Workers: platform.Workers{HTTP: http1, Counters: p.counters},
 		Catalog: platform.Catalog{}, Policy: policy, Peers: p.client, Counters: p.counters, Latencies: p.latency,
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -47,9 +47,7 @@
 	LeaseTerm time.Duration
 	// RemoteFactor is how much longer a task takes away from its preferred rack.
 	RemoteFactor float64
-	// MaxHarm is how long the tail latency of a serving task may be over its target.
-	MaxHarm  time.Duration
-	Counters Counters
+	Counters     Counters
 	// Latencies may be nil.
 	Latencies Latencies
 	Recorder  Recorder
@@ -79,6 +77,8 @@
 	suspended bool
 	// recoveryBegan is when this owner took over.
 	recoveryBegan time.Time
+	// fleetRevision rises whenever the workers or what is known of them may have changed.
+	fleetRevision int
 	// listed reports that the list of workers is known.
 	listed  bool
 	tickets map[StepID]*stepTickets
@@ -163,6 +163,7 @@
 // RememberWorkers enters the workers that an earlier owner used. Those that the list
 // lacks may still run tasks, so recovery waits for them too.
 func (e *Engine) RememberWorkers(now time.Time, list []WorkerInfo) {
+	e.fleetRevision++
 	for _, info := range list {
 		if e.workers[info.ID] != nil {
 			continue
@@ -174,6 +175,11 @@
 	}
 }
 
+// FleetRevision tells whether UsedWorkers may have changed.
+func (e *Engine) FleetRevision() int {
+	return e.fleetRevision
+}
+
 // UsedWorkers returns the workers on which something may run.
 func (e *Engine) UsedWorkers() []WorkerInfo {
 	list := make([]WorkerInfo, 0, len(e.fleet))
@@ -187,6 +193,7 @@
 // nothing new and are forgotten when nothing can run on them any more.
 func (e *Engine) SetWorkers(now time.Time, list []WorkerInfo) {
 	e.listed = true
+	e.fleetRevision++
 	listed := make(map[membership.InstanceID]bool, len(list))
 	for _, info := range list {
 		listed[info.ID] = true
@@ -201,7 +208,7 @@
 			n.drainingAt = now
 			e.record(now, Decision{Event: "WorkerDraining", Worker: info.ID})
 		}
-		n.update(info)
+		n.WorkerInfo = info
 		n.listed = true
 	}
 	for id, n := range e.workers {
--- a/internal/decision/dispatch/health.go
+++ b/internal/decision/dispatch/health.go
@@ -14,16 +14,14 @@
 
 // health is the recent record of a worker.
 type health struct {
-	jobs      map[JobID]time.Time
-	until     time.Time
-	successes time.Time
+	jobs  map[JobID]time.Time
+	until time.Time
 }
 
 // noteEnd enters the end of a run by itself.
 func (h *health) noteEnd(now time.Time, id JobID, failed bool) {
 	if !failed {
 		clear(h.jobs)
-		h.successes = now
 		return
 	}
 	if h.jobs == nil {
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
@@ -121,11 +122,6 @@
 	}
 }
 
-// update takes over what the list says.
-func (n *node) update(info WorkerInfo) {
-	n.WorkerInfo = info
-}
-
 // clockNow estimates the worker's clock.
 func (n *node) clockNow(now time.Time) time.Duration {
 	return n.clock + now.Sub(n.heardAt)
@@ -159,12 +155,7 @@
 }
 
 func (n *node) hasLabel(label Label) bool {
-	for _, l := range n.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(n.Labels, label)
 }
 
 // add enters an attempt in the ledger.
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -68,6 +68,7 @@
 			return false
 		}
 		delete(e.workers, n.ID)
+		e.fleetRevision++
 		e.record(now, Decision{Event: "WorkerForgotten", Worker: n.ID})
 		return true
 	})
--- a/internal/decision/dispatch/types.go
+++ b/internal/decision/dispatch/types.go
@@ -167,8 +167,6 @@
 	Zone     membership.Zone
 	Labels   []Label
 	Capacity resource.Vector
-	// Born distinguishes the restarts of a worker; 0 if it isn't known.
-	Born int64
 	// Draining workers get no new tasks.
 	Draining bool
 	// Remaining is the least time that a draining worker stays.
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -64,7 +64,7 @@
 	if o := n.owned.Load(); o != nil {
 		return o.accept(ctx, j)
 	}
-	address, _, known := n.ownerAddress()
+	address, known := n.ownerAddress()
 	if !known || n.currentView().storeLost {
 		return errNotTaken
 	}
--- a/internal/entry/dispatcher/follow.go
+++ b/internal/entry/dispatcher/follow.go
@@ -129,7 +129,7 @@
 // inspectOwner reads the owner's row and claims the shard if the owner has
 // released it or writes no more.
 func (n *Node) inspectOwner(ctx context.Context) {
-	if _, skip := n.store.lostFor(); skip {
+	if _, lost := n.store.lostFor(); lost {
 		return
 	}
 	began := n.Clock.Now()
--- a/internal/entry/dispatcher/gateway.go
+++ b/internal/entry/dispatcher/gateway.go
@@ -80,8 +80,8 @@
 // submitHere stores a job from this instance. It fails with errRepeated if that was
 // done before.
 func (n *Node) submitHere(ctx context.Context, j dispatch.Job) error {
-	if lost, skip := n.store.lostFor(); skip {
-		return n.storeRefusal(lost)
+	if age, lost := n.store.lostFor(); lost {
+		return storeRefusal(age)
 	}
 	tx := table.Transaction{
 		Conditions: []table.Condition{{Key: jobKey(j.ID)}},
@@ -102,7 +102,7 @@
 			return err
 		case errors.Is(err, table.ErrUnavailable) && !unknown:
 			lost, _ := n.store.lostFor()
-			return n.storeRefusal(lost)
+			return storeRefusal(lost)
 		default:
 			unknown = true
 		}
@@ -116,7 +116,7 @@
 	}
 }
 
-func (n *Node) storeRefusal(lost time.Duration) error {
+func storeRefusal(lost time.Duration) error {
 	retry := shortRetry
 	if lost > longRetry {
 		retry = longRetry
@@ -152,7 +152,7 @@
 
 func (n *Node) relayAddresses() []string {
 	var list []string
-	first, _, known := n.ownerAddress()
+	first, known := n.ownerAddress()
 	if known && first != n.PeerAddress {
 		list = append(list, first)
 	}
@@ -183,13 +183,7 @@
 }
 
 func (n *Node) notifyOwner(method string, request any) bool {
-	address, _, known := n.ownerAddress()
-	if !known {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
-	defer cancel()
-	_, err := entry.Call[any, emptyAnswer](ctx, n.Peers, address, method, request)
+	_, err := askOwner[any, emptyAnswer](context.Background(), n, method, request)
 	return err == nil
 }
 
@@ -224,7 +218,7 @@
 	row, err := n.read(ctx, jobKey(id))
 	if err != nil {
 		lost, _ := n.store.lostFor()
-		return "", n.storeRefusal(lost)
+		return "", storeRefusal(lost)
 	}
 	if row.Version == 0 {
 		return "", queue.ErrUnknownJob
@@ -243,14 +237,14 @@
 func (n *Node) storedState(ctx context.Context, id dispatch.JobID) (dispatch.JobState, error) {
 	cancel, err := n.read(ctx, cancelKey(id))
 	if err != nil {
-		return "", n.storeRefusal(0)
+		return "", storeRefusal(0)
 	}
 	if cancel.Version != 0 {
 		return dispatch.Cancelled, nil
 	}
 	progress, err := n.read(ctx, progressKey(id))
 	if err != nil {
-		return "", n.storeRefusal(0)
+		return "", storeRefusal(0)
 	}
 	if progress.Version != 0 {
 		return dispatch.Running, nil
@@ -268,7 +262,7 @@
 // askOwner calls a method of the owner.
 func askOwner[Request, Answer any](ctx context.Context, n *Node, method string, request Request) (Answer, error) {
 	var none Answer
-	address, _, known := n.ownerAddress()
+	address, known := n.ownerAddress()
 	if !known {
 		return none, entry.ErrNotSent
 	}
@@ -311,12 +305,12 @@
 
 // cancelOnce stores a cancellation, unless the job is over by then.
 func (n *Node) cancelOnce(ctx context.Context, id dispatch.JobID) error {
-	if lost, skip := n.store.lostFor(); skip {
-		return n.storeRefusal(lost)
+	if age, lost := n.store.lostFor(); lost {
+		return storeRefusal(age)
 	}
 	row, err := n.read(ctx, jobKey(id))
 	if err != nil {
-		return n.storeRefusal(0)
+		return storeRefusal(0)
 	}
 	if row.Version == 0 {
 		return queue.ErrUnknownJob
@@ -333,7 +327,7 @@
 		Writes:     []table.Write{{Key: cancelKey(id), Value: []byte("{}")}},
 	})
 	if errors.Is(err, table.ErrUnavailable) {
-		return n.storeRefusal(0)
+		return storeRefusal(0)
 	}
 	return err
 }
@@ -351,7 +345,6 @@
 	if known, ok := n.pending[name]; ok && now.Sub(known.at) < pendingMemory {
 		return known.jobs, nil
 	}
-	n.Counters.Add("Refused.OwnerUnreachable", 1)
 	return 0, &queue.Refusal{Reason: "OwnerUnreachable", RetryAfter: shortRetry}
 }
 
--- a/internal/entry/dispatcher/hello.go
+++ b/internal/entry/dispatcher/hello.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
-	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
 func (n *Node) hello(ctx context.Context, address string) (helloAnswer, error) {
@@ -120,7 +119,7 @@
 }
 
 // ownerAddress returns where the owner is reached, and false if it isn't known.
-func (n *Node) ownerAddress() (string, membership.InstanceID, bool) {
-	v := n.currentView()
-	return v.owner.Address, v.owner.Node, v.owner.Address != ""
+func (n *Node) ownerAddress() (string, bool) {
+	address := n.currentView().owner.Address
+	return address, address != ""
 }
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -124,11 +124,15 @@
 }
 
 func (n *Node) mirrorOperator() *table.Mirror {
+	return n.mirror("Configuration", n.Catalog.OperatorPrefix(), operatorPause, n.applyOperator)
+}
+
+// mirror follows the rows under a prefix and counts failures under a name.
+func (n *Node) mirror(name string, prefix table.Key, pause time.Duration, apply func(map[table.Key]table.Row)) *table.Mirror {
 	return &table.Mirror{
-		Watcher: &n.store, Prefix: n.Catalog.OperatorPrefix(), Clock: n.Clock,
-		Wait: watchTime, Pause: operatorPause,
-		Apply:  n.applyOperator,
-		Failed: func(error) { n.Counters.Add("Configuration.WatchFailed", 1) },
+		Watcher: &n.store, Prefix: prefix, Clock: n.Clock, Wait: watchTime, Pause: pause,
+		Apply:  apply,
+		Failed: func(error) { n.Counters.Add(name+".WatchFailed", 1) },
 	}
 }
 
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -60,12 +60,14 @@
 	suspension suspension
 	// suspended reports that the owner may have been replaced and rests.
 	suspended bool
-	// fleet is the row of the workers in use as it was last written.
-	fleet []byte
+	// fleet is the row of the workers in use as it was last written, and fleetRevision
+	// the engine's revision then.
+	fleet         []byte
+	fleetRevision int
 	// submissions are jobs that wait to be stored.
 	submissions []*submission
-	// expired has the rows of outcomes that nobody asks for any more, with their versions.
-	expired map[dispatch.JobID]table.Version
+	// expired has the jobs whose outcomes nobody asks for any more.
+	expired map[dispatch.JobID]bool
 	// estimated is when the estimates were last written.
 	estimated time.Time
 	why       string
@@ -82,10 +84,10 @@
 		dirty:  make(chan struct{}, 1),
 		polled: map[membership.InstanceID]bool{},
 
-		expired: map[dispatch.JobID]table.Version{},
+		expired: map[dispatch.JobID]bool{},
 	}
 	o.engine = dispatch.New(dispatch.Options{
-		Epoch: row.Epoch, LeaseTerm: n.LeaseTerm, RemoteFactor: n.RemoteFactor, MaxHarm: n.MaxHarm,
+		Epoch: row.Epoch, LeaseTerm: n.LeaseTerm, RemoteFactor: n.RemoteFactor,
 		Counters: n.Counters, Latencies: n.Latencies, Recorder: o,
 	})
 	return o
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -65,14 +65,10 @@
 // an earlier owner.
 func (o *owner) mirrorJobs(stored map[dispatch.JobID]dispatch.Progress) *table.Mirror {
 	recovered := false
-	return &table.Mirror{
-		Watcher: &o.node.store, Prefix: jobPrefix, Clock: o.node.Clock, Wait: watchTime, Pause: jobsPause,
-		Failed: func(error) { o.node.Counters.Add("Jobs.WatchFailed", 1) },
-		Apply: func(rows map[table.Key]table.Row) {
-			o.applyJobs(rows, stored, !recovered)
-			recovered = true
-		},
-	}
+	return o.node.mirror("Jobs", jobPrefix, jobsPause, func(rows map[table.Key]table.Row) {
+		o.applyJobs(rows, stored, !recovered)
+		recovered = true
+	})
 }
 
 // recoverEstimates takes over what the earlier owner learned about images.
@@ -123,7 +119,7 @@
 			}
 			switch {
 			case content.Outcome != "" && now.Sub(content.Ended) > outcomeMemory:
-				o.expired[id] = row.Version
+				o.expired[id] = true
 			case content.Outcome != "":
 				e.AddFinished(now, id, content.Outcome)
 			case content.Job != nil:
@@ -150,20 +146,11 @@
 }
 
 func (o *owner) mirrorCancels() *table.Mirror {
-	return &table.Mirror{
-		Watcher: &o.node.store, Prefix: cancelPrefix, Clock: o.node.Clock, Wait: watchTime, Pause: jobsPause,
-		Apply:  o.applyCancels,
-		Failed: func(error) { o.node.Counters.Add("Cancels.WatchFailed", 1) },
-	}
+	return o.node.mirror("Cancels", cancelPrefix, jobsPause, o.applyCancels)
 }
 
 func (o *owner) mirrorWorkers() *table.Mirror {
-	return &table.Mirror{
-		Watcher: &o.node.store, Prefix: o.node.Catalog.WorkersPrefix(), Clock: o.node.Clock,
-		Wait: watchTime, Pause: workersPause,
-		Apply:  o.applyWorkers,
-		Failed: func(error) { o.node.Counters.Add("Workers.WatchFailed", 1) },
-	}
+	return o.node.mirror("Workers", o.node.Catalog.WorkersPrefix(), workersPause, o.applyWorkers)
 }
 
 func (o *owner) applyWorkers(rows map[table.Key]table.Row) {
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -78,7 +78,10 @@
 		delete(o.expired, id)
 		writes = append(writes, table.Write{Key: jobKey(id), Delete: true})
 	}
-	fleet := encode(o.engine.UsedWorkers())
+	fleet, revision := o.fleet, o.engine.FleetRevision()
+	if revision != o.fleetRevision {
+		fleet = encode(o.engine.UsedWorkers())
+	}
 	if !bytes.Equal(fleet, o.fleet) {
 		writes = append(writes, table.Write{Key: fleetKey, Value: fleet})
 	}
@@ -102,7 +105,7 @@
 	o.released.Store(next.Released)
 	o.lock.Lock()
 	now = o.node.Clock.Now()
-	o.row, o.version, o.fleet = next, written, fleet
+	o.row, o.version, o.fleet, o.fleetRevision = next, written, fleet, revision
 	o.authority.stored = sent
 	o.engine.Stored(now, batch)
 	o.enterSubmissions(now, submissions)
--- a/internal/entry/dispatcher/ports.go
+++ b/internal/entry/dispatcher/ports.go
@@ -73,9 +73,8 @@
 	Seeds []string
 	// LeaseTerm is how long a worker goes on without a renewal.
 	LeaseTerm time.Duration
-	// RemoteFactor and MaxHarm are those of dispatch.Options.
+	// RemoteFactor is that of dispatch.Options.
 	RemoteFactor float64
-	MaxHarm      time.Duration
 
 	Store   Store
 	Workers Workers
