Don't store a waiting submission over a job that has become known

The next owner ran the job again.

Change: jobs that the engine knows are left out when the transaction is made.

--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -124,10 +124,20 @@
 	return queue.ErrOutcomeUnknown
 }
 
-// takeSubmissions returns jobs to store in the next transaction. The lock must be held.
+// takeSubmissions returns jobs to store in the next transaction. One that has become
+// known since it was taken in is stored already, and may be over: writing it again would
+// replace its outcome. The lock must be held.
 func (o *owner) takeSubmissions() []*submission {
-	taken := o.submissions[:min(len(o.submissions), submissionsPerBatch)]
-	o.submissions = o.submissions[len(taken):]
+	var taken []*submission
+	for len(o.submissions) > 0 && len(taken) < submissionsPerBatch {
+		next := o.submissions[0]
+		o.submissions = o.submissions[1:]
+		if o.engine.Knows(next.job.ID) {
+			next.done <- nil
+			continue
+		}
+		taken = append(taken, next)
+	}
 	return taken
 }
 
