--- a/internal/cmd/root/commands.go
+++ b/internal/cmd/root/commands.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/manifestshow"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/replay"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/serve"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/serveplatform"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/standinexecutor"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/standinplatform"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/standinworker"
@@ -25,7 +26,7 @@
 
 // addCommands attaches the subcommands, in groups where several act on one thing.
 func addCommands(root *cobra.Command, f *factory.Factory) {
-	root.AddCommand(demo.NewCmd(f, nil), load.NewCmd(f, nil), serve.NewCmd(f, nil), status.NewCmd(f, nil), explain.NewCmd(f, nil), replay.NewCmd(f, nil))
+	root.AddCommand(demo.NewCmd(f, nil), load.NewCmd(f, nil), serve.NewCmd(f, nil), serveplatform.NewCmd(f, nil), status.NewCmd(f, nil), explain.NewCmd(f, nil), replay.NewCmd(f, nil))
 	root.AddCommand(group("experiment", "Compare policies in simulated time",
 		"  $ jacinthtrail experiment admission --seed 1",
 		experimentadmission.NewCmd(f, nil), experimentgrants.NewCmd(f, nil)))
--- /dev/null
+++ b/internal/cmd/serveplatform/process.go
@@ -0,0 +1,194 @@
+package serveplatform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/entry/dispatcher"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/counter"
+	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
+	"github.com/jacinthtrail/jacinthtrail/platform"
+)
+
+const (
+	// logLines is the number of log lines that wait to be written; more are dropped
+	// and counted, so that logging never blocks the work.
+	logLines = 4096
+	// logPoll is how often waiting log lines are written.
+	logPoll = 25 * time.Millisecond
+	// memoryShare of the instance's memory, in percent, is the soft limit of the heap.
+	memoryShare = 70
+	// heapGrowth is the garbage collector's target in percent: processor time is
+	// scarcer than memory.
+	heapGrowth = 300
+	// unreadyTime is how long a stopping process still serves new connections: the
+	// balancer looks once a second and leaves out an instance after two misses.
+	unreadyTime = 3200 * time.Millisecond
+	// stopTime bounds the wait for the requests in flight after that.
+	stopTime = 2200 * time.Millisecond
+	// readHeaderTimeout bounds the headers of a request while no limit is configured.
+	readHeaderTimeout = 3 * time.Second
+	// idleTimeout closes a caller's connection without requests.
+	idleTimeout = 15 * time.Second
+)
+
+// process is a running entry instance.
+type process struct {
+	settings platform.Settings
+	node     *dispatcher.Node
+	peers    *entry.Server
+	client   *entry.Client
+	counters *counter.Set
+	log      zerolog.Logger
+	stopping atomic.Bool
+
+	callers  *http.Server
+	ready    *http.Server
+	metrics  *http.Server
+	bindings map[*http.Server]net.Listener
+	peerPort net.Listener
+	close    io.Closer
+}
+
+// listen opens the addresses and builds the parts of the process.
+func listen(opts *Options, s platform.Settings) (*process, error) {
+	p := &process{settings: s, counters: &counter.Set{}, bindings: map[*http.Server]net.Listener{}}
+	p.limitMemory()
+	if err := p.openLog(opts); err != nil {
+		return nil, err
+	}
+	http1 := platform.NewHTTPClient()
+	clock := opts.Factory.Clock
+	p.client = entry.NewClient(entry.ClientOptions{Clock: clock, Counter: p.counters, DialTimeout: peerDialTimeout, Dial: dialPeer})
+	p.peers = entry.NewServer(entry.ServerOptions{Clock: clock, Counter: p.counters, MaxConnections: maxPeerConnections})
+	p.node = dispatcher.New(dispatcher.Options{
+		Name: s.Instance, PeerAddress: s.Peers, Seeds: s.Seeds,
+		LeaseTerm: min(opts.LeaseTerm, s.MaxLease), RemoteFactor: s.RemoteFactor, MaxHarm: s.MaxHarm,
+		Store:   platform.Store{Address: s.Store, HTTP: http1},
+		Workers: platform.Workers{HTTP: http1, Counters: p.counters},
+		Catalog: platform.Catalog{}, Peers: p.client, Counters: p.counters, Clock: clock, Log: p.log,
+	})
+	p.node.Register(p.peers)
+	p.callers = &http.Server{
+		Handler: &platform.Callers{
+			Jobs: p.node, Clock: clock, Counters: p.counters, Log: p.log, Draining: p.stopping.Load,
+		},
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+	}
+	p.ready = &http.Server{Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	p.metrics = &http.Server{Handler: p.counters, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	return p, p.bind(opts.MetricsAddress)
+}
+
+const (
+	// peerDialTimeout bounds the opening of a connection to another instance.
+	peerDialTimeout = 400 * time.Millisecond
+	// maxPeerConnections allows two from each instance of the largest deployment.
+	maxPeerConnections = 128
+)
+
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	return platform.Dialer().DialContext(ctx, "tcp", address)
+}
+
+func (p *process) limitMemory() {
+	debug.SetGCPercent(heapGrowth)
+	if p.settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(p.settings.MemoryBytes / 100 * memoryShare)
+	}
+}
+
+func (p *process) openLog(opts *Options) error {
+	level, err := zerolog.ParseLevel(opts.LogLevel)
+	if err != nil {
+		return err
+	}
+	writer := diode.NewWriter(opts.Factory.IO.Out, logLines, logPoll, func(missed int) {
+		p.counters.Add("Log.LinesDropped", int64(missed))
+	})
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	p.log = zerolog.New(writer).Level(level).With().Timestamp().
+		Str("Instance", string(p.settings.Instance)).Logger()
+	p.close = writer
+	return nil
+}
+
+// bind opens all addresses and reports all that can't be opened.
+func (p *process) bind(metrics string) error {
+	var errs []error
+	open := func(address string) net.Listener {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("listen on %s: %w", address, err))
+		}
+		return listener
+	}
+	p.bindings[p.callers] = open(p.settings.Callers)
+	p.bindings[p.ready] = open(p.settings.Ready)
+	p.peerPort = open(p.settings.Peers)
+	if metrics != "" {
+		p.bindings[p.metrics] = open(metrics)
+	}
+	return errors.Join(errs...)
+}
+
+func (p *process) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !p.node.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// run serves until ctx ends, then stops gracefully.
+func (p *process) run(ctx context.Context) error {
+	defer p.close.Close()
+	p.log.Info().Str("Zone", string(p.settings.Zone)).Str("Store", p.settings.Store).Msg("started")
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, background := errgroup.WithContext(background)
+	for server, listener := range p.bindings {
+		group.Go(func() error { return serve(server, listener) })
+	}
+	group.Go(func() error { return p.peers.Serve(background, p.peerPort) })
+	group.Go(func() error { return p.node.Run(background) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-background.Done():
+		}
+		defer stop()
+		return p.stop()
+	})
+	err := group.Wait()
+	p.log.Info().Err(err).Msg("stopped")
+	return errors.Join(err, p.client.Close())
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// stop leaves the balancer, waits until callers have gone elsewhere and finishes
+// the requests in flight.
+func (p *process) stop() error {
+	p.log.Info().Msg("stopping")
+	p.stopping.Store(true)
+	p.node.Drain()
+	time.Sleep(min(unreadyTime, p.settings.Grace/2+time.Second))
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	return errors.Join(p.callers.Shutdown(ctx), p.ready.Shutdown(ctx), p.metrics.Shutdown(ctx))
+}
--- /dev/null
+++ b/internal/cmd/serveplatform/serveplatform.go
@@ -0,0 +1,95 @@
+// Package serveplatform has the command that runs an entry instance on the users'
+// platform.
+package serveplatform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/settings"
+	"github.com/jacinthtrail/jacinthtrail/platform"
+)
+
+// Options are the settings of the command.
+type Options struct {
+	Factory *factory.Factory
+	// Config is the path of the platform's settings file.
+	Config   string
+	LogLevel string
+	// LeaseTerm is how long a worker goes on without a renewal.
+	LeaseTerm time.Duration
+	// MetricsAddress serves the counters; empty for none.
+	MetricsAddress string
+}
+
+// defaultLeaseTerm covers the replacement of a lost owner, and bounds how long the
+// tasks of a lost worker wait.
+const defaultLeaseTerm = 4500 * time.Millisecond
+
+// NewCmd returns the command. Tests replace its run function with runF.
+func NewCmd(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{Factory: f}
+	if runF == nil {
+		runF = run
+	}
+	cmd := &cobra.Command{
+		Use:   "serve-platform",
+		Short: "Run an entry instance on the users' platform",
+		Long: "Run an entry instance on the users' platform, whose settings file gives its addresses and limits. " +
+			"Every flag can also be given as an environment variable, for example JACINTHTRAIL_LOG_LEVEL for " +
+			"--log-level. SIGTERM starts a graceful stop.",
+		Example: "  $ jacinthtrail serve-platform --config /etc/jacinthtrail/settings.toml",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := settings.Apply(cmd, f.LookupEnv); err != nil {
+				return err
+			}
+			if err := opts.check(); err != nil {
+				return err
+			}
+			return runF(cmd.Context(), opts)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&opts.Config, "config", "", "`path` of the platform's settings file")
+	flags.StringVar(&opts.LogLevel, "log-level", "info", "lowest `level` that is logged: debug, info, warn or error")
+	flags.DurationVar(&opts.LeaseTerm, "lease-term", defaultLeaseTerm, "`time` for which a worker goes on without a renewal")
+	flags.StringVar(&opts.MetricsAddress, "metrics-address", "", "`address` that serves the counters; empty for none")
+	return cmd
+}
+
+func (o *Options) check() error {
+	var findings settings.Findings
+	if o.Config == "" {
+		findings.Add("config", "it is empty", "give the path of the platform's settings file")
+	}
+	if _, err := zerolog.ParseLevel(o.LogLevel); err != nil {
+		findings.Add("log-level", fmt.Sprintf("%q is not a level", o.LogLevel), "use debug, info, warn or error")
+	}
+	if o.LeaseTerm < time.Second {
+		findings.Add("lease-term", "it is shorter than a takeover", "give 1s or more")
+	}
+	return findings.Err()
+}
+
+func run(ctx context.Context, opts *Options) error {
+	read, err := platform.ReadSettings(opts.Config)
+	if err != nil {
+		return err
+	}
+	p, err := listen(opts, read)
+	if err != nil {
+		return err
+	}
+	err = p.run(ctx)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/decision/dispatch/engine.go
@@ -0,0 +1,251 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// Counters counts events by name.
+type Counters interface {
+	Add(name string, delta int64)
+}
+
+// Recorder keeps decisions, so that they can be explained later.
+type Recorder interface {
+	RecordDecision(now time.Time, d Decision)
+}
+
+// Decision explains an act of the engine or a change of what it believes.
+type Decision struct {
+	// Event is what happened, such as "TaskStarted".
+	Event  string
+	Task   TaskRun
+	Job    JobID
+	Worker membership.InstanceID
+	Reason string
+	// Age of the worker's report on which the decision rests.
+	Age time.Duration
+}
+
+// Options are the settings of an Engine.
+type Options struct {
+	Epoch Epoch
+	// LeaseTerm is how long a worker goes on without a renewal.
+	LeaseTerm time.Duration
+	// RemoteFactor is how much longer a task takes away from its preferred rack.
+	RemoteFactor float64
+	// MaxHarm is how long the tail latency of a serving task may be over its target.
+	MaxHarm  time.Duration
+	Counters Counters
+	Recorder Recorder
+}
+
+// Engine places the tasks of one shard. It must be used by one goroutine at a time.
+type Engine struct {
+	options  Options
+	queues   map[QueueName]Queue
+	zonesOut map[membership.Zone]bool
+	workers  map[membership.InstanceID]*node
+	// fleet has the workers in the order of their ids, so that decisions repeat.
+	fleet    []*node
+	jobs     map[JobID]*job
+	finished map[JobID]finishedJob
+	dirty    map[JobID]*job
+	commands []Command
+	pairs    pairTable
+	// recoveryEnds is when the leases that an earlier owner gave have ended.
+	recoveryEnds time.Time
+	recovering   bool
+	tickets      map[StepID]*stepTickets
+	wanted       []AdviceRequest
+}
+
+// finishedJob is the stored outcome of a job.
+type finishedJob struct {
+	state JobState
+	at    time.Time
+}
+
+// New returns an Engine without workers and jobs.
+func New(options Options) *Engine {
+	return &Engine{
+		options:  options,
+		queues:   map[QueueName]Queue{},
+		zonesOut: map[membership.Zone]bool{},
+		workers:  map[membership.InstanceID]*node{},
+		jobs:     map[JobID]*job{},
+		finished: map[JobID]finishedJob{},
+		dirty:    map[JobID]*job{},
+		pairs:    pairTable{},
+		tickets:  map[StepID]*stepTickets{},
+	}
+}
+
+// Recover makes the tasks of recovered jobs wait until each worker that the
+// earlier owner used has reported, at most until its leases have ended.
+func (e *Engine) Recover(now time.Time) {
+	e.recovering = true
+	e.recoveryEnds = now.Add(lapse(e.options.LeaseTerm) + inFlightMargin)
+}
+
+// SetQueues puts a configuration of the queues in force.
+func (e *Engine) SetQueues(queues map[QueueName]Queue) {
+	for name, q := range queues {
+		e.queues[name] = q
+	}
+}
+
+// SetZonesOut puts the set of zones in force in which nothing may start.
+func (e *Engine) SetZonesOut(zones map[membership.Zone]bool) {
+	e.zonesOut = zones
+}
+
+// SetWorkers replaces the list of workers. Workers that are no longer listed get
+// nothing new and are forgotten when nothing can run on them any more.
+func (e *Engine) SetWorkers(now time.Time, list []WorkerInfo) {
+	listed := make(map[membership.InstanceID]bool, len(list))
+	for _, info := range list {
+		listed[info.ID] = true
+		n := e.workers[info.ID]
+		if n == nil {
+			n = newNode(info, now)
+			e.workers[info.ID] = n
+			e.insert(n)
+			e.record(now, Decision{Event: "WorkerJoined", Worker: info.ID})
+		}
+		if info.Draining && !n.Draining {
+			e.record(now, Decision{Event: "WorkerDraining", Worker: info.ID})
+		}
+		n.update(info)
+		n.listed = true
+	}
+	for id, n := range e.workers {
+		if !listed[id] && n.listed {
+			n.listed = false
+			n.unlistedAt = now
+			e.record(now, Decision{Event: "WorkerUnlisted", Worker: id})
+		}
+	}
+}
+
+func (e *Engine) insert(n *node) {
+	at, _ := slices.BinarySearchFunc(e.fleet, n, compareNodes)
+	e.fleet = slices.Insert(e.fleet, at, n)
+}
+
+func compareNodes(a, b *node) int {
+	return strings.Compare(string(a.ID), string(b.ID))
+}
+
+// Workers returns the ids of all workers that must be polled.
+func (e *Engine) Workers() []membership.InstanceID {
+	ids := make([]membership.InstanceID, len(e.fleet))
+	for i, n := range e.fleet {
+		ids[i] = n.ID
+	}
+	return ids
+}
+
+// AddJob enters a job, with its stored progress if it was accepted under an
+// earlier owner. A job that is known already is left as it is.
+func (e *Engine) AddJob(now time.Time, j Job, stored Progress, recovered bool) {
+	if _, known := e.jobs[j.ID]; known {
+		return
+	}
+	if _, known := e.finished[j.ID]; known {
+		return
+	}
+	added := newJob(j, e.queues[j.Queue], recovered)
+	added.restore(stored)
+	e.jobs[j.ID] = added
+	e.record(now, Decision{Event: "JobAdded", Job: j.ID, Reason: string(j.Queue)})
+	e.finishIfDone(now, added)
+}
+
+// Knows reports whether the engine has the job or its outcome.
+func (e *Engine) Knows(id JobID) bool {
+	_, live := e.jobs[id]
+	_, over := e.finished[id]
+	return live || over
+}
+
+// Cancel stops a job whose cancellation is stored.
+func (e *Engine) Cancel(now time.Time, id JobID) {
+	j := e.jobs[id]
+	if j == nil || j.cancelled {
+		return
+	}
+	j.cancelled = true
+	e.end(now, j, Cancelled, "cancelled by the client")
+}
+
+// State returns the state of a job, and false for one that the engine doesn't know.
+func (e *Engine) State(id JobID) (JobState, bool) {
+	if done, known := e.finished[id]; known {
+		return done.state, true
+	}
+	j := e.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	return j.visibleState(), true
+}
+
+// Pending returns the number of jobs of a queue that have started no task.
+func (e *Engine) Pending(name QueueName) int {
+	pending := 0
+	for _, j := range e.jobs {
+		if j.Queue == name && !j.began && j.ending == "" {
+			pending++
+		}
+	}
+	return pending
+}
+
+// end decides the outcome of a job and stops what still runs.
+func (e *Engine) end(now time.Time, j *job, state JobState, reason string) {
+	if j.ending != "" {
+		return
+	}
+	j.ending = state
+	e.markDirty(j)
+	e.record(now, Decision{Event: "Job" + string(state), Job: j.ID, Reason: reason})
+	e.count("Job." + string(state))
+	j.eachTask(func(t *task) {
+		if t.attempt != nil {
+			e.stop(now, t.attempt, "job ended")
+		}
+	})
+}
+
+func (e *Engine) finishIfDone(now time.Time, j *job) {
+	if j.ending == "" && j.left == 0 {
+		e.end(now, j, Completed, "all tasks succeeded")
+	}
+}
+
+func (e *Engine) markDirty(j *job) {
+	e.dirty[j.ID] = j
+}
+
+// TakeCommands returns the commands that were decided since the last call.
+func (e *Engine) TakeCommands() []Command {
+	taken := e.commands
+	e.commands = nil
+	return taken
+}
+
+func (e *Engine) count(name string) {
+	if e.options.Counters != nil {
+		e.options.Counters.Add(name, 1)
+	}
+}
+
+func (e *Engine) record(now time.Time, d Decision) {
+	if e.options.Recorder != nil {
+		e.options.Recorder.RecordDecision(now, d)
+	}
+}
--- /dev/null
+++ b/internal/decision/dispatch/place.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import (
+	"strings"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+)
+
+// Weights of the parts of a worker's cost. The unit is the share of its
+// processors that are taken; the lowest cost wins.
+const (
+	// failureCost makes a worker on which jobs have just failed the last choice.
+	failureCost = 2.0
+	// sameFailureCost keeps a task away from a worker on which it has failed before.
+	sameFailureCost = 4.0
+	// remoteCost times the slowdown away from the preferred rack.
+	remoteCost = 1.0
+	// otherImageCost spreads serving tasks so that those of one image share workers,
+	// which leaves most workers free of most pairs that disturb each other.
+	otherImageCost = 0.35
+	// sameImageBonus draws a serving task to workers with its image.
+	sameImageBonus = 0.5
+	// besideFillersCost keeps serving tasks away from fillers that disturb them.
+	besideFillersCost = 1.5
+	// harmCost keeps fillers away from serving tasks that they disturb.
+	harmCost = 3.0
+	// minFillerShare is the part of its processors that a filler must find idle.
+	minFillerShare = 0.6
+)
+
+// choose returns the cheapest worker for a task, nil if none can take it.
+func (e *Engine) choose(now time.Time, t *task) *node {
+	var best *node
+	bestCost := 0.0
+	for _, n := range e.fleet {
+		if !e.mayRun(now, t, n) {
+			continue
+		}
+		cost, ok := e.cost(now, t, n)
+		if ok && (best == nil || cost < bestCost) {
+			best, bestCost = n, cost
+		}
+	}
+	return best
+}
+
+// mayRun reports whether rules and room allow the task on the worker.
+func (e *Engine) mayRun(now time.Time, t *task, n *node) bool {
+	s := t.step
+	switch {
+	case !n.isSound(now), n.health.isQuarantined(now), e.zonesOut[n.Zone]:
+		return false
+	case n.Service != s.job.queue.Service:
+		return false
+	case s.Requires != "" && !n.hasLabel(s.Requires):
+		return false
+	case s.MaxPerWorker > 0 && s.perWorker[n] >= s.MaxPerWorker:
+		return false
+	case s.OneRack && s.rack != "" && rackOf(n) != s.rack:
+		return false
+	case s.job.queue.Advised && e.ticket(s, n) == "":
+		return false
+	}
+	return s.Reserved().FitsIn(n.free())
+}
+
+// cost returns how little a worker suits a task, and false if it doesn't at all.
+func (e *Engine) cost(now time.Time, t *task, n *node) (float64, bool) {
+	s := t.step
+	cost := failureCost * float64(n.health.failures(now))
+	for _, failed := range t.failedOn {
+		if failed == n {
+			cost += sameFailureCost
+		}
+	}
+	if s.PreferredRack != "" && !n.hasLabel(s.PreferredRack) {
+		cost += remoteCost * max(e.options.RemoteFactor-1, 0)
+	}
+	if s.Filler {
+		return e.fillerCost(now, s, n, cost)
+	}
+	cost += share(n.used.Processors+s.Resources.Processors, n.Capacity.Processors)
+	if s.Target > 0 {
+		cost += e.servingCost(now, s, n)
+	}
+	return cost, true
+}
+
+// fillerCost adds what speaks against a filler on a worker: little idle capacity,
+// and serving tasks that it would disturb.
+func (e *Engine) fillerCost(now time.Time, s *step, n *node, cost float64) (float64, bool) {
+	idle := n.Capacity.Processors - n.used.Processors - n.fillers
+	if float64(idle) < minFillerShare*float64(s.Resources.Processors) {
+		return 0, false
+	}
+	harm, ok := e.expectedHarm(now, s, n)
+	if !ok {
+		return 0, false
+	}
+	return cost + harmCost*harm - share(idle, n.Capacity.Processors), true
+}
+
+// servingCost adds what speaks against a serving task on a worker.
+func (e *Engine) servingCost(now time.Time, s *step, n *node) float64 {
+	cost := 0.0
+	same, others := 0, 0
+	for _, a := range n.runs {
+		switch {
+		case a.task.step.Filler:
+			cost += besideFillersCost * e.pairs.harm(now, Pair{Serving: s.Image, Filler: a.task.step.Image}) *
+				share(a.filler, n.Capacity.Processors)
+		case a.task.step.Target > 0 && a.task.step.Image == s.Image:
+			same++
+		case a.task.step.Target > 0:
+			others++
+		}
+	}
+	if others > 0 {
+		cost += otherImageCost
+	} else if same > 0 {
+		cost -= sameImageBonus
+	}
+	return cost
+}
+
+func share(part, whole resource.MilliProcessors) float64 {
+	if whole <= 0 {
+		return 1
+	}
+	return float64(part) / float64(whole)
+}
+
+// rackPrefix begins the label that names the rack of a worker.
+const rackPrefix = "r"
+
+// rackOf returns the label of the worker's rack, empty if it has none.
+func rackOf(n *node) Label {
+	for _, l := range n.Labels {
+		if strings.HasPrefix(string(l), rackPrefix) && strings.Contains(string(l), "-") {
+			return l
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/decision/dispatch/report.go
@@ -0,0 +1,348 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+const (
+	// pollWait is how long a worker may hold back an answer when nothing ends.
+	pollWait = time.Second
+	// watchWait is the same for a worker on which fillers may disturb serving tasks.
+	watchWait = 400 * time.Millisecond
+	// atWorkPercent is the progress of a long-running task that has started up.
+	atWorkPercent = 100
+	// forgetFinished is how long the outcome of a job is kept in memory.
+	forgetFinished = 150 * time.Second
+)
+
+// Poll returns the next status request to a worker, and false when the worker
+// is unknown. A worker that doesn't answer gets no renewals, so that the end of
+// its leases can be waited out.
+func (e *Engine) Poll(now time.Time, id membership.InstanceID) (Poll, bool) {
+	n := e.workers[id]
+	if n == nil {
+		return Poll{}, false
+	}
+	p := Poll{Address: n.Address, Observed: n.observed}
+	if !n.heard || n.misses > 0 {
+		return p, true
+	}
+	p.Lease = n.renewal(now, e.options.LeaseTerm)
+	p.Wait = pollWait
+	if n.fillers > 0 && n.servingTasks() > 0 {
+		p.Wait = watchWait
+	}
+	return p, true
+}
+
+// PollFailed notes that a worker didn't answer.
+func (e *Engine) PollFailed(now time.Time, id membership.InstanceID) {
+	n := e.workers[id]
+	if n == nil {
+		return
+	}
+	n.misses++
+	if n.misses == 1 {
+		e.count("Worker.Silent")
+		e.record(now, Decision{Event: "WorkerSilent", Worker: id, Age: now.Sub(n.heardAt)})
+	}
+}
+
+// Observe takes over the report of a worker.
+func (e *Engine) Observe(now time.Time, id membership.InstanceID, r Report) {
+	n := e.workers[id]
+	if n == nil {
+		return
+	}
+	if n.heard && n.born != r.Born {
+		e.restarted(now, n)
+	}
+	if n.misses > 0 {
+		e.record(now, Decision{Event: "WorkerAnswers", Worker: id, Age: now.Sub(n.heardAt)})
+	}
+	n.born, n.heard, n.heardAt, n.clock, n.misses = r.Born, true, now, r.Clock, 0
+	e.observeEnds(now, n, r.Ended)
+	e.observeRunning(now, n, r.Running)
+	e.findMissing(now, n, r)
+	e.observeTails(now, n, r)
+}
+
+// restarted drops the runs of a worker whose process is new.
+func (e *Engine) restarted(now time.Time, n *node) {
+	e.count("Worker.Restarted")
+	e.record(now, Decision{Event: "WorkerRestarted", Worker: n.ID})
+	n.seen, n.observed, n.leaseSent = 0, 0, 0
+	clear(n.strays)
+	e.loseRuns(now, n, "worker restarted")
+}
+
+// loseRuns makes the tasks of all runs on a worker wait again.
+func (e *Engine) loseRuns(now time.Time, n *node, reason string) {
+	for _, a := range n.runs {
+		e.lose(now, a, reason)
+	}
+}
+
+func (e *Engine) lose(now time.Time, a *attempt, reason string) {
+	e.count("Task.Lost")
+	e.record(now, Decision{Event: "TaskLost", Task: TaskRun{a.task.id, a.run}, Worker: a.node.ID, Reason: reason})
+	e.release(a)
+}
+
+// release frees the capacity of a run that is over.
+func (e *Engine) release(a *attempt) {
+	a.node.remove(a)
+	e.forgetIfOver(a.task.step.job)
+}
+
+// forgetIfOver drops a job with a stored outcome when nothing of it runs.
+func (e *Engine) forgetIfOver(j *job) {
+	if j.stored && j.live == 0 {
+		delete(e.jobs, j.ID)
+	}
+}
+
+func (e *Engine) observeEnds(now time.Time, n *node, ends []End) {
+	for _, end := range ends {
+		if end.Number <= n.seen {
+			continue
+		}
+		n.seen = end.Number
+		e.observeEnd(now, n, end)
+	}
+}
+
+func (e *Engine) observeEnd(now time.Time, n *node, end End) {
+	atWork := false
+	if a := n.runs[end.Task]; a != nil && a.run == end.Run {
+		atWork = a.percent >= atWorkPercent
+		e.release(a)
+	}
+	delete(n.strays, end.TaskRun)
+	t := e.findTask(end.Task)
+	if t == nil || t.step.job.ending != "" {
+		return
+	}
+	t.run = max(t.run, end.Run)
+	e.record(now, Decision{Event: "TaskEnded", Task: end.TaskRun, Worker: n.ID, Reason: string(end.Kind)})
+	e.count("End." + string(end.Kind))
+	if end.Checkpoint != "" && t.checkpoint != end.Checkpoint {
+		t.checkpoint = end.Checkpoint
+		e.markDirty(t.step.job)
+	}
+	switch {
+	case t.step.LongRunning:
+		// A long-running task may fail at any time; only one that never got to work
+		// speaks against its worker.
+		if end.Kind == EndFailed && !atWork {
+			n.health.noteEnd(now, t.step.job.ID, true)
+		}
+	case end.Kind == EndDone:
+		n.health.noteEnd(now, t.step.job.ID, false)
+		e.succeed(now, t)
+	case end.Kind == EndFailed:
+		n.health.noteEnd(now, t.step.job.ID, true)
+		e.fail(now, t, end.Run, n)
+	}
+}
+
+func (e *Engine) succeed(now time.Time, t *task) {
+	t.step.job.began = true
+	members := []*task{t}
+	if t.step.Gang {
+		members = t.step.tasks
+	}
+	for _, member := range members {
+		member.succeed()
+		if member.attempt != nil && !t.step.Gang {
+			e.stop(now, member.attempt, "succeeded elsewhere")
+		}
+	}
+	e.markDirty(t.step.job)
+	e.finishIfDone(now, t.step.job)
+}
+
+func (e *Engine) fail(now time.Time, t *task, run Run, n *node) {
+	j := t.step.job
+	j.began = true
+	if !t.noteFailure(run, n) {
+		return
+	}
+	e.markDirty(j)
+	if j.queue.MaxAttempts > 0 && len(t.failed) >= j.queue.MaxAttempts {
+		e.end(now, j, Failed, "a task failed as often as the queue allows")
+	}
+}
+
+func (e *Engine) observeRunning(now time.Time, n *node, list []RunningTask) {
+	for _, r := range list {
+		a := n.runs[r.Task]
+		if a == nil || a.run != r.Run {
+			a = e.adopt(now, n, r.TaskRun)
+		}
+		if a == nil {
+			e.stopStray(now, n, r.TaskRun)
+			continue
+		}
+		e.observeRun(now, a, r)
+	}
+}
+
+func (e *Engine) observeRun(now time.Time, a *attempt, r RunningTask) {
+	if a.phase == inDoubt {
+		a.phase = running
+	}
+	a.task.step.job.began = true
+	if r.Percent > a.percent {
+		a.percent, a.progressAt = r.Percent, now
+	}
+	a.measure = r.Measure
+	if r.Checkpoint != "" {
+		a.task.checkpoint = r.Checkpoint
+	}
+}
+
+// adopt enters a run that an earlier owner started, if it is still wanted.
+func (e *Engine) adopt(now time.Time, n *node, r TaskRun) *attempt {
+	t := e.findTask(r.Task)
+	if t == nil || t.done || t.attempt != nil || t.step.job.ending != "" {
+		return nil
+	}
+	a := newAttempt(t, r.Run, n, now)
+	a.phase = running
+	a.pace.percent = unknownPace
+	n.add(a)
+	e.record(now, Decision{Event: "TaskAdopted", Task: r, Worker: n.ID})
+	e.count("Task.Adopted")
+	return a
+}
+
+func (e *Engine) stopStray(now time.Time, n *node, r TaskRun) {
+	if now.Sub(n.strays[r]) < stopRepeat {
+		return
+	}
+	n.strays[r] = now
+	e.count("Task.Stray")
+	e.commands = append(e.commands, Command{Worker: n.ID, Address: n.Address, TaskRun: r, Stop: true})
+}
+
+// findMissing deals with the runs that a worker should list and doesn't.
+func (e *Engine) findMissing(now time.Time, n *node, r Report) {
+	listed := make(map[TaskRun]bool, len(r.Running))
+	for _, run := range r.Running {
+		listed[run.TaskRun] = true
+	}
+	for _, a := range n.runs {
+		if listed[TaskRun{a.task.id, a.run}] {
+			continue
+		}
+		switch {
+		case a.phase == running && r.Clock > a.since:
+			e.lose(now, a, "not listed by its worker")
+		case a.phase == inDoubt:
+			e.stop(now, a, "start unanswered")
+		case a.phase == stopping && a.stopClock > 0 && r.Clock > a.stopClock:
+			e.release(a)
+		}
+	}
+}
+
+// findTask returns the task of a live job, nil if there is none.
+func (e *Engine) findTask(id TaskID) *task {
+	j := e.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	return j.task(id)
+}
+
+// stop asks the worker to end a run. The capacity stays reserved until the end
+// is listed.
+func (e *Engine) stop(now time.Time, a *attempt, reason string) {
+	if a.phase == sending {
+		a.stopWanted = true
+		return
+	}
+	if a.phase == stopping {
+		return
+	}
+	a.phase = stopping
+	e.record(now, Decision{Event: "TaskStopping", Task: TaskRun{a.task.id, a.run}, Worker: a.node.ID, Reason: reason})
+	e.count("Task.Stopping")
+	e.sendStop(now, a)
+}
+
+func (e *Engine) sendStop(now time.Time, a *attempt) {
+	a.stopSent = now
+	e.commands = append(e.commands, Command{
+		Worker: a.node.ID, Address: a.node.Address, TaskRun: TaskRun{a.task.id, a.run}, Stop: true,
+	})
+}
+
+// Stopped notes that a worker accepted a stop command at the given time of its clock.
+func (e *Engine) Stopped(id membership.InstanceID, r TaskRun, clock time.Duration) {
+	if a := e.findAttempt(id, r); a != nil && a.phase == stopping && a.stopClock == 0 {
+		a.stopClock = clock
+	}
+}
+
+func (e *Engine) findAttempt(id membership.InstanceID, r TaskRun) *attempt {
+	n := e.workers[id]
+	if n == nil {
+		return nil
+	}
+	a := n.runs[r.Task]
+	if a == nil || a.run != r.Run {
+		return nil
+	}
+	return a
+}
+
+// Started takes over the answer to a start command.
+func (e *Engine) Started(now time.Time, id membership.InstanceID, r TaskRun, result StartResult, clock time.Duration) {
+	a := e.findAttempt(id, r)
+	if a == nil || a.phase != sending {
+		return
+	}
+	e.count("Start." + string(result))
+	e.record(now, Decision{Event: "TaskStart", Task: r, Worker: id, Reason: string(result), Age: now.Sub(a.sentAt)})
+	switch result {
+	case StartAccepted:
+		a.phase, a.since = running, clock
+		a.task.step.job.began = true
+	case StartUnanswered:
+		a.phase = inDoubt
+	default:
+		e.startRefused(now, a, result)
+		return
+	}
+	if a.stopWanted {
+		e.stop(now, a, "no longer wanted")
+	}
+}
+
+const (
+	// noRoomPause lets the worker's next report show what takes its room.
+	noRoomPause = 400 * time.Millisecond
+	// unhealthyPause is how long a worker that refuses all starts is left alone.
+	unhealthyPause = 2 * time.Second
+	// invalidPause keeps a command that a worker can't read from being repeated at once.
+	invalidPause = time.Second
+)
+
+// startRefused frees the capacity of a run that was not started.
+func (e *Engine) startRefused(now time.Time, a *attempt, result StartResult) {
+	e.release(a)
+	switch result {
+	case StartNoRoom:
+		a.node.avoidUntil = now.Add(noRoomPause)
+	case StartUnhealthy, StartRestarted:
+		a.node.avoidUntil = now.Add(unhealthyPause)
+	case StartInvalid:
+		a.task.notBefore = now.Add(invalidPause)
+	case StartNoTicket:
+		e.dropTicket(a.task.step.id, a.node)
+	}
+}
--- /dev/null
+++ b/internal/decision/dispatch/schedule.go
@@ -0,0 +1,253 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// lateFactor times the objective is the age at which a job earns nothing more.
+	lateFactor = 3
+	// maxStartsPerTick bounds the starts that are decided at once, so that reports
+	// are read in between.
+	maxStartsPerTick = 128
+)
+
+// urgency orders steps; lower values come first.
+type urgency int
+
+const (
+	// inTime jobs can still meet their objective.
+	inTime urgency = iota
+	// late jobs can't, but are still worth something.
+	late
+	// overdue jobs are worth nothing; they are finished with what is left over.
+	overdue
+)
+
+// Tick notes the passing of time and starts what can start.
+func (e *Engine) Tick(now time.Time) {
+	e.endRecovery(now)
+	e.dropSilentWorkers(now)
+	e.repeatStops(now)
+	e.forgetFinished(now)
+	e.startTasks(now)
+	e.controlHarm(now)
+}
+
+func (e *Engine) endRecovery(now time.Time) {
+	if !e.recovering {
+		return
+	}
+	if now.Before(e.recoveryEnds) {
+		for _, n := range e.fleet {
+			if !n.heard {
+				return
+			}
+		}
+	}
+	e.recovering = false
+	e.record(now, Decision{Event: "RecoveryEnded"})
+}
+
+// dropSilentWorkers gives up the runs whose leases have ended, and forgets workers
+// that are neither listed nor running anything.
+func (e *Engine) dropSilentWorkers(now time.Time) {
+	e.fleet = slices.DeleteFunc(e.fleet, func(n *node) bool {
+		if n.misses > 0 && n.heard && len(n.runs) > 0 && now.After(n.lapsesAt()) {
+			e.loseRuns(now, n, "lease ended")
+		}
+		if n.listed || len(n.runs) > 0 || now.Sub(n.unlistedAt) < heardWithin {
+			return false
+		}
+		if n.misses == 0 && now.Sub(n.heardAt) < heardWithin {
+			return false
+		}
+		delete(e.workers, n.ID)
+		e.record(now, Decision{Event: "WorkerForgotten", Worker: n.ID})
+		return true
+	})
+}
+
+func (e *Engine) repeatStops(now time.Time) {
+	for _, n := range e.fleet {
+		for _, a := range n.runs {
+			if a.phase == stopping && now.Sub(a.stopSent) >= stopRepeat {
+				e.sendStop(now, a)
+			}
+		}
+	}
+}
+
+func (e *Engine) forgetFinished(now time.Time) {
+	for id, done := range e.finished {
+		if now.Sub(done.at) > forgetFinished {
+			delete(e.finished, id)
+		}
+	}
+}
+
+// candidate is a step with tasks that may start.
+type candidate struct {
+	step    *step
+	urgency urgency
+}
+
+func (e *Engine) startTasks(now time.Time) {
+	candidates := e.candidates(now)
+	left := maxStartsPerTick
+	for _, c := range candidates {
+		if left <= 0 {
+			return
+		}
+		left -= e.startStep(now, c.step, left)
+	}
+}
+
+// candidates returns the steps with waiting tasks in the order in which they may start.
+func (e *Engine) candidates(now time.Time) []candidate {
+	var list []candidate
+	for _, j := range e.jobs {
+		if j.ending != "" || j.cancelled || (j.recovered && e.recovering) {
+			continue
+		}
+		u := j.urgency(now)
+		for k, steps := range j.occurrences {
+			if now.Before(j.Due(k)) {
+				continue
+			}
+			for _, s := range steps {
+				if s.left > 0 && s.hasWaiting(now) && s.ready() {
+					list = append(list, candidate{s, u})
+				}
+			}
+		}
+	}
+	slices.SortFunc(list, compareCandidates)
+	return list
+}
+
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.urgency, b.urgency),
+		cmp.Compare(a.step.job.queue.Priority, b.step.job.queue.Priority),
+		a.step.job.deadline().Compare(b.step.job.deadline()),
+		cmp.Compare(a.step.id.Job, b.step.id.Job),
+		cmp.Compare(a.step.id.Occurrence, b.step.id.Occurrence),
+		cmp.Compare(a.step.id.Step, b.step.id.Step),
+	)
+}
+
+// urgency tells what a job is still worth.
+func (j *job) urgency(now time.Time) urgency {
+	if j.Steps[0].LongRunning || j.Repetitions > 0 {
+		return inTime
+	}
+	age := now.Sub(j.Accepted)
+	switch {
+	case age <= j.objective:
+		return inTime
+	case age <= lateFactor*j.objective:
+		return late
+	default:
+		return overdue
+	}
+}
+
+func (s *step) hasWaiting(now time.Time) bool {
+	for _, t := range s.tasks {
+		if t.isWaiting(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// startStep starts waiting tasks of a step, at most limit, and returns their number.
+func (e *Engine) startStep(now time.Time, s *step, limit int) int {
+	if s.Gang {
+		return e.startGang(now, s)
+	}
+	started := 0
+	for _, t := range s.tasks {
+		if started >= limit {
+			break
+		}
+		if !t.isWaiting(now) {
+			continue
+		}
+		n := e.choose(now, t)
+		if n == nil {
+			break
+		}
+		e.start(now, t, n, e.nextRun(t))
+		started++
+	}
+	return started
+}
+
+// startGang starts all tasks of a step together, or none.
+func (e *Engine) startGang(now time.Time, s *step) int {
+	run := Run(0)
+	for _, t := range s.tasks {
+		if !t.isWaiting(now) {
+			return 0
+		}
+		run = max(run, e.nextRun(t))
+	}
+	saved := Checkpoint("")
+	for _, t := range s.tasks {
+		if t.checkpoint != "" {
+			saved = t.checkpoint
+		}
+	}
+	var placed []*attempt
+	for _, t := range s.tasks {
+		n := e.choose(now, t)
+		if n == nil {
+			for _, a := range placed {
+				a.node.remove(a)
+			}
+			s.rack = ""
+			return 0
+		}
+		t.checkpoint = saved
+		a := newAttempt(t, run, n, now)
+		n.add(a)
+		placed = append(placed, a)
+		if s.OneRack && s.rack == "" {
+			s.rack = rackOf(n)
+		}
+	}
+	s.rack = ""
+	for _, a := range placed {
+		e.sendStart(now, a)
+	}
+	return len(placed)
+}
+
+// runsPerEpoch separates the runs of successive owners, so that a new owner never
+// repeats the number of a run that it doesn't know.
+const runsPerEpoch = 1000
+
+// nextRun returns the number of the task's next start.
+func (e *Engine) nextRun(t *task) Run {
+	return max(t.run, Run(e.options.Epoch-1)*runsPerEpoch) + 1
+}
+
+func (e *Engine) start(now time.Time, t *task, n *node, run Run) {
+	a := newAttempt(t, run, n, now)
+	n.add(a)
+	e.sendStart(now, a)
+}
+
+func (e *Engine) sendStart(now time.Time, a *attempt) {
+	n, t := a.node, a.task
+	e.commands = append(e.commands, Command{
+		Worker: n.ID, Address: n.Address, TaskRun: TaskRun{t.id, a.run},
+		Start: &Start{Spec: t.step.job.Spec, Checkpoint: t.checkpoint, Ticket: e.ticket(t.step, n)},
+		Lease: n.renewal(now, e.options.LeaseTerm),
+	})
+	e.count("Task.Starts")
+}
--- /dev/null
+++ b/internal/entry/dispatcher/node.go
@@ -0,0 +1,148 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
+)
+
+const (
+	// watchTime bounds one wait for changes at the store.
+	watchTime = 5 * time.Second
+	// operatorPause is the least time between two looks at the operator's rows.
+	operatorPause = 50 * time.Millisecond
+	// peerMemory is how long an instance that doesn't call any more is remembered.
+	peerMemory = 10 * time.Second
+)
+
+// Node is the dispatcher of one entry instance.
+type Node struct {
+	Options
+	config atomic.Pointer[queue.Configuration]
+	store  guardedStore
+	// owned is the shard while this instance owns it, else nil.
+	owned    atomic.Pointer[owner]
+	draining atomic.Bool
+	group    *errgroup.Group
+
+	lock    sync.Mutex
+	view    view
+	peers   map[membership.InstanceID]knownPeer
+	pending map[dispatch.QueueName]pendingCount
+}
+
+type knownPeer struct {
+	peer
+	seen time.Time
+}
+
+type pendingCount struct {
+	jobs int
+	at   time.Time
+}
+
+// New returns a Node. Register and Run make it work.
+func New(options Options) *Node {
+	n := &Node{
+		Options: options,
+		peers:   map[membership.InstanceID]knownPeer{},
+		pending: map[dispatch.QueueName]pendingCount{},
+	}
+	n.store = guardedStore{Store: options.Store, clock: options.Clock, counters: options.Counters, log: options.Log}
+	return n
+}
+
+// Register adds the methods that peers call to a server.
+func (n *Node) Register(server *entry.Server) {
+	entry.Handle(server, helloMethod, n.answerHello)
+	entry.Handle(server, submittedMethod, n.answerSubmitted)
+	entry.Handle(server, cancelledMethod, n.answerCancelled)
+	entry.Handle(server, stateMethod, n.answerState)
+	entry.Handle(server, pendingMethod, n.answerPending)
+	entry.Handle(server, relaySubmit, n.answerRelaySubmit)
+	entry.Handle(server, relayCancel, n.answerRelayCancel)
+}
+
+// Run follows the configuration and the owner of the shard, and owns it when
+// that is this instance's turn, until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	n.lock.Lock()
+	n.group = group
+	n.lock.Unlock()
+	group.Go(func() error { return n.mirrorOperator().Run(ctx) })
+	group.Go(func() error { return n.follow(ctx) })
+	return group.Wait()
+}
+
+// Ready reports whether callers can be served.
+func (n *Node) Ready() bool {
+	return n.config.Load() != nil && !n.draining.Load()
+}
+
+// Drain makes the instance unready, so that the balancer leads callers elsewhere.
+func (n *Node) Drain() {
+	n.draining.Store(true)
+	if o := n.owned.Load(); o != nil {
+		o.releaseShard()
+	}
+}
+
+// Configuration returns the configuration in force, nil if none is known.
+func (n *Node) Configuration() *queue.Configuration {
+	return n.config.Load()
+}
+
+func (n *Node) mirrorOperator() *table.Mirror {
+	return &table.Mirror{
+		Watcher: &n.store, Prefix: n.Catalog.OperatorPrefix(), Clock: n.Clock,
+		Wait: watchTime, Pause: operatorPause,
+		Apply:  n.applyOperator,
+		Failed: func(error) { n.Counters.Add("Configuration.WatchFailed", 1) },
+	}
+}
+
+// applyOperator puts a configuration in force unless it is older than the one known.
+func (n *Node) applyOperator(rows map[table.Key]table.Row) {
+	c, err := n.Catalog.Operator(rows)
+	if err != nil {
+		n.Counters.Add("Configuration.RowsLeftOut", 1)
+		n.Log.Warn().Err(err).Msg("left out rows of the operator")
+	}
+	known := n.config.Load()
+	if known != nil && c.Version < known.Version {
+		kept := *known
+		kept.ZonesOut = c.ZonesOut
+		c = kept
+	}
+	if known == nil && c.Version == 0 {
+		return
+	}
+	if known == nil || known.Version != c.Version || len(known.ZonesOut) != len(c.ZonesOut) {
+		n.Log.Info().Int64("Version", int64(c.Version)).Int("Routes", len(c.Routes)).
+			Interface("ZonesOut", c.ZonesOut).Msg("configuration in force")
+	}
+	n.config.Store(&c)
+	if o := n.owned.Load(); o != nil {
+		o.configure(&c)
+	}
+}
+
+// background runs f in the node's group, if the node runs.
+func (n *Node) background(f func() error) {
+	n.lock.Lock()
+	group := n.group
+	n.lock.Unlock()
+	if group != nil {
+		group.Go(f)
+	}
+}
--- /dev/null
+++ b/internal/entry/dispatcher/owner.go
@@ -0,0 +1,299 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
+)
+
+const (
+	// decideInterval is the longest time between two runs of the engine.
+	decideInterval = 50 * time.Millisecond
+	// decidePause lets reports that arrive together be decided on together.
+	decidePause = 4 * time.Millisecond
+	// workersPause is the least time between two looks at the list of workers.
+	workersPause = 300 * time.Millisecond
+	// jobsPause is the least time between two looks at the accepted jobs. The
+	// instances also tell of them at once.
+	jobsPause = 400 * time.Millisecond
+	// storeLostAfter is the time without a stored transaction after which the owner
+	// says that it can't reach the store.
+	storeLostAfter = 1200 * time.Millisecond
+)
+
+var (
+	errSuperseded = errors.New("dispatcher: superseded by another owner")
+	errReleased   = errors.New("dispatcher: the shard was released")
+)
+
+// owner runs the shard while this instance owns it.
+type owner struct {
+	node   *Node
+	epoch  dispatch.Epoch
+	ctx    context.Context
+	cancel context.CancelFunc
+	kicked chan struct{}
+	dirty  chan struct{}
+	group  *errgroup.Group
+
+	lock   sync.Mutex
+	engine *dispatch.Engine
+	// loaded reports that the stored jobs are in the engine.
+	loaded  bool
+	polled  map[membership.InstanceID]bool
+	row     ownerRow
+	version table.Version
+	stored  time.Time
+	why     string
+	release atomic.Bool
+}
+
+func newOwner(n *Node, row ownerRow, version table.Version, cancel context.CancelFunc) *owner {
+	o := &owner{
+		node: n, epoch: row.Epoch, cancel: cancel, row: row, version: version, stored: n.Clock.Now(),
+		kicked: make(chan struct{}, 1),
+		dirty:  make(chan struct{}, 1),
+		polled: map[membership.InstanceID]bool{},
+	}
+	o.engine = dispatch.New(dispatch.Options{
+		Epoch: row.Epoch, LeaseTerm: n.LeaseTerm, RemoteFactor: n.RemoteFactor, MaxHarm: n.MaxHarm,
+		Counters: n.Counters, Recorder: o,
+	})
+	return o
+}
+
+// run recovers the jobs and dispatches them until ctx ends or the shard is lost.
+func (o *owner) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	o.group, o.ctx = group, ctx
+	if c := o.node.config.Load(); c != nil {
+		o.configure(c)
+	}
+	jobs, err := o.recoverJobs(ctx)
+	if err != nil {
+		return fmt.Errorf("recover jobs: %w", err)
+	}
+	group.Go(func() error { return o.mirrorWorkers().Run(ctx) })
+	group.Go(func() error { return jobs.Run(ctx) })
+	group.Go(func() error { return o.mirrorCancels().Run(ctx) })
+	group.Go(func() error { return o.decide(ctx) })
+	group.Go(func() error { return o.write(ctx) })
+	return group.Wait()
+}
+
+// RecordDecision logs a decision of the engine.
+func (o *owner) RecordDecision(_ time.Time, d dispatch.Decision) {
+	line := o.node.Log.Info().Str("Event", d.Event).Int64("Epoch", int64(o.epoch))
+	if d.Job != "" {
+		line = line.Str("Job", string(d.Job))
+	}
+	if d.Task.Task.Job != "" {
+		line = line.Str("Task", d.Task.Task.String()).Int64("Run", int64(d.Task.Run))
+	}
+	if d.Worker != "" {
+		line = line.Str("Worker", string(d.Worker))
+	}
+	if d.Reason != "" {
+		line = line.Str("Reason", d.Reason)
+	}
+	if d.Age > 0 {
+		line = line.Dur("Age", d.Age)
+	}
+	line.Send()
+}
+
+// with runs f with the engine and then lets it decide.
+func (o *owner) with(f func(now time.Time, e *dispatch.Engine)) {
+	o.lock.Lock()
+	f(o.node.Clock.Now(), o.engine)
+	o.lock.Unlock()
+	o.kick()
+}
+
+func (o *owner) kick() {
+	select {
+	case o.kicked <- struct{}{}:
+	default:
+	}
+}
+
+func (o *owner) configure(c *queue.Configuration) {
+	o.with(func(_ time.Time, e *dispatch.Engine) {
+		e.SetQueues(c.Queues)
+		e.SetZonesOut(c.ZonesOut)
+	})
+}
+
+// recoverJobs loads the stored jobs and returns the mirror that follows them.
+func (o *owner) recoverJobs(ctx context.Context) (*table.Mirror, error) {
+	store := &o.node.store
+	cancels, _, err := store.Snapshot(ctx, cancelPrefix)
+	if err != nil {
+		return nil, err
+	}
+	progress, _, err := store.Snapshot(ctx, progressPrefix)
+	if err != nil {
+		return nil, err
+	}
+	stored := make(map[dispatch.JobID]dispatch.Progress, len(progress))
+	for _, row := range progress {
+		p, err := decode[dispatch.Progress](row)
+		if err != nil {
+			return nil, err
+		}
+		stored[jobOf(row.Key, progressPrefix)] = p
+	}
+	recovered := false
+	mirror := &table.Mirror{
+		Watcher: store, Prefix: jobPrefix, Clock: o.node.Clock, Wait: watchTime, Pause: jobsPause,
+		Failed: func(error) { o.node.Counters.Add("Jobs.WatchFailed", 1) },
+	}
+	mirror.Apply = func(rows map[table.Key]table.Row) {
+		o.applyJobs(rows, stored, !recovered)
+		recovered = true
+	}
+	if err := mirror.Load(ctx); err != nil {
+		return nil, err
+	}
+	o.applyCancels(keysOf(cancels))
+	o.lock.Lock()
+	o.loaded = true
+	if o.epoch > 1 {
+		o.engine.Recover(o.node.Clock.Now())
+	}
+	o.lock.Unlock()
+	return mirror, nil
+}
+
+// applyJobs adds the jobs that the engine doesn't know yet.
+func (o *owner) applyJobs(rows map[table.Key]table.Row, stored map[dispatch.JobID]dispatch.Progress, recovered bool) {
+	o.with(func(now time.Time, e *dispatch.Engine) {
+		for key, row := range rows {
+			id := jobOf(key, jobPrefix)
+			if e.Knows(id) {
+				continue
+			}
+			content, err := decode[jobRow](row)
+			if err != nil {
+				o.node.Log.Error().Err(err).Msg("unreadable job row")
+				o.node.Counters.Add("Jobs.RowsUnreadable", 1)
+				continue
+			}
+			if content.Job != nil && content.Outcome == "" {
+				e.AddJob(now, *content.Job, stored[id], recovered)
+			}
+		}
+	})
+}
+
+func keysOf(rows []table.Row) map[table.Key]table.Row {
+	byKey := make(map[table.Key]table.Row, len(rows))
+	for _, r := range rows {
+		byKey[r.Key] = r
+	}
+	return byKey
+}
+
+func (o *owner) applyCancels(rows map[table.Key]table.Row) {
+	o.with(func(now time.Time, e *dispatch.Engine) {
+		for key := range rows {
+			e.Cancel(now, jobOf(key, cancelPrefix))
+		}
+	})
+}
+
+func (o *owner) mirrorCancels() *table.Mirror {
+	return &table.Mirror{
+		Watcher: &o.node.store, Prefix: cancelPrefix, Clock: o.node.Clock, Wait: watchTime, Pause: jobsPause,
+		Apply:  o.applyCancels,
+		Failed: func(error) { o.node.Counters.Add("Cancels.WatchFailed", 1) },
+	}
+}
+
+func (o *owner) mirrorWorkers() *table.Mirror {
+	return &table.Mirror{
+		Watcher: &o.node.store, Prefix: o.node.Catalog.WorkersPrefix(), Clock: o.node.Clock,
+		Wait: watchTime, Pause: workersPause,
+		Apply:  o.applyWorkers,
+		Failed: func(error) { o.node.Counters.Add("Workers.WatchFailed", 1) },
+	}
+}
+
+func (o *owner) applyWorkers(rows map[table.Key]table.Row) {
+	list, err := o.node.Catalog.Workers(rows)
+	if err != nil {
+		o.node.Counters.Add("Workers.RowsLeftOut", 1)
+	}
+	var ids []membership.InstanceID
+	o.with(func(now time.Time, e *dispatch.Engine) {
+		e.SetWorkers(now, list)
+		for _, id := range e.Workers() {
+			if !o.polled[id] {
+				o.polled[id] = true
+				ids = append(ids, id)
+			}
+		}
+	})
+	for _, id := range ids {
+		o.group.Go(func() error { return o.pollWorker(id) })
+	}
+}
+
+// currentRow returns the owner's row as it was last written.
+func (o *owner) currentRow() ownerRow {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	row := o.row
+	row.Released = row.Released || o.release.Load()
+	return row
+}
+
+func (o *owner) storeLost() bool {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	return o.node.Clock.Now().Sub(o.stored) > storeLostAfter
+}
+
+// load returns what callers should be told.
+func (o *owner) load() load {
+	return load{}
+}
+
+// supersede ends the ownership, which another instance has taken over.
+func (o *owner) supersede(why string) {
+	o.note(why)
+	o.node.Counters.Add("Owner.Superseded", 1)
+	o.cancel()
+}
+
+// note keeps the first reason for the end of the ownership.
+func (o *owner) note(why string) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	if o.why == "" {
+		o.why = why
+	}
+}
+
+func (o *owner) reason() string {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	return o.why
+}
+
+// releaseShard gives the shard back with the next transaction.
+func (o *owner) releaseShard() {
+	o.note("released")
+	o.release.Store(true)
+	o.wake()
+}
--- /dev/null
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -0,0 +1,155 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+const (
+	// commandTimeout bounds a start, stop or pace command.
+	commandTimeout = 700 * time.Millisecond
+	// pollTimeout bounds a poll beyond the time that the worker may wait.
+	pollTimeout = 700 * time.Millisecond
+	// pollPause is the least time between two polls of a worker.
+	pollPause = 15 * time.Millisecond
+	// unstoredPause is the same while the worker repeats ends that aren't stored.
+	unstoredPause = 40 * time.Millisecond
+	// storeLostPause is the same while the store is away.
+	storeLostPause = 200 * time.Millisecond
+	// silentPause is the time between polls of a worker that doesn't answer.
+	silentPause = 200 * time.Millisecond
+)
+
+// decide runs the engine after each event, and at least every decideInterval.
+func (o *owner) decide(ctx context.Context) error {
+	ticker := o.node.Clock.NewTicker(decideInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-o.kicked:
+		case <-ticker.Chan():
+		}
+		if o.release.Load() {
+			continue
+		}
+		o.lock.Lock()
+		o.engine.Tick(o.node.Clock.Now())
+		commands := o.engine.TakeCommands()
+		unstored := o.engine.Unstored()
+		o.lock.Unlock()
+		if unstored {
+			o.wake()
+		}
+		for _, c := range commands {
+			o.group.Go(func() error { return o.send(ctx, c) })
+		}
+		select {
+		case <-ctx.Done():
+		case <-o.node.Clock.After(decidePause):
+		}
+	}
+}
+
+// send carries out a command and tells the engine what came of it.
+func (o *owner) send(ctx context.Context, c dispatch.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	switch {
+	case c.Start != nil:
+		result, clock := o.node.Workers.Start(ctx, o.epoch, c)
+		o.with(func(now time.Time, e *dispatch.Engine) { e.Started(now, c.Worker, c.TaskRun, result, clock) })
+		if result == dispatch.StartFenced {
+			o.supersede("a worker has seen a higher epoch")
+			return errSuperseded
+		}
+	case c.Stop:
+		clock, err := o.node.Workers.Stop(ctx, o.epoch, c)
+		if err == nil {
+			o.with(func(_ time.Time, e *dispatch.Engine) { e.Stopped(c.Worker, c.TaskRun, clock) })
+		}
+		return o.checkFenced(err, "Stop")
+	case c.Pace != nil:
+		err := o.node.Workers.Pace(ctx, o.epoch, c)
+		if err == nil {
+			o.with(func(_ time.Time, e *dispatch.Engine) { e.Paced(c.Worker, c.TaskRun, *c.Pace) })
+		}
+		return o.checkFenced(err, "Pace")
+	}
+	return nil
+}
+
+// checkFenced counts a failed command and ends the ownership if it was fenced.
+func (o *owner) checkFenced(err error, command string) error {
+	if err == nil || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	o.node.Counters.Add("Command."+command+"Failed", 1)
+	if errors.Is(err, ErrFenced) {
+		o.supersede("a worker has seen a higher epoch")
+		return errSuperseded
+	}
+	return nil
+}
+
+// pollWorker polls a worker until the engine has forgotten it.
+func (o *owner) pollWorker(id membership.InstanceID) error {
+	for {
+		o.lock.Lock()
+		p, known := o.engine.Poll(o.node.Clock.Now(), id)
+		if !known {
+			delete(o.polled, id)
+		}
+		o.lock.Unlock()
+		if !known {
+			return nil
+		}
+		pause, err := o.pollOnce(id, p)
+		if err != nil {
+			return err
+		}
+		if !o.sleep(pause) {
+			return nil
+		}
+	}
+}
+
+// pollOnce polls a worker and returns the time until the next poll.
+func (o *owner) pollOnce(id membership.InstanceID, p dispatch.Poll) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(o.ctx, p.Wait+pollTimeout)
+	defer cancel()
+	report, err := o.node.Workers.Poll(ctx, o.epoch, id, p)
+	if err != nil {
+		if fenced := o.checkFenced(err, "Poll"); fenced != nil {
+			return 0, fenced
+		}
+		o.with(func(now time.Time, e *dispatch.Engine) { e.PollFailed(now, id) })
+		return silentPause, nil
+	}
+	pause := pollPause
+	o.with(func(now time.Time, e *dispatch.Engine) {
+		e.Observe(now, id, report)
+		if e.AwaitsStore(id) {
+			pause = unstoredPause
+		}
+	})
+	if lost, _ := o.node.store.lostFor(); lost > 0 && pause == unstoredPause {
+		pause = storeLostPause
+	}
+	return pause, nil
+}
+
+// sleep waits and reports whether the owner still runs.
+func (o *owner) sleep(d time.Duration) bool {
+	select {
+	case <-o.ctx.Done():
+		return false
+	case <-o.node.Clock.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/entry/dispatcher/owner_store.go
@@ -0,0 +1,144 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
+)
+
+const (
+	// beatInterval is the longest time between two transactions of the owner.
+	beatInterval = 400 * time.Millisecond
+	// groupPause collects the updates of a transaction.
+	groupPause = 15 * time.Millisecond
+	// maxUpdates bounds the jobs of a transaction: each takes up to three of the 100
+	// entries that the store allows.
+	maxUpdates = 30
+	// storeRetryPause is the time before a failed transaction is sent again.
+	storeRetryPause = 150 * time.Millisecond
+)
+
+// wake lets the writer store what is new.
+func (o *owner) wake() {
+	select {
+	case o.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// write stores what the engine learns, and beats when there is nothing new.
+func (o *owner) write(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-o.dirty:
+			if !o.sleep(groupPause) {
+				return ctx.Err()
+			}
+		case <-o.node.Clock.After(beatInterval):
+		}
+		if err := o.writeBatch(ctx); err != nil {
+			return err
+		}
+		if o.release.Load() {
+			o.cancel()
+			return errReleased
+		}
+	}
+}
+
+func (o *owner) writeBatch(ctx context.Context) error {
+	o.lock.Lock()
+	batch := o.engine.TakeBatch(maxUpdates)
+	next := o.row
+	next.Sequence++
+	next.Released = o.release.Load()
+	version := o.version
+	o.lock.Unlock()
+	tx := table.Transaction{
+		Conditions: []table.Condition{{Key: ownerKey, Version: version}},
+		Writes:     append(writesOf(batch, o.node.Clock.Now()), table.Write{Key: ownerKey, Value: encode(next)}),
+	}
+	written, err := o.commit(ctx, tx, next)
+	if err != nil {
+		return err
+	}
+	o.lock.Lock()
+	now := o.node.Clock.Now()
+	o.row, o.version, o.stored = next, written, now
+	o.engine.Stored(now, batch)
+	more := o.engine.Unstored()
+	o.lock.Unlock()
+	if more {
+		o.wake()
+	}
+	o.kick()
+	return nil
+}
+
+// writesOf returns the rows that a batch changes.
+func writesOf(b dispatch.Batch, now time.Time) []table.Write {
+	var writes []table.Write
+	for _, u := range b.Updates {
+		if u.Outcome == "" {
+			writes = append(writes, table.Write{Key: progressKey(u.ID), Value: encode(u.Progress)})
+			continue
+		}
+		writes = append(writes,
+			table.Write{Key: jobKey(u.ID), Value: encode(jobRow{Outcome: u.Outcome, Ended: now.UTC()})},
+			table.Write{Key: progressKey(u.ID), Delete: true})
+		if u.Outcome == dispatch.Cancelled {
+			writes = append(writes, table.Write{Key: cancelKey(u.ID), Delete: true})
+		}
+	}
+	return writes
+}
+
+// commit applies a transaction, and sends the same again until its outcome is known.
+func (o *owner) commit(ctx context.Context, tx table.Transaction, next ownerRow) (table.Version, error) {
+	for {
+		version, err := o.node.commit(ctx, tx)
+		if err == nil {
+			return version, nil
+		}
+		if ctx.Err() != nil {
+			return 0, ctx.Err()
+		}
+		if errors.Is(err, table.ErrConflict) {
+			version, err = o.resolveConflict(ctx, next)
+			if err == nil || errors.Is(err, errSuperseded) {
+				return version, err
+			}
+		}
+		if errors.Is(err, table.ErrInvalid) {
+			o.node.Log.Error().Err(err).Msg("the store refuses a transaction")
+		}
+		o.node.Counters.Add("Store.CommitRetries", 1)
+		if !o.sleep(storeRetryPause) {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+// resolveConflict finds out whether an earlier try of the transaction took effect,
+// or another owner has taken over.
+func (o *owner) resolveConflict(ctx context.Context, next ownerRow) (table.Version, error) {
+	row, err := o.node.read(ctx, ownerKey)
+	if err != nil {
+		return 0, err
+	}
+	stored, err := decode[ownerRow](row)
+	if err != nil {
+		return 0, err
+	}
+	if stored == next {
+		return row.Version, nil
+	}
+	o.supersede(fmt.Sprintf("the owner row names %s at epoch %d", stored.Node, stored.Epoch))
+	return 0, errSuperseded
+}
--- /dev/null
+++ b/internal/entry/dispatcher/store.go
@@ -0,0 +1,97 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/counter"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
+)
+
+// guardedStore counts the calls to the store and remembers whether it answers.
+type guardedStore struct {
+	Store
+	clock    clockwork.Clock
+	counters *counter.Set
+	log      zerolog.Logger
+
+	lock sync.Mutex
+	// failures counts the calls without an answer since the last answer.
+	failures int
+	// lostAt is when the store was found lost; zero while it answers.
+	lostAt time.Time
+}
+
+// lostAfter failures in a row, the store counts as lost. A single lost answer says
+// little.
+const lostAfter = 2
+
+// Read returns a row.
+func (s *guardedStore) Read(ctx context.Context, key table.Key) (table.Row, error) {
+	row, err := s.Store.Read(ctx, key)
+	s.note("Read", err)
+	return row, err
+}
+
+// Commit applies a transaction.
+func (s *guardedStore) Commit(ctx context.Context, tx table.Transaction) (table.Version, error) {
+	version, err := s.Store.Commit(ctx, tx)
+	s.note("Commit", err)
+	return version, err
+}
+
+// Snapshot returns all rows under a prefix.
+func (s *guardedStore) Snapshot(ctx context.Context, prefix table.Key) ([]table.Row, table.Version, error) {
+	rows, version, err := s.Store.Snapshot(ctx, prefix)
+	s.note("Snapshot", err)
+	return rows, version, err
+}
+
+// Watch returns the changes under a prefix.
+func (s *guardedStore) Watch(ctx context.Context, prefix table.Key, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
+	changes, version, err := s.Store.Watch(ctx, prefix, after, wait)
+	s.note("Watch", err)
+	return changes, version, err
+}
+
+func (s *guardedStore) note(call string, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	s.counters.Add("Store."+call, 1)
+	lost := errors.Is(err, table.ErrUnavailable) || errors.Is(err, table.ErrOutcomeUnknown)
+	if lost {
+		s.counters.Add("Store."+call+"Failed", 1)
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	now := s.clock.Now()
+	if lost {
+		s.failures++
+		if s.failures == lostAfter {
+			s.lostAt = now
+			s.log.Warn().Err(err).Str("Call", call).Msg("store lost")
+		}
+		return
+	}
+	if s.failures >= lostAfter {
+		s.log.Info().Dur("After", now.Sub(s.lostAt)).Msg("store regained")
+	}
+	s.failures, s.lostAt = 0, time.Time{}
+}
+
+// lostFor returns how long the store has not answered, and whether it is lost. The
+// mirror of the operator's rows goes on calling it and notices when it is back.
+func (s *guardedStore) lostFor() (time.Duration, bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.lostAt.IsZero() {
+		return 0, false
+	}
+	return s.clock.Now().Sub(s.lostAt), true
+}
