Weigh workers by the filler images that only they take

A filler pays for a worker by the demand that only such workers can serve, and the demand that a serving task drives away counts by its scarcity. Test "Scarce workers are left to the fillers that run nowhere else".

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -493,6 +493,36 @@
 	})
 })
 
+var _ = Describe("Scarce workers", func() {
+	// Replays quiet-1 of a site: two filler images that stand only beside two of five
+	// serving images waited, because fillers that run anywhere took those workers.
+	It("are left to the fillers that run nowhere else", func() {
+		b := newBench(1, 2)
+		b.workers["w1"].info.Capacity = cores(7)
+		b.list()
+		b.engine.RestoreEstimates(b.now, []interference.Estimate{
+			{Pair: interference.Pair{Service: "touchy", Class: "picky"}, Probability: 0.97},
+			{Pair: interference.Pair{Service: "calm", Class: "picky"}, Probability: 0.02},
+			{Pair: interference.Pair{Service: "touchy", Class: "any"}, Probability: 0.02},
+			{Pair: interference.Pair{Service: "calm", Class: "any"}, Probability: 0.02},
+		})
+		serving := func(image dispatch.Image) dispatch.Step {
+			return dispatch.Step{Tasks: 1, Resources: cores(2), LongRunning: true, Image: image, Target: 20 * time.Millisecond}
+		}
+		b.submit("touchy", serving("touchy"))
+		b.step(0)
+		b.submit("calm", serving("calm"))
+		b.step(0)
+		waiting := fillerStep(1, "picky")
+		waiting.After = []int{0}
+		b.submit("picky", tasks(1), waiting)
+		b.step(time.Second)
+		b.submit("any", fillerStep(1, "any"))
+		b.step(time.Second)
+		Expect(b.workersOf("any")).To(Equal(b.workersOf("touchy")))
+	})
+})
+
 var _ = Describe("Stragglers", func() {
 	// setUp runs three tasks on three workers.
 	setUp := func() *bench {
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -89,7 +89,8 @@
 	// movedAt is when a serving task was last moved.
 	movedAt time.Time
 	// demand is the share of each filler image in what jobs ask for.
-	demand map[Image]float64
+	demand   map[Image]float64
+	scarcity scarcity
 	// unplaceable has the shapes of tasks that found no worker in this tick.
 	unplaceable map[shape]resource.Vector
 }
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -105,6 +105,9 @@
 	health     health
 	slowness   slowness
 	harm       harmControl
+	// fillerValue is how much of the demand for fillers the worker can serve, weighed
+	// by scarcity; 1 at the mean.
+	fillerValue float64
 	// tail is the smoothed worst tail latency of the serving tasks, against the target.
 	tail float64
 }
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -21,6 +21,9 @@
 	// knownBelow is the probability of disturbing below which a pair counts as known to
 	// be harmless.
 	knownBelow = 0.1
+	// scarceCost times the value of a worker for fillers leads those that run on many
+	// workers away from the few that others need.
+	scarceCost = 0.25
 	// uncertainMixCost keeps fillers of two uncertain images apart, so that a slow
 	// serving task tells which one is the cause.
 	uncertainMixCost = 1.0
@@ -119,7 +122,7 @@
 	if harm > placeBelow || (harm > knownBelow && !e.mayTry(now, s, n)) {
 		return 0, false
 	}
-	cost += tailCost * max(n.tail-easyTail, 0)
+	cost += tailCost*max(n.tail-easyTail, 0) + scarceCost*n.fillerValue
 	if harm > knownBelow && e.hasUncertain(now, n, s.Image) {
 		cost += uncertainMixCost
 	}
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -24,6 +24,7 @@
 	e.forgetFinished(now)
 	e.emptyLeavingWorkers(now)
 	e.findStragglers(now)
+	e.countScarcity(now)
 	e.startTasks(now)
 	e.controlHarm(now)
 	e.consolidate(now)
--- a/internal/decision/dispatch/serving.go
+++ b/internal/decision/dispatch/serving.go
@@ -29,6 +29,8 @@
 	moveRest = 15 * time.Second
 	// demandWeight is the weight of a new job in the demand for a filler image.
 	demandWeight = 0.03
+	// minDemand is less than any demand.
+	minDemand = 1e-9
 )
 
 // learnDemand keeps the share of each filler image in the work that jobs ask for.
@@ -64,20 +66,17 @@
 	return true
 }
 
-// lostDemand returns the part of the filler demand that a worker takes only as long
-// as it has no task of the serving image.
+// lostDemand returns the part of the filler demand, weighed by its scarcity, that a
+// worker takes only as long as it has no task of the serving image: 0 to 1.
 func (e *Engine) lostDemand(now time.Time, n *node, serving Image) float64 {
 	lost, total := 0.0, 0.0
 	for filler, weight := range e.demand {
 		total += weight
 		if !e.isCompatible(now, serving, filler) && e.takes(now, n, filler, serving) {
-			lost += weight
+			lost += weight * e.scarcity.weight(filler)
 		}
 	}
-	if total == 0 {
-		return 0
-	}
-	return lost / total
+	return min(lost/max(total, minDemand), 1)
 }
 
 // servingCost adds what speaks against a serving task on a worker: the fillers that
