--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -253,6 +253,7 @@
 		q = j.Settings
 	}
 	added := newJob(j, q, recovered)
+	added.knownAt = now
 	e.learnWork(added)
 	e.learnDemand(added)
 	added.restore(stored)
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -9,6 +9,8 @@
 type job struct {
 	Job
 	queue Queue
+	// knownAt is when this owner learned of the job.
+	knownAt time.Time
 	// recovered jobs were accepted before this owner began.
 	recovered bool
 	// began reports that a task has started.
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -30,6 +30,8 @@
 // submission is a job that waits to be stored by the owner.
 type submission struct {
 	job dispatch.Job
+	// moved is the shard to which the job is given, nil if it stays.
+	moved *shardID
 	// done receives nil once the job is stored, or errNotTaken if it never will be.
 	done chan error
 }
@@ -38,10 +40,11 @@
 var errNotTaken = errors.New("dispatcher: the owner took no job")
 
 // submitWhenOwned passes a job to the owner, and waits for one if there is none.
-func (n *Node) submitWhenOwned(ctx context.Context, j dispatch.Job) error {
+func (s *shard) submitWhenOwned(ctx context.Context, j dispatch.Job) error {
+	n := s.node
 	deadline := n.Clock.Now().Add(ownerWait)
 	for {
-		err := n.submitToOwner(ctx, j)
+		err := s.submitToOwner(ctx, j)
 		_, lost := n.store.lostFor()
 		if !errors.Is(err, errNotTaken) || lost || n.Clock.Now().After(deadline) {
 			return err
@@ -58,17 +61,17 @@
 // submitToOwner lets the owner store a job with its next transaction: one writer
 // stores many jobs at once, which matters most while the store is slow. It fails
 // with errNotTaken, or queue.ErrOutcomeUnknown.
-func (n *Node) submitToOwner(ctx context.Context, j dispatch.Job) error {
+func (s *shard) submitToOwner(ctx context.Context, j dispatch.Job) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	if o := n.owned.Load(); o != nil {
+	if o := s.owned.Load(); o != nil {
 		return o.accept(ctx, j)
 	}
-	address, known := n.ownerAddress()
-	if !known || n.currentView().storeLost {
+	address, known := s.ownerAddress()
+	if !known || s.currentView().storeLost {
 		return errNotTaken
 	}
-	_, err := entry.Call[submittedRequest, emptyAnswer](ctx, n.Peers, address, acceptMethod, submittedRequest{j})
+	_, err := entry.Call[acceptRequest, emptyAnswer](ctx, s.node.Peers, address, acceptMethod, acceptRequest{s.id, j})
 	switch {
 	case err == nil:
 		return nil
@@ -80,8 +83,8 @@
 	}
 }
 
-func (n *Node) answerAccept(ctx context.Context, r submittedRequest) (emptyAnswer, error) {
-	o, err := n.owning()
+func (n *Node) answerAccept(ctx context.Context, r acceptRequest) (emptyAnswer, error) {
+	o, err := n.owning(r.Shard)
 	if err != nil {
 		return emptyAnswer{}, err
 	}
@@ -100,10 +103,13 @@
 	if _, lost := o.node.store.lostFor(); lost || o.release.Load() {
 		return errNotTaken
 	}
+	waiting := &submission{job: j, done: make(chan error, 1)}
+	if chosen := o.chooseShard(&j); chosen != o.shard.id {
+		waiting.moved = &chosen
+	}
 	o.lock.Lock()
-	known := o.engine.Knows(j.ID)
+	known := o.knows(j.ID)
 	full := !o.loaded || len(o.submissions) >= maxSubmissions
-	waiting := &submission{j, make(chan error, 1)}
 	if !known && !full {
 		o.submissions = append(o.submissions, waiting)
 	}
@@ -124,28 +130,37 @@
 	return queue.ErrOutcomeUnknown
 }
 
+// knows reports whether the job or its outcome is known. The lock must be held.
+func (o *owner) knows(id dispatch.JobID) bool {
+	return o.engine.Knows(id) || o.moved[id] != nil
+}
+
 // takeSubmissions returns jobs to store in the next transaction. One that has become
 // known since it was taken in is stored already, and may be over: writing it again would
-// replace its outcome. The lock must be held.
+// replace its outcome. A second one of the same job waits until the first is known, since
+// another shard may have been chosen for it. The lock must be held.
 func (o *owner) takeSubmissions() []*submission {
-	var taken []*submission
-	for len(o.submissions) > 0 && len(taken) < submissionsPerBatch {
-		next := o.submissions[0]
-		o.submissions = o.submissions[1:]
-		if o.engine.Knows(next.job.ID) {
+	var taken, left []*submission
+	for _, next := range o.submissions {
+		switch {
+		case o.knows(next.job.ID):
 			next.done <- nil
-			continue
+		case len(taken) == submissionsPerBatch || o.storing[next.job.ID]:
+			left = append(left, next)
+		default:
+			o.storing[next.job.ID] = true
+			taken = append(taken, next)
 		}
-		taken = append(taken, next)
 	}
+	o.submissions = left
 	return taken
 }
 
 // writesOfSubmissions returns the rows of new jobs.
-func writesOfSubmissions(list []*submission) []table.Write {
+func (o *owner) writesOfSubmissions(list []*submission) []table.Write {
 	writes := make([]table.Write, 0, len(list))
 	for _, s := range list {
-		writes = append(writes, table.Write{Key: jobKey(s.job.ID), Value: encode(jobRow{Job: &s.job})})
+		writes = append(writes, table.Write{Key: o.shard.part.jobKey(s.job.ID), Value: encode(jobRow{Job: &s.job, Moved: s.moved})})
 	}
 	return writes
 }
@@ -154,14 +169,42 @@
 // must be held.
 func (o *owner) enterSubmissions(now time.Time, list []*submission) {
 	for _, s := range list {
-		o.engine.AddJob(now, s.job, dispatch.Progress{}, false)
+		delete(o.storing, s.job.ID)
+		if s.moved != nil {
+			o.move(&s.job, s.job.ID, *s.moved, now)
+		} else {
+			o.enter(now, s.job, dispatch.Progress{}, false)
+		}
 		s.done <- nil
 	}
 }
 
-// dropSubmissions answers the callers of jobs that were certainly not stored.
-func dropSubmissions(list []*submission) {
+// dropSubmissions answers the callers of jobs that this owner certainly didn't store.
+// Other instances may have stored them meanwhile.
+func (o *owner) dropSubmissions(list []*submission) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
 	for _, s := range list {
+		delete(o.storing, s.job.ID)
 		s.done <- errNotTaken
+		o.group.Go(func() error { o.lookFor(s.job.ID); return nil })
+	}
+}
+
+// lookFor enters a job if another instance has stored it. The feed tells of it only
+// once, while it may have been about to be stored here.
+func (o *owner) lookFor(id dispatch.JobID) {
+	key := o.shard.part.jobKey(id)
+	for {
+		row, err := o.node.read(o.ctx, key)
+		if err == nil {
+			if row.Version != 0 {
+				o.applyJobs(map[table.Key]table.Row{key: row}, nil, false)
+			}
+			return
+		}
+		if !o.sleep(storeRetryPause) {
+			return
+		}
 	}
 }
--- a/internal/entry/dispatcher/accept_test.go
+++ b/internal/entry/dispatcher/accept_test.go
@@ -14,14 +14,32 @@
 // written over the outcome.
 var _ = Describe("takeSubmissions", func() {
 	It("leaves out jobs that have become known, as stored", func() {
-		o := &owner{engine: dispatch.New(dispatch.Options{Epoch: 1})}
+		o := &owner{engine: dispatch.New(dispatch.Options{Epoch: 1}), storing: map[dispatch.JobID]bool{}}
 		now := time.Date(2026, 1, 5, 4, 0, 0, 0, time.UTC)
 		o.engine.AddFinished(now, "known", dispatch.Cancelled)
-		known := &submission{dispatch.Job{ID: "known"}, make(chan error, 1)}
-		fresh := &submission{dispatch.Job{ID: "new"}, make(chan error, 1)}
+		known := &submission{job: dispatch.Job{ID: "known"}, done: make(chan error, 1)}
+		fresh := &submission{job: dispatch.Job{ID: "new"}, done: make(chan error, 1)}
 		o.submissions = []*submission{known, fresh}
 		Expect(o.takeSubmissions()).To(Equal([]*submission{fresh}))
 		Expect(known.done).To(Receive(BeNil()))
 		Expect(o.submissions).To(BeEmpty())
 	})
 })
+
+// Guards against two shards that run one job: each submission of it may choose another.
+var _ = Describe("A repeated submission", func() {
+	It("waits until the first is stored", func() {
+		o := &owner{engine: dispatch.New(dispatch.Options{Epoch: 1}), storing: map[dispatch.JobID]bool{}}
+		to := shardID(1)
+		first := &submission{job: dispatch.Job{ID: "j"}, moved: &to, done: make(chan error, 1)}
+		second := &submission{job: dispatch.Job{ID: "j"}, done: make(chan error, 1)}
+		o.submissions = []*submission{first, second}
+		Expect(o.takeSubmissions()).To(Equal([]*submission{first}))
+		Expect(o.takeSubmissions()).To(BeEmpty())
+		o.moved = map[dispatch.JobID]*movedJob{"j": {to: to}}
+		delete(o.storing, "j")
+		Expect(o.takeSubmissions()).To(BeEmpty())
+		Expect(second.done).To(Receive(BeNil()))
+		Expect(o.submissions).To(BeEmpty())
+	})
+})
--- a/internal/entry/dispatcher/authority.go
+++ b/internal/entry/dispatcher/authority.go
@@ -82,13 +82,13 @@
 	asked := o.node.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	answer, err := entry.Call[confirmRequest, confirmAnswer](ctx, o.node.Peers, p.Address, confirmMethod, confirmRequest{o.currentRow()})
+	answer, err := entry.Call[confirmRequest, confirmAnswer](ctx, o.node.Peers, p.Address, confirmMethod, confirmRequest{o.shard.id, o.currentRow()})
 	if err != nil {
 		o.node.Counters.Add("Owner.ConfirmFailed", 1)
 		return
 	}
 	if answer.Owner.Epoch > o.epoch {
-		o.node.hear(answer.Owner)
+		o.shard.hear(answer.Owner)
 		return
 	}
 	if answer.CanClaim {
@@ -101,24 +101,18 @@
 
 // answerConfirm tells an owner whether this instance could replace it.
 func (n *Node) answerConfirm(_ context.Context, r confirmRequest) (confirmAnswer, error) {
-	n.hear(r.Owner)
-	return confirmAnswer{Owner: n.currentView().owner, CanClaim: n.canClaim()}, nil
-}
-
-// hear takes over a newer owner.
-func (n *Node) hear(o ownerRow) {
-	n.lock.Lock()
-	defer n.lock.Unlock()
-	n.learnOwner(o)
+	s, err := n.shardByID(r.Shard)
+	if err != nil {
+		// An instance that doesn't know the shard can't claim it.
+		return confirmAnswer{CanClaim: n.canClaim()}, nil
+	}
+	s.hear(r.Owner)
+	return confirmAnswer{Owner: s.currentView().owner, CanClaim: n.canClaim()}, nil
 }
 
 // checkAuthority lets the engine rest while the owner may have been replaced.
 func (o *owner) checkAuthority(now time.Time) {
-	others := o.node.others()
-	names := make([]membership.InstanceID, len(others))
-	for i, p := range others {
-		names[i] = p.Name
-	}
+	names := o.node.otherNames()
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	may := o.authority.mayAct(now, names)
--- /dev/null
+++ b/internal/entry/dispatcher/cancel_test.go
@@ -0,0 +1,25 @@
+package dispatcher
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+)
+
+// Guards against a cancelled job that runs: its cancellation came by a call before the
+// job itself came by the feed, and nothing told of it again.
+var _ = Describe("A cancellation", func() {
+	It("holds for a job that becomes known later", func() {
+		now := time.Date(2026, 1, 5, 4, 0, 0, 0, time.UTC)
+		o := &owner{engine: dispatch.New(dispatch.Options{Epoch: 1}), early: map[dispatch.JobID]bool{}}
+		o.cancelJob(now, "j")
+		o.enter(now, dispatch.Job{ID: "j", Steps: []dispatch.Step{{Tasks: 1}}}, dispatch.Progress{}, false)
+		state, known := o.engine.State("j")
+		Expect(known).To(BeTrue())
+		Expect(state).To(Equal(dispatch.Cancelled))
+		Expect(o.early).To(BeEmpty())
+	})
+})
--- a/internal/entry/dispatcher/follow.go
+++ b/internal/entry/dispatcher/follow.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/balance"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
 )
 
@@ -29,71 +30,73 @@
 	storeTimeout = 1500 * time.Millisecond
 )
 
-// view is what an instance believes of the shard's owner.
+// view is what an instance believes of a shard's owner.
 type view struct {
 	owner ownerRow
 	// heard is when the owner last answered.
 	heard time.Time
 	// storeLost is what the owner last said of its access to the store.
 	storeLost bool
+	// load is what the owner last said of the shard.
+	load balance.Load
 	// row is the owner's row as last read, and readAt when it was first seen so.
 	row    table.Row
 	readAt time.Time
 }
 
 // follow calls the owner, and claims the shard when it has none.
-func (n *Node) follow(ctx context.Context) error {
-	ticker := n.Clock.NewTicker(helloInterval)
+func (s *shard) follow(ctx context.Context) error {
+	ticker := s.node.Clock.NewTicker(helloInterval)
 	defer ticker.Stop()
 	for {
-		if n.owned.Load() == nil {
-			n.followOnce(ctx)
+		if s.owned.Load() == nil {
+			s.followOnce(ctx)
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-n.followNow:
+		case <-s.followNow:
 		case <-ticker.Chan():
 		}
 	}
 }
 
 // followSoon lets the instance look for an owner at once.
-func (n *Node) followSoon() {
+func (s *shard) followSoon() {
 	select {
-	case n.followNow <- struct{}{}:
+	case s.followNow <- struct{}{}:
 	default:
 	}
 }
 
-func (n *Node) followOnce(ctx context.Context) {
-	current := n.currentView()
-	reachable := current.owner.Address != "" && !current.owner.Released && current.owner.Node != n.Name
-	if !current.owner.Released && (!reachable || !n.callOwner(ctx, current.owner)) {
-		n.askPeers(ctx)
+func (s *shard) followOnce(ctx context.Context) {
+	current := s.currentView()
+	reachable := current.owner.Address != "" && !current.owner.Released && current.owner.Node != s.node.Name
+	if !current.owner.Released && (!reachable || !s.callOwner(ctx, current.owner)) {
+		s.askPeers(ctx)
 	}
-	current = n.currentView()
-	now := n.Clock.Now()
+	current = s.currentView()
+	now := s.node.Clock.Now()
 	silent := now.Sub(current.heard) > silentAfter
-	if (silent || current.storeLost || current.owner.Released) && !n.draining.Load() {
-		n.inspectOwner(ctx)
+	if (silent || current.storeLost || current.owner.Released) && !s.node.draining.Load() {
+		s.inspectOwner(ctx)
 	}
 }
 
-func (n *Node) currentView() view {
-	n.lock.Lock()
-	defer n.lock.Unlock()
-	return n.view
+func (s *shard) currentView() view {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.view
 }
 
 // callOwner asks the owner for news and reports whether it answered as the owner.
-func (n *Node) callOwner(ctx context.Context, o ownerRow) bool {
-	answer, err := n.hello(ctx, o.Address)
+func (s *shard) callOwner(ctx context.Context, o ownerRow) bool {
+	answer, err := s.hello(ctx, o.Address)
 	if err != nil {
-		n.Counters.Add("Owner.HelloFailed", 1)
+		s.node.Counters.Add("Owner.HelloFailed", 1)
 		return false
 	}
-	n.learn(answer)
+	s.learn(answer)
 	return answer.IsOwner
 }
 
@@ -102,110 +105,110 @@
 
 // askPeers asks some known instances, and those that the settings name, for a newer
 // owner, all at the same time.
-func (n *Node) askPeers(ctx context.Context) {
-	before := n.currentView().owner
+func (s *shard) askPeers(ctx context.Context) {
+	before := s.currentView().owner
 	var group errgroup.Group
 	asked := 0
-	for _, address := range n.seeds() {
-		if address == n.PeerAddress || address == before.Address {
+	for _, address := range s.node.seeds() {
+		if address == s.node.PeerAddress || address == before.Address {
 			continue
 		}
 		if asked++; asked > maxAsked {
 			break
 		}
 		group.Go(func() error {
-			answer, err := n.hello(ctx, address)
+			answer, err := s.hello(ctx, address)
 			if err == nil {
-				n.learn(answer)
+				s.learn(answer)
 			}
 			return err
 		})
 	}
 	if err := group.Wait(); err != nil {
-		n.Counters.Add("Owner.PeerSilent", 1)
+		s.node.Counters.Add("Owner.PeerSilent", 1)
 	}
 }
 
 // inspectOwner reads the owner's row and claims the shard if the owner has
 // released it or writes no more.
-func (n *Node) inspectOwner(ctx context.Context) {
-	if _, lost := n.store.lostFor(); lost {
+func (s *shard) inspectOwner(ctx context.Context) {
+	if _, lost := s.node.store.lostFor(); lost {
 		return
 	}
-	began := n.Clock.Now()
-	row, err := n.read(ctx, ownerKey)
+	began := s.node.Clock.Now()
+	row, err := s.node.read(ctx, s.part.ownerKey())
 	if err != nil {
-		n.lock.Lock()
+		s.lock.Lock()
 		// A time without the store says nothing about the owner's beats.
-		n.view.readAt = time.Time{}
-		n.lock.Unlock()
+		s.view.readAt = time.Time{}
+		s.lock.Unlock()
 		return
 	}
-	now := n.Clock.Now()
-	if n.shouldClaim(now, row) {
-		n.claim(ctx, row, now.Sub(began))
+	now := s.node.Clock.Now()
+	if s.shouldClaim(now, row) {
+		s.claim(ctx, row, now.Sub(began))
 	}
 }
 
 // shouldClaim notes the row and reports whether its owner is to be replaced.
-func (n *Node) shouldClaim(now time.Time, row table.Row) bool {
-	n.lock.Lock()
-	defer n.lock.Unlock()
+func (s *shard) shouldClaim(now time.Time, row table.Row) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
 	if row.Version == 0 {
 		return true
 	}
 	stored, err := decode[ownerRow](row)
 	if err != nil {
-		n.Log.Error().Err(err).Msg("unreadable owner row")
+		s.node.Log.Error().Err(err).Msg("unreadable owner row")
 		return false
 	}
-	n.learnOwner(stored)
-	if n.view.readAt.IsZero() || row.Version != n.view.row.Version {
-		n.view.row, n.view.readAt = row, now
+	s.learnOwner(stored)
+	if s.view.readAt.IsZero() || row.Version != s.view.row.Version {
+		s.view.row, s.view.readAt = row, now
 	}
-	if stored.Node == n.Name {
+	if stored.Node == s.node.Name {
 		// An earlier life of this instance owned the shard.
 		return true
 	}
-	return stored.Released || now.Sub(n.view.readAt) >= staleAfter
+	return stored.Released || now.Sub(s.view.readAt) >= staleAfter
 }
 
 // claim makes this instance the owner if the row is still as it was read.
-func (n *Node) claim(ctx context.Context, row table.Row, latency time.Duration) {
-	delay := min(claimDelayFactor*latency, maxClaimDelay)
+func (s *shard) claim(ctx context.Context, row table.Row, latency time.Duration) {
+	delay := min(claimDelayFactor*latency, maxClaimDelay) + s.burdenDelay()
 	select {
 	case <-ctx.Done():
 		return
-	case <-n.Clock.After(delay):
+	case <-s.node.Clock.After(delay):
 	}
-	epoch := n.currentView().owner.Epoch + 1
+	epoch := s.currentView().owner.Epoch + 1
 	if row.Version != 0 {
 		if stored, err := decode[ownerRow](row); err == nil {
 			epoch = stored.Epoch + 1
 		}
 	}
-	claimed := ownerRow{Node: n.Name, Address: n.PeerAddress, Epoch: epoch, Sequence: 1}
-	version, err := n.commit(ctx, table.Transaction{
-		Conditions: []table.Condition{{Key: ownerKey, Version: row.Version}},
-		Writes:     []table.Write{{Key: ownerKey, Value: encode(claimed)}},
+	claimed := ownerRow{Node: s.node.Name, Address: s.node.PeerAddress, Epoch: epoch, Sequence: 1}
+	version, err := s.node.commit(ctx, table.Transaction{
+		Conditions: []table.Condition{{Key: s.part.ownerKey(), Version: row.Version}},
+		Writes:     []table.Write{{Key: s.part.ownerKey(), Value: encode(claimed)}},
 	})
 	if errors.Is(err, table.ErrOutcomeUnknown) {
-		version, err = n.resolveClaim(ctx, claimed)
+		version, err = s.resolveClaim(ctx, claimed)
 	}
 	if err != nil {
-		n.Counters.Add("Owner.ClaimFailed", 1)
+		s.node.Counters.Add("Owner.ClaimFailed", 1)
 		return
 	}
-	n.Counters.Add("Owner.Claimed", 1)
-	n.lock.Lock()
-	n.view = view{owner: claimed, heard: n.Clock.Now()}
-	n.lock.Unlock()
-	n.own(ctx, claimed, version)
+	s.node.Counters.Add("Owner.Claimed", 1)
+	s.lock.Lock()
+	s.view = view{owner: claimed, heard: s.node.Clock.Now()}
+	s.lock.Unlock()
+	s.own(ctx, claimed, version)
 }
 
 // resolveClaim finds out whether a claim without an answer took effect.
-func (n *Node) resolveClaim(ctx context.Context, claimed ownerRow) (table.Version, error) {
-	row, err := n.read(ctx, ownerKey)
+func (s *shard) resolveClaim(ctx context.Context, claimed ownerRow) (table.Version, error) {
+	row, err := s.node.read(ctx, s.part.ownerKey())
 	if err != nil {
 		return 0, err
 	}
@@ -232,20 +235,20 @@
 }
 
 // own runs the shard in the background until it is lost or released.
-func (n *Node) own(ctx context.Context, row ownerRow, version table.Version) {
+func (s *shard) own(ctx context.Context, row ownerRow, version table.Version) {
 	ctx, cancel := context.WithCancel(ctx)
-	o := newOwner(n, row, version, cancel)
-	n.owned.Store(o)
-	n.Log.Info().Int64("Epoch", int64(row.Epoch)).Msg("took over the shard")
-	n.background(func() error {
+	o := newOwner(s, row, version, cancel)
+	s.owned.Store(o)
+	s.node.Log.Info().Int("Shard", int(s.id)).Int64("Epoch", int64(row.Epoch)).Msg("took over the shard")
+	s.node.background(func() error {
 		defer cancel()
 		err := o.run(ctx)
-		n.owned.CompareAndSwap(o, nil)
+		s.owned.CompareAndSwap(o, nil)
 		if o.released.Load() {
-			n.announceRelease(o.currentRow())
+			s.announceRelease(o.currentRow())
 		}
-		n.Log.Info().Err(err).Str("Reason", o.reason()).Int64("Epoch", int64(row.Epoch)).Msg("no longer owns the shard")
+		s.node.Log.Info().Err(err).Int("Shard", int(s.id)).Str("Reason", o.reason()).Int64("Epoch", int64(row.Epoch)).Msg("no longer owns the shard")
 		return nil
 	})
-	n.announce(ctx)
+	s.announce(ctx)
 }
--- a/internal/entry/dispatcher/gateway.go
+++ b/internal/entry/dispatcher/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
@@ -16,8 +17,6 @@
 	ownerTimeout = 350 * time.Millisecond
 	// relayTimeout bounds a call that a peer carries out at the store.
 	relayTimeout = 1500 * time.Millisecond
-	// pendingMemory is how long a count of pending jobs may be repeated.
-	pendingMemory = 1500 * time.Millisecond
 	// shortRetry is when a caller should come back after a trouble that has just begun.
 	shortRetry = time.Second
 	// longRetry is the same for a trouble that lasts.
@@ -32,14 +31,22 @@
 // Reasons of refusals.
 const (
 	RefusedStore = "StoreUnavailable"
+	// RefusedStarting is for an instance that doesn't know the shards yet.
+	RefusedStarting = "Starting"
+	// RefusedOwnerAway is for a shard whose owner doesn't answer.
+	RefusedOwnerAway = "OwnerUnreachable"
 )
 
 // Submit stores a job and returns once that is done. It returns a *queue.Refusal
 // if the job isn't accepted and never will be, and queue.ErrOutcomeUnknown if that
 // is not known.
 func (n *Node) Submit(ctx context.Context, j dispatch.Job) error {
+	s, err := n.shardOfJob(j.ID)
+	if err != nil {
+		return err
+	}
 	began := n.Clock.Now()
-	err := n.submit(ctx, j)
+	err = s.submit(ctx, j)
 	took := n.Clock.Now().Sub(began)
 	n.Latencies.Observe("Latency.Accept", took)
 	if err == nil {
@@ -50,22 +57,23 @@
 }
 
 // submit lets the owner store the job, else stores it from here, else lets a peer.
-func (n *Node) submit(ctx context.Context, j dispatch.Job) error {
-	ownerErr := n.submitWhenOwned(ctx, j)
+func (s *shard) submit(ctx context.Context, j dispatch.Job) error {
+	n := s.node
+	ownerErr := s.submitWhenOwned(ctx, j)
 	if ownerErr == nil {
 		n.Counters.Add("Submit.ByOwner", 1)
 		return nil
 	}
-	err := n.submitHere(ctx, j)
+	err := s.submitHere(ctx, j)
 	if errors.Is(err, errRepeated) {
 		return nil
 	}
 	var refusal *queue.Refusal
 	if errors.As(err, &refusal) {
-		err = n.relay(ctx, relaySubmit, submittedRequest{j}, err)
+		err = s.relay(ctx, relaySubmit, submittedRequest{j}, err)
 	} else if err == nil {
 		n.Counters.Add("Submit.Here", 1)
-		n.notify(submittedMethod, submittedRequest{j}, func(o *owner) { o.submitted(j) })
+		s.notify(submittedMethod, submittedRequest{j}, func(o *owner) { o.submitted(j) })
 	}
 	if errors.As(err, &refusal) && errors.Is(ownerErr, queue.ErrOutcomeUnknown) {
 		// The owner may still store the job, so it can't be called refused.
@@ -79,13 +87,14 @@
 
 // submitHere stores a job from this instance. It fails with errRepeated if that was
 // done before.
-func (n *Node) submitHere(ctx context.Context, j dispatch.Job) error {
+func (s *shard) submitHere(ctx context.Context, j dispatch.Job) error {
+	n := s.node
 	if age, lost := n.store.lostFor(); lost {
 		return storeRefusal(age)
 	}
 	tx := table.Transaction{
-		Conditions: []table.Condition{{Key: jobKey(j.ID)}},
-		Writes:     []table.Write{{Key: jobKey(j.ID), Value: encode(jobRow{Job: &j})}},
+		Conditions: []table.Condition{{Key: s.part.jobKey(j.ID)}},
+		Writes:     []table.Write{{Key: s.part.jobKey(j.ID), Value: encode(jobRow{Job: &j})}},
 	}
 	unknown := false
 	for {
@@ -126,10 +135,11 @@
 
 // relay lets a peer that reaches the store carry out a call. It returns refused
 // if no peer does.
-func (n *Node) relay(ctx context.Context, method string, request any, refused error) error {
+func (s *shard) relay(ctx context.Context, method string, request any, refused error) error {
+	n := s.node
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	for _, address := range n.relayAddresses() {
+	for _, address := range s.relayAddresses() {
 		_, err := entry.Call[any, emptyAnswer](ctx, n.Peers, address, method, request)
 		code := entry.CodeOf(err)
 		switch {
@@ -150,14 +160,14 @@
 // maxRelays bounds the peers that are asked for one call.
 const maxRelays = 2
 
-func (n *Node) relayAddresses() []string {
+func (s *shard) relayAddresses() []string {
 	var list []string
-	first, known := n.ownerAddress()
-	if known && first != n.PeerAddress {
+	first, known := s.ownerAddress()
+	if known && first != s.node.PeerAddress {
 		list = append(list, first)
 	}
-	for _, address := range n.peerAddresses() {
-		if address != first && address != n.PeerAddress && len(list) < maxRelays {
+	for _, address := range s.node.peerAddresses() {
+		if address != first && address != s.node.PeerAddress && len(list) < maxRelays {
 			list = append(list, address)
 		}
 	}
@@ -165,14 +175,15 @@
 }
 
 // notify tells the owner of a stored row, in the background.
-func (n *Node) notify(method string, request any, local func(*owner)) {
+func (s *shard) notify(method string, request any, local func(*owner)) {
+	n := s.node
 	n.background(func() error {
 		for range notifyTries {
-			if o := n.owned.Load(); o != nil {
+			if o := s.owned.Load(); o != nil {
 				local(o)
 				return nil
 			}
-			if n.notifyOwner(method, request) {
+			if s.notifyOwner(method, request) {
 				return nil
 			}
 			<-n.Clock.After(notifyPause)
@@ -182,42 +193,57 @@
 	})
 }
 
-func (n *Node) notifyOwner(method string, request any) bool {
-	_, err := askOwner[any, emptyAnswer](context.Background(), n, method, request)
+func (s *shard) notifyOwner(method string, request any) bool {
+	_, err := askOwner[any, emptyAnswer](context.Background(), s, method, request)
 	return err == nil
 }
 
 // submitted enters a stored job.
 func (o *owner) submitted(j dispatch.Job) {
-	o.with(func(now time.Time, e *dispatch.Engine) {
-		if o.loaded {
-			e.AddJob(now, j, dispatch.Progress{}, false)
+	o.with(func(now time.Time, _ *dispatch.Engine) {
+		if o.loaded && !o.knows(j.ID) && !o.storing[j.ID] {
+			o.enter(now, j, dispatch.Progress{}, false)
 		}
 	})
 }
 
 func (o *owner) cancelled(id dispatch.JobID) {
-	o.with(func(now time.Time, e *dispatch.Engine) { e.Cancel(now, id) })
+	o.with(func(now time.Time, _ *dispatch.Engine) { o.cancelJob(now, id) })
 }
 
 // state returns the state of a job, if the owner knows it.
 func (o *owner) state(id dispatch.JobID) stateAnswer {
 	o.lock.Lock()
 	defer o.lock.Unlock()
+	if m := o.moved[id]; m != nil {
+		return stateAnswer{Known: true, Moved: &m.to, Stored: m.stored}
+	}
 	state, known := o.engine.State(id)
-	return stateAnswer{known, state}
+	return stateAnswer{Known: known, State: state}
 }
 
 // State returns the state of a job. It fails with queue.ErrUnknownJob, or with a
 // *queue.Refusal if neither the owner nor the store can be asked.
 func (n *Node) State(ctx context.Context, id dispatch.JobID) (dispatch.JobState, error) {
-	if answer, err := n.ownerState(ctx, id); err == nil && answer.Known {
+	s, err := n.shardOfJob(id)
+	if err != nil {
+		return "", err
+	}
+	return s.state(ctx, id)
+}
+
+// state asks the owner of the shard, else reads the rows.
+func (s *shard) state(ctx context.Context, id dispatch.JobID) (dispatch.JobState, error) {
+	if answer, err := s.ownerState(ctx, id); err == nil && answer.Known {
+		if answer.Moved != nil {
+			return s.movedState(ctx, id, *answer.Moved, answer.Stored)
+		}
 		return answer.State, nil
 	}
-	n.Counters.Add("State.FromStore", 1)
-	row, err := n.read(ctx, jobKey(id))
+	s.node.Counters.Add("State.FromStore", 1)
+	row, err := s.node.read(ctx, s.part.jobKey(id))
 	if err != nil {
-		lost, _ := n.store.lostFor()
+		lost, _ := s.node.store.lostFor()
 		return "", storeRefusal(lost)
 	}
 	if row.Version == 0 {
@@ -227,22 +253,38 @@
 	if err != nil {
 		return "", err
 	}
-	if content.Outcome != "" {
+	switch {
+	case content.Moved != nil:
+		return s.movedState(ctx, id, *content.Moved, content.Job == nil)
+	case content.Outcome != "":
 		return content.Outcome, nil
 	}
-	return n.storedState(ctx, id)
+	return s.storedState(ctx, id)
+}
+
+// movedState asks the shard to which a job was given. It may not have the job yet.
+func (s *shard) movedState(ctx context.Context, id dispatch.JobID, to shardID, stored bool) (dispatch.JobState, error) {
+	target, err := s.node.shardByID(to)
+	if err != nil || to == s.id {
+		return "", fmt.Errorf("job %s was given to %v: %w", id, to, queue.ErrUnknownJob)
+	}
+	state, err := target.state(ctx, id)
+	if errors.Is(err, queue.ErrUnknownJob) && !stored {
+		return dispatch.Queued, nil
+	}
+	return state, err
 }
 
 // storedState derives the state of a job that isn't over from its other rows.
-func (n *Node) storedState(ctx context.Context, id dispatch.JobID) (dispatch.JobState, error) {
-	cancel, err := n.read(ctx, cancelKey(id))
+func (s *shard) storedState(ctx context.Context, id dispatch.JobID) (dispatch.JobState, error) {
+	cancel, err := s.node.read(ctx, s.part.cancelKey(id))
 	if err != nil {
 		return "", storeRefusal(0)
 	}
 	if cancel.Version != 0 {
 		return dispatch.Cancelled, nil
 	}
-	progress, err := n.read(ctx, progressKey(id))
+	progress, err := s.node.read(ctx, s.part.progressKey(id))
 	if err != nil {
 		return "", storeRefusal(0)
 	}
@@ -252,22 +294,23 @@
 	return dispatch.Queued, nil
 }
 
-func (n *Node) ownerState(ctx context.Context, id dispatch.JobID) (stateAnswer, error) {
-	if o := n.owned.Load(); o != nil {
+func (s *shard) ownerState(ctx context.Context, id dispatch.JobID) (stateAnswer, error) {
+	if o := s.owned.Load(); o != nil {
 		return o.state(id), nil
 	}
-	return askOwner[jobRequest, stateAnswer](ctx, n, stateMethod, jobRequest{id})
+	return askOwner[jobRequest, stateAnswer](ctx, s, stateMethod, jobRequest{s.id, id})
 }
 
-// askOwner calls a method of the owner.
-func askOwner[Request, Answer any](ctx context.Context, n *Node, method string, request Request) (Answer, error) {
+// askOwner calls a method of the owner of a shard.
+func askOwner[Request, Answer any](ctx context.Context, s *shard, method string, request Request) (Answer, error) {
 	var none Answer
-	address, known := n.ownerAddress()
+	address, known := s.ownerAddress()
 	if !known {
 		return none, entry.ErrNotSent
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
+	n := s.node
 	began := n.Clock.Now()
 	answer, err := entry.Call[Request, Answer](ctx, n.Peers, address, method, request)
 	n.Latencies.Observe("Latency.AskOwner", n.Clock.Now().Sub(began))
@@ -277,20 +320,30 @@
 // Cancel stores the cancellation of a job. It fails with queue.ErrUnknownJob, a
 // *queue.Refusal or queue.ErrOutcomeUnknown.
 func (n *Node) Cancel(ctx context.Context, id dispatch.JobID) error {
-	err := n.cancelHere(ctx, id)
+	s, err := n.shardOfJob(id)
+	if err != nil {
+		return err
+	}
+	return s.cancel(ctx, id)
+}
+
+// cancel stores a cancellation from this instance, else lets a peer.
+func (s *shard) cancel(ctx context.Context, id dispatch.JobID) error {
+	err := s.cancelHere(ctx, id)
 	var refusal *queue.Refusal
 	if errors.As(err, &refusal) {
-		err = n.relay(ctx, relayCancel, jobRequest{id}, err)
+		err = s.relay(ctx, relayCancel, jobRequest{s.id, id}, err)
 	}
 	if err == nil {
-		n.notify(cancelledMethod, jobRequest{id}, func(o *owner) { o.cancelled(id) })
+		s.notify(cancelledMethod, jobRequest{s.id, id}, func(o *owner) { o.cancelled(id) })
 	}
 	return err
 }
 
-func (n *Node) cancelHere(ctx context.Context, id dispatch.JobID) error {
+func (s *shard) cancelHere(ctx context.Context, id dispatch.JobID) error {
+	n := s.node
 	for {
-		err := n.cancelOnce(ctx, id)
+		err := s.cancelOnce(ctx, id)
 		if !errors.Is(err, table.ErrConflict) && !errors.Is(err, table.ErrOutcomeUnknown) {
 			return err
 		}
@@ -304,11 +357,12 @@
 }
 
 // cancelOnce stores a cancellation, unless the job is over by then.
-func (n *Node) cancelOnce(ctx context.Context, id dispatch.JobID) error {
+func (s *shard) cancelOnce(ctx context.Context, id dispatch.JobID) error {
+	n := s.node
 	if age, lost := n.store.lostFor(); lost {
 		return storeRefusal(age)
 	}
-	row, err := n.read(ctx, jobKey(id))
+	row, err := n.read(ctx, s.part.jobKey(id))
 	if err != nil {
 		return storeRefusal(0)
 	}
@@ -319,48 +373,22 @@
 	if err != nil {
 		return err
 	}
+	if content.Moved != nil && content.Job == nil {
+		target, err := n.shardByID(*content.Moved)
+		if err != nil || target == s {
+			return queue.ErrUnknownJob
+		}
+		return target.cancelOnce(ctx, id)
+	}
 	if content.Outcome != "" {
 		return nil
 	}
 	_, err = n.commit(ctx, table.Transaction{
-		Conditions: []table.Condition{{Key: jobKey(id), Version: row.Version}},
-		Writes:     []table.Write{{Key: cancelKey(id), Value: []byte("{}")}},
+		Conditions: []table.Condition{{Key: s.part.jobKey(id), Version: row.Version}},
+		Writes:     []table.Write{{Key: s.part.cancelKey(id), Value: []byte("{}")}},
 	})
 	if errors.Is(err, table.ErrUnavailable) {
 		return storeRefusal(0)
 	}
 	return err
 }
-
-// Pending returns the number of accepted jobs of a queue that have started no task.
-func (n *Node) Pending(ctx context.Context, name dispatch.QueueName) (int, error) {
-	answer, err := n.ownerPending(ctx, name)
-	n.lock.Lock()
-	defer n.lock.Unlock()
-	now := n.Clock.Now()
-	if err == nil {
-		n.pending[name] = pendingCount{answer.Pending, now}
-		return answer.Pending, nil
-	}
-	if known, ok := n.pending[name]; ok && now.Sub(known.at) < pendingMemory {
-		return known.jobs, nil
-	}
-	return 0, &queue.Refusal{Reason: "OwnerUnreachable", RetryAfter: shortRetry}
-}
-
-func (n *Node) ownerPending(ctx context.Context, name dispatch.QueueName) (pendingAnswer, error) {
-	if o := n.owned.Load(); o != nil {
-		return o.pending(name)
-	}
-	return askOwner[pendingRequest, pendingAnswer](ctx, n, pendingMethod, pendingRequest{name})
-}
-
-// pending counts jobs once the stored ones are loaded.
-func (o *owner) pending(name dispatch.QueueName) (pendingAnswer, error) {
-	o.lock.Lock()
-	defer o.lock.Unlock()
-	if !o.loaded {
-		return pendingAnswer{}, entry.Errorf(entry.CodeUnavailable, "the owner is still reading the stored jobs")
-	}
-	return pendingAnswer{o.engine.Pending(name)}, nil
-}
--- a/internal/entry/dispatcher/hello.go
+++ b/internal/entry/dispatcher/hello.go
@@ -6,112 +6,92 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
 )
 
-func (n *Node) hello(ctx context.Context, address string) (helloAnswer, error) {
+func (s *shard) hello(ctx context.Context, address string) (helloAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	request := helloRequest{From: peer{n.Name, n.PeerAddress}, Owner: n.currentView().owner}
-	return entry.Call[helloRequest, helloAnswer](ctx, n.Peers, address, helloMethod, request)
+	request := helloRequest{From: s.node.self(), Shard: s.id, Owner: s.currentView().owner}
+	return entry.Call[helloRequest, helloAnswer](ctx, s.node.Peers, address, helloMethod, request)
 }
 
-// learn takes over what a peer says of the owner.
-func (n *Node) learn(a helloAnswer) {
-	n.lock.Lock()
-	defer n.lock.Unlock()
-	now := n.Clock.Now()
-	n.learnOwner(a.Owner)
-	if a.IsOwner && a.Owner.Epoch == n.view.owner.Epoch {
-		n.view.heard = now
-		n.view.storeLost = a.StoreLost
-		n.view.owner.Released = a.Owner.Released
-	}
-	for _, p := range a.Peers {
-		if p.Name != n.Name {
-			n.peers[p.Name] = knownPeer{p, now}
-		}
+// self describes this instance to its peers.
+func (n *Node) self() peer {
+	return peer{Name: n.Name, Address: n.PeerAddress, Cores: n.Cores, Owned: len(n.ownedShards())}
+}
+
+// learn takes over what a peer says of the owner, and which instances it knows.
+func (s *shard) learn(a helloAnswer) {
+	s.lock.Lock()
+	s.learnOwner(a.Owner)
+	if a.IsOwner && a.Owner.Epoch == s.view.owner.Epoch {
+		s.view.heard = s.node.Clock.Now()
+		s.view.storeLost = a.StoreLost
+		s.view.load = a.Load
+		s.view.owner.Released = a.Owner.Released
 	}
+	s.lock.Unlock()
+	s.node.meet(a.Peers)
 }
 
 // learnOwner takes over a newer owner. The lock must be held.
-func (n *Node) learnOwner(o ownerRow) {
-	if o.Epoch == n.view.owner.Epoch && o.Released && !n.view.owner.Released {
-		n.view.owner.Released = true
-		n.followSoon()
+func (s *shard) learnOwner(o ownerRow) {
+	if o.Epoch == s.view.owner.Epoch && o.Released && !s.view.owner.Released {
+		s.view.owner.Released = true
+		s.followSoon()
 	}
-	if o.Epoch <= n.view.owner.Epoch {
+	if o.Epoch <= s.view.owner.Epoch {
 		return
 	}
-	n.Log.Info().Str("Owner", string(o.Node)).Int64("Epoch", int64(o.Epoch)).Msg("new owner")
-	n.view = view{owner: o, heard: n.Clock.Now()}
-	if mine := n.owned.Load(); mine != nil && mine.epoch < o.Epoch {
+	s.node.Log.Info().Int("Shard", int(s.id)).Str("Owner", string(o.Node)).Int64("Epoch", int64(o.Epoch)).Msg("new owner")
+	s.view = view{owner: o, heard: s.node.Clock.Now()}
+	if mine := s.owned.Load(); mine != nil && mine.epoch < o.Epoch {
 		mine.supersede("a peer knows a newer owner")
 	}
 }
 
+// hear takes over a newer owner.
+func (s *shard) hear(o ownerRow) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.learnOwner(o)
+}
+
 func (n *Node) answerHello(_ context.Context, r helloRequest) (helloAnswer, error) {
-	n.lock.Lock()
-	defer n.lock.Unlock()
-	n.learnOwner(r.Owner)
 	n.Counters.Add("Owner.Hellos", 1)
 	if r.From.Name != "" {
-		n.peers[r.From.Name] = knownPeer{r.From, n.Clock.Now()}
+		n.meet([]peer{r.From})
+	}
+	answer := helloAnswer{Peers: append(n.others(), n.self())}
+	s, err := n.shardByID(r.Shard)
+	if err != nil {
+		// An instance that is starting can tell of others, but not of the owner.
+		return answer, nil
 	}
-	answer := helloAnswer{Owner: n.view.owner, Peers: n.livePeers()}
-	if o := n.owned.Load(); o != nil {
+	s.hear(r.Owner)
+	answer.Owner = s.currentView().owner
+	if o := s.owned.Load(); o != nil {
 		answer.IsOwner = true
 		answer.Owner = o.currentRow()
 		answer.StoreLost = o.storeLost()
+		answer.Load = o.load()
 	}
 	return answer, nil
 }
 
-// livePeers returns the instances that were heard of lately. The lock must be held.
-func (n *Node) livePeers() []peer {
-	var list []peer
-	now := n.Clock.Now()
-	for name, p := range n.peers {
-		if now.Sub(p.seen) > peerMemory {
-			delete(n.peers, name)
-			continue
-		}
-		list = append(list, p.peer)
-	}
-	return list
-}
-
-// others returns the instances that were heard of lately.
-func (n *Node) others() []peer {
-	n.lock.Lock()
-	defer n.lock.Unlock()
-	return n.livePeers()
-}
-
-func (n *Node) peerAddresses() []string {
-	n.lock.Lock()
-	defer n.lock.Unlock()
-	var addresses []string
-	for _, p := range n.livePeers() {
-		addresses = append(addresses, p.Address)
-	}
-	return addresses
-}
-
 // announceRelease tells the known instances that the shard has no owner.
-func (n *Node) announceRelease(row ownerRow) {
-	n.lock.Lock()
-	n.learnOwner(row)
-	n.lock.Unlock()
-	n.announce(context.Background())
+func (s *shard) announceRelease(row ownerRow) {
+	s.hear(row)
+	s.announce(context.Background())
 }
 
-// announce tells the known instances of the new owner.
-func (n *Node) announce(ctx context.Context) {
-	for _, address := range n.seeds() {
-		if address == n.PeerAddress {
+// announce tells the known instances of the owner.
+func (s *shard) announce(ctx context.Context) {
+	for _, address := range s.node.seeds() {
+		if address == s.node.PeerAddress {
 			continue
 		}
-		n.background(func() error {
-			if _, err := n.hello(ctx, address); err != nil {
-				n.Counters.Add("Owner.AnnounceFailed", 1)
+		s.node.background(func() error {
+			if _, err := s.hello(ctx, address); err != nil {
+				s.node.Counters.Add("Owner.AnnounceFailed", 1)
 			}
 			return nil
 		})
@@ -119,7 +99,7 @@
 }
 
 // ownerAddress returns where the owner is reached, and false if it isn't known.
-func (n *Node) ownerAddress() (string, bool) {
-	address := n.currentView().owner.Address
+func (s *shard) ownerAddress() (string, bool) {
+	address := s.currentView().owner.Address
 	return address, address != ""
 }
--- /dev/null
+++ b/internal/entry/dispatcher/layout.go
@@ -0,0 +1,154 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
+)
+
+const (
+	// layoutKey has the row that tells into how many shards the deployment is cut.
+	layoutKey table.Key = "layout/main/layout"
+	// workersPerShard bounds the workers of a shard when the deployment is cut. One
+	// owner carries them on a sixth of a processor.
+	workersPerShard = 80
+	// layoutInterval is the time between two looks for the layout.
+	layoutInterval = 300 * time.Millisecond
+	// layoutRest is how long the number of workers must stay the same before the
+	// deployment is cut: at the first start they register one after the other.
+	layoutRest = 900 * time.Millisecond
+)
+
+// layoutRow tells into how many shards the deployment is cut. It is written once.
+type layoutRow struct {
+	Shards int
+}
+
+// shardsFor returns the number of shards for a number of workers.
+func shardsFor(workers int) int {
+	return max((workers+workersPerShard-1)/workersPerShard, 1)
+}
+
+// layoutWatch waits until the number of workers rests.
+type layoutWatch struct {
+	workers int
+	since   time.Time
+}
+
+// rests reports whether the number of workers is known and has stayed the same.
+func (w *layoutWatch) rests(now time.Time, workers int) bool {
+	if workers != w.workers || w.since.IsZero() {
+		w.workers, w.since = workers, now
+	}
+	return workers > 0 && now.Sub(w.since) >= layoutRest
+}
+
+// loadLayout waits until the deployment is cut into shards, and cuts it if nobody has.
+func (n *Node) loadLayout(ctx context.Context) (layoutRow, error) {
+	var watch layoutWatch
+	for {
+		layout, err := n.layoutOnce(ctx, &watch)
+		if err == nil && layout.Shards > 0 {
+			n.Log.Info().Int("Shards", layout.Shards).Msg("layout known")
+			return layout, nil
+		}
+		if err != nil {
+			n.Counters.Add("Layout.ReadFailed", 1)
+		}
+		select {
+		case <-ctx.Done():
+			return layoutRow{}, ctx.Err()
+		case <-n.Clock.After(layoutInterval):
+		}
+	}
+}
+
+// layoutOnce returns the layout, the zero value while there is none.
+func (n *Node) layoutOnce(ctx context.Context, watch *layoutWatch) (layoutRow, error) {
+	row, err := n.read(ctx, layoutKey)
+	if err != nil {
+		return layoutRow{}, err
+	}
+	if row.Version != 0 {
+		return decode[layoutRow](row)
+	}
+	rows, _, err := n.store.Snapshot(ctx, n.Catalog.WorkersPrefix())
+	if err != nil {
+		return layoutRow{}, err
+	}
+	workers, err := n.Catalog.Workers(keysOf(rows))
+	if err != nil {
+		n.Counters.Add("Workers.RowsLeftOut", 1)
+	}
+	if !watch.rests(n.Clock.Now(), len(workers)) {
+		return layoutRow{}, nil
+	}
+	cut := layoutRow{Shards: shardsFor(len(workers))}
+	_, err = n.commit(ctx, table.Transaction{
+		Conditions: []table.Condition{{Key: layoutKey}},
+		Writes:     []table.Write{{Key: layoutKey, Value: encode(cut)}},
+	})
+	if errors.Is(err, table.ErrConflict) {
+		return layoutRow{}, nil
+	}
+	return cut, err
+}
+
+// setLayout creates the shards.
+func (n *Node) setLayout(layout layoutRow) []*shard {
+	list := make([]*shard, layout.Shards)
+	for i := range list {
+		list[i] = newShard(n, shardID(i), layout.Shards)
+	}
+	n.shards.Store(&list)
+	return list
+}
+
+// allShards returns the shards, none while the layout isn't known.
+func (n *Node) allShards() []*shard {
+	if list := n.shards.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
+// shardOfJob returns the shard of a job. It fails with a *queue.Refusal while the
+// layout isn't known.
+func (n *Node) shardOfJob(id dispatch.JobID) (*shard, error) {
+	list := n.allShards()
+	if len(list) == 0 {
+		return nil, &queue.Refusal{Reason: RefusedStarting, RetryAfter: shortRetry}
+	}
+	return list[shardOf(string(id), len(list))], nil
+}
+
+// shardByID returns the shard that a peer named, or the error for it.
+func (n *Node) shardByID(id shardID) (*shard, error) {
+	list := n.allShards()
+	if id < 0 || int(id) >= len(list) {
+		return nil, entry.Errorf(entry.CodeUnavailable, "%s doesn't know shard %d", n.Name, id)
+	}
+	return list[id], nil
+}
+
+// ownedShards returns the shards that this instance owns.
+func (n *Node) ownedShards() []*owner {
+	var list []*owner
+	for _, s := range n.allShards() {
+		if o := s.owned.Load(); o != nil {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// String names the shard in messages.
+func (id shardID) String() string {
+	return fmt.Sprintf("shard %d", int(id))
+}
--- a/internal/entry/dispatcher/messages.go
+++ b/internal/entry/dispatcher/messages.go
@@ -1,6 +1,9 @@
 package dispatcher
 
 import (
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/balance"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
@@ -22,11 +25,17 @@
 type peer struct {
 	Name    membership.InstanceID
 	Address string
+	// Cores is its share of processors, and Owned the number of shards it owns.
+	Cores float64
+	Owned int
+	// Age is the time since it was heard.
+	Age time.Duration `json:",omitempty"`
 }
 
-// helloRequest tells who asks and what it knows.
+// helloRequest tells who asks and what it knows of a shard.
 type helloRequest struct {
 	From  peer
+	Shard shardID
 	Owner ownerRow
 }
 
@@ -38,26 +47,49 @@
 	IsOwner bool
 	// StoreLost reports that the owner can't reach the store.
 	StoreLost bool
-	Peers     []peer
+	// Load is that of the shard, if the instance owns it.
+	Load  balance.Load
+	Peers []peer
 }
 
 type submittedRequest struct{ Job dispatch.Job }
 
-type jobRequest struct{ ID dispatch.JobID }
+// acceptRequest asks the owner of a shard to store a job. The shard of the job's id may
+// have chosen another one for it.
+type acceptRequest struct {
+	Shard shardID
+	Job   dispatch.Job
+}
+
+// jobRequest names a job and the shard that has it, which needn't be that of its id.
+type jobRequest struct {
+	Shard shardID
+	ID    dispatch.JobID
+}
 
 type stateAnswer struct {
 	Known bool
 	State dispatch.JobState
+	// Moved is the shard to which the job was given, nil if it stays. Stored reports
+	// that the shard has it.
+	Moved  *shardID `json:",omitempty"`
+	Stored bool     `json:",omitempty"`
 }
 
-type pendingRequest struct{ Queue dispatch.QueueName }
+type pendingRequest struct {
+	Shard shardID
+	Queue dispatch.QueueName
+}
 
 type pendingAnswer struct{ Pending int }
 
 type emptyAnswer struct{}
 
 // confirmRequest asks whether the instance could replace the owner.
-type confirmRequest struct{ Owner ownerRow }
+type confirmRequest struct {
+	Shard shardID
+	Owner ownerRow
+}
 
 type confirmAnswer struct {
 	// Owner is the newest owner that the instance knows.
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -9,7 +9,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
-	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
@@ -20,8 +19,6 @@
 	watchTime = 5 * time.Second
 	// operatorPause is the least time between two looks at the operator's rows.
 	operatorPause = 50 * time.Millisecond
-	// peerMemory is how long an instance that doesn't call any more is remembered.
-	peerMemory = 10 * time.Second
 )
 
 // Node is the dispatcher of one entry instance.
@@ -29,37 +26,21 @@
 	Options
 	config atomic.Pointer[queue.Configuration]
 	store  guardedStore
-	// owned is the shard while this instance owns it, else nil.
-	owned    atomic.Pointer[owner]
+	// shards is set once the layout is known.
+	shards   atomic.Pointer[[]*shard]
 	draining atomic.Bool
 	probe    storeProbe
-	// followNow wakes the loop that follows the owner.
-	followNow chan struct{}
-	group     *errgroup.Group
-
-	lock    sync.Mutex
-	view    view
-	peers   map[membership.InstanceID]knownPeer
-	pending map[dispatch.QueueName]pendingCount
-}
-
-type knownPeer struct {
-	peer
-	seen time.Time
-}
 
-type pendingCount struct {
-	jobs int
-	at   time.Time
+	lock  sync.Mutex
+	group *errgroup.Group
+	peers map[membership.InstanceID]knownPeer
 }
 
 // New returns a Node. Register and Run make it work.
 func New(options Options) *Node {
 	n := &Node{
-		Options:   options,
-		followNow: make(chan struct{}, 1),
-		peers:     map[membership.InstanceID]knownPeer{},
-		pending:   map[dispatch.QueueName]pendingCount{},
+		Options: options,
+		peers:   map[membership.InstanceID]knownPeer{},
 	}
 	n.store = guardedStore{Store: options.Store, clock: options.Clock, counters: options.Counters, latencies: options.Latencies, log: options.Log}
 	return n
@@ -78,7 +59,7 @@
 	entry.Handle(server, relayCancel, n.answerRelayCancel)
 }
 
-// Run follows the configuration and the owner of the shard, and owns it when
+// Run follows the configuration and the owners of the shards, and owns shards when
 // that is this instance's turn, until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -86,34 +67,28 @@
 	n.group = group
 	n.lock.Unlock()
 	group.Go(func() error { return n.mirrorOperator().Run(ctx) })
-	group.Go(func() error { return n.follow(ctx) })
+	group.Go(func() error {
+		layout, err := n.loadLayout(ctx)
+		if err != nil {
+			return err
+		}
+		for _, s := range n.setLayout(layout) {
+			group.Go(func() error { return s.follow(ctx) })
+		}
+		return nil
+	})
 	return group.Wait()
 }
 
-// SetSeeds replaces the peer addresses to ask first.
-func (n *Node) SetSeeds(seeds []string) {
-	n.lock.Lock()
-	defer n.lock.Unlock()
-	n.Seeds = seeds
-}
-
-// seeds returns the addresses of the known peers, then those of the settings.
-func (n *Node) seeds() []string {
-	known := n.peerAddresses()
-	n.lock.Lock()
-	defer n.lock.Unlock()
-	return append(known, n.Seeds...)
-}
-
 // Ready reports whether callers can be served.
 func (n *Node) Ready() bool {
-	return n.config.Load() != nil && !n.draining.Load()
+	return n.config.Load() != nil && n.shards.Load() != nil && !n.draining.Load()
 }
 
 // Drain makes the instance unready, so that the balancer leads callers elsewhere.
 func (n *Node) Drain() {
 	n.draining.Store(true)
-	if o := n.owned.Load(); o != nil {
+	for _, o := range n.ownedShards() {
 		o.releaseShard()
 	}
 }
@@ -157,7 +132,7 @@
 			Interface("ZonesOut", c.ZonesOut).Msg("configuration in force")
 	}
 	n.config.Store(&c)
-	if o := n.owned.Load(); o != nil {
+	for _, o := range n.ownedShards() {
 		o.configure(&c)
 	}
 }
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/balance"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
@@ -39,9 +40,10 @@
 	errReleased   = errors.New("dispatcher: the shard was released")
 )
 
-// owner runs the shard while this instance owns it.
+// owner runs a shard while this instance owns it.
 type owner struct {
 	node   *Node
+	shard  *shard
 	epoch  dispatch.Epoch
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -66,6 +68,16 @@
 	fleetRevision int
 	// submissions are jobs that wait to be stored.
 	submissions []*submission
+	// storing has the jobs whose acceptance is being stored.
+	storing map[dispatch.JobID]bool
+	// moved has the jobs of the shard that other shards got.
+	moved map[dispatch.JobID]*movedJob
+	// early has the jobs whose cancellation became known before the jobs did.
+	early map[dispatch.JobID]bool
+	// chores are writes that can wait.
+	chores   []table.Write
+	lastLoad balance.Load
+	loadAt   time.Time
 	// expired has the jobs whose outcomes nobody asks for any more.
 	expired map[dispatch.JobID]bool
 	// estimated is when the estimates were last written.
@@ -77,14 +89,18 @@
 	released atomic.Bool
 }
 
-func newOwner(n *Node, row ownerRow, version table.Version, cancel context.CancelFunc) *owner {
+func newOwner(s *shard, row ownerRow, version table.Version, cancel context.CancelFunc) *owner {
+	n := s.node
 	o := &owner{
-		node: n, epoch: row.Epoch, cancel: cancel, row: row, version: version, authority: authority{stored: n.Clock.Now()},
+		node: n, shard: s, epoch: row.Epoch, cancel: cancel, row: row, version: version, authority: authority{stored: n.Clock.Now()},
 		kicked: make(chan struct{}, 1),
 		dirty:  make(chan struct{}, 1),
 		polled: map[membership.InstanceID]bool{},
 
 		expired: map[dispatch.JobID]bool{},
+		storing: map[dispatch.JobID]bool{},
+		moved:   map[dispatch.JobID]*movedJob{},
+		early:   map[dispatch.JobID]bool{},
 	}
 	o.engine = dispatch.New(dispatch.Options{
 		Epoch: row.Epoch, LeaseTerm: n.LeaseTerm, RemoteFactor: n.RemoteFactor,
@@ -110,6 +126,8 @@
 	group.Go(func() error { return o.decide(ctx) })
 	group.Go(func() error { return o.confirmAuthority(ctx) })
 	group.Go(func() error { return o.write(ctx) })
+	group.Go(func() error { return o.sweepMoved(ctx) })
+	group.Go(func() error { return o.review(ctx) })
 	return group.Wait()
 }
 
@@ -119,7 +137,7 @@
 	if isRoutine(d) {
 		log = &o.node.Routine
 	}
-	line := log.Info().Str("Event", d.Event).Int64("Epoch", int64(o.epoch))
+	line := log.Info().Str("Event", d.Event).Int("Shard", int(o.shard.id)).Int64("Epoch", int64(o.epoch))
 	if d.Job != "" {
 		line = line.Str("Job", string(d.Job))
 	}
@@ -165,6 +183,10 @@
 	o.kick()
 }
 
+func (o *owner) now() time.Time {
+	return o.node.Clock.Now()
+}
+
 func (o *owner) kick() {
 	select {
 	case o.kicked <- struct{}{}:
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -21,17 +22,17 @@
 	group.Go(func() error { return o.recoverEstimates(ctx) })
 	group.Go(func() error { return o.recoverFleet(ctx) })
 	group.Go(func() (err error) {
-		cancels, _, err = store.Snapshot(ctx, cancelPrefix)
+		cancels, _, err = store.Snapshot(ctx, o.shard.part.cancelPrefix())
 		return err
 	})
 	group.Go(func() (err error) {
-		progress, _, err = store.Snapshot(ctx, progressPrefix)
+		progress, _, err = store.Snapshot(ctx, o.shard.part.progressPrefix())
 		return err
 	})
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
-	stored, err := decodeProgress(progress)
+	stored, err := o.decodeProgress(progress)
 	if err != nil {
 		return nil, err
 	}
@@ -49,14 +50,14 @@
 	return mirror, nil
 }
 
-func decodeProgress(rows []table.Row) (map[dispatch.JobID]dispatch.Progress, error) {
+func (o *owner) decodeProgress(rows []table.Row) (map[dispatch.JobID]dispatch.Progress, error) {
 	stored := make(map[dispatch.JobID]dispatch.Progress, len(rows))
 	for _, row := range rows {
 		p, err := decode[dispatch.Progress](row)
 		if err != nil {
 			return nil, err
 		}
-		stored[jobOf(row.Key, progressPrefix)] = p
+		stored[jobOf(row.Key, o.shard.part.progressPrefix())] = p
 	}
 	return stored, nil
 }
@@ -65,7 +66,7 @@
 // an earlier owner.
 func (o *owner) mirrorJobs(stored map[dispatch.JobID]dispatch.Progress) *table.Mirror {
 	recovered := false
-	return o.node.mirror("Jobs", jobPrefix, jobsPause, func(rows map[table.Key]table.Row) {
+	return o.node.mirror("Jobs", o.shard.part.jobPrefix(), jobsPause, func(rows map[table.Key]table.Row) {
 		o.applyJobs(rows, stored, !recovered)
 		recovered = true
 	})
@@ -73,7 +74,7 @@
 
 // recoverEstimates takes over what the earlier owner learned about images.
 func (o *owner) recoverEstimates(ctx context.Context) error {
-	row, err := o.node.read(ctx, estimatesKey)
+	row, err := o.node.read(ctx, o.shard.part.estimatesKey())
 	if err != nil || row.Version == 0 {
 		return err
 	}
@@ -89,7 +90,7 @@
 // recoverFleet enters the workers that the earlier owner used, so that those that
 // the list lacks are asked as well.
 func (o *owner) recoverFleet(ctx context.Context) error {
-	row, err := o.node.read(ctx, fleetKey)
+	row, err := o.node.read(ctx, o.shard.part.fleetKey())
 	if err != nil || row.Version == 0 {
 		return err
 	}
@@ -107,8 +108,8 @@
 func (o *owner) applyJobs(rows map[table.Key]table.Row, stored map[dispatch.JobID]dispatch.Progress, recovered bool) {
 	o.with(func(now time.Time, e *dispatch.Engine) {
 		for key, row := range rows {
-			id := jobOf(key, jobPrefix)
-			if e.Knows(id) {
+			id := jobOf(key, o.shard.part.jobPrefix())
+			if o.knows(id) || o.storing[id] {
 				continue
 			}
 			content, err := decode[jobRow](row)
@@ -118,12 +119,14 @@
 				continue
 			}
 			switch {
+			case content.Moved != nil:
+				o.move(content.Job, id, *content.Moved, content.Ended)
 			case content.Outcome != "" && now.Sub(content.Ended) > outcomeMemory:
 				o.expired[id] = true
 			case content.Outcome != "":
 				e.AddFinished(now, id, content.Outcome)
 			case content.Job != nil:
-				e.AddJob(now, *content.Job, stored[id], recovered)
+				o.enter(now, *content.Job, stored[id], recovered)
 			}
 		}
 	})
@@ -138,15 +141,16 @@
 }
 
 func (o *owner) applyCancels(rows map[table.Key]table.Row) {
-	o.with(func(now time.Time, e *dispatch.Engine) {
+	o.with(func(now time.Time, _ *dispatch.Engine) {
 		for key := range rows {
-			e.Cancel(now, jobOf(key, cancelPrefix))
+			id := jobOf(key, o.shard.part.cancelPrefix())
+			o.cancelJob(now, id)
 		}
 	})
 }
 
 func (o *owner) mirrorCancels() *table.Mirror {
-	return o.node.mirror("Cancels", cancelPrefix, jobsPause, o.applyCancels)
+	return o.node.mirror("Cancels", o.shard.part.cancelPrefix(), jobsPause, o.applyCancels)
 }
 
 func (o *owner) mirrorWorkers() *table.Mirror {
@@ -158,6 +162,7 @@
 	if err != nil {
 		o.node.Counters.Add("Workers.RowsLeftOut", 1)
 	}
+	list = slices.DeleteFunc(list, func(w dispatch.WorkerInfo) bool { return !o.shard.hasWorker(w.ID) })
 	var ids []membership.InstanceID
 	o.with(func(now time.Time, e *dispatch.Engine) {
 		e.SetWorkers(now, list)
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -66,36 +66,39 @@
 	version := o.version
 	now := o.node.Clock.Now()
 	submissions := o.takeSubmissions()
-	writes := append(writesOf(batch, now), writesOfSubmissions(submissions)...)
+	writes := append(o.writesOf(batch, now), o.writesOfSubmissions(submissions)...)
 	if now.Sub(o.estimated) >= estimatesInterval {
 		o.estimated = now
-		writes = append(writes, table.Write{Key: estimatesKey, Value: encode(o.engine.Estimates(now))})
+		writes = append(writes, table.Write{Key: o.shard.part.estimatesKey(), Value: encode(o.engine.Estimates(now))})
 	}
 	for id := range o.expired {
 		if len(writes) >= maxWrites {
 			break
 		}
 		delete(o.expired, id)
-		writes = append(writes, table.Write{Key: jobKey(id), Delete: true})
+		writes = append(writes, table.Write{Key: o.shard.part.jobKey(id), Delete: true})
 	}
+	chores := o.takeChores(maxWrites - len(writes))
+	writes = append(writes, chores...)
 	fleet, revision := o.fleet, o.engine.FleetRevision()
 	if revision != o.fleetRevision {
 		fleet = encode(o.engine.UsedWorkers())
 	}
 	if !bytes.Equal(fleet, o.fleet) {
-		writes = append(writes, table.Write{Key: fleetKey, Value: fleet})
+		writes = append(writes, table.Write{Key: o.shard.part.fleetKey(), Value: fleet})
 	}
 	o.lock.Unlock()
 	tx := table.Transaction{
-		Conditions: []table.Condition{{Key: ownerKey, Version: version}},
-		Writes:     append(writes, table.Write{Key: ownerKey, Value: encode(next)}),
+		Conditions: []table.Condition{{Key: o.shard.part.ownerKey(), Version: version}},
+		Writes:     append(writes, table.Write{Key: o.shard.part.ownerKey(), Value: encode(next)}),
 	}
 	written, sent, err := o.commit(ctx, tx, next)
 	if errors.Is(err, table.ErrUnavailable) {
 		o.lock.Lock()
 		o.engine.NotStored(batch)
+		o.chores = append(o.chores, chores...)
 		o.lock.Unlock()
-		dropSubmissions(submissions)
+		o.dropSubmissions(submissions)
 		o.sleep(storeRetryPause)
 		return nil
 	}
@@ -109,7 +112,7 @@
 	o.authority.stored = sent
 	o.engine.Stored(now, batch)
 	o.enterSubmissions(now, submissions)
-	more := o.engine.Unstored() || len(o.submissions) > 0
+	more := o.engine.Unstored() || len(o.submissions) > 0 || len(o.chores) > 0
 	o.lock.Unlock()
 	if more {
 		o.wake()
@@ -119,18 +122,18 @@
 }
 
 // writesOf returns the rows that a batch changes.
-func writesOf(b dispatch.Batch, now time.Time) []table.Write {
+func (o *owner) writesOf(b dispatch.Batch, now time.Time) []table.Write {
 	var writes []table.Write
 	for _, u := range b.Updates {
 		if u.Outcome == "" {
-			writes = append(writes, table.Write{Key: progressKey(u.ID), Value: encodeProgress(u.Progress)})
+			writes = append(writes, table.Write{Key: o.shard.part.progressKey(u.ID), Value: encodeProgress(u.Progress)})
 			continue
 		}
 		writes = append(writes,
-			table.Write{Key: jobKey(u.ID), Value: encode(jobRow{Outcome: u.Outcome, Ended: now.UTC()})},
-			table.Write{Key: progressKey(u.ID), Delete: true})
+			table.Write{Key: o.shard.part.jobKey(u.ID), Value: encode(jobRow{Outcome: u.Outcome, Ended: now.UTC()})},
+			table.Write{Key: o.shard.part.progressKey(u.ID), Delete: true})
 		if u.Outcome == dispatch.Cancelled {
-			writes = append(writes, table.Write{Key: cancelKey(u.ID), Delete: true})
+			writes = append(writes, table.Write{Key: o.shard.part.cancelKey(u.ID), Delete: true})
 		}
 	}
 	return writes
@@ -174,7 +177,7 @@
 // resolveConflict finds out whether an earlier try of the transaction took effect,
 // or another owner has taken over.
 func (o *owner) resolveConflict(ctx context.Context, next ownerRow) (table.Version, error) {
-	row, err := o.node.read(ctx, ownerKey)
+	row, err := o.node.read(ctx, o.shard.part.ownerKey())
 	if err != nil {
 		return 0, err
 	}
--- a/internal/entry/dispatcher/ports.go
+++ b/internal/entry/dispatcher/ports.go
@@ -71,6 +71,9 @@
 	PeerAddress string
 	// Seeds are peer addresses to ask first.
 	Seeds []string
+	// Cores is the instance's share of processors. Stronger instances own more shards;
+	// 0 is unknown.
+	Cores float64
 	// LeaseTerm is how long a worker goes on without a renewal.
 	LeaseTerm time.Duration
 	// RemoteFactor is that of dispatch.Options.
--- a/internal/entry/dispatcher/probe.go
+++ b/internal/entry/dispatcher/probe.go
@@ -54,7 +54,7 @@
 		n.background(func() error {
 			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 			defer cancel()
-			_, err := n.store.Read(ctx, ownerKey)
+			_, err := n.store.Read(ctx, layoutKey)
 			n.probe.end(n.Clock.Now(), err != nil)
 			return nil
 		})
--- a/internal/entry/dispatcher/rows.go
+++ b/internal/entry/dispatcher/rows.go
@@ -11,17 +11,27 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
 )
 
-// Prefixes of the rows of the shard: table, part and key.
-const (
-	ownerKey       table.Key = "owner/main/owner"
-	estimatesKey   table.Key = "owner/main/estimates"
-	fleetKey       table.Key = "owner/main/fleet"
-	jobPrefix      table.Key = "job/main/"
-	cancelPrefix   table.Key = "cancel/main/"
-	progressPrefix table.Key = "progress/main/"
-)
+// part names the rows of one shard. They share a part of the store, so that one
+// transaction covers them.
+type part string
+
+func (p part) ownerKey() table.Key       { return p.key("owner", "owner") }
+func (p part) estimatesKey() table.Key   { return p.key("owner", "estimates") }
+func (p part) fleetKey() table.Key       { return p.key("owner", "fleet") }
+func (p part) jobPrefix() table.Key      { return p.key("job", "") }
+func (p part) cancelPrefix() table.Key   { return p.key("cancel", "") }
+func (p part) progressPrefix() table.Key { return p.key("progress", "") }
+
+func (p part) jobKey(id dispatch.JobID) table.Key      { return p.key("job", string(id)) }
+func (p part) cancelKey(id dispatch.JobID) table.Key   { return p.key("cancel", string(id)) }
+func (p part) progressKey(id dispatch.JobID) table.Key { return p.key("progress", string(id)) }
 
-// ownerRow names the owner of the shard.
+// key returns the key of a row: table, part and key within the part.
+func (p part) key(tableName, key string) table.Key {
+	return table.Key(tableName + "/" + string(p) + "/" + key)
+}
+
+// ownerRow names the owner of a shard.
 type ownerRow struct {
 	Node    membership.InstanceID
 	Address string
@@ -36,14 +46,13 @@
 type jobRow struct {
 	Job     *dispatch.Job     `json:",omitempty"`
 	Outcome dispatch.JobState `json:",omitempty"`
-	// Ended is when the outcome was stored, by the clock of the owner.
+	// Moved is the shard to which the job is given; nil if it stays. Job is left out
+	// once that shard has stored it.
+	Moved *shardID `json:",omitempty"`
+	// Ended is when the outcome was stored, or Job left out, by the clock of the owner.
 	Ended time.Time `json:",omitzero"`
 }
 
-func jobKey(id dispatch.JobID) table.Key      { return jobPrefix + table.Key(id) }
-func cancelKey(id dispatch.JobID) table.Key   { return cancelPrefix + table.Key(id) }
-func progressKey(id dispatch.JobID) table.Key { return progressPrefix + table.Key(id) }
-
 // jobOf returns the id of the job whose row has the key.
 func jobOf(key, prefix table.Key) dispatch.JobID {
 	return dispatch.JobID(key[len(prefix):])
--- a/internal/entry/dispatcher/serve.go
+++ b/internal/entry/dispatcher/serve.go
@@ -5,20 +5,34 @@
 	"errors"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
 )
 
 // owning returns the shard, or the error for a caller that asked the wrong instance.
-func (n *Node) owning() (*owner, error) {
-	o := n.owned.Load()
+func (n *Node) owning(id shardID) (*owner, error) {
+	s, err := n.shardByID(id)
+	if err != nil {
+		return nil, err
+	}
+	o := s.owned.Load()
 	if o == nil {
-		return nil, entry.Errorf(entry.CodeNotOwner, "%s doesn't own the shard", n.Name)
+		return nil, entry.Errorf(entry.CodeNotOwner, "%s doesn't own shard %d", n.Name, id)
 	}
 	return o, nil
 }
 
+// owningJob returns the shard of a job in the same way.
+func (n *Node) owningJob(id dispatch.JobID) (*owner, error) {
+	s, err := n.shardOfJob(id)
+	if err != nil {
+		return nil, relayError(err)
+	}
+	return n.owning(s.id)
+}
+
 func (n *Node) answerSubmitted(_ context.Context, r submittedRequest) (emptyAnswer, error) {
-	o, err := n.owning()
+	o, err := n.owningJob(r.Job.ID)
 	if err != nil {
 		return emptyAnswer{}, err
 	}
@@ -27,7 +41,7 @@
 }
 
 func (n *Node) answerCancelled(_ context.Context, r jobRequest) (emptyAnswer, error) {
-	o, err := n.owning()
+	o, err := n.owning(r.Shard)
 	if err != nil {
 		return emptyAnswer{}, err
 	}
@@ -36,7 +50,7 @@
 }
 
 func (n *Node) answerState(_ context.Context, r jobRequest) (stateAnswer, error) {
-	o, err := n.owning()
+	o, err := n.owning(r.Shard)
 	if err != nil {
 		return stateAnswer{}, err
 	}
@@ -44,7 +58,7 @@
 }
 
 func (n *Node) answerPending(_ context.Context, r pendingRequest) (pendingAnswer, error) {
-	o, err := n.owning()
+	o, err := n.owning(r.Shard)
 	if err != nil {
 		return pendingAnswer{}, err
 	}
@@ -52,22 +66,30 @@
 }
 
 func (n *Node) answerRelaySubmit(ctx context.Context, r submittedRequest) (emptyAnswer, error) {
-	err := n.submitHere(ctx, r.Job)
+	s, err := n.shardOfJob(r.Job.ID)
+	if err != nil {
+		return emptyAnswer{}, relayError(err)
+	}
+	err = s.submitHere(ctx, r.Job)
 	if errors.Is(err, errRepeated) {
 		return emptyAnswer{}, nil
 	}
 	if err != nil {
 		return emptyAnswer{}, relayError(err)
 	}
-	n.notify(submittedMethod, r, func(o *owner) { o.submitted(r.Job) })
+	s.notify(submittedMethod, r, func(o *owner) { o.submitted(r.Job) })
 	return emptyAnswer{}, nil
 }
 
 func (n *Node) answerRelayCancel(ctx context.Context, r jobRequest) (emptyAnswer, error) {
-	if err := n.cancelHere(ctx, r.ID); err != nil {
+	s, err := n.shardByID(r.Shard)
+	if err != nil {
+		return emptyAnswer{}, err
+	}
+	if err := s.cancelHere(ctx, r.ID); err != nil {
 		return emptyAnswer{}, relayError(err)
 	}
-	n.notify(cancelledMethod, r, func(o *owner) { o.cancelled(r.ID) })
+	s.notify(cancelledMethod, r, func(o *owner) { o.cancelled(r.ID) })
 	return emptyAnswer{}, nil
 }
 
