--- a/internal/cmd/explain/explain.go
+++ b/internal/cmd/explain/explain.go
@@ -21,6 +21,8 @@
 	Factory *factory.Factory
 	Kind    control.Kind
 	ID      string
+	// From has log files to read in place of asking an entry instance.
+	From []string
 }
 
 // NewCmd returns the command. Tests replace its run function with runF.
@@ -33,13 +35,17 @@
 		Use:   "explain {task|job|request} <id>",
 		Short: "Tell what was decided about a task, job or request, and why",
 		Example: "  $ jacinthtrail explain task 4f0c8a6d9b1e2f3a4f0c8a6d9b1e2f3a/0\n" +
-			"  $ jacinthtrail explain job 4f0c8a6d9b1e2f3a4f0c8a6d9b1e2f3a --json",
+			"  $ jacinthtrail explain job 4f0c8a6d9b1e2f3a4f0c8a6d9b1e2f3a --json\n" +
+			"  $ jacinthtrail explain job d939e0fa21b4fad0 --from bal-1.log --from dbn-3.log",
 		Args: cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if err := opts.Check(cmd, f); err != nil {
 				return err
 			}
 			opts.Kind, opts.ID = control.Kind(args[0]), args[1]
+			if len(opts.From) > 0 && opts.Kind != control.Job {
+				return fmt.Errorf("logs tell of jobs only; use: explain job %s --from FILE", opts.ID)
+			}
 			switch opts.Kind {
 			case control.Task, control.Job, control.Request:
 				return runF(cmd.Context(), opts)
@@ -48,10 +54,14 @@
 		},
 	}
 	opts.Add(cmd)
+	cmd.Flags().StringArrayVar(&opts.From, "from", nil, "read the log `file` of an instance of serve-platform; repeat it for each, - is standard input")
 	return cmd
 }
 
 func run(ctx context.Context, opts *Options) error {
+	if len(opts.From) > 0 {
+		return runFromLogs(opts)
+	}
 	ctx, cancel := context.WithTimeout(ctx, opts.Timeout)
 	defer cancel()
 	answer, err := opts.Client().Explain(ctx, opts.Kind, opts.ID)
