Watch owners from a few instances, and share what shards learn about images

And each shard found out by itself which fillers disturb which serving images.

Change: five instances, chosen by rendezvous hashing, and owners call at each tick, others once a second; the known instances are asked for every 2 s. Owners ask up to three others a second for their estimates and take over what says more than their own, unless they have just seen the pair themselves.

--- a/internal/decision/dispatch/filler.go
+++ b/internal/decision/dispatch/filler.go
@@ -337,6 +337,11 @@
 	return e.odds.Estimates(now)
 }
 
+// MergeEstimates takes over what another owner has learned and this one hasn't.
+func (e *Engine) MergeEstimates(now time.Time, list []interference.Estimate) {
+	e.odds.Merge(now, list)
+}
+
 // RestoreEstimates takes over what an earlier owner learned.
 func (e *Engine) RestoreEstimates(now time.Time, list []interference.Estimate) {
 	e.odds.Restore(now, list)
--- a/internal/decision/interference/odds.go
+++ b/internal/decision/interference/odds.go
@@ -50,6 +50,8 @@
 	// probability is what the odds had decayed to at readAt.
 	probability float64
 	readAt      time.Time
+	// seenAt is when a sample last told something of the pair.
+	seenAt time.Time
 }
 
 // readInterval is how long a probability is repeated: it is read for each pair of a
@@ -84,7 +86,7 @@
 	for _, n := range beside {
 		shown := detection * min(n.Share/detectionShare, 1)
 		p := o.Probability(now, n.Pair)
-		o.set(now, n.Pair, p*(1-shown)/(1-p*shown))
+		o.set(now, n.Pair, p*(1-shown)/(1-p*shown), now)
 	}
 }
 
@@ -99,7 +101,7 @@
 	bad := 1 - innocent + noise(ratio)*innocent
 	for _, n := range beside {
 		if n.Share >= minShare {
-			o.set(now, n.Pair, o.Probability(now, n.Pair)/bad)
+			o.set(now, n.Pair, o.Probability(now, n.Pair)/bad, now)
 		}
 	}
 }
@@ -117,17 +119,17 @@
 	}
 }
 
-func (o *Odds) set(now time.Time, p Pair, value float64) {
+func (o *Odds) set(now time.Time, p Pair, value float64, seenAt time.Time) {
 	if o.beliefs == nil {
 		o.beliefs = map[Pair]*belief{}
 	}
 	value = min(max(value, minProbability), maxProbability)
-	o.beliefs[p] = &belief{math.Log(value / (1 - value)), now, value, now}
+	o.beliefs[p] = &belief{logOdds: logOdds(value), at: now, probability: value, readAt: now, seenAt: seenAt}
 }
 
 // decayed returns the odds moved towards the prior by their age.
 func (b *belief) decayed(now time.Time) float64 {
-	prior := math.Log(priorProbability / (1 - priorProbability))
+	prior := logOdds(priorProbability)
 	halfLife := harmlessHalfLife
 	if b.logOdds > prior {
 		halfLife = harmfulHalfLife
@@ -136,6 +138,10 @@
 	return prior + (b.logOdds-prior)*keep
 }
 
+func logOdds(probability float64) float64 {
+	return math.Log(probability / (1 - probability))
+}
+
 func probability(logOdds float64) float64 {
 	return 1 / (1 + math.Exp(-logOdds))
 }
@@ -159,7 +165,29 @@
 func (o *Odds) Restore(now time.Time, list []Estimate) {
 	for _, e := range list {
 		if _, known := o.beliefs[e.Pair]; !known {
-			o.set(now, e.Pair, e.Probability)
+			o.set(now, e.Pair, e.Probability, time.Time{})
+		}
+	}
+}
+
+// ownSampleTime is how long an own sample of a pair goes before what others say of it.
+const ownSampleTime = 4 * time.Second
+
+// Merge takes over estimates that say more of a pair than is known here: those that are
+// further from the prior. Both decay towards it alike, so that an estimate that goes back
+// and forth gains nothing.
+func (o *Odds) Merge(now time.Time, list []Estimate) {
+	prior := logOdds(priorProbability)
+	for _, e := range list {
+		value := min(max(e.Probability, minProbability), maxProbability)
+		known := o.beliefs[e.Pair]
+		if known == nil {
+			o.set(now, e.Pair, value, time.Time{})
+			continue
+		}
+		own := known.decayed(now)
+		if now.Sub(known.seenAt) > ownSampleTime && math.Abs(logOdds(value)-prior) > math.Abs(own-prior) {
+			o.set(now, e.Pair, value, known.seenAt)
 		}
 	}
 }
--- a/internal/entry/dispatcher/follow.go
+++ b/internal/entry/dispatcher/follow.go
@@ -14,6 +14,12 @@
 const (
 	// helloInterval is the time between two calls to the owner.
 	helloInterval = 250 * time.Millisecond
+	// distantTicks times that is the time between two calls of an instance that isn't
+	// one of the watchers of the shard.
+	distantTicks = 4
+	// watchers of a shard look at its owner closely, so that a lost one is replaced
+	// soon. All instances doing so would cost each of them with the number of shards.
+	watchers = 5
 	// helloTimeout bounds such a call.
 	helloTimeout = 400 * time.Millisecond
 	// silentAfter is the silence after which the owner's row is looked at.
@@ -48,14 +54,15 @@
 func (s *shard) follow(ctx context.Context) error {
 	ticker := s.node.Clock.NewTicker(helloInterval)
 	defer ticker.Stop()
-	for {
-		if s.owned.Load() == nil {
+	for tick := 0; ; tick++ {
+		if s.owned.Load() == nil && (tick%distantTicks == 0 || s.watchesClosely()) {
 			s.followOnce(ctx)
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-s.followNow:
+			tick = -1
 		case <-ticker.Chan():
 		}
 	}
--- a/internal/entry/dispatcher/hello.go
+++ b/internal/entry/dispatcher/hello.go
@@ -9,7 +9,9 @@
 func (s *shard) hello(ctx context.Context, address string) (helloAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	request := helloRequest{From: s.node.self(), Shard: s.id, Owner: s.currentView().owner}
+	request := helloRequest{
+		From: s.node.self(), Shard: s.id, Owner: s.currentView().owner, WantPeers: s.node.wantsPeers(),
+	}
 	return entry.Call[helloRequest, helloAnswer](ctx, s.node.Peers, address, helloMethod, request)
 }
 
@@ -60,7 +62,10 @@
 	if r.From.Name != "" {
 		n.meet([]peer{r.From})
 	}
-	answer := helloAnswer{Peers: append(n.others(), n.self())}
+	var answer helloAnswer
+	if r.WantPeers {
+		answer.Peers = append(n.others(), n.self())
+	}
 	s, err := n.shardByID(r.Shard)
 	if err != nil {
 		// An instance that is starting can tell of others, but not of the owner.
--- a/internal/entry/dispatcher/messages.go
+++ b/internal/entry/dispatcher/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/balance"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
@@ -17,6 +18,7 @@
 	stateMethod     = "Dispatch.State"
 	pendingMethod   = "Dispatch.Pending"
 	acceptMethod    = "Dispatch.Accept"
+	estimatesMethod = "Dispatch.Estimates"
 	relaySubmit     = "Dispatch.RelaySubmit"
 	relayCancel     = "Dispatch.RelayCancel"
 )
@@ -37,6 +39,8 @@
 	From  peer
 	Shard shardID
 	Owner ownerRow
+	// WantPeers asks for the known instances as well.
+	WantPeers bool `json:",omitempty"`
 }
 
 // helloAnswer tells who owns the shard and which instances there are.
@@ -49,7 +53,7 @@
 	StoreLost bool
 	// Load is that of the shard, if the instance owns it.
 	Load  balance.Load
-	Peers []peer
+	Peers []peer `json:",omitempty"`
 }
 
 type submittedRequest struct{ Job dispatch.Job }
@@ -83,6 +87,17 @@
 
 type pendingAnswer struct{ Pending int }
 
+type shardRequest struct{ Shard shardID }
+
+// estimatesAnswer tells what an owner believes of pairs of images.
+type estimatesAnswer struct{ Estimates []interference.Estimate }
+
+// acceptAnswer tells that a job is stored, or why it never will be.
+type acceptAnswer struct {
+	Refused    string        `json:",omitempty"`
+	RetryAfter time.Duration `json:",omitempty"`
+}
+
 type emptyAnswer struct{}
 
 // confirmRequest asks whether the instance could replace the owner.
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -34,6 +34,8 @@
 	lock  sync.Mutex
 	group *errgroup.Group
 	peers map[membership.InstanceID]knownPeer
+	// peersAskedAt is when another instance was last asked for all it knows.
+	peersAskedAt time.Time
 }
 
 // New returns a Node. Register and Run make it work.
@@ -55,6 +57,7 @@
 	entry.Handle(server, stateMethod, n.answerState)
 	entry.Handle(server, pendingMethod, n.answerPending)
 	entry.Handle(server, acceptMethod, n.answerAccept)
+	entry.Handle(server, estimatesMethod, n.answerEstimates)
 	entry.Handle(server, relaySubmit, n.answerRelaySubmit)
 	entry.Handle(server, relayCancel, n.answerRelayCancel)
 }
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -128,6 +128,7 @@
 	group.Go(func() error { return o.write(ctx) })
 	group.Go(func() error { return o.sweepMoved(ctx) })
 	group.Go(func() error { return o.review(ctx) })
+	group.Go(func() error { return o.exchangeEstimates(ctx) })
 	return group.Wait()
 }
 
--- a/internal/entry/dispatcher/peers.go
+++ b/internal/entry/dispatcher/peers.go
@@ -6,14 +6,31 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
-// peerMemory is how long an instance that doesn't call any more is remembered.
-const peerMemory = 10 * time.Second
+const (
+	// peerMemory is how long an instance that doesn't call any more is remembered.
+	peerMemory = 10 * time.Second
+	// peersInterval is the time between two questions for all known instances, which
+	// make up most of an answer in a large deployment.
+	peersInterval = 2 * time.Second
+)
 
 type knownPeer struct {
 	peer
 	seen time.Time
 }
 
+// wantsPeers reports whether it is time to ask for the known instances.
+func (n *Node) wantsPeers() bool {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	now := n.Clock.Now()
+	if len(n.peers) > 0 && now.Sub(n.peersAskedAt) < peersInterval {
+		return false
+	}
+	n.peersAskedAt = now
+	return true
+}
+
 // meet notes instances that are alive. What one instance tells of another counts from
 // when that one was heard, else two would keep a dead one alive between them.
 func (n *Node) meet(list []peer) {
--- a/internal/entry/dispatcher/shard_test.go
+++ b/internal/entry/dispatcher/shard_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
 var _ = Describe("Shards", func() {
@@ -75,3 +78,28 @@
 		Expect(b.others()).To(BeEmpty())
 	})
 })
+
+// Guards against instances that spend their processors on calls to the owners of all
+// shards, and against a shard that nobody watches.
+var _ = Describe("Watchers", func() {
+	It("are a few instances, others for each shard", func() {
+		var names []membership.InstanceID
+		for i := range 34 {
+			names = append(names, membership.InstanceID(fmt.Sprintf("n%d", i)))
+		}
+		chosen := map[membership.InstanceID]int{}
+		for _, shard := range []part{"s0", "s1", "s2", "s3", "s4"} {
+			count := 0
+			for i, name := range names {
+				others := append(slices.Clone(names[:i]), names[i+1:]...)
+				if isWatcher(shard, name, others) {
+					count++
+					chosen[name]++
+				}
+			}
+			Expect(count).To(Equal(watchers))
+		}
+		Expect(len(chosen)).To(BeNumerically(">", 2*watchers))
+		Expect(isWatcher("s0", "n0", nil)).To(BeTrue())
+	})
+})
