Make room for long-running tasks that wait

Change: after 1.2 s a worker is held for such a task, from which shorter ones go by themselves; else a smaller long-running task whose step is all at work moves to another worker, and both workers are held meanwhile.

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -64,14 +64,18 @@
 	})
 	for i := range workers {
 		id := membership.InstanceID(fmt.Sprintf("w%d", i))
-		b.workers[id] = &fakeWorker{
-			info: dispatch.WorkerInfo{ID: id, Address: string(id), Service: "pool", Zone: "z", Capacity: cores(6)},
-			born: 1, running: map[dispatch.TaskID]*dispatch.RunningTask{},
-		}
+		b.workers[id] = newFakeWorker(id, 6)
 	}
 	return b
 }
 
+func newFakeWorker(id membership.InstanceID, processors float64) *fakeWorker {
+	return &fakeWorker{
+		info: dispatch.WorkerInfo{ID: id, Address: string(id), Service: "pool", Zone: "z", Capacity: cores(processors)},
+		born: 1, running: map[dispatch.TaskID]*dispatch.RunningTask{},
+	}
+}
+
 // list announces all workers to the engine.
 func (b *bench) list() {
 	var list []dispatch.WorkerInfo
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -86,6 +86,8 @@
 	// meanWork is the mean work of the jobs of each queue, in processor seconds.
 	meanWork     map[QueueName]float64
 	stragglersAt time.Time
+	// heldAt is when workers were last looked for to be held.
+	heldAt time.Time
 	// movedAt is when a serving task was last moved.
 	movedAt time.Time
 	// demand is the share of each filler image in what jobs ask for.
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -63,6 +63,8 @@
 	checkpoint Checkpoint
 	// movedAt is when the task was last moved to make room for fillers.
 	movedAt time.Time
+	// heldAt is when a worker was last held for the task.
+	heldAt time.Time
 	// notBefore delays the next start.
 	notBefore time.Time
 }
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -105,6 +105,8 @@
 	health     health
 	slowness   slowness
 	harm       harmControl
+	// hold keeps the worker's room for one task.
+	hold hold
 	// fillerValue is how much of the demand for fillers the worker can serve, weighed
 	// by scarcity; 1 at the mean.
 	fillerValue float64
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -66,7 +66,7 @@
 // suits reports whether a worker may run a task of the step, as far as the
 // placement policy isn't concerned.
 func (e *Engine) suits(now time.Time, s *step, n *node) bool {
-	return e.suitsBut(now, s, n) && s.Reserved().FitsIn(n.free())
+	return e.suitsBut(now, s, n) && s.Reserved().FitsIn(n.free()) && (s.Filler || n.hold.isFor(now, s))
 }
 
 // suitsBut is the same without regard to room.
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -28,6 +28,7 @@
 	e.startTasks(now)
 	e.controlHarm(now)
 	e.consolidate(now)
+	e.makeRoom(now)
 }
 
 // endRecovery lets recovered jobs go on once nothing of them can run unseen.
