Refuse at once what can't be served

Cause: a job with a task that fits no worker waited for ever, and one that would end when it was of no use any more held its caller until then. The users ask to reject both at once.

Change: the owner refuses a job with a task larger than any worker or with a label that no worker has, and a batch job whose expected end, by the work that goes before it, is later than 1.5 times the age at which it earns nothing; Retry-After is when it could end in time. Before a refusal the job's row is looked for, so that it isn't refused when an earlier try has stored it. What is in doubt is accepted: while the workers aren't known, and jobs that another shard gave. Tests replay a burst and a misfit.

--- a/internal/decision/balance/balance.go
+++ b/internal/decision/balance/balance.go
@@ -67,8 +67,8 @@
 	processor = 1000
 )
 
-// wait returns how long a batch job waits for the work before it.
-func (l Load) wait(d Demand) time.Duration {
+// Wait returns how long a batch job waits for the work before it.
+func (l Load) Wait(d Demand) time.Duration {
 	wait := time.Duration(0)
 	if d.Reserving > 0 {
 		wait += l.busy(l.Reserving, l.Lasting)
@@ -106,7 +106,7 @@
 	if d.Lasting > 0 {
 		return a.Add(d).filled() < b.Add(d).filled()
 	}
-	return a.Add(d).wait(d) < b.Add(d).wait(d)
+	return a.Add(d).Wait(d) < b.Add(d).Wait(d)
 }
 
 // isWorthIt reports whether a job gains enough by going to a shard other than its own.
@@ -117,5 +117,5 @@
 	if d.Lasting > 0 {
 		return own.Add(d).filled()-best.Add(d).filled() >= minGain
 	}
-	return own.Add(d).wait(d)-best.Add(d).wait(d) >= minWait
+	return own.Add(d).Wait(d)-best.Add(d).Wait(d) >= minWait
 }
--- /dev/null
+++ b/internal/decision/dispatch/admit_test.go
@@ -0,0 +1,75 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+)
+
+var _ = Describe("Admission", func() {
+	job := func(id dispatch.JobID, steps ...dispatch.Step) dispatch.Job {
+		return dispatch.Job{ID: id, Queue: batchQueue, Steps: steps}
+	}
+	work := func(n int, estimate time.Duration) dispatch.Step {
+		return dispatch.Step{Tasks: n, Resources: cores(1), Estimate: estimate}
+	}
+	ready := func() *bench {
+		b := newBench(1, 2)
+		b.list()
+		b.step(0)
+		return b
+	}
+
+	// Guards against jobs that wait for ever for a worker that doesn't exist.
+	It("refuses a task that fits no worker at once", func() {
+		b := ready()
+		large := dispatch.Step{Tasks: 1, Resources: cores(7)}
+		Expect(b.engine.Admit(b.now, job("j", work(1, time.Second), large)).Refused).To(Equal(dispatch.RefusedMisfit))
+		labelled := work(1, time.Second)
+		labelled.Requires = "gpu"
+		Expect(b.engine.Admit(b.now, job("j", labelled)).Refused).To(Equal(dispatch.RefusedMisfit))
+		b.workers["w0"].info.Labels = []dispatch.Label{"gpu"}
+		b.list()
+		Expect(b.engine.Admit(b.now, job("j", labelled)).Refused).To(BeEmpty())
+	})
+
+	// Replays a burst: 12 processors, and work for 50 s before a job that is of use for
+	// 12 s only. It would hold its caller until then for nothing.
+	It("refuses a job that would end when it is of no use, and tells when to come back", func() {
+		b := ready()
+		for i := range 10 {
+			b.submit(dispatch.JobID(fmt.Sprintf("first%d", i)), work(30, 2*time.Second))
+		}
+		b.step(0)
+		refused := b.engine.Admit(b.now, job("j", work(60, 2*time.Second)))
+		Expect(refused.Refused).To(Equal(dispatch.RefusedOverload))
+		Expect(refused.RetryAfter).To(BeNumerically(">", 20*time.Second))
+		Expect(refused.RetryAfter).To(BeNumerically("<=", 30*time.Second))
+	})
+
+	It("accepts a small job, which goes first", func() {
+		b := ready()
+		for i := range 10 {
+			b.submit(dispatch.JobID(fmt.Sprintf("first%d", i)), work(30, 2*time.Second))
+		}
+		b.step(0)
+		Expect(b.engine.Admit(b.now, job("j", work(1, 2*time.Second))).Refused).To(BeEmpty())
+	})
+
+	// Guards against refusals by an owner that doesn't know yet what there is.
+	It("accepts everything while it doesn't know the workers", func() {
+		b := newBench(2, 1)
+		large := job("j", dispatch.Step{Tasks: 1, Resources: cores(7)})
+		Expect(b.engine.Admit(b.now, large).Refused).To(BeEmpty())
+		b.engine.Recover(b.now, 0)
+		b.list()
+		Expect(b.engine.Admit(b.now, large).Refused).To(BeEmpty())
+		b.step(time.Second)
+		b.step(time.Second)
+		Expect(b.engine.Admit(b.now, large).Refused).To(Equal(dispatch.RefusedMisfit))
+	})
+})
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
@@ -60,7 +61,7 @@
 
 // submitToOwner lets the owner store a job with its next transaction: one writer
 // stores many jobs at once, which matters most while the store is slow. It fails
-// with errNotTaken, or queue.ErrOutcomeUnknown.
+// with errNotTaken, a *queue.Refusal, or queue.ErrOutcomeUnknown.
 func (s *shard) submitToOwner(ctx context.Context, j dispatch.Job) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
@@ -71,8 +72,10 @@
 	if !known || s.currentView().storeLost {
 		return errNotTaken
 	}
-	_, err := entry.Call[acceptRequest, emptyAnswer](ctx, s.node.Peers, address, acceptMethod, acceptRequest{s.id, j})
+	answer, err := entry.Call[acceptRequest, acceptAnswer](ctx, s.node.Peers, address, acceptMethod, acceptRequest{s.id, j})
 	switch {
+	case err == nil && answer.Refused != "":
+		return loadRefusal(dispatch.Admission{Refused: answer.Refused, RetryAfter: answer.RetryAfter})
 	case err == nil:
 		return nil
 	case errors.Is(err, entry.ErrNotSent), entry.CodeOf(err) == entry.CodeNotOwner,
@@ -83,19 +86,52 @@
 	}
 }
 
-func (n *Node) answerAccept(ctx context.Context, r acceptRequest) (emptyAnswer, error) {
+func (n *Node) answerAccept(ctx context.Context, r acceptRequest) (acceptAnswer, error) {
 	o, err := n.owning(r.Shard)
 	if err != nil {
-		return emptyAnswer{}, err
+		return acceptAnswer{}, err
 	}
 	err = o.accept(ctx, r.Job)
+	var refusal *queue.Refusal
 	switch {
+	case errors.As(err, &refusal):
+		return acceptAnswer{Refused: refusal.Reason, RetryAfter: refusal.RetryAfter}, nil
 	case errors.Is(err, errNotTaken):
-		return emptyAnswer{}, entry.Errorf(entry.CodeUnavailable, "the owner takes no jobs")
+		return acceptAnswer{}, entry.Errorf(entry.CodeUnavailable, "the owner takes no jobs")
 	case err != nil:
-		return emptyAnswer{}, entry.Errorf(entry.CodeDeadline, "the outcome is unknown")
+		return acceptAnswer{}, entry.Errorf(entry.CodeDeadline, "the outcome is unknown")
 	}
-	return emptyAnswer{}, nil
+	return acceptAnswer{}, nil
+}
+
+// loadRefusal returns the refusal of a job that can't be served.
+func loadRefusal(a dispatch.Admission) error {
+	return &queue.Refusal{Reason: a.Refused, RetryAfter: a.RetryAfter, Overload: a.Refused == dispatch.RefusedOverload}
+}
+
+// admit decides whether a new job can be served. Before it is refused, its row is looked
+// for: another instance may have stored it for an earlier try of the caller.
+func (o *owner) admit(ctx context.Context, j *dispatch.Job) error {
+	o.lock.Lock()
+	admission := dispatch.Admission{}
+	if !o.isForeign(j.ID) && !o.isWaiting(j.ID) {
+		admission = o.engine.Admit(o.now(), *j)
+	}
+	o.lock.Unlock()
+	if admission.Refused == "" {
+		return nil
+	}
+	row, err := o.node.read(ctx, o.shard.part.jobKey(j.ID))
+	if err != nil || row.Version != 0 {
+		return nil
+	}
+	return loadRefusal(admission)
+}
+
+// isWaiting reports whether the job is stored, or about to be. The lock must be held.
+func (o *owner) isWaiting(id dispatch.JobID) bool {
+	return !o.loaded || o.knows(id) || o.storing[id] ||
+		slices.ContainsFunc(o.submissions, func(s *submission) bool { return s.job.ID == id })
 }
 
 // accept stores a job with the next transaction, unless it is known.
@@ -103,6 +139,9 @@
 	if _, lost := o.node.store.lostFor(); lost || o.release.Load() {
 		return errNotTaken
 	}
+	if err := o.admit(ctx, &j); err != nil {
+		return err
+	}
 	waiting := &submission{job: j, done: make(chan error, 1)}
 	if chosen := o.chooseShard(&j); chosen != o.shard.id {
 		waiting.moved = &chosen
--- a/internal/entry/dispatcher/gateway.go
+++ b/internal/entry/dispatcher/gateway.go
@@ -64,11 +64,14 @@
 		n.Counters.Add("Submit.ByOwner", 1)
 		return nil
 	}
+	var refusal *queue.Refusal
+	if errors.As(ownerErr, &refusal) {
+		return ownerErr
+	}
 	err := s.submitHere(ctx, j)
 	if errors.Is(err, errRepeated) {
 		return nil
 	}
-	var refusal *queue.Refusal
 	if errors.As(err, &refusal) {
 		err = s.relay(ctx, relaySubmit, submittedRequest{j}, err)
 	} else if err == nil {
