Stop late starts on restarted workers, and ask those that were known for authority

(1) A worker that restarts under its id has seen no epoch and has a new clock: a start without an answer could be carried out by its new life after the task had started elsewhere. (2) An owner that was cut off with others for more than 10 s forgot those on the other side; then the word of those on its own side let it act again beside its successor.

Change: starts without an answer are remembered for 15 s and stopped on the new life; what may still hold them stays reserved until then. A stop counts only with a clock of the present life. Authority needs the word of all instances that were known at the last transaction. Both have tests, which failed first.

--- a/internal/decision/dispatch/command.go
+++ b/internal/decision/dispatch/command.go
@@ -29,11 +29,17 @@
 	})
 }
 
+// earlierLife is how far a clock in an answer may be ahead of the last report. One that
+// is further ahead belongs to an earlier life of the worker.
+const earlierLife = 5 * time.Second
+
 // Stopped notes that a worker accepted a stop command at the given time of its clock.
 func (e *Engine) Stopped(id membership.InstanceID, r TaskRun, clock time.Duration) {
-	if a := e.findAttempt(id, r); a != nil && a.phase == stopping && a.stopClock == 0 {
-		a.stopClock = clock
+	a := e.findAttempt(id, r)
+	if a == nil || a.phase != stopping || a.stopClock != 0 || clock > a.node.clock+earlierLife {
+		return
 	}
+	a.stopClock = clock
 }
 
 func (e *Engine) findAttempt(id membership.InstanceID, r TaskRun) *attempt {
@@ -59,6 +65,10 @@
 	switch result {
 	case StartAccepted:
 		a.phase, a.since = running, clock
+		if a.restarted {
+			// The answer may be of the earlier life, which had another clock.
+			a.since = a.node.clockNow(now)
+		}
 		e.observe("Latency.StartCommand", now.Sub(a.sentAt))
 		if j := a.task.step.job; !j.began {
 			j.began = true
@@ -66,6 +76,7 @@
 		}
 	case StartUnanswered:
 		a.phase = inDoubt
+		a.node.noteDoubt(now, r)
 	default:
 		e.startRefused(now, a, result)
 		return
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -242,6 +242,31 @@
 
 	// Guards against a task that runs twice after a takeover: the new owner counted
 	// the recovery as complete before it had seen the list of workers.
+	// Guards against a task that runs twice (TWICE): a start without an answer may be
+	// carried out late, also by the next life of its worker, which knows no epoch.
+	It("stops a start without an answer on the next life of its worker before it starts elsewhere", func() {
+		b := newBench(1, 1)
+		b.list()
+		b.step(0)
+		b.workers["w0"].silent = true
+		b.submit("j", tasks(1))
+		b.engine.Tick(b.now)
+		for _, c := range b.engine.TakeCommands() {
+			b.carryOut(c)
+		}
+		Expect(b.starts).To(HaveLen(1))
+		b.workers["w0"].silent, b.workers["w0"].born, b.workers["w0"].clock = false, 2, 0
+		b.workers["w0"].info.Draining = true
+		b.workers["w1"] = newFakeWorker("w1", 6)
+		b.list()
+		b.step(100 * time.Millisecond)
+		Expect(b.starts).To(HaveLen(1))
+		Expect(b.stops).To(HaveLen(1))
+		b.step(100 * time.Millisecond)
+		b.step(100 * time.Millisecond)
+		Expect(b.workersOf("j")).To(Equal([]membership.InstanceID{"w1"}))
+	})
+
 	It("starts no recovered task before all workers have reported", func() {
 		b := newBench(2, 2)
 		b.engine.AddJob(b.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: b.now, Steps: []dispatch.Step{tasks(1)}}, dispatch.Progress{}, true)
--- /dev/null
+++ b/internal/decision/dispatch/late.go
@@ -0,0 +1,34 @@
+package dispatch
+
+import "time"
+
+// lateStartTime is how long after it was sent a start without an answer may be carried
+// out.
+const lateStartTime = 15 * time.Second
+
+// noteDoubt remembers a start without an answer.
+func (n *node) noteDoubt(now time.Time, r TaskRun) {
+	for other, at := range n.doubts {
+		if now.Sub(at) > lateStartTime {
+			delete(n.doubts, other)
+		}
+	}
+	n.doubts[r] = now
+}
+
+// stopLateStarts stops the starts without an answer on the new life of a worker. It
+// knows no epoch and has a new clock, so that nothing else keeps it from carrying them
+// out late.
+func (e *Engine) stopLateStarts(now time.Time, n *node) {
+	for r, at := range n.doubts {
+		if now.Sub(at) > lateStartTime {
+			continue
+		}
+		e.count("Task.LateStartStopped")
+		if a := n.runs[r.Task]; a != nil && a.run == r.Run {
+			e.sendStop(now, a)
+			continue
+		}
+		e.commands = append(e.commands, Command{Worker: n.ID, Address: n.Address, TaskRun: r, Stop: true})
+	}
+}
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -50,6 +50,8 @@
 	earlier Run
 	// adopted runs were started by an earlier owner.
 	adopted bool
+	// restarted reports that the worker restarted before it answered the start.
+	restarted bool
 	// stopWanted attempts are stopped once the start is answered.
 	stopWanted bool
 	stopSent   time.Time
@@ -98,6 +100,8 @@
 	// last one that is stored.
 	seen     int64
 	observed int64
+	// doubts are the starts without an answer, with the time.
+	doubts map[TaskRun]time.Time
 	// strays are runs that aren't this owner's, with the time of the last stop.
 	strays map[TaskRun]time.Time
 	// avoidUntil is when a worker that refused starts is tried again.
@@ -124,6 +128,7 @@
 		departed:   map[Image]time.Time{},
 		sampledAt:  map[Image]time.Time{},
 		strays:     map[TaskRun]time.Time{},
+		doubts:     map[TaskRun]time.Time{},
 	}
 }
 
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -77,7 +77,17 @@
 	e.record(now, Decision{Event: "WorkerRestarted", Worker: n.ID})
 	n.seen, n.observed, n.leaseSent = 0, 0, 0
 	clear(n.strays)
-	e.loseRuns(now, n, "worker restarted")
+	for _, a := range n.runs {
+		switch _, doubtful := n.doubts[TaskRun{a.task.id, a.run}]; {
+		case a.phase == sending:
+			a.restarted = true
+		case doubtful:
+			a.phase, a.stopClock = stopping, 0
+		default:
+			e.lose(now, a, "worker restarted")
+		}
+	}
+	e.stopLateStarts(now, n)
 }
 
 // loseRuns makes the tasks of all runs on a worker wait again.
--- a/internal/entry/dispatcher/authority.go
+++ b/internal/entry/dispatcher/authority.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
@@ -26,10 +27,18 @@
 type authority struct {
 	// stored is the time of the last transaction.
 	stored time.Time
+	// witnesses are the other instances that were known then. They must speak even when
+	// they are no longer heard of: one that is cut off may have claimed the shard.
+	witnesses []membership.InstanceID
 	// confirmed is when each instance last said that it can't claim the shard.
 	confirmed map[membership.InstanceID]time.Time
 }
 
+// store notes a transaction that was sent at a time, and the instances known then.
+func (a *authority) store(sent time.Time, others []membership.InstanceID) {
+	a.stored, a.witnesses = sent, others
+}
+
 // confirm notes the word of an instance.
 func (a *authority) confirm(from membership.InstanceID, at time.Time) {
 	if a.confirmed == nil {
@@ -47,12 +56,8 @@
 	if len(others) == 0 {
 		return false
 	}
-	for _, name := range others {
-		if now.Sub(a.confirmed[name]) > authorityTerm {
-			return false
-		}
-	}
-	return true
+	silent := func(name membership.InstanceID) bool { return now.Sub(a.confirmed[name]) > authorityTerm }
+	return !slices.ContainsFunc(others, silent) && !slices.ContainsFunc(a.witnesses, silent)
 }
 
 // confirmAuthority asks the other instances, while the store doesn't answer, whether
--- a/internal/entry/dispatcher/authority_test.go
+++ b/internal/entry/dispatcher/authority_test.go
@@ -39,6 +39,21 @@
 		}
 	})
 
+	// Guards against an owner that was cut off together with others, and replaced: once
+	// it has forgotten those on the other side, the word of those on its own side would
+	// let it act again beside its successor.
+	It("needs the word of instances that are no longer heard of", func() {
+		a := authority{}
+		a.store(at(0), others)
+		a.confirm("a", at(11000))
+		Expect(a.mayAct(at(11100), others[:1])).To(BeFalse())
+		a.confirm("b", at(11000))
+		Expect(a.mayAct(at(11100), others[:1])).To(BeTrue())
+		a.store(at(20000), others[:1])
+		a.confirm("a", at(30000))
+		Expect(a.mayAct(at(30100), others[:1])).To(BeTrue())
+	})
+
 	It("is gone after the machine was suspended", func() {
 		s := suspension{}
 		Expect(s.noticed(5 * time.Second)).To(BeFalse())
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -106,10 +106,11 @@
 		return err
 	}
 	o.released.Store(next.Released)
+	others := o.node.otherNames()
 	o.lock.Lock()
 	now = o.node.Clock.Now()
 	o.row, o.version, o.fleet, o.fleetRevision = next, written, fleet, revision
-	o.authority.stored = sent
+	o.authority.store(sent, others)
 	o.engine.Stored(now, batch)
 	o.enterSubmissions(now, submissions)
 	more := o.engine.Unstored() || len(o.submissions) > 0 || len(o.chores) > 0
