Keep no long-running task off a worker that is held for another

After five workers were taken away, 80 long-running tasks waited; workers were held for tasks that didn't fit yet, and smaller ones waited that did.

Change: a worker is held against short tasks only, and against the task that was moved away for it. Test "doesn't keep a smaller one from a worker that is held for it", which failed first.

--- a/internal/decision/dispatch/defrag.go
+++ b/internal/decision/dispatch/defrag.go
@@ -23,11 +23,17 @@
 type hold struct {
 	task  *task
 	until time.Time
+	// moved is the step whose task made room; it must not take the room again.
+	moved *step
 }
 
-// isFor reports whether the room may be used for a step.
+// isFor reports whether the room may be used for a step. Long-running tasks are kept off
+// only by a short task: one that fits must not wait for a larger one.
 func (h *hold) isFor(now time.Time, s *step) bool {
-	return h.task == nil || now.After(h.until) || h.task.attempt != nil || h.task.step == s
+	if h.task == nil || now.After(h.until) || h.task.attempt != nil {
+		return true
+	}
+	return h.task.step == s || (s != h.moved && s.LongRunning && h.task.step.LongRunning)
 }
 
 // makeRoom holds workers for long-running tasks that wait although the room for them is
@@ -86,7 +92,7 @@
 	}
 	if best != nil {
 		e.count("Worker.Held")
-		best.holdTask(now, t)
+		best.holdTask(now, t, nil)
 		return true
 	}
 	return e.moveFor(now, t)
@@ -96,8 +102,8 @@
 	return e.suitsBut(now, t.step, n) && n.hold.isFor(now, t.step) && (!t.step.job.queue.Advised || e.ticket(now, t.step, n) != "")
 }
 
-func (n *node) holdTask(now time.Time, t *task) {
-	n.hold = hold{t, now.Add(holdTime)}
+func (n *node) holdTask(now time.Time, t *task, moved *step) {
+	n.hold = hold{t, now.Add(holdTime), moved}
 	t.heldAt = now
 }
 
@@ -117,8 +123,8 @@
 			if to := e.roomFor(now, a, n); to != nil {
 				e.count("Task.MovedForRoom")
 				a.task.movedAt = now
-				n.holdTask(now, t)
-				to.holdTask(now, a.task)
+				n.holdTask(now, t, a.task.step)
+				to.holdTask(now, a.task, nil)
 				e.stop(now, a, "makes room for a larger task")
 				return true
 			}
--- a/internal/decision/dispatch/defrag_test.go
+++ b/internal/decision/dispatch/defrag_test.go
@@ -75,4 +75,22 @@
 		Expect(b.workersOf("large")).To(HaveLen(1))
 		Expect(b.workersOf("small")).To(HaveLen(4))
 	})
+
+	// Replays leaving-workers of a site with seed 504392780792: workers were held for
+	// tasks that didn't fit yet, and smaller ones waited that did (LOST).
+	It("doesn't keep a smaller one from a worker that is held for it", func() {
+		b := newBench(1, 1)
+		b.list()
+		b.step(0)
+		b.submit("small", lasting(1, 3))
+		pass(b, time.Second, nil)
+		b.submit("short", dispatch.Step{Tasks: 1, Resources: cores(1), Estimate: time.Minute})
+		pass(b, time.Second, nil)
+		b.submit("large", lasting(1, 3))
+		pass(b, 2*time.Second, nil)
+		Expect(b.workersOf("large")).To(BeEmpty())
+		b.submit("other", lasting(1, 2))
+		pass(b, 500*time.Millisecond, nil)
+		Expect(b.workersOf("other")).To(HaveLen(1))
+	})
 })
