Cut deployments into few large shards, and own them by strength

And one instance owned up to four of five shards, since claims in progress didn't count and nobody was known at the first claim.

Change: as few shards as the strongest instances can own, at 400 workers for a processor and 250 at most. Instances greet those of the settings before the first claim; claims in progress count; an owner that carries far more than another instance would releases a shard, every 30 s at most.

--- a/internal/entry/dispatcher/burden.go
+++ b/internal/entry/dispatcher/burden.go
@@ -1,15 +1,30 @@
 package dispatcher
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 const (
-	// burdenStep is how much later an instance claims a shard for each mean instance's
-	// load of one shard that it would carry too much.
+	// burdenStep is how much later an instance claims a shard for each shard of a mean
+	// instance that it would carry more than the least burdened one.
 	burdenStep = 250 * time.Millisecond
 	// maxBurdenDelay bounds that delay.
 	maxBurdenDelay = 800 * time.Millisecond
-	// spreadDelay spreads the claims of instances that are alike over shards.
+	// spreadDelay spreads the claims of instances that are alike over shards, in
+	// spreadSteps different delays.
 	spreadDelay = 60 * time.Millisecond
+	spreadSteps = 16
+	// rebalanceInterval is the time between two looks whether another instance should
+	// own one of the shards.
+	rebalanceInterval = 5 * time.Second
+	// rebalanceRest is the least time between two releases: the other instance may not be
+	// able to claim the shard.
+	rebalanceRest = 30 * time.Second
+	// rebalanceGain is by how many shards of a mean instance another one must be less
+	// burdened, with one shard more, for a shard to be released. Each release leaves the
+	// shard without an owner for a moment.
+	rebalanceGain = 0.8
 )
 
 // burden is the load of an instance with a number of shards: 1 for an instance of mean
@@ -21,34 +36,84 @@
 	return float64(shards) * meanCores / cores
 }
 
-// claimDelay returns how long an instance waits before it claims a further shard, so
-// that a stronger or less loaded one comes first.
-func claimDelay(owned int, cores, meanCores float64) time.Duration {
-	surplus := max(burden(owned+1, cores, meanCores)-1, 0)
-	return min(time.Duration(surplus*float64(burdenStep)), maxBurdenDelay)
+// leastBurden returns the burden of the least burdened of some instances if it got one
+// shard more, and false for no instances.
+func leastBurden(others []peer, meanCores float64) (float64, bool) {
+	least, found := 0.0, false
+	for _, p := range others {
+		if b := burden(p.Owned+1, p.Cores, meanCores); !found || b < least {
+			least, found = b, true
+		}
+	}
+	return least, found
+}
+
+// claimDelay returns how long an instance with a number of shards waits before it claims
+// a further one, so that a stronger or less loaded one comes first.
+func claimDelay(owned int, cores float64, others []peer) time.Duration {
+	mean := meanCores(cores, others)
+	own := burden(owned+1, cores, mean)
+	least, found := leastBurden(others, mean)
+	if !found {
+		least = burden(1, cores, mean)
+	}
+	return min(time.Duration(max(own-least, 0)*float64(burdenStep)), maxBurdenDelay)
+}
+
+// shouldRelease reports whether an instance should give one of its shards to another.
+func shouldRelease(owned int, cores float64, others []peer) bool {
+	mean := meanCores(cores, others)
+	least, found := leastBurden(others, mean)
+	return owned > 0 && found && burden(owned, cores, mean)-least >= rebalanceGain
+}
+
+// meanCores returns the mean share of processors of an instance and others.
+func meanCores(own float64, others []peer) float64 {
+	total, count := own, 1
+	for _, p := range others {
+		if p.Cores > 0 {
+			total += p.Cores
+			count++
+		}
+	}
+	return total / float64(count)
 }
 
-// burdenDelay returns that delay for this instance and shard.
+// burdenDelay returns the delay of a claim for this instance and shard.
 func (s *shard) burdenDelay() time.Duration {
 	n := s.node
-	delay := claimDelay(len(n.ownedShards()), n.Cores, n.meanCores())
+	delay := claimDelay(n.burdens(), n.Cores, n.others())
 	if s.count > 1 {
 		delay += spreadDelay * time.Duration(shardOf(string(n.Name)+string(s.part), spreadSteps)) / spreadSteps
 	}
 	return delay
 }
 
-// spreadSteps is the number of different delays that spread claims.
-const spreadSteps = 16
+// burdens returns the number of shards that this instance owns or is about to claim.
+func (n *Node) burdens() int {
+	return len(n.ownedShards()) + int(n.claiming.Load()) - 1
+}
 
-// meanCores returns the mean share of processors of the known instances.
-func (n *Node) meanCores() float64 {
-	total, count := n.Cores, 1
-	for _, p := range n.others() {
-		if p.Cores > 0 {
-			total += p.Cores
-			count++
+// rebalance releases shards while other instances carry less.
+func (n *Node) rebalance(ctx context.Context) error {
+	ticker := n.Clock.NewTicker(rebalanceInterval)
+	defer ticker.Stop()
+	var released time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
 		}
+		owned := n.ownedShards()
+		now := n.Clock.Now()
+		if n.draining.Load() || now.Sub(released) < rebalanceRest || !shouldRelease(len(owned), n.Cores, n.others()) {
+			continue
+		}
+		released = now
+		n.Counters.Add("Owner.Rebalanced", 1)
+		last := owned[len(owned)-1]
+		last.note("another instance carries less")
+		last.releaseShard()
 	}
-	return total / float64(count)
 }
--- a/internal/entry/dispatcher/follow.go
+++ b/internal/entry/dispatcher/follow.go
@@ -182,6 +182,8 @@
 
 // claim makes this instance the owner if the row is still as it was read.
 func (s *shard) claim(ctx context.Context, row table.Row, latency time.Duration) {
+	s.node.claiming.Add(1)
+	defer s.node.claiming.Add(-1)
 	delay := min(claimDelayFactor*latency, maxClaimDelay) + s.burdenDelay()
 	select {
 	case <-ctx.Done():
--- a/internal/entry/dispatcher/hello.go
+++ b/internal/entry/dispatcher/hello.go
@@ -7,12 +7,16 @@
 )
 
 func (s *shard) hello(ctx context.Context, address string) (helloAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
-	defer cancel()
 	request := helloRequest{
 		From: s.node.self(), Shard: s.id, Owner: s.currentView().owner, WantPeers: s.node.wantsPeers(),
 	}
-	return entry.Call[helloRequest, helloAnswer](ctx, s.node.Peers, address, helloMethod, request)
+	return s.node.callHello(ctx, address, request)
+}
+
+func (n *Node) callHello(ctx context.Context, address string, request helloRequest) (helloAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	return entry.Call[helloRequest, helloAnswer](ctx, n.Peers, address, helloMethod, request)
 }
 
 // self describes this instance to its peers.
--- a/internal/entry/dispatcher/layout.go
+++ b/internal/entry/dispatcher/layout.go
@@ -1,9 +1,11 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
@@ -15,9 +17,13 @@
 const (
 	// layoutKey has the row that tells into how many shards the deployment is cut.
 	layoutKey table.Key = "layout/main/layout"
-	// workersPerShard bounds the workers of a shard when the deployment is cut. One
-	// owner carries them on a sixth of a processor.
-	workersPerShard = 80
+	// maxShardWorkers bounds the workers of a shard when the deployment is cut: a decision
+	// costs with them.
+	maxShardWorkers = 250
+	// workersPerCore is how many workers an owner carries for each processor that its
+	// instance has, and unknownCores what an instance that doesn't tell is taken to have.
+	workersPerCore = 400
+	unknownCores   = 0.16
 	// layoutInterval is the time between two looks for the layout.
 	layoutInterval = 300 * time.Millisecond
 	// layoutRest is how long the number of workers must stay the same before the
@@ -30,9 +36,34 @@
 	Shards int
 }
 
-// shardsFor returns the number of shards for a number of workers.
-func shardsFor(workers int) int {
-	return max((workers+workersPerShard-1)/workersPerShard, 1)
+// shardsFor returns the least number of shards of which the strongest instances, given
+// the shares of processors of all, can own one each. Few large shards place and order
+// better than many small ones.
+func shardsFor(workers int, cores []float64) int {
+	strongest := slices.Clone(cores)
+	slices.SortFunc(strongest, func(a, b float64) int { return cmp.Compare(b, a) })
+	for count := 1; count <= len(strongest); count++ {
+		size := (workers + count - 1) / count
+		if size <= min(int(strongest[count-1]*workersPerCore), maxShardWorkers) {
+			return count
+		}
+	}
+	// Too weak instances share the work as evenly as they can.
+	return max(len(strongest), 1)
+}
+
+// knownCores returns the shares of processors of this and all known instances.
+func (n *Node) knownCores() []float64 {
+	list := []float64{n.Cores}
+	for _, p := range n.others() {
+		list = append(list, p.Cores)
+	}
+	for i := range list {
+		if list[i] <= 0 {
+			list[i] = unknownCores
+		}
+	}
+	return list
 }
 
 // layoutWatch waits until the number of workers rests.
@@ -61,6 +92,7 @@
 		if err != nil {
 			n.Counters.Add("Layout.ReadFailed", 1)
 		}
+		n.greet(ctx)
 		select {
 		case <-ctx.Done():
 			return layoutRow{}, ctx.Err()
@@ -69,6 +101,22 @@
 	}
 }
 
+// greet makes this instance known to the instances that the settings name, and learns
+// of the others, so that the first shards are claimed by those that carry them best.
+func (n *Node) greet(ctx context.Context) {
+	for _, address := range n.configuredSeeds() {
+		n.background(func() error {
+			answer, err := n.callHello(ctx, address, helloRequest{From: n.self(), WantPeers: true})
+			if err != nil {
+				n.Counters.Add("Owner.PeerSilent", 1)
+				return nil
+			}
+			n.meet(answer.Peers)
+			return nil
+		})
+	}
+}
+
 // layoutOnce returns the layout, the zero value while there is none.
 func (n *Node) layoutOnce(ctx context.Context, watch *layoutWatch) (layoutRow, error) {
 	row, err := n.read(ctx, layoutKey)
@@ -89,7 +137,7 @@
 	if !watch.rests(n.Clock.Now(), len(workers)) {
 		return layoutRow{}, nil
 	}
-	cut := layoutRow{Shards: shardsFor(len(workers))}
+	cut := layoutRow{Shards: shardsFor(len(workers), n.knownCores())}
 	_, err = n.commit(ctx, table.Transaction{
 		Conditions: []table.Condition{{Key: layoutKey}},
 		Writes:     []table.Write{{Key: layoutKey, Value: encode(cut)}},
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -29,6 +29,8 @@
 	// shards is set once the layout is known.
 	shards   atomic.Pointer[[]*shard]
 	draining atomic.Bool
+	// claiming counts the claims in progress.
+	claiming atomic.Int32
 	probe    storeProbe
 
 	lock  sync.Mutex
@@ -75,9 +77,11 @@
 		if err != nil {
 			return err
 		}
-		for _, s := range n.setLayout(layout) {
+		shards := n.setLayout(layout)
+		for _, s := range shards {
 			group.Go(func() error { return s.follow(ctx) })
 		}
+		group.Go(func() error { return n.rebalance(ctx) })
 		return nil
 	})
 	return group.Wait()
--- a/internal/entry/dispatcher/peers.go
+++ b/internal/entry/dispatcher/peers.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
@@ -86,10 +87,14 @@
 	n.Seeds = seeds
 }
 
-// seeds returns the addresses of the known peers, then those of the settings.
-func (n *Node) seeds() []string {
-	known := n.peerAddresses()
+// configuredSeeds returns the addresses of the settings.
+func (n *Node) configuredSeeds() []string {
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	return append(known, n.Seeds...)
+	return slices.Clone(n.Seeds)
+}
+
+// seeds returns the addresses of the known peers, then those of the settings.
+func (n *Node) seeds() []string {
+	return append(n.peerAddresses(), n.configuredSeeds()...)
 }
