Count the wait after a takeover from the earlier owner's last proof

Change: they count from when the row was first seen as it was replaced, or from the last word of this instance that it can't claim the shard, whichever is later; from the takeover if the earlier owner never answered this instance or the store was away meanwhile.

--- a/internal/entry/dispatcher/authority.go
+++ b/internal/entry/dispatcher/authority.go
@@ -112,7 +112,13 @@
 		return confirmAnswer{CanClaim: n.canClaim()}, nil
 	}
 	s.hear(r.Owner)
-	return confirmAnswer{Owner: s.currentView().owner, CanClaim: n.canClaim()}, nil
+	answer := confirmAnswer{Owner: s.currentView().owner, CanClaim: n.canClaim()}
+	if !answer.CanClaim {
+		s.lock.Lock()
+		s.view.confirmed = n.Clock.Now()
+		s.lock.Unlock()
+	}
+	return answer, nil
 }
 
 // checkAuthority lets the engine rest while the owner may have been replaced.
--- a/internal/entry/dispatcher/authority_test.go
+++ b/internal/entry/dispatcher/authority_test.go
@@ -54,6 +54,28 @@
 		Expect(a.mayAct(at(30100), others[:1])).To(BeTrue())
 	})
 
+	// Guards against recovered jobs that wait longer for silent workers than the earlier
+	// owner can have renewed their leases.
+	It("of an earlier owner ends a term after its last row was seen", func() {
+		Expect(remainingAuthority(at(5000), time.Time{})).To(Equal(authorityTerm))
+		Expect(remainingAuthority(at(5000), at(4000))).To(Equal(authorityTerm - time.Second))
+		Expect(remainingAuthority(at(9000), at(4000))).To(Equal(authorityTerm - 5*time.Second))
+		Expect(remainingAuthority(at(4000), at(4001))).To(Equal(authorityTerm))
+	})
+
+	// Guards against a successor that counts an outage of the store as time in which the
+	// earlier owner rested: its own word let that one act on.
+	It("of an earlier owner is as old as its last transaction and the own word", func() {
+		v := view{readAt: at(1000)}
+		Expect(v.lastAuthority()).To(BeZero())
+		v.met = true
+		Expect(v.lastAuthority()).To(Equal(at(1000)))
+		v.confirmed = at(8000)
+		Expect(v.lastAuthority()).To(Equal(at(8000)))
+		v.readAt = time.Time{}
+		Expect(v.lastAuthority()).To(BeZero())
+	})
+
 	It("is gone after the machine was suspended", func() {
 		s := suspension{}
 		Expect(s.noticed(5 * time.Second)).To(BeFalse())
--- a/internal/entry/dispatcher/follow.go
+++ b/internal/entry/dispatcher/follow.go
@@ -43,6 +43,11 @@
 	heard time.Time
 	// storeLost is what the owner last said of its access to the store.
 	storeLost bool
+	// met reports that the owner has answered this instance, so that it knows of it and
+	// needs its word to act without the store.
+	met bool
+	// confirmed is when this instance last said to the owner that it can't claim the shard.
+	confirmed time.Time
 	// load is what the owner last said of the shard.
 	load balance.Load
 	// row is the owner's row as last read, and readAt when it was first seen so.
@@ -50,6 +55,19 @@
 	readAt time.Time
 }
 
+// lastAuthority returns when the owner was last able to prove its authority: by a
+// transaction, which would have changed its row, or by the word of this instance. It is
+// zero if that can't be told.
+func (v *view) lastAuthority() time.Time {
+	switch {
+	case !v.met || v.readAt.IsZero():
+		return time.Time{}
+	case v.confirmed.After(v.readAt):
+		return v.confirmed
+	}
+	return v.readAt
+}
+
 // follow calls the owner, and claims the shard when it has none.
 func (s *shard) follow(ctx context.Context) error {
 	ticker := s.node.Clock.NewTicker(helloInterval)
@@ -210,9 +228,10 @@
 	}
 	s.node.Counters.Add("Owner.Claimed", 1)
 	s.lock.Lock()
+	proof := s.view.lastAuthority()
 	s.view = view{owner: claimed, heard: s.node.Clock.Now()}
 	s.lock.Unlock()
-	s.own(ctx, claimed, version)
+	s.own(ctx, claimed, version, proof)
 }
 
 // resolveClaim finds out whether a claim without an answer took effect.
@@ -243,10 +262,12 @@
 	return n.store.Commit(ctx, tx)
 }
 
-// own runs the shard in the background until it is lost or released.
-func (s *shard) own(ctx context.Context, row ownerRow, version table.Version) {
+// own runs the shard in the background until it is lost or released. The earlier owner
+// last proved its authority at the given time, zero if that isn't known.
+func (s *shard) own(ctx context.Context, row ownerRow, version table.Version, earlierProof time.Time) {
 	ctx, cancel := context.WithCancel(ctx)
 	o := newOwner(s, row, version, cancel)
+	o.earlierProof = earlierProof
 	s.owned.Store(o)
 	s.node.Log.Info().Int("Shard", int(s.id)).Int64("Epoch", int64(row.Epoch)).Msg("took over the shard")
 	s.node.background(func() error {
--- a/internal/entry/dispatcher/hello.go
+++ b/internal/entry/dispatcher/hello.go
@@ -30,6 +30,7 @@
 	s.learnOwner(a.Owner)
 	if a.IsOwner && a.Owner.Epoch == s.view.owner.Epoch {
 		s.view.heard = s.node.Clock.Now()
+		s.view.met = true
 		s.view.storeLost = a.StoreLost
 		s.view.load = a.Load
 		s.view.owner.Released = a.Owner.Released
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -66,6 +66,9 @@
 	// the engine's revision then.
 	fleet         []byte
 	fleetRevision int
+	// earlierProof is when the earlier owner last proved its authority, zero if that isn't
+	// known.
+	earlierProof time.Time
 	// submissions are jobs that wait to be stored.
 	submissions []*submission
 	// storing has the jobs whose acceptance is being stored.
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -45,11 +45,22 @@
 	defer o.lock.Unlock()
 	o.loaded = true
 	if o.epoch > 1 {
-		o.engine.Recover(o.node.Clock.Now(), authorityTerm)
+		now := o.now()
+		o.engine.Recover(now, remainingAuthority(now, o.earlierProof))
 	}
 	return mirror, nil
 }
 
+// remainingAuthority bounds how much longer an earlier owner may act that last proved its
+// authority at a time. Without that time it may have done so just now. The result is
+// negative when it had to rest before now.
+func remainingAuthority(now, proof time.Time) time.Duration {
+	if proof.IsZero() || proof.After(now) {
+		return authorityTerm
+	}
+	return authorityTerm - now.Sub(proof)
+}
+
 func (o *owner) decodeProgress(rows []table.Row) (map[dispatch.JobID]dispatch.Progress, error) {
 	stored := make(map[dispatch.JobID]dispatch.Progress, len(rows))
 	for _, row := range rows {
