Store the workers in use in several rows, and beat while loading

By reading: an owner wrote nothing while it read the stored jobs, so that a long read would have had the same effect.

--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -25,7 +25,7 @@
 	// maxSubmissions bounds the jobs that wait to be stored by the owner.
 	maxSubmissions = 512
 	// submissionsPerBatch bounds the jobs in one transaction, whose size is limited.
-	submissionsPerBatch = 40
+	submissionsPerBatch = 36
 )
 
 // submission is a job that waits to be stored by the owner.
--- a/internal/entry/dispatcher/accept_test.go
+++ b/internal/entry/dispatcher/accept_test.go
@@ -43,3 +43,20 @@
 		Expect(o.submissions).To(BeEmpty())
 	})
 })
+
+// Guards against jobs that no shard counts (MIXED, grown amagasa-kyushu, scale-2): their
+// choice was stored, and the other shard didn't answer for seconds.
+var _ = Describe("Pending jobs", func() {
+	It("include those that are on their way to another shard", func() {
+		o := &owner{engine: dispatch.New(dispatch.Options{Epoch: 1}), loaded: true}
+		o.moved = map[dispatch.JobID]*movedJob{
+			"sent":    {to: 1, queue: "q"},
+			"stored":  {to: 1, queue: "q", stored: true},
+			"dropped": {to: 1, queue: "q", cancelling: true},
+			"other":   {to: 1, queue: "p"},
+		}
+		answer, err := o.pending("q")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Pending).To(Equal(1))
+	})
+})
--- a/internal/entry/dispatcher/handover.go
+++ b/internal/entry/dispatcher/handover.go
@@ -23,7 +23,8 @@
 // stored with the acceptance and never changes, so that a repeated submission, a
 // cancellation or a question finds the job by its id.
 type movedJob struct {
-	to shardID
+	to    shardID
+	queue dispatch.QueueName
 	// stored reports that the other shard has the job, since at.
 	stored bool
 	at     time.Time
@@ -37,10 +38,12 @@
 	if o.moved[id] != nil {
 		return
 	}
-	o.moved[id] = &movedJob{to: to, stored: j == nil, at: at}
+	m := &movedJob{to: to, stored: j == nil, at: at}
+	o.moved[id] = m
 	if j == nil {
 		return
 	}
+	m.queue = j.Queue
 	o.node.Counters.Add("Job.Moved", 1)
 	o.RecordDecision(o.now(), dispatch.Decision{Event: "JobMoved", Job: id, Reason: to.String()})
 	o.group.Go(func() error { o.handOver(*j, to); return nil })
@@ -78,6 +81,18 @@
 	o.wake()
 }
 
+// pendingMoved returns the number of jobs of a queue that the other shards don't have
+// yet. The lock must be held.
+func (o *owner) pendingMoved(name dispatch.QueueName) int {
+	pending := 0
+	for _, m := range o.moved {
+		if !m.stored && !m.cancelling && m.queue == name {
+			pending++
+		}
+	}
+	return pending
+}
+
 // passCancel passes the cancellation of a moved job on. The lock must be held.
 func (o *owner) passCancel(id dispatch.JobID) {
 	m := o.moved[id]
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -62,9 +62,9 @@
 	suspension suspension
 	// suspended reports that the owner may have been replaced and rests.
 	suspended bool
-	// fleet is the row of the workers in use as it was last written, and fleetRevision
-	// the engine's revision then.
-	fleet         []byte
+	// fleet has the rows of the workers in use as they were last written, and
+	// fleetRevision the engine's revision then.
+	fleet         [][]byte
 	fleetRevision int
 	// earlierProof is when the earlier owner last proved its authority, zero if that isn't
 	// known.
@@ -119,20 +119,27 @@
 	if c := o.node.config.Load(); c != nil {
 		o.configure(c)
 	}
+	// The owner beats while it loads: another instance would replace it otherwise.
+	group.Go(func() error { return o.write(ctx) })
+	group.Go(func() error { return o.confirmAuthority(ctx) })
+	group.Go(func() error { return o.loadJobs(ctx) })
+	return group.Wait()
+}
+
+// loadJobs recovers the jobs and starts what dispatches them.
+func (o *owner) loadJobs(ctx context.Context) error {
 	jobs, err := o.recoverJobs(ctx)
 	if err != nil {
 		return fmt.Errorf("recover jobs: %w", err)
 	}
-	group.Go(func() error { return o.mirrorWorkers().Run(ctx) })
-	group.Go(func() error { return jobs.Run(ctx) })
-	group.Go(func() error { return o.mirrorCancels().Run(ctx) })
-	group.Go(func() error { return o.decide(ctx) })
-	group.Go(func() error { return o.confirmAuthority(ctx) })
-	group.Go(func() error { return o.write(ctx) })
-	group.Go(func() error { return o.sweepMoved(ctx) })
-	group.Go(func() error { return o.review(ctx) })
-	group.Go(func() error { return o.exchangeEstimates(ctx) })
-	return group.Wait()
+	o.group.Go(func() error { return o.mirrorWorkers().Run(ctx) })
+	o.group.Go(func() error { return jobs.Run(ctx) })
+	o.group.Go(func() error { return o.mirrorCancels().Run(ctx) })
+	o.group.Go(func() error { return o.decide(ctx) })
+	o.group.Go(func() error { return o.sweepMoved(ctx) })
+	o.group.Go(func() error { return o.review(ctx) })
+	o.group.Go(func() error { return o.exchangeEstimates(ctx) })
+	return nil
 }
 
 // RecordDecision logs a decision of the engine.
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -98,20 +98,24 @@
 	return nil
 }
 
-// recoverFleet enters the workers that the earlier owner used, so that those that
-// the list lacks are asked as well.
+// recoverFleet enters the workers that the earlier owner used, so that those that the
+// list lacks are asked as well.
 func (o *owner) recoverFleet(ctx context.Context) error {
-	row, err := o.node.read(ctx, o.shard.part.fleetKey())
-	if err != nil || row.Version == 0 {
-		return err
-	}
-	list, err := decode[[]dispatch.WorkerInfo](row)
+	rows, _, err := o.node.store.Snapshot(ctx, o.shard.part.fleetPrefix())
 	if err != nil {
 		return err
 	}
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	o.engine.RememberWorkers(o.node.Clock.Now(), list)
+	for _, row := range rows {
+		list, err := decode[[]dispatch.WorkerInfo](row)
+		if err != nil {
+			return err
+		}
+		o.engine.RememberWorkers(o.node.Clock.Now(), list)
+	}
+	// The rows of the earlier owner are written anew or removed.
+	o.fleet = make([][]byte, len(rows))
 	return nil
 }
 
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -57,71 +56,105 @@
 	}
 }
 
-func (o *owner) writeBatch(ctx context.Context) error {
+// update is what one transaction of the owner stores.
+type update struct {
+	next        ownerRow
+	version     table.Version
+	writes      []table.Write
+	batch       dispatch.Batch
+	submissions []*submission
+	chores      []table.Write
+	// fleet has the rows of the workers in use, as of a revision of the engine.
+	fleet         [][]byte
+	fleetRevision int
+}
+
+// takeUpdate collects what is to be stored. Until the stored jobs are loaded that is
+// the owner's row alone, which tells the others that it lives: what the engine knows
+// by then must not replace what an earlier owner has stored.
+func (o *owner) takeUpdate() update {
 	o.lock.Lock()
-	batch := o.engine.TakeBatch(maxUpdates)
-	next := o.row
-	next.Sequence++
-	next.Released = o.release.Load()
-	version := o.version
-	now := o.node.Clock.Now()
-	submissions := o.takeSubmissions()
-	writes := append(o.writesOf(batch, now), o.writesOfSubmissions(submissions)...)
+	defer o.lock.Unlock()
+	u := update{next: o.row, version: o.version, fleet: o.fleet, fleetRevision: o.fleetRevision}
+	u.next.Sequence++
+	u.next.Released = o.release.Load()
+	if !o.loaded {
+		return u
+	}
+	now := o.now()
+	u.batch = o.engine.TakeBatch(maxUpdates)
+	u.submissions = o.takeSubmissions()
+	u.writes = append(o.writesOf(u.batch, now), o.writesOfSubmissions(u.submissions)...)
 	if now.Sub(o.estimated) >= estimatesInterval {
 		o.estimated = now
-		writes = append(writes, table.Write{Key: o.shard.part.estimatesKey(), Value: encode(o.engine.Estimates(now))})
+		u.writes = append(u.writes, table.Write{Key: o.shard.part.estimatesKey(), Value: encode(o.engine.Estimates(now))})
 	}
 	for id := range o.expired {
-		if len(writes) >= maxWrites {
+		if len(u.writes) >= maxWrites {
 			break
 		}
 		delete(o.expired, id)
-		writes = append(writes, table.Write{Key: o.shard.part.jobKey(id), Delete: true})
-	}
-	chores := o.takeChores(maxWrites - len(writes))
-	writes = append(writes, chores...)
-	fleet, revision := o.fleet, o.engine.FleetRevision()
-	if revision != o.fleetRevision {
-		fleet = encode(o.engine.UsedWorkers())
+		u.writes = append(u.writes, table.Write{Key: o.shard.part.jobKey(id), Delete: true})
 	}
-	if !bytes.Equal(fleet, o.fleet) {
-		writes = append(writes, table.Write{Key: o.shard.part.fleetKey(), Value: fleet})
+	u.chores = o.takeChores(maxWrites - len(u.writes))
+	u.writes = append(u.writes, u.chores...)
+	if revision := o.engine.FleetRevision(); revision != o.fleetRevision {
+		u.fleet, u.fleetRevision = fleetPages(o.engine.UsedWorkers()), revision
+		u.writes = append(u.writes, o.shard.part.writesOfFleet(o.fleet, u.fleet)...)
 	}
-	o.lock.Unlock()
-	tx := table.Transaction{
-		Conditions: []table.Condition{{Key: o.shard.part.ownerKey(), Version: version}},
-		Writes:     append(writes, table.Write{Key: o.shard.part.ownerKey(), Value: encode(next)}),
+	return u
+}
+
+// transaction returns the transaction that stores the update. It fails if the owner was
+// replaced.
+func (u *update) transaction(ownerKey table.Key) table.Transaction {
+	return table.Transaction{
+		Conditions: []table.Condition{{Key: ownerKey, Version: u.version}},
+		Writes:     append(u.writes, table.Write{Key: ownerKey, Value: encode(u.next)}),
 	}
-	written, sent, err := o.commit(ctx, tx, next)
+}
+
+func (o *owner) writeBatch(ctx context.Context) error {
+	u := o.takeUpdate()
+	written, sent, err := o.commit(ctx, u.transaction(o.shard.part.ownerKey()), u.next)
 	if errors.Is(err, table.ErrUnavailable) {
-		o.lock.Lock()
-		o.engine.NotStored(batch)
-		o.chores = append(o.chores, chores...)
-		o.lock.Unlock()
-		o.dropSubmissions(submissions)
+		o.giveBack(u)
 		o.sleep(storeRetryPause)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	o.released.Store(next.Released)
-	others := o.node.otherNames()
-	o.lock.Lock()
-	now = o.node.Clock.Now()
-	o.row, o.version, o.fleet, o.fleetRevision = next, written, fleet, revision
-	o.authority.store(sent, others)
-	o.engine.Stored(now, batch)
-	o.enterSubmissions(now, submissions)
-	more := o.engine.Unstored() || len(o.submissions) > 0 || len(o.chores) > 0
-	o.lock.Unlock()
-	if more {
+	o.released.Store(u.next.Released)
+	if o.noteStored(u, written, sent) {
 		o.wake()
 	}
 	o.kick()
 	return nil
 }
 
+// giveBack keeps what was certainly not stored for a later transaction.
+func (o *owner) giveBack(u update) {
+	o.lock.Lock()
+	o.engine.NotStored(u.batch)
+	o.chores = append(o.chores, u.chores...)
+	o.lock.Unlock()
+	o.dropSubmissions(u.submissions)
+}
+
+// noteStored takes over a stored update, and reports whether there is more to store.
+func (o *owner) noteStored(u update, written table.Version, sent time.Time) bool {
+	others := o.node.otherNames()
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	now := o.now()
+	o.row, o.version, o.fleet, o.fleetRevision = u.next, written, u.fleet, u.fleetRevision
+	o.authority.store(sent, others)
+	o.engine.Stored(now, u.batch)
+	o.enterSubmissions(now, u.submissions)
+	return o.engine.Unstored() || len(o.submissions) > 0 || len(o.chores) > 0
+}
+
 // writesOf returns the rows that a batch changes.
 func (o *owner) writesOf(b dispatch.Batch, now time.Time) []table.Write {
 	var writes []table.Write
--- a/internal/entry/dispatcher/pending.go
+++ b/internal/entry/dispatcher/pending.go
@@ -88,5 +88,5 @@
 	if !o.loaded {
 		return pendingAnswer{}, entry.Errorf(entry.CodeUnavailable, "the owner is still reading the stored jobs")
 	}
-	return pendingAnswer{o.engine.Pending(name)}, nil
+	return pendingAnswer{o.engine.Pending(name) + o.pendingMoved(name)}, nil
 }
--- a/internal/entry/dispatcher/rows.go
+++ b/internal/entry/dispatcher/rows.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
@@ -17,13 +18,14 @@
 
 func (p part) ownerKey() table.Key       { return p.key("owner", "owner") }
 func (p part) estimatesKey() table.Key   { return p.key("owner", "estimates") }
-func (p part) fleetKey() table.Key       { return p.key("owner", "fleet") }
+func (p part) fleetPrefix() table.Key    { return p.key("fleet", "") }
 func (p part) jobPrefix() table.Key      { return p.key("job", "") }
 func (p part) cancelPrefix() table.Key   { return p.key("cancel", "") }
 func (p part) progressPrefix() table.Key { return p.key("progress", "") }
 
 func (p part) jobKey(id dispatch.JobID) table.Key      { return p.key("job", string(id)) }
 func (p part) cancelKey(id dispatch.JobID) table.Key   { return p.key("cancel", string(id)) }
+func (p part) fleetKey(page int) table.Key             { return p.key("fleet", strconv.Itoa(page)) }
 func (p part) progressKey(id dispatch.JobID) table.Key { return p.key("progress", string(id)) }
 
 // key returns the key of a row: table, part and key within the part.
