Let starving fillers run

Fillers reserve no processors, so that room is free by reservation while fillers of other jobs have all that is idle, or while all workers in service have serving tasks that the image disturbs: a third of them was taken out of service.

Change: after 6 s without room, a filler of a job of which nothing runs starts on a worker where it disturbs nothing, at the cost of the other fillers; if there is none in service, it starts beside the serving tasks that reserve least, and is held still after half a second over a target. Two at a time. Two tests; that of the disturbing filler failed with the start left out.

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -522,6 +522,66 @@
 	})
 })
 
+// Replays trouble-1 of a site: a third of the workers was taken out of service, a filler
+// image disturbed serving tasks on all others, and its job never ran while most of the
+// room was free (LOST).
+var _ = Describe("A filler that disturbs on all workers", func() {
+	It("runs after a while, as fast as the serving tasks stand", func() {
+		b := newBench(1, 1)
+		b.list()
+		b.submit("serving", servingStep(1))
+		b.step(0)
+		b.step(0)
+		b.engine.RestoreEstimates(b.now, []interference.Estimate{
+			{Pair: interference.Pair{Service: "serve", Class: "loud"}, Probability: 0.97},
+		})
+		b.submit("loud", fillerStep(3, "loud"))
+		for range 50 {
+			b.serveAt(5)
+			b.step(100 * time.Millisecond)
+		}
+		Expect(b.workersOf("loud")).To(BeEmpty())
+		for range 15 {
+			b.serveAt(5)
+			b.step(100 * time.Millisecond)
+		}
+		Expect(b.workersOf("loud")).NotTo(BeEmpty())
+		Expect(len(b.workersOf("loud"))).To(BeNumerically("<=", 2))
+		stopped := len(b.stops)
+		for range 15 {
+			b.serveBeside("loud")
+			b.step(100 * time.Millisecond)
+		}
+		Expect(b.stops).To(HaveLen(stopped))
+		Expect(b.paces).NotTo(BeEmpty())
+		Expect(*b.paces[len(b.paces)-1].Pace).To(BeZero())
+	})
+})
+
+// Guards against a job that stands still at the end of a day, when fillers of others have
+// all idle processors and hardly anything is reserved (LOST, trouble-1).
+var _ = Describe("A filler that finds no idle processors", func() {
+	It("runs after a while if nothing else of its job does", func() {
+		b := newBench(1, 1)
+		b.list()
+		b.step(0)
+		b.submit("first", fillerStep(6, "a"))
+		b.step(0)
+		Expect(b.workersOf("first")).To(HaveLen(6))
+		late := fillerStep(4, "b")
+		late.Resources = resource.Vector{Processors: 1000}
+		b.submit("late", late)
+		for range 50 {
+			b.step(100 * time.Millisecond)
+		}
+		Expect(b.workersOf("late")).To(BeEmpty())
+		for range 15 {
+			b.step(100 * time.Millisecond)
+		}
+		Expect(b.workersOf("late")).To(HaveLen(1))
+	})
+})
+
 var _ = Describe("Scarce workers", func() {
 	// Replays quiet-1 of a site: two filler images that stand only beside two of five
 	// serving images waited, because fillers that run anywhere took those workers.
--- a/internal/decision/dispatch/filler.go
+++ b/internal/decision/dispatch/filler.go
@@ -80,8 +80,9 @@
 	return fullPace - c.lowered
 }
 
-// adjust chooses the pace after a sample of the worst serving task.
-func (c *harmControl) adjust(now time.Time, ratio float64) {
+// adjust chooses the pace after a sample of the worst serving task. A filler that is
+// known to disturb is held still soon.
+func (c *harmControl) adjust(now time.Time, ratio float64, intruder bool) {
 	if ratio <= 1 {
 		c.overSince = time.Time{}
 	} else if c.overSince.IsZero() {
@@ -89,6 +90,8 @@
 	}
 	settled := now.Sub(c.changedAt) >= measureLag
 	switch {
+	case intruder && ratio > 1 && now.Sub(c.overSince) >= intruderPatience && c.lowered < fullPace:
+		c.lowered, c.changedAt = fullPace, now
 	case !settled:
 	case ratio > 1 && now.Sub(c.overSince) >= harmPatience && c.lowered < fullPace:
 		next := int(float64(c.target()) * paceStep)
@@ -119,7 +122,7 @@
 		e.noteVerdicts(now, n, beside)
 	}
 	n.tail += tailWeight * (worst - n.tail)
-	n.harm.adjust(now, worst)
+	n.harm.adjust(now, worst, n.hasIntruder())
 }
 
 // tailSample is the slowest serving task of an image on a worker.
@@ -235,7 +238,7 @@
 }
 
 func (e *Engine) controlFiller(now time.Time, n *node, a *attempt) {
-	if e.expectedHarm(now, a.task.step, n) > evictAbove {
+	if !a.intruder && e.expectedHarm(now, a.task.step, n) > evictAbove {
 		e.count("Task.Evicted.Disturbs")
 		e.stop(now, a, "disturbs a serving task")
 		return
@@ -249,7 +252,7 @@
 // evictSuspect stops the filler that most likely makes a serving task slow, unless
 // one was stopped so recently that measurements don't show the effect yet.
 func (e *Engine) evictSuspect(now time.Time, n *node, serving *step) {
-	if now.Sub(n.suspectEvicted) < measureLag {
+	if now.Sub(n.suspectEvicted) < measureLag || n.hasIntruder() {
 		return
 	}
 	var worst *attempt
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -52,6 +52,10 @@
 	adopted bool
 	// restarted reports that the worker restarted before it answered the start.
 	restarted bool
+	// forced fillers were started because they had waited for long. Intruders among them
+	// run beside serving tasks that they disturb, at the pace that those stand.
+	forced   bool
+	intruder bool
 	// stopWanted attempts are stopped once the start is answered.
 	stopWanted bool
 	stopSent   time.Time
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -176,7 +176,7 @@
 }
 
 func (e *Engine) startSingly(now time.Time, s *step, limit int) int {
-	if e.isUnplaceable(s) {
+	if e.isUnplaceable(s) && !s.isStarving(now) {
 		e.noteBlockedStep(now, s)
 		return 0
 	}
@@ -190,6 +190,10 @@
 		}
 		n := e.choose(now, t)
 		if n == nil {
+			if e.startStarving(now, t) {
+				started++
+				continue
+			}
 			e.noteUnplaceable(s)
 			e.noteBlocked(now, t)
 			break
@@ -252,13 +256,14 @@
 	return max(t.run, Run(e.options.Epoch-1)*runsPerEpoch) + 1
 }
 
-func (e *Engine) start(now time.Time, t *task, n *node, run Run) {
+func (e *Engine) start(now time.Time, t *task, n *node, run Run) *attempt {
 	a := newAttempt(t, run, n, now)
 	n.add(a)
 	if t.step.Filler {
 		e.addTrial(n, t.step.Image)
 	}
 	e.sendStart(now, a)
+	return a
 }
 
 func (e *Engine) sendStart(now time.Time, a *attempt) {
