--- a/internal/decision/admission/estimate.go
+++ b/internal/decision/admission/estimate.go
@@ -27,8 +27,6 @@
 	previous *hdrhistogram.Histogram
 	rotated  time.Time
 	mean     float64
-	// recorded counts the latencies until they weigh as much as later ones.
-	recorded int
 	cache    map[float64]cached
 }
 
@@ -54,9 +52,7 @@
 	}
 	// Values are clamped to the range, so recording can't fail.
 	_ = e.current.RecordValue(min(max(latency, 0), maxLatency).Microseconds())
-	e.recorded = min(e.recorded+1, int(1/serviceWeight))
-	// The first latencies weigh alike: a slow first one would count for long otherwise.
-	e.mean = blend(e.mean, latency.Seconds(), max(serviceWeight, 1/float64(e.recorded)))
+	e.mean = blend(e.mean, latency.Seconds(), serviceWeight)
 }
 
 // blend moves mean towards value. A mean of 0 counts as unknown.
