Greet other instances only when one can't own all workers

With one shard the greetings before the first claim are all that differs; the first jobs then arrive otherwise, and in half of the runs the serving tasks were placed so that small tasks waited for processors to reserve.

Change: an instance that can own all workers alone greets nobody before.

--- a/internal/entry/dispatcher/layout.go
+++ b/internal/entry/dispatcher/layout.go
@@ -92,7 +92,9 @@
 		if err != nil {
 			n.Counters.Add("Layout.ReadFailed", 1)
 		}
-		n.greet(ctx)
+		if !n.carriesAlone(watch.workers) {
+			n.greet(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return layoutRow{}, ctx.Err()
@@ -101,6 +103,16 @@
 	}
 }
 
+// carriesAlone reports whether this instance can own all workers, so that it needn't know
+// the others before the first claim.
+func (n *Node) carriesAlone(workers int) bool {
+	own := n.Cores
+	if own <= 0 {
+		own = unknownCores
+	}
+	return workers <= min(int(own*workersPerCore), maxShardWorkers)
+}
+
 // greet makes this instance known to the instances that the settings name, and learns
 // of the others, so that the first shards are claimed by those that carry them best.
 func (n *Node) greet(ctx context.Context) {
