Count forced fillers once a tick, and search no worker in vain

Cause: found by reading the change: a step of starving fillers passed the check that its shape found no worker in this tick, and so searched all workers for each of its tasks again, and counted the forced fillers of all workers each time. That is the search that a tick makes once for each shape, on the owner's scarcest resource.

Change: a starving step searches only for a forced start, and not at all when two run; they are counted once a tick. What starts is the same: fillers aren't subject to held workers, so a shape that found no worker finds none.

Formatter, linter, vet and the tests of the dispatch, dispatcher and platform packages pass with -race.

--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -86,6 +86,8 @@
 	// meanWork is the mean work of the jobs of each queue, in processor seconds.
 	meanWork     map[QueueName]float64
 	stragglersAt time.Time
+	// forced counts the fillers that run although they found no worker.
+	forced int
 	// heldAt is when workers were last looked for to be held.
 	heldAt time.Time
 	// movedAt is when a serving task was last moved.
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -99,6 +99,7 @@
 	left := maxStartsPerTick
 	clear(e.unplaceable)
 	e.countTrials(now)
+	e.countForced()
 	for _, c := range candidates {
 		if left <= 0 {
 			return
@@ -176,7 +177,8 @@
 }
 
 func (e *Engine) startSingly(now time.Time, s *step, limit int) int {
-	if e.isUnplaceable(s) && !s.isStarving(now) {
+	placeable := !e.isUnplaceable(s)
+	if !placeable && (!s.isStarving(now) || e.forced >= maxForced) {
 		e.noteBlockedStep(now, s)
 		return 0
 	}
@@ -188,7 +190,10 @@
 		if !t.isWaiting(now) {
 			continue
 		}
-		n := e.choose(now, t)
+		var n *node
+		if placeable {
+			n = e.choose(now, t)
+		}
 		if n == nil {
 			if e.startStarving(now, t) {
 				started++
--- a/internal/decision/dispatch/starve.go
+++ b/internal/decision/dispatch/starve.go
@@ -23,7 +23,7 @@
 // none it intrudes on the serving tasks that reserve least, as fast as they stand.
 func (e *Engine) startStarving(now time.Time, t *task) bool {
 	s := t.step
-	if !s.isStarving(now) || e.forced() >= maxForced {
+	if !s.isStarving(now) || e.forced >= maxForced {
 		return false
 	}
 	var harmless, least *node
@@ -52,22 +52,23 @@
 		return false
 	}
 	e.count("Task.Forced")
+	e.forced++
 	a := e.start(now, t, to, e.nextRun(t))
 	a.forced, a.intruder = true, !taken
 	return true
 }
 
-// forced counts the fillers that were started although they starved.
-func (e *Engine) forced() int {
-	count := 0
+// countForced counts the fillers that were started although they starved, once for all
+// starving steps of a tick.
+func (e *Engine) countForced() {
+	e.forced = 0
 	for _, n := range e.fleet {
 		for _, a := range n.runs {
 			if a.forced {
-				count++
+				e.forced++
 			}
 		}
 	}
-	return count
 }
 
 // hasIntruder reports whether a filler runs beside serving tasks that it disturbs.
