Join the loops that run something at an interval

Cause: five loops of the dispatcher repeated the same ticker, select and end, and the load had a second function that only one place called.

Change: Node.every runs a function at an interval; the load is one function. The loop of entry/instance (Instance.repeat) has the same shape and stays: it is a method of the other deployment.

--- a/internal/entry/dispatcher/authority.go
+++ b/internal/entry/dispatcher/authority.go
@@ -63,24 +63,17 @@
 // confirmAuthority asks the other instances, while the store doesn't answer, whether
 // they could replace this owner.
 func (o *owner) confirmAuthority(ctx context.Context) error {
-	ticker := o.node.Clock.NewTicker(confirmInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.Chan():
-		}
+	return o.node.every(ctx, confirmInterval, func() {
 		o.lock.Lock()
-		age := o.node.Clock.Now().Sub(o.authority.stored)
+		age := o.now().Sub(o.authority.stored)
 		o.lock.Unlock()
 		if age < confirmAfter {
-			continue
+			return
 		}
 		for _, p := range o.node.others() {
 			o.group.Go(func() error { o.askConfirmation(ctx, p); return nil })
 		}
-	}
+	})
 }
 
 func (o *owner) askConfirmation(ctx context.Context, p peer) {
--- a/internal/entry/dispatcher/balance.go
+++ b/internal/entry/dispatcher/balance.go
@@ -18,12 +18,7 @@
 func (o *owner) load() balance.Load {
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	return o.currentLoad()
-}
-
-// currentLoad is load with the lock held.
-func (o *owner) currentLoad() balance.Load {
-	if now := o.node.Clock.Now(); now.Sub(o.loadAt) >= loadInterval {
+	if now := o.now(); now.Sub(o.loadAt) >= loadInterval {
 		o.lastLoad, o.loadAt = o.engine.Load(now), now
 	}
 	return o.lastLoad
--- a/internal/entry/dispatcher/burden.go
+++ b/internal/entry/dispatcher/burden.go
@@ -96,24 +96,17 @@
 
 // rebalance releases shards while other instances carry less.
 func (n *Node) rebalance(ctx context.Context) error {
-	ticker := n.Clock.NewTicker(rebalanceInterval)
-	defer ticker.Stop()
 	var released time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.Chan():
-		}
+	return n.every(ctx, rebalanceInterval, func() {
 		owned := n.ownedShards()
 		now := n.Clock.Now()
 		if n.draining.Load() || now.Sub(released) < rebalanceRest || !shouldRelease(len(owned), n.Cores, n.others()) {
-			continue
+			return
 		}
 		released = now
 		n.Counters.Add("Owner.Rebalanced", 1)
 		last := owned[len(owned)-1]
 		last.note("another instance carries less")
 		last.releaseShard()
-	}
+	})
 }
--- a/internal/entry/dispatcher/estimates.go
+++ b/internal/entry/dispatcher/estimates.go
@@ -21,21 +21,14 @@
 	if o.shard.count == 1 {
 		return nil
 	}
-	ticker := o.node.Clock.NewTicker(exchangeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.Chan():
-		}
+	return o.node.every(ctx, exchangeInterval, func() {
 		others := o.node.allShards()
 		for _, i := range rand.Perm(len(others))[:min(exchangeShards, len(others))] {
 			if others[i] != o.shard {
 				o.askEstimates(ctx, others[i])
 			}
 		}
-	}
+	})
 }
 
 func (o *owner) askEstimates(ctx context.Context, s *shard) {
--- a/internal/entry/dispatcher/handover.go
+++ b/internal/entry/dispatcher/handover.go
@@ -136,18 +136,11 @@
 
 // sweepMoved forgets moved jobs that the other shard has forgotten.
 func (o *owner) sweepMoved(ctx context.Context) error {
-	ticker := o.node.Clock.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.Chan():
-		}
+	return o.node.every(ctx, sweepInterval, func() {
 		for id, to := range o.oldMoved() {
 			o.forgetMoved(ctx, id, to)
 		}
-	}
+	})
 }
 
 // oldMoved returns jobs that were moved so long ago that they may be forgotten.
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -153,3 +153,17 @@
 		group.Go(f)
 	}
 }
+
+// every runs f once in each interval until ctx ends, and returns its error.
+func (n *Node) every(ctx context.Context, interval time.Duration, f func()) error {
+	ticker := n.Clock.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
+			f()
+		}
+	}
+}
--- a/internal/entry/dispatcher/review.go
+++ b/internal/entry/dispatcher/review.go
@@ -24,23 +24,18 @@
 	if o.shard.count == 1 {
 		return nil
 	}
-	ticker := o.node.Clock.NewTicker(reviewInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.Chan():
-		}
-		if _, lost := o.node.store.lostFor(); lost {
-			continue
-		}
-		o.lock.Lock()
-		waiting := o.engine.Unstarted(o.now(), reviewAfter, reviewBatch)
-		o.lock.Unlock()
-		for _, j := range waiting {
-			o.reviewJob(j)
-		}
+	return o.node.every(ctx, reviewInterval, o.reviewJobs)
+}
+
+func (o *owner) reviewJobs() {
+	if _, lost := o.node.store.lostFor(); lost {
+		return
+	}
+	o.lock.Lock()
+	waiting := o.engine.Unstarted(o.now(), reviewAfter, reviewBatch)
+	o.lock.Unlock()
+	for _, j := range waiting {
+		o.reviewJob(j)
 	}
 }
 
