Ignore what a frozen instance measured, and forget old latencies

Answers that lay ready when it woke were recorded as latencies of 18 s; three of them put the 99th percentile, twelve the mean, above the longest deadline of 2 s. An instance that refuses everything gets no newer latencies, so that nothing corrected them for up to 60 s. Whether an answer or the timer that cancels the attempt is seen first is a race, which is why it failed only now and then.

Change: an attempt that lasted longer than the limit at which it is cancelled is not observed, since only a standstill of this process explains it. Latencies count for at most 10 s without newer ones.

Figures: test "serves after a freeze as before" fails before with the refusal of the finding, DeadlineTooShort, as does "tries executors again that were too slow"; both pass now.

--- a/internal/caller/service/attempt.go
+++ b/internal/caller/service/attempt.go
@@ -41,6 +41,7 @@
 		Took:      s.handler.Clock.Since(s.start),
 		Outcome:   outcome,
 		Cancelled: s.ctx.Err() != nil,
+		Limit:     s.call.attemptLimit(),
 	})
 }
 
--- a/internal/caller/service/exchange.go
+++ b/internal/caller/service/exchange.go
@@ -184,8 +184,8 @@
 		slot.Release(SlotUse{Done: true})
 		return result{outcome: NotRun, reason: ReasonDeadline, final: true}
 	}
-	if !x.call.feed {
-		s.limit = x.Clock.AfterFunc(x.call.maxDuration(), cancel)
+	if limit := x.call.attemptLimit(); limit > 0 {
+		s.limit = x.Clock.AfterFunc(limit, cancel)
 	}
 	ended := x.send(ctx, x.call, s)
 	x.answered(s, ended)
@@ -237,7 +237,7 @@
 	defer x.mutex.Unlock()
 	for s := range x.active {
 		x.Governor.Observe(x.call.service, s.slot.Executor, Observation{
-			Took: x.Clock.Since(s.start), Outcome: Unknown, Cancelled: true,
+			Took: x.Clock.Since(s.start), Outcome: Unknown, Cancelled: true, Limit: x.call.attemptLimit(),
 		})
 	}
 }
--- a/internal/caller/service/governor.go
+++ b/internal/caller/service/governor.go
@@ -65,6 +65,7 @@
 			Took:      seen.Took,
 			Failed:    seen.Outcome != Completed,
 			Cancelled: seen.Cancelled,
+			Limit:     seen.Limit,
 		})
 	})
 }
--- a/internal/caller/service/ports.go
+++ b/internal/caller/service/ports.go
@@ -192,4 +192,6 @@
 	Outcome Outcome
 	// Cancelled means that this side gave up, so the executor needs at least Took.
 	Cancelled bool
+	// Limit is when this side cancels the attempt, 0 for never.
+	Limit time.Duration
 }
--- a/internal/caller/service/request.go
+++ b/internal/caller/service/request.go
@@ -72,6 +72,14 @@
 	return positiveOr(time.Duration(c.service.MaxDuration), DefaultMaxDuration)
 }
 
+// attemptLimit returns when an attempt is cancelled, 0 for feeds, which have no limit.
+func (c *call) attemptLimit() time.Duration {
+	if c.feed {
+		return 0
+	}
+	return c.maxDuration()
+}
+
 func positiveOr(d, fallback time.Duration) time.Duration {
 	if d > 0 {
 		return d
--- a/internal/decision/admission/choice.go
+++ b/internal/decision/admission/choice.go
@@ -188,7 +188,7 @@
 	mean := c.service.latency.mean
 	if e := c.service.executors[candidate.Executor]; e != nil {
 		switch {
-		case !e.avoided() && e.mean > 0:
+		case !e.avoided() && e.mean > 0 && c.now.Sub(e.used) <= staleAfter:
 			mean = e.mean
 		case e.avoided() && !c.everybody:
 			return 0, false
--- a/internal/decision/admission/estimate.go
+++ b/internal/decision/admission/estimate.go
@@ -19,6 +19,9 @@
 	// serviceWeight is the weight of one latency in the mean of a service.
 	serviceWeight = 0.02
 	maxLatency    = time.Hour
+	// staleAfter is how long a latency counts without newer ones. A service that refuses
+	// everything for want of time gets no newer ones, and would refuse for ever.
+	staleAfter = 10 * time.Second
 )
 
 // Estimate is the recent distribution of a latency. The zero value is empty.
@@ -26,6 +29,7 @@
 	current  *hdrhistogram.Histogram
 	previous *hdrhistogram.Histogram
 	rotated  time.Time
+	recorded time.Time
 	mean     float64
 	cache    map[float64]cached
 }
@@ -50,11 +54,19 @@
 		e.current.Reset()
 		e.rotated = now
 	}
+	e.recorded = now
 	// Values are clamped to the range, so recording can't fail.
 	_ = e.current.RecordValue(min(max(latency, 0), maxLatency).Microseconds())
 	e.mean = blend(e.mean, latency.Seconds(), serviceWeight)
 }
 
+// forgetStale empties the estimate if its last latency is too old.
+func (e *Estimate) forgetStale(now time.Time) {
+	if e.current != nil && now.Sub(e.recorded) > staleAfter {
+		*e = Estimate{}
+	}
+}
+
 // blend moves mean towards value. A mean of 0 counts as unknown.
 func blend(mean, value, weight float64) float64 {
 	if mean == 0 {
--- a/internal/decision/admission/health.go
+++ b/internal/decision/admission/health.go
@@ -21,6 +21,9 @@
 	forgetAfter = 10 * time.Minute
 	// forgetAbove is the number of executors above which idle ones are dropped.
 	forgetAbove = 1024
+	// stallTolerance is how much later than its limit an attempt is cancelled on a busy
+	// machine.
+	stallTolerance = 500 * time.Millisecond
 )
 
 // Observation is what one attempt showed about its executor.
@@ -30,6 +33,15 @@
 	Failed bool
 	// Cancelled means that this side gave up, so the executor needs at least Took.
 	Cancelled bool
+	// Limit is when this side cancels the attempt, 0 for never.
+	Limit time.Duration
+}
+
+// stalled reports whether this process stood still during the attempt: otherwise the
+// attempt would have been cancelled at its limit. Its duration then says nothing about
+// the executor.
+func (o Observation) stalled() bool {
+	return o.Limit > 0 && o.Took > o.Limit+stallTolerance
 }
 
 // health is the recent behaviour of one executor.
--- a/internal/decision/admission/service.go
+++ b/internal/decision/admission/service.go
@@ -81,6 +81,7 @@
 // use before the next call; after Wait it calls Next whenever a slot is freed or
 // added, and Expire at NextExpiry.
 func (s *Service) Arrive(now time.Time, request Request, candidates []Candidate) Verdict {
+	s.latency.forgetStale(now)
 	verdict := Verdict{Need: s.need(now)}
 	if s.waiting.len() == 0 || request.Immediate {
 		if choice, ok := s.choose(now, request, candidates); ok {
@@ -196,8 +197,11 @@
 	return s.waiting.len()
 }
 
-// Observe learns from an attempt.
+// Observe learns from an attempt, unless this process stood still meanwhile.
 func (s *Service) Observe(now time.Time, executor membership.InstanceID, seen Observation) {
+	if seen.stalled() {
+		return
+	}
 	if s.executors == nil {
 		s.executors = executors{}
 	}
--- a/internal/decision/admission/service_test.go
+++ b/internal/decision/admission/service_test.go
@@ -128,6 +128,28 @@
 		expectServed(s.Arrive(start.Add(time.Second), r, candidates(0, 3)), "b")
 	})
 
+	// Guards against an instance that was frozen with requests in flight: their answers lie
+	// ready when it wakes, and seem to have taken as long as the freeze.
+	It("serves after a freeze as before, against refusing nearly everything for want of time", func() {
+		s := learned()
+		for range 12 {
+			s.Observe(start, "a", admission.Observation{Took: 18 * time.Second, Limit: 2 * time.Second})
+		}
+		expectServed(s.Arrive(start, request("1", time.Second), candidates(0, 4)), "a")
+		Expect(s.Arrive(start, request("2", time.Second), candidates(4, 4)).Action).To(Equal(admission.Wait))
+	})
+
+	It("tries executors again that were too slow, against refusing for ever once they are fast", func() {
+		s := &admission.Service{}
+		for range 200 {
+			observe(s, "a", 3*time.Second, false)
+			observe(s, "b", 3*time.Second, false)
+		}
+		expectRefused(s.Arrive(start, request("1", time.Second), candidates(0, 0)), admission.DeadlineTooShort)
+		later := start.Add(15 * time.Second)
+		expectServed(s.Arrive(later, request("2", 16*time.Second), candidates(0, 0)), "a")
+	})
+
 	It("refuses at once what can't be in time, against holding it until the deadline", func() {
 		s := learned()
 		expectRefused(s.Arrive(start, request("1", 5*time.Millisecond), candidates(4, 4)), admission.DeadlineTooShort)
