Wait for an owner that is about to answer a request for slots

On a busy machine that takes longer than 100 ms.

Change: such a request is refused once no answer of an owner is expected any more: it has answered, failed, or is silent for 500 ms.

Tests "waits for the owner's answer" and "expects an answer of the owner for a moment" fail without the change.

--- a/internal/caller/service/router.go
+++ b/internal/caller/service/router.go
@@ -22,8 +22,9 @@
 // although no slot was freed. Executors that were avoided may be tried by then.
 const recheckInterval = 50 * time.Millisecond
 
-// A request that finds no slot in hand asks grantWaits more times, grantWait apart. An
-// owner answers a request for slots within a few ms.
+// A request that finds no slot in hand asks grantWaits more times, grantWait apart, and
+// goes on while an owner has yet to answer. An owner answers a request for slots within a
+// few ms, on a busy machine within some hundred.
 const (
 	grantWait  = 20 * time.Millisecond
 	grantWaits = 5
@@ -38,6 +39,8 @@
 	Take(service manifest.ServiceName, executor membership.InstanceID, feed bool) (Slot, bool)
 	// Wanted tells that a request found no slot, with the number that wait.
 	Wanted(service manifest.ServiceName, waiting int)
+	// Asked reports whether an owner is expected to answer a request for slots soon.
+	Asked(service manifest.ServiceName) bool
 }
 
 // Router is a SlotSource that lends the slots in hand by package admission.
@@ -74,7 +77,7 @@
 // deadline can't be met. Without any slot in hand it asks again a few times: a request
 // for slots is under way then, for example because the owner has recalled the last.
 func (r *Router) Acquire(ctx context.Context, need Need) (Slot, error) {
-	for range grantWaits {
+	for waits := 0; ; waits++ {
 		slot, err := r.acquire(ctx, need)
 		var refusal *Refusal
 		if !errors.As(err, &refusal) || refusal.Reason != Reason(admission.NoSlots) {
@@ -83,13 +86,15 @@
 		if need.Immediate || !r.Clock.Now().Add(grantWait).Before(need.Deadline) {
 			return slot, err
 		}
+		if waits >= grantWaits && !r.Holdings.Asked(need.Service) {
+			return slot, err
+		}
 		select {
 		case <-ctx.Done():
 			return Slot{}, ctx.Err()
 		case <-r.Clock.After(grantWait):
 		}
 	}
-	return r.acquire(ctx, need)
 }
 
 func (r *Router) acquire(ctx context.Context, need Need) (Slot, error) {
--- a/internal/caller/service/router_recheck_test.go
+++ b/internal/caller/service/router_recheck_test.go
@@ -26,6 +26,8 @@
 	return service.Slot{Executor: id, Release: func(service.SlotUse) {}}, true
 }
 
+func (oneFree) Asked(manifest.ServiceName) bool { return false }
+
 func (oneFree) Wanted(manifest.ServiceName, int) {}
 
 var _ = Describe("Router with an avoided executor", func() {
--- a/internal/caller/service/router_test.go
+++ b/internal/caller/service/router_test.go
@@ -21,11 +21,16 @@
 	mutex   sync.Mutex
 	inUse   int
 	waiting int
+	// none means that no slot is in hand, asked that the owner has yet to answer.
+	none, asked bool
 }
 
 func (h *holdings) Candidates(manifest.ServiceName) []admission.Candidate {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	if h.none {
+		return nil
+	}
 	return []admission.Candidate{{Executor: "a", Slots: 1, InUse: h.inUse}}
 }
 
@@ -46,6 +51,18 @@
 	h.waiting = waiting
 }
 
+func (h *holdings) Asked(manifest.ServiceName) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.asked
+}
+
+func (h *holdings) set(none, asked bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.none, h.asked = none, asked
+}
+
 func (h *holdings) counts() [2]int {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -105,6 +122,50 @@
 		Expect(refusal.Reason).To(BeEquivalentTo(admission.Dropped))
 	})
 
+	// advance moves the clock on by so many looks at the slots in hand.
+	advance := func(looks int) {
+		GinkgoHelper()
+		for range looks {
+			Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
+			clock.Advance(20 * time.Millisecond)
+		}
+	}
+
+	// Guards against refusals on a busy machine, where an owner takes longer to answer.
+	It("waits for the owner's answer, against refusing what a grant under way serves", func() {
+		held.set(true, true)
+		slots := make(chan error, 1)
+		var group sync.WaitGroup
+		DeferCleanup(group.Wait)
+		group.Go(func() {
+			_, err := router.Acquire(context.Background(), service.Need{Service: "chairdesk", Deadline: clock.Now().Add(2 * time.Second)})
+			slots <- err
+		})
+		advance(9)
+		Expect(slots).NotTo(Receive())
+		held.set(false, false)
+		first.Release(service.SlotUse{Done: true})
+		advance(1)
+		Eventually(slots).Should(Receive(BeNil()))
+	})
+
+	It("refuses once the owner has answered that there is none, against waiting in vain", func() {
+		held.set(true, false)
+		slots := make(chan error, 1)
+		var group sync.WaitGroup
+		DeferCleanup(group.Wait)
+		group.Go(func() {
+			_, err := router.Acquire(context.Background(), service.Need{Service: "chairdesk", Deadline: clock.Now().Add(2 * time.Second)})
+			slots <- err
+		})
+		advance(5)
+		var err error
+		Eventually(slots).Should(Receive(&err))
+		var refusal *service.Refusal
+		Expect(errors.As(err, &refusal)).To(BeTrue())
+		Expect(refusal.Reason).To(BeEquivalentTo(admission.NoSlots))
+	})
+
 	It("forgets a request whose caller left, against a slot that nobody frees", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		waiting := later(ctx)
--- a/internal/entry/instance/routing.go
+++ b/internal/entry/instance/routing.go
@@ -120,6 +120,7 @@
 	answer, err := s.acquire(ctx, s.holdings.Request(id))
 	if err != nil {
 		s.counters.Add("Slots.AcquireFailed", 1)
+		s.holdings.Unanswered(id)
 		return
 	}
 	if s.holdings.Answered(id, sent, answer) {
--- a/internal/entry/routing/exchange.go
+++ b/internal/entry/routing/exchange.go
@@ -17,6 +17,9 @@
 	// spareSlots is what an idle demand grant keeps beyond what is in use, so that the
 	// next request finds a slot.
 	spareSlots = 1
+	// answerPatience is how long an owner may take to answer before requests no longer
+	// wait for its answer.
+	answerPatience = 500 * time.Millisecond
 )
 
 // Request returns what to ask the owner of a shard for. Demand grants that the
@@ -30,6 +33,7 @@
 		holder.TrimDemand(grants.Amount{Slots: spareSlots, Connections: spareSlots})
 	}
 	holder.TrimUnpaired()
+	h.asked[id] = now
 	request := grant.AcquireRequest{
 		Holder: h.Self, Shard: id, Base: id.Zone == h.Zone,
 		Renewals: holder.Renewals(now),
@@ -52,12 +56,35 @@
 	return slices.ContainsFunc(h.targets[name], func(t target) bool { return t.shard == id })
 }
 
+// Asked reports whether the owner of a shard with executors of a service was asked for
+// slots a moment ago and has not answered yet.
+func (h *Holdings) Asked(name manifest.ServiceName) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refresh()
+	now := h.Clock.Now()
+	for id, since := range h.asked {
+		if now.Sub(since) < answerPatience && h.serves(id, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// Unanswered notes that no answer will come to the last request to the owner of a shard.
+func (h *Holdings) Unanswered(id worker.ShardID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.asked, id)
+}
+
 // Answered takes in the answer to a request that was sent at a time. It reports
 // whether new grants came.
 func (h *Holdings) Answered(id worker.ShardID, sent time.Time, answer grant.AcquireAnswer) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	holder := h.holder(id)
+	delete(h.asked, id)
 	if holder.Renewed(sent, answer.Epoch, answer.Renewed) != nil || holder.Granted(sent, answer.Epoch, answer.Grants) != nil {
 		h.Counters.Add("Slots.StaleEpoch", 1)
 		return false
--- a/internal/entry/routing/holdings.go
+++ b/internal/entry/routing/holdings.go
@@ -85,6 +85,9 @@
 	revocations map[*grants.Use]func()
 	// granted is set with the first grant.
 	granted bool
+	// asked has the shards whose owner has not answered the last request for slots, with
+	// the time of that request.
+	asked map[worker.ShardID]time.Time
 }
 
 // refresh rebuilds the list of executors when the membership list or the manifest
@@ -129,6 +132,7 @@
 		h.holders = map[worker.ShardID]*grants.Holder{}
 		h.inUse = map[membership.InstanceID]int{}
 		h.wants = map[manifest.ServiceName]want{}
+		h.asked = map[worker.ShardID]time.Time{}
 		h.revocations = map[*grants.Use]func(){}
 	}
 	if h.holders[id] == nil {
--- a/internal/entry/routing/holdings_test.go
+++ b/internal/entry/routing/holdings_test.go
@@ -61,6 +61,23 @@
 }
 
 var _ = Describe("Holdings", func() {
+	// Guards against requests that wait for an owner that is frozen.
+	It("expects an answer of the owner for a moment, until it has answered or failed to", func() {
+		h, _, clock := newTestHoldings()
+		id := worker.ShardID{Zone: "zone-a"}
+		Expect(h.Asked("desk")).To(BeFalse())
+		h.Request(id)
+		Expect(h.Asked("desk")).To(BeTrue())
+		h.Answered(id, clock.Now(), grant.AcquireAnswer{})
+		Expect(h.Asked("desk")).To(BeFalse())
+		h.Request(id)
+		h.Unanswered(id)
+		Expect(h.Asked("desk")).To(BeFalse())
+		h.Request(id)
+		clock.Advance(answerPatience)
+		Expect(h.Asked("desk")).To(BeFalse())
+	})
+
 	// Guards against traffic between regions that a nearer slot would save.
 	It("asks its zone first, then its region, then far away", func() {
 		h, _, clock := newTestHoldings()
