--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -1,6 +1,7 @@
 package serveplatform
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -89,7 +90,7 @@
 		policy = platform.Policy{Address: s.Policy, HTTP: http1}
 	}
 	p.node = dispatcher.New(dispatcher.Options{
-		Name: s.Instance, PeerAddress: s.Peers, Seeds: s.Seeds, Cores: s.Cores,
+		Name: s.Instance, PeerAddress: cmp.Or(opts.PeerAnnounce, s.Peers), Seeds: s.Seeds, Cores: s.Cores,
 		LeaseTerm: min(opts.LeaseTerm, s.MaxLease), RemoteFactor: s.RemoteFactor,
 		Store:   platform.Store{Address: s.Store, HTTP: http1},
 		Workers: platform.Workers{HTTP: http1, Counters: p.counters},
--- a/internal/cmd/serveplatform/serveplatform.go
+++ b/internal/cmd/serveplatform/serveplatform.go
@@ -24,6 +24,9 @@
 	LogLevel string
 	// LeaseTerm is how long a worker goes on without a renewal.
 	LeaseTerm time.Duration
+	// PeerAnnounce is the address that other instances are told to use; empty for the
+	// one that is listened on.
+	PeerAnnounce string
 	// MetricsPort serves counters and latencies as text; 0 for none.
 	MetricsPort int
 }
@@ -63,6 +66,7 @@
 	flags.StringVar(&opts.Config, "config", "", "`path` of the platform's settings file")
 	flags.StringVar(&opts.LogLevel, "log-level", "info", "lowest `level` that is logged: debug, info, warn or error")
 	flags.DurationVar(&opts.LeaseTerm, "lease-term", defaultLeaseTerm, "`time` for which a worker goes on without a renewal")
+	flags.StringVar(&opts.PeerAnnounce, "announce-peer-address", "", "`address` that other entry instances are told to use, if it differs from the peer address")
 	flags.IntVar(&opts.MetricsPort, "metrics-port", 0, "`port` that serves counters and latencies as text; 0 for none")
 	return cmd
 }
