Keep workers open to scarce fillers, and let serving tasks change places

Change: a serving task that would keep half of the demand for fillers, weighed by scarcity, off a worker waits up to 5 s for another one (2.5 s if it never ran and has room twice over), and changes places with one that does no harm there. Serving tasks that alone close a worker are swapped with harmless ones of other workers, two a second at most.

--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -92,6 +92,8 @@
 	heldAt time.Time
 	// movedAt is when a serving task was last moved.
 	movedAt time.Time
+	// swappedAt is when serving tasks were last looked for that may change places.
+	swappedAt time.Time
 	// demand is the share of each filler image in what jobs ask for.
 	demand   map[Image]float64
 	scarcity scarcity
--- /dev/null
+++ b/internal/decision/dispatch/exchange_test.go
@@ -0,0 +1,115 @@
+package dispatch_test
+
+import (
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// Replays quiet-1 of a site: two filler images stood only beside two of five serving
+// images. Workers with only these lost them one by one, since whichever serving task was
+// started again took the only gap. From ten such workers two were left, and the jobs with
+// these fillers waited for half a minute.
+var _ = Describe("A worker that scarce fillers need", func() {
+	var b *bench
+	serving := func(image dispatch.Image, tasks int, processors float64) dispatch.Step {
+		return dispatch.Step{Tasks: tasks, Resources: cores(processors), LongRunning: true, Image: image, Target: 20 * time.Millisecond, MaxPerWorker: 3}
+	}
+	pass := func(d time.Duration) {
+		for range int(d / (100 * time.Millisecond)) {
+			for _, w := range b.workers {
+				for _, run := range w.running {
+					run.Percent = 100
+				}
+			}
+			b.step(100 * time.Millisecond)
+		}
+	}
+	// serves reports whether a task of a job runs on the worker whose id begins so.
+	serves := func(id membership.InstanceID, job string) bool {
+		for task := range b.workers[id].running {
+			if strings.HasPrefix(string(task.Job), job) {
+				return true
+			}
+		}
+		return false
+	}
+	// learn tells the engine that the filler stands only beside calm tasks, and that jobs
+	// ask for it.
+	learn := func() {
+		b.engine.RestoreEstimates(b.now, []interference.Estimate{
+			{Pair: interference.Pair{Service: "touchy", Class: "picky"}, Probability: 0.97},
+			{Pair: interference.Pair{Service: "calm", Class: "picky"}, Probability: 0.02},
+		})
+		wanted := fillerStep(1, "picky")
+		wanted.After = []int{0}
+		b.submit("wanted", dispatch.Step{Tasks: 1, Resources: cores(100)}, wanted)
+	}
+
+	BeforeEach(func() {
+		b = newBench(1, 2)
+		b.list()
+		b.step(0)
+	})
+
+	It("is kept for them when a serving task would close it, which takes another's place", func() {
+		b.submit("calm-1", serving("calm", 1, 5))
+		pass(500 * time.Millisecond)
+		// A calm task stands on the worker that is closed already.
+		b.submit("touchy-1", serving("touchy", 1, 4))
+		pass(500 * time.Millisecond)
+		b.submit("calm-2", serving("calm", 1, 1))
+		pass(500 * time.Millisecond)
+		learn()
+		pass(500 * time.Millisecond)
+		closed := b.workersOf("touchy-1")[0]
+		Expect(b.workersOf("calm-2")).To(HaveLen(1))
+		open := b.workersOf("calm-1")[0]
+		before := len(b.starts)
+		b.submit("touchy-2", serving("touchy", 1, 1))
+		pass(4 * time.Second)
+		Expect(len(b.starts)).To(BeNumerically(">", before))
+		Expect(b.workersOf("touchy-2")).To(Equal([]membership.InstanceID{closed}))
+		Expect(b.workersOf("calm-2")).To(Equal([]membership.InstanceID{open}))
+	})
+
+	It("isn't kept for them for good, against a serving task that never runs", func() {
+		b.submit("calm", serving("calm", 2, 4))
+		pass(500 * time.Millisecond)
+		b.workers["w1"].silent = true
+		pass(500 * time.Millisecond)
+		learn()
+		b.submit("touchy", serving("touchy", 1, 1))
+		pass(2 * time.Second)
+		Expect(b.workersOf("touchy")).To(BeEmpty())
+		pass(4 * time.Second)
+		Expect(b.workersOf("touchy")).To(HaveLen(1))
+	})
+
+	It("is opened to them by an exchange of serving tasks", func() {
+		for n, id := range []membership.InstanceID{"w0", "w1"} {
+			other := []membership.InstanceID{"w1", "w0"}[n]
+			b.workers[other].silent = true
+			pass(200 * time.Millisecond)
+			b.submit(dispatch.JobID("calm-"+id), serving("calm", 2, 1.5))
+			b.submit(dispatch.JobID("touchy-"+id), serving("touchy", 2, 1.5))
+			pass(200 * time.Millisecond)
+			b.workers[other].silent = false
+			pass(200 * time.Millisecond)
+		}
+		Expect(serves("w0", "touchy")).To(BeTrue())
+		Expect(serves("w1", "touchy")).To(BeTrue())
+		learn()
+		pass(time.Minute)
+		Expect(serves("w0", "touchy")).NotTo(Equal(serves("w1", "touchy")))
+		for _, job := range []dispatch.JobID{"calm-w0", "calm-w1", "touchy-w0", "touchy-w1"} {
+			Expect(b.workersOf(job)).To(HaveLen(2))
+		}
+	})
+})
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -65,6 +65,9 @@
 	movedAt time.Time
 	// heldAt is when a worker was last held for the task.
 	heldAt time.Time
+	// deferredAt is when the task first waited for a worker that fillers don't need; zero
+	// since it started.
+	deferredAt time.Time
 	// notBefore delays the next start.
 	notBefore time.Time
 }
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -185,6 +185,7 @@
 	a.task.step.job.live++
 	a.task.attempt = a
 	a.task.run = max(a.task.run, a.run)
+	a.task.deferredAt = time.Time{}
 }
 
 // remove takes an attempt out of the ledger.
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -203,6 +203,9 @@
 			e.noteBlocked(now, t)
 			break
 		}
+		if e.waitsForBetter(now, t, n) {
+			continue
+		}
 		s.blockedAt = time.Time{}
 		e.start(now, t, n, e.nextRun(t))
 		started++
--- a/internal/decision/dispatch/serving.go
+++ b/internal/decision/dispatch/serving.go
@@ -20,6 +20,8 @@
 	sameMixBonus  = 0.2
 	// moveInterval is the time between two moves of serving tasks.
 	moveInterval = 250 * time.Millisecond
+	// swapInterval is the time between two searches for serving tasks to change places.
+	swapInterval = 500 * time.Millisecond
 	// moveGain is the part of the filler demand that must be able to run on a worker
 	// again for a serving task to be moved off it: a move costs it a second of work.
 	moveGain = 0.25
@@ -69,10 +71,15 @@
 // lostDemand returns the part of the filler demand, weighed by its scarcity, that a
 // worker takes only as long as it has no task of the serving image: 0 to 1.
 func (e *Engine) lostDemand(now time.Time, n *node, serving Image) float64 {
+	return e.lostWithout(now, n, serving, serving)
+}
+
+// lostWithout returns the same for a worker without the tasks of another serving image.
+func (e *Engine) lostWithout(now time.Time, n *node, serving, without Image) float64 {
 	lost, total := 0.0, 0.0
 	for filler, weight := range e.demand {
 		total += weight
-		if !e.isCompatible(now, serving, filler) && e.takes(now, n, filler, serving) {
+		if !e.isCompatible(now, serving, filler) && e.takes(now, n, filler, without) {
 			lost += weight * e.scarcity.weight(filler)
 		}
 	}
@@ -118,6 +125,13 @@
 			return
 		}
 	}
+	if now.Sub(e.swappedAt) >= swapInterval {
+		e.swappedAt = now
+		if e.swapStray(now) {
+			e.movedAt = now
+			e.count("Task.Swapped")
+		}
+	}
 }
 
 // movable returns the serving task of a worker that is worth moving, nil for none.
