Count the wait for a better worker from the end of the last run

A long-running task that had waited for room waited 5 s more for a worker that fillers don't need. The platform counts it as lost when it doesn't run 9 s after its last run, with room for it in the last 3 s.

Change: with room twice over a task waits 1.5 s, or until 5 s after its worker was last heard of.

--- a/internal/decision/dispatch/exchange.go
+++ b/internal/decision/dispatch/exchange.go
@@ -6,11 +6,13 @@
 	// maxLostFillers is the part of the filler demand, weighed by scarcity, from which a
 	// serving task doesn't go at once to a worker that it would close to these fillers.
 	maxLostFillers = 0.5
-	// betterWorkerWait is how long such a task waits for another worker.
+	// betterWorkerWait is how long such a task waits for another worker, counted from the
+	// end of its last run. The platform counts a task as lost that doesn't run 9 s after
+	// its last run, with room for it twice over in the last 3 s.
 	betterWorkerWait = 5 * time.Second
-	// firstWorkerWait is the same for a task that never ran and has room twice over: the
-	// platform counts it as lost after 3 s, and one that ran after 9 s.
-	firstWorkerWait = 2500 * time.Millisecond
+	// roomWait is how long it waits at least, or if it never ran, once there is room twice
+	// over.
+	roomWait = 1500 * time.Millisecond
 )
 
 // waitsForBetter reports whether a serving task should wait for a worker that it doesn't
@@ -23,7 +25,7 @@
 	if t.deferredAt.IsZero() {
 		t.deferredAt = now
 	}
-	if now.Sub(t.deferredAt) >= e.patience(now, t) {
+	if !now.Before(e.deferredUntil(now, t)) {
 		e.count("Task.ClosesWorker")
 		return false
 	}
@@ -33,11 +35,20 @@
 	return true
 }
 
-// patience returns how long a task waits for a better worker.
-func (e *Engine) patience(now time.Time, t *task) time.Duration {
-	if t.run > 0 {
-		return betterWorkerWait
+// deferredUntil returns until when a task waits for a better worker.
+func (e *Engine) deferredUntil(now time.Time, t *task) time.Time {
+	if !e.hasRoomTwice(now, t) {
+		return t.deferredAt.Add(betterWorkerWait)
 	}
+	until := t.deferredAt.Add(roomWait)
+	if later := t.downSince.Add(betterWorkerWait); t.run > 0 && later.After(until) {
+		return later
+	}
+	return until
+}
+
+// hasRoomTwice reports whether the workers have room for two such tasks.
+func (e *Engine) hasRoomTwice(now time.Time, t *task) bool {
 	twice := t.step.Reserved().Add(t.step.Reserved())
 	room := 0
 	for _, n := range e.fleet {
@@ -46,10 +57,10 @@
 		}
 		room++
 		if room > 1 || twice.FitsIn(n.free()) {
-			return firstWorkerWait
+			return true
 		}
 	}
-	return betterWorkerWait
+	return false
 }
 
 // closesToFillers reports whether a task of the image would keep much of the demand for
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -65,6 +65,8 @@
 	movedAt time.Time
 	// heldAt is when a worker was last held for the task.
 	heldAt time.Time
+	// downSince is when the worker of the last run was last heard of.
+	downSince time.Time
 	// deferredAt is when the task first waited for a worker that fillers don't need; zero
 	// since it started.
 	deferredAt time.Time
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -214,6 +214,7 @@
 	s.job.live--
 	if a.task.attempt == a {
 		a.task.attempt = nil
+		a.task.downSince = n.heardAt
 	}
 }
 
