Send starts again that aren't answered

Change: a start without an answer for 350 ms is sent again, with the same run, which a worker carries out once; up to 1.2 s, and not while the owner rests, the task isn't wanted or the worker doesn't answer polls. The earlier commands stay in doubt: a refusal of a repetition tells nothing about them, and they are stopped on a new life of the worker as before. Counter Start.Repeated.

--- a/internal/decision/dispatch/command.go
+++ b/internal/decision/dispatch/command.go
@@ -86,6 +86,17 @@
 	}
 }
 
+// MayRepeatStart notes that a start got no answer, and reports whether it may be sent again:
+// it is still wanted, and nothing suggests that the worker can't be reached.
+func (e *Engine) MayRepeatStart(now time.Time, id membership.InstanceID, r TaskRun) bool {
+	a := e.findAttempt(id, r)
+	if a == nil || a.phase != sending {
+		return false
+	}
+	a.node.noteDoubt(now, r)
+	return !e.suspended && !a.stopWanted && !a.restarted && a.node.misses == 0
+}
+
 const (
 	// noRoomPause lets the worker's next report show what takes its room.
 	noRoomPause = 400 * time.Millisecond
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -244,6 +244,21 @@
 	// the recovery as complete before it had seen the list of workers.
 	// Guards against a task that runs twice (TWICE): a start without an answer may be
 	// carried out late, also by the next life of its worker, which knows no epoch.
+	It("sends a start without an answer again, but not while it rests or the task isn't wanted", func() {
+		b := newBench(1, 1)
+		b.list()
+		b.step(0)
+		b.submit("j", tasks(1))
+		b.engine.Tick(b.now)
+		c := b.engine.TakeCommands()[0]
+		Expect(b.engine.MayRepeatStart(b.now, c.Worker, c.TaskRun)).To(BeTrue())
+		b.engine.Suspend(b.now, true)
+		Expect(b.engine.MayRepeatStart(b.now, c.Worker, c.TaskRun)).To(BeFalse())
+		b.engine.Suspend(b.now, false)
+		b.engine.Cancel(b.now, "j")
+		Expect(b.engine.MayRepeatStart(b.now, c.Worker, c.TaskRun)).To(BeFalse())
+	})
+
 	It("stops a start without an answer on the next life of its worker before it starts elsewhere", func() {
 		b := newBench(1, 1)
 		b.list()
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	// commandTimeout bounds a start, stop or pace command.
+	// commandTimeout bounds a start, stop or pace command, with all its repetitions.
 	commandTimeout = 1200 * time.Millisecond
+	// startTimeout is how long a worker may take to answer a start before it is sent again:
+	// many times what an answer takes across regions.
+	startTimeout = 350 * time.Millisecond
 	// pollTimeout bounds a poll beyond the time that the worker may wait.
 	pollTimeout = 700 * time.Millisecond
 	// pollPause is the least time between two polls of a worker.
@@ -89,7 +92,7 @@
 	defer cancel()
 	switch {
 	case c.Start != nil:
-		result, clock := o.node.Workers.Start(ctx, o.epoch, c)
+		result, clock := o.start(ctx, c)
 		o.with(func(now time.Time, e *dispatch.Engine) { e.Started(now, c.Worker, c.TaskRun, result, clock) })
 		if result == dispatch.StartFenced {
 			o.supersede("a worker has seen a higher epoch")
@@ -111,6 +114,31 @@
 	return nil
 }
 
+// start sends a start command, and again when no answer comes: a worker carries out each
+// run once, however often it is told to. After a repetition only an acceptance tells what
+// became of the earlier commands, so that any refusal counts as no answer.
+func (o *owner) start(ctx context.Context, c dispatch.Command) (dispatch.StartResult, time.Duration) {
+	for repeated := false; ; repeated = true {
+		once, cancel := context.WithTimeout(ctx, startTimeout)
+		result, clock := o.node.Workers.Start(once, o.epoch, c)
+		cancel()
+		switch {
+		case result == dispatch.StartAccepted, result == dispatch.StartFenced, !repeated && result != dispatch.StartUnanswered:
+			return result, clock
+		case result != dispatch.StartUnanswered, ctx.Err() != nil, !o.mayRepeat(c):
+			return dispatch.StartUnanswered, 0
+		}
+		o.node.Counters.Add("Start.Repeated", 1)
+	}
+}
+
+// mayRepeat asks the engine whether an unanswered start should be sent again.
+func (o *owner) mayRepeat(c dispatch.Command) (repeat bool) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	return o.engine.MayRepeatStart(o.node.Clock.Now(), c.Worker, c.TaskRun)
+}
+
 // checkFenced counts a failed command and ends the ownership if it was fenced.
 func (o *owner) checkFenced(err error, command string) error {
 	if err == nil || errors.Is(err, context.Canceled) {
