Bound the searches for serving tasks that change places

Cause: a tick of the owner with 400 workers took 8.7 ms in place of 1.9 (BenchmarkTick): the search for two tasks to swap looked at all pairs of strays and serving tasks, and each waiting serving task was placed and its exchange searched in each tick.

Change: a search looks at 100 workers and 600 workers and tasks at most and the next one goes on from there; a task that waits for a better worker is looked at every 150 ms, and one exchange is searched in 100 ms. A worker with one image is no longer looked at for strays.

--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -94,6 +94,12 @@
 	movedAt time.Time
 	// swappedAt is when serving tasks were last looked for that may change places.
 	swappedAt time.Time
+	// exchangedAt is when a place was last looked for that a waiting serving task could
+	// take over.
+	exchangedAt time.Time
+	// partnerCursor and strayCursor are where the next searches for serving tasks begin.
+	partnerCursor int
+	strayCursor   int
 	// demand is the share of each filler image in what jobs ask for.
 	demand   map[Image]float64
 	scarcity scarcity
--- a/internal/decision/dispatch/exchange.go
+++ b/internal/decision/dispatch/exchange.go
@@ -13,6 +13,21 @@
 	// roomWait is how long it waits at least, or if it never ran, once there is room twice
 	// over.
 	roomWait = 1500 * time.Millisecond
+	// deferInterval is the time between two looks for a worker for such a task.
+	deferInterval = 150 * time.Millisecond
+	// exchangeInterval is the time between two searches for a task that changes places
+	// with one that waits.
+	exchangeInterval = 100 * time.Millisecond
+	// maxPartners bounds the workers and tasks that a search looks at, maxStrayWorkers the
+	// workers that are looked at for a task to swap, so that a search takes a few
+	// milliseconds however large the deployment is. The next one goes on from there.
+	maxPartners     = 600
+	maxStrayWorkers = 100
+	// maxStrayTries bounds the strays for which a search looks for a partner.
+	maxStrayTries = 8
+	// maxStrays is the number of tasks of an image up to which it is worth to clear a
+	// worker of them.
+	maxStrays = 2
 )
 
 // waitsForBetter reports whether a serving task should wait for a worker that it doesn't
@@ -25,26 +40,29 @@
 	if t.deferredAt.IsZero() {
 		t.deferredAt = now
 	}
-	if !now.Before(e.deferredUntil(now, t)) {
+	if !e.mayDefer(now, t) {
 		e.count("Task.ClosesWorker")
 		return false
 	}
-	if now.Sub(t.heldAt) > holdTime && e.exchange(now, t, n) {
-		e.count("Task.Exchanged")
+	t.lookAt = now.Add(deferInterval)
+	if now.Sub(t.heldAt) > holdTime && now.Sub(e.exchangedAt) >= exchangeInterval {
+		e.exchangedAt = now
+		if e.exchange(now, t, n) {
+			e.count("Task.Exchanged")
+		}
 	}
 	return true
 }
 
-// deferredUntil returns until when a task waits for a better worker.
-func (e *Engine) deferredUntil(now time.Time, t *task) time.Time {
-	if !e.hasRoomTwice(now, t) {
-		return t.deferredAt.Add(betterWorkerWait)
-	}
-	until := t.deferredAt.Add(roomWait)
-	if later := t.downSince.Add(betterWorkerWait); t.run > 0 && later.After(until) {
-		return later
+// mayDefer reports whether a task may go on waiting for a better worker.
+func (e *Engine) mayDefer(now time.Time, t *task) bool {
+	switch waited := now.Sub(t.deferredAt); {
+	case waited < roomWait, t.run > 0 && now.Sub(t.downSince) < betterWorkerWait:
+		return true
+	case waited >= betterWorkerWait:
+		return false
 	}
-	return until
+	return !e.hasRoomTwice(now, t)
 }
 
 // hasRoomTwice reports whether the workers have room for two such tasks.
@@ -72,104 +90,124 @@
 // exchange moves a serving task that keeps no fillers away to the worker with room, so
 // that the waiting task gets its place. Almost full workers leave no other way.
 func (e *Engine) exchange(now time.Time, t *task, room *node) bool {
-	for _, n := range e.fleet {
-		if n == room || !e.mayHold(now, t, n) || e.closesToFillers(now, n, t.step.Image) {
-			continue
-		}
-		for _, a := range n.runs {
-			if e.mayExchange(now, t, a, room) {
-				a.task.movedAt = now
-				n.holdTask(now, t, a.task.step)
-				room.holdTask(now, a.task, t.step)
-				e.stop(now, a, "changes places with a task that would keep fillers away")
-				return true
-			}
-		}
+	budget := maxPartners
+	a := e.partner(&budget, func(n *node) bool {
+		return n != room && e.mayHold(now, t, n) && !e.closesToFillers(now, n, t.step.Image)
+	}, func(a *attempt) bool { return e.mayExchange(now, t, a, room) })
+	if a == nil {
+		return false
 	}
-	return false
+	a.task.movedAt = now
+	a.node.holdTask(now, t, a.task.step)
+	room.holdTask(now, a.task, t.step)
+	e.stop(now, a, "changes places with a task that would keep fillers away")
+	return true
 }
 
 // mayExchange reports whether a run can go to the worker with room, and leaves enough for
 // the waiting task.
 func (e *Engine) mayExchange(now time.Time, t *task, a *attempt, room *node) bool {
-	s := a.task.step
-	return s.Target > 0 && a.mayMove(now) &&
-		t.step.Reserved().FitsIn(a.node.free().Add(a.reserved)) && a.reserved.FitsIn(room.free()) &&
-		e.mayHold(now, a.task, room) && !e.closesToFillers(now, room, s.Image)
+	return t.step.Reserved().FitsIn(a.node.free().Add(a.reserved)) && a.reserved.FitsIn(room.free()) &&
+		!e.closesToFillers(now, room, a.task.step.Image) && e.mayHold(now, a.task, room) && a.mayMove(now)
 }
 
-// maxStrays is the number of tasks of an image up to which it is worth to clear a worker
-// of them.
-const maxStrays = 2
-
-// swapStray exchanges a serving task that keeps fillers off its worker with one that
-// doesn't, and reports whether it did.
-func (e *Engine) swapStray(now time.Time) bool {
-	closes := e.closures(now)
-	for _, n := range e.fleet {
-		if !n.isSound(now) {
+// partner returns the first serving task that suits on a worker that suits, nil for none
+// within the budget of workers and tasks to look at.
+func (e *Engine) partner(budget *int, worker func(*node) bool, suits func(*attempt) bool) *attempt {
+	for range e.fleet {
+		if *budget--; *budget < 0 {
+			return nil
+		}
+		e.partnerCursor = (e.partnerCursor + 1) % len(e.fleet)
+		n := e.fleet[e.partnerCursor]
+		if len(n.images) == 0 || !worker(n) {
 			continue
 		}
 		for _, a := range n.runs {
-			s := a.task.step
-			if s.Target <= 0 || n.images[s.Image] > maxStrays || !closes[n][s.Image] || !a.mayMove(now) {
+			if a.task.step.Target <= 0 {
 				continue
 			}
-			if b := e.swapFor(now, a, closes); b != nil {
-				a.task.movedAt, b.task.movedAt = now, now
-				n.holdTask(now, b.task, s)
-				b.node.holdTask(now, a.task, b.task.step)
-				e.stop(now, a, "keeps fillers off its worker")
-				e.stop(now, b, "changes places with a task that keeps fillers away")
-				return true
+			*budget--
+			if suits(a) {
+				return a
 			}
 		}
 	}
+	return nil
+}
+
+// swapStray exchanges a serving task that keeps fillers off its worker with one that
+// doesn't, and reports whether it did.
+func (e *Engine) swapStray(now time.Time) bool {
+	budget := maxPartners
+	for range maxStrayTries {
+		a := e.nextStray(now)
+		if a == nil || budget <= 0 {
+			return false
+		}
+		if b := e.swapPartner(now, &budget, a); b != nil {
+			e.swap(now, a, b)
+			return true
+		}
+	}
 	return false
 }
 
-// swapFor returns a serving task on another worker that can change places with a run, nil
-// for none. The other worker is one that the run doesn't close, or that as many tasks of
-// its image close already.
-func (e *Engine) swapFor(now time.Time, a *attempt, closes map[*node]map[Image]bool) *attempt {
+// swapPartner returns a serving task that can change places with a stray, nil for none.
+// Its worker is one that the stray doesn't close, or that as many of its kind close already.
+func (e *Engine) swapPartner(now time.Time, budget *int, a *attempt) *attempt {
 	image := a.task.step.Image
-	for _, n := range e.fleet {
-		if n == a.node || !e.mayHold(now, a.task, n) || n.images[image] < a.node.images[image] && closes[n][image] {
+	return e.partner(budget, func(n *node) bool {
+		return n != a.node && (n.images[image] >= a.node.images[image] || !e.closesToFillers(now, n, image)) &&
+			e.mayHold(now, a.task, n)
+	}, func(b *attempt) bool { return e.maySwap(now, a, b) })
+}
+
+func (e *Engine) swap(now time.Time, a, b *attempt) {
+	a.task.movedAt, b.task.movedAt = now, now
+	a.node.holdTask(now, b.task, a.task.step)
+	b.node.holdTask(now, a.task, b.task.step)
+	e.stop(now, a, "keeps fillers off its worker")
+	e.stop(now, b, "changes places with a task that keeps fillers away")
+}
+
+// nextStray returns the next serving task that, with at most one other, keeps fillers off
+// its worker; nil for none.
+func (e *Engine) nextStray(now time.Time) *attempt {
+	for range min(len(e.fleet), maxStrayWorkers) {
+		e.strayCursor = (e.strayCursor + 1) % len(e.fleet)
+		n := e.fleet[e.strayCursor]
+		if len(n.images) < 2 || !n.isSound(now) {
 			continue
 		}
-		for _, b := range n.runs {
-			if e.maySwap(now, a, b) {
-				return b
+		for image, count := range n.images {
+			if count > maxStrays || e.lostDemand(now, n, image) < maxLostFillers {
+				continue
+			}
+			if a := n.movableOf(now, image); a != nil {
+				return a
 			}
 		}
 	}
 	return nil
 }
 
+// movableOf returns a serving task of an image that may move, nil for none.
+func (n *node) movableOf(now time.Time, image Image) *attempt {
+	for _, a := range n.runs {
+		if a.task.step.Target > 0 && a.task.step.Image == image && a.mayMove(now) {
+			return a
+		}
+	}
+	return nil
+}
+
 // maySwap reports whether two serving tasks fit each other's places, and whether that
 // opens the worker of the first one.
 func (e *Engine) maySwap(now time.Time, a, b *attempt) bool {
 	s := b.task.step
-	return s.Target > 0 && s.Image != a.task.step.Image && b.mayMove(now) &&
+	return s.Image != a.task.step.Image &&
 		a.reserved.FitsIn(b.node.free().Add(b.reserved)) && b.reserved.FitsIn(a.node.free().Add(a.reserved)) &&
-		e.mayHold(now, b.task, a.node) && e.lostWithout(now, a.node, s.Image, a.task.step.Image) < maxLostFillers/2
-}
-
-// closures tells for each worker which serving images keep, or would keep, much of the
-// demand for fillers off it.
-func (e *Engine) closures(now time.Time) map[*node]map[Image]bool {
-	images := map[Image]bool{}
-	for _, n := range e.fleet {
-		for image := range n.images {
-			images[image] = true
-		}
-	}
-	closes := make(map[*node]map[Image]bool, len(e.fleet))
-	for _, n := range e.fleet {
-		closes[n] = make(map[Image]bool, len(images))
-		for image := range images {
-			closes[n][image] = e.lostDemand(now, n, image) >= maxLostFillers
-		}
-	}
-	return closes
+		e.mayHold(now, b.task, a.node) && b.mayMove(now) &&
+		e.lostWithout(now, a.node, s.Image, a.task.step.Image) < maxLostFillers/2
 }
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -70,6 +70,8 @@
 	// deferredAt is when the task first waited for a worker that fillers don't need; zero
 	// since it started.
 	deferredAt time.Time
+	// lookAt is when a worker is next looked for.
+	lookAt time.Time
 	// notBefore delays the next start.
 	notBefore time.Time
 }
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -187,7 +187,7 @@
 		if started >= limit {
 			break
 		}
-		if !t.isWaiting(now) {
+		if !t.isWaiting(now) || now.Before(t.lookAt) {
 			continue
 		}
 		var n *node
