Repeat starts within a budget, and wait as long as answers take

The owner had too little processor time; answers took longer than the 350 ms after which starts were sent again over a new connection, which made it slower still.

Change: the wait for an answer is eight times the mean time of an answer, from 350 ms to 1.2 s; one of ten answered starts pays for one repetition, and 20 may be ahead of that. Test "repeats only a part of the starts, and waits longer when answers are slow", which failed first.

--- a/internal/decision/dispatch/command.go
+++ b/internal/decision/dispatch/command.go
@@ -70,6 +70,7 @@
 			a.since = a.node.clockNow(now)
 		}
 		e.observe("Latency.StartCommand", now.Sub(a.sentAt))
+		e.answers.note(min(now.Sub(a.sentAt), mostPatience), true)
 		if j := a.task.step.job; !j.began {
 			j.began = true
 			e.observe("Latency.FirstStart", now.Sub(j.Due(a.task.id.Occurrence)))
@@ -94,7 +95,8 @@
 		return false
 	}
 	a.node.noteDoubt(now, r)
-	return !e.suspended && !a.stopWanted && !a.restarted && a.node.misses == 0
+	e.answers.note(e.answers.patience(), false)
+	return !e.suspended && !a.stopWanted && !a.restarted && a.node.misses == 0 && e.answers.takeRepeat()
 }
 
 const (
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -259,6 +259,31 @@
 		Expect(b.engine.MayRepeatStart(b.now, c.Worker, c.TaskRun)).To(BeFalse())
 	})
 
+	// Replays scale-2 of a grown site: the owner had too little processor time, answers took
+	// longer than it waited, and the repetitions made it slower still; 410 leases lapsed.
+	It("repeats only a part of the starts, and waits longer when answers are slow", func() {
+		b := newBench(1, 200)
+		b.list()
+		b.step(0)
+		b.submit("j", tasks(1000))
+		b.engine.Tick(b.now)
+		commands := b.engine.TakeCommands()
+		Expect(commands).To(HaveLen(128))
+		least := commands[0].Patience
+		repeated := 0
+		for n, c := range commands {
+			if n%2 == 0 {
+				b.engine.Started(b.now, c.Worker, c.TaskRun, dispatch.StartAccepted, 0)
+			} else if b.engine.MayRepeatStart(b.now, c.Worker, c.TaskRun) {
+				repeated++
+			}
+		}
+		Expect(repeated).To(BeNumerically("<", len(commands)/4))
+		Expect(repeated).To(BeNumerically(">", 0))
+		b.engine.Tick(b.now)
+		Expect(b.engine.TakeCommands()[0].Patience).To(BeNumerically(">", 2*least))
+	})
+
 	It("stops a start without an answer on the next life of its worker before it starts elsewhere", func() {
 		b := newBench(1, 1)
 		b.list()
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -103,6 +103,7 @@
 	// demand is the share of each filler image in what jobs ask for.
 	demand   map[Image]float64
 	scarcity scarcity
+	answers  answers
 	// unplaceable has the shapes of tasks that found no worker in this tick.
 	unplaceable map[shape]resource.Vector
 }
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -279,7 +279,7 @@
 	e.commands = append(e.commands, Command{
 		Worker: n.ID, Address: n.Address, TaskRun: TaskRun{t.id, a.run},
 		Start: &Start{Spec: t.step.job.Spec, Checkpoint: t.checkpoint, Ticket: e.ticket(now, t.step, n)},
-		Lease: n.renewal(now, e.options.LeaseTerm),
+		Lease: n.renewal(now, e.options.LeaseTerm), Patience: e.answers.patience(),
 	})
 	e.count("Task.Starts")
 }
--- a/internal/decision/dispatch/types.go
+++ b/internal/decision/dispatch/types.go
@@ -272,6 +272,8 @@
 	Pace  *int
 	// Lease is the time on the worker's clock at which its runs end unless renewed.
 	Lease time.Duration
+	// Patience is how long to wait for the answer to a start before it may be sent again.
+	Patience time.Duration
 }
 
 // Start is the content of a start command.
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -12,9 +12,6 @@
 const (
 	// commandTimeout bounds a start, stop or pace command, with all its repetitions.
 	commandTimeout = 1200 * time.Millisecond
-	// startTimeout is how long a worker may take to answer a start before it is sent again:
-	// many times what an answer takes across regions.
-	startTimeout = 350 * time.Millisecond
 	// pollTimeout bounds a poll beyond the time that the worker may wait.
 	pollTimeout = 700 * time.Millisecond
 	// pollPause is the least time between two polls of a worker.
@@ -119,7 +116,7 @@
 // became of the earlier commands, so that any refusal counts as no answer.
 func (o *owner) start(ctx context.Context, c dispatch.Command) (dispatch.StartResult, time.Duration) {
 	for repeated := false; ; repeated = true {
-		once, cancel := context.WithTimeout(ctx, startTimeout)
+		once, cancel := context.WithTimeout(ctx, c.Patience)
 		result, clock := o.node.Workers.Start(once, o.epoch, c)
 		cancel()
 		switch {
