Don't leave two shards to one of several strong instances

An equally strong instance far from the store waits up to 300 ms before it claims, a second shard cost only 140 ms more; and it was released only for a gain of 0.8 shards of a mean instance, while moving it gains 0.55.

Change: each further shard delays a claim by 600 ms for a mean instance, and a gain of 0.45 is enough for a release. Tests "are claimed first by the instance with the least burden" and "are released by an instance that carries far more" replay both, and failed first.

--- a/internal/entry/dispatcher/burden.go
+++ b/internal/entry/dispatcher/burden.go
@@ -7,8 +7,10 @@
 
 const (
 	// burdenStep is how much later an instance claims a shard for each shard of a mean
-	// instance that it would carry more than the least burdened one.
-	burdenStep = 250 * time.Millisecond
+	// instance that it would carry more than the least burdened one. A second shard on a
+	// strong instance has to outweigh maxClaimDelay, with which an equally strong one far
+	// from the store claims it.
+	burdenStep = 600 * time.Millisecond
 	// maxBurdenDelay bounds that delay.
 	maxBurdenDelay = 800 * time.Millisecond
 	// spreadDelay spreads the claims of instances that are alike over shards, in
@@ -22,9 +24,10 @@
 	// able to claim the shard.
 	rebalanceRest = 30 * time.Second
 	// rebalanceGain is by how many shards of a mean instance another one must be less
-	// burdened, with one shard more, for a shard to be released. Each release leaves the
-	// shard without an owner for a moment.
-	rebalanceGain = 0.8
+	// burdened, with one shard more, for a shard to be released: less than what an
+	// instance of twice the mean strength saves that has two shards. Each release leaves
+	// the shard without an owner for a moment.
+	rebalanceGain = 0.45
 )
 
 // burden is the load of an instance with a number of shards: 1 for an instance of mean
--- a/internal/entry/dispatcher/shard_test.go
+++ b/internal/entry/dispatcher/shard_test.go
@@ -68,6 +68,8 @@
 		equal := []peer{{Name: "a", Cores: 0.16}, {Name: "b", Cores: 0.16}}
 		Expect(claimDelay(0, 0.16, equal)).To(BeZero())
 		Expect(claimDelay(1, 0.16, equal)).To(Equal(burdenStep))
+		mixed := []peer{{Name: "a", Cores: 0.8}, {Name: "b", Cores: 0.2}, {Name: "c", Cores: 0.2}, {Name: "d", Cores: 0.2}}
+		Expect(claimDelay(1, 0.8, mixed)).To(BeNumerically(">=", maxClaimDelay))
 	})
 
 	It("are released by an instance that carries far more than another", func() {
@@ -78,6 +80,9 @@
 		Expect(shouldRelease(3, 0.4, nil)).To(BeFalse())
 		weak := []peer{{Name: "a", Cores: 0.1}}
 		Expect(shouldRelease(2, 0.8, weak)).To(BeFalse())
+		// Replays scale-2 of a grown site: one of two strong instances owned both shards.
+		mixed := []peer{{Name: "a", Cores: 0.8}, {Name: "b", Cores: 0.2}, {Name: "c", Cores: 0.2}, {Name: "d", Cores: 0.2}}
+		Expect(shouldRelease(2, 0.8, mixed)).To(BeTrue())
 		Expect(shouldRelease(1, 0.1, []peer{{Name: "a", Cores: 0.8}, {Name: "b", Cores: 0.8}})).To(BeTrue())
 	})
 })
