Keep workers only for fillers that few of them take

Change: only filler images count that at most two of three workers take. Test "takes a serving task at once while most workers are open to the fillers", which failed first.

--- a/internal/decision/dispatch/exchange.go
+++ b/internal/decision/dispatch/exchange.go
@@ -6,6 +6,9 @@
 	// maxLostFillers is the part of the filler demand, weighed by scarcity, from which a
 	// serving task doesn't go at once to a worker that it would close to these fillers.
 	maxLostFillers = 0.5
+	// scarceFrom is the scarcity from which a filler image counts for that: two of three
+	// workers take it. Fillers that run nearly anywhere need no worker kept for them.
+	scarceFrom = 1.5
 	// betterWorkerWait is how long such a task waits for another worker, counted from the
 	// end of its last run. The platform counts a task as lost that doesn't run 9 s after
 	// its last run, with room for it twice over in the last 3 s.
@@ -84,7 +87,13 @@
 // closesToFillers reports whether a task of the image would keep much of the demand for
 // fillers off a worker that takes them now.
 func (e *Engine) closesToFillers(now time.Time, n *node, serving Image) bool {
-	return n.images[serving] == 0 && e.lostDemand(now, n, serving) >= maxLostFillers
+	return n.images[serving] == 0 && e.closes(now, n, serving)
+}
+
+// closes reports whether the tasks of a serving image, or one more of them, alone keep much
+// of the demand for scarce fillers off a worker.
+func (e *Engine) closes(now time.Time, n *node, serving Image) bool {
+	return e.lostWithout(now, n, serving, serving, scarceFrom) >= maxLostFillers
 }
 
 // exchange moves a serving task that keeps no fillers away to the worker with room, so
@@ -181,7 +190,7 @@
 			continue
 		}
 		for image, count := range n.images {
-			if count > maxStrays || e.lostDemand(now, n, image) < maxLostFillers {
+			if count > maxStrays || !e.closes(now, n, image) {
 				continue
 			}
 			if a := n.movableOf(now, image); a != nil {
@@ -209,5 +218,5 @@
 	return s.Image != a.task.step.Image &&
 		a.reserved.FitsIn(b.node.free().Add(b.reserved)) && b.reserved.FitsIn(a.node.free().Add(a.reserved)) &&
 		e.mayHold(now, b.task, a.node) && b.mayMove(now) &&
-		e.lostWithout(now, a.node, s.Image, a.task.step.Image) < maxLostFillers/2
+		e.lostWithout(now, a.node, s.Image, a.task.step.Image, scarceFrom) < maxLostFillers/2
 }
--- a/internal/decision/dispatch/serving.go
+++ b/internal/decision/dispatch/serving.go
@@ -71,15 +71,16 @@
 // lostDemand returns the part of the filler demand, weighed by its scarcity, that a
 // worker takes only as long as it has no task of the serving image: 0 to 1.
 func (e *Engine) lostDemand(now time.Time, n *node, serving Image) float64 {
-	return e.lostWithout(now, n, serving, serving)
+	return e.lostWithout(now, n, serving, serving, 0)
 }
 
-// lostWithout returns the same for a worker without the tasks of another serving image.
-func (e *Engine) lostWithout(now time.Time, n *node, serving, without Image) float64 {
+// lostWithout returns the same for a worker without the tasks of another serving image,
+// and only for filler images that are at least so scarce.
+func (e *Engine) lostWithout(now time.Time, n *node, serving, without Image, scarcity float64) float64 {
 	lost, total := 0.0, 0.0
 	for filler, weight := range e.demand {
 		total += weight
-		if !e.isCompatible(now, serving, filler) && e.takes(now, n, filler, without) {
+		if e.scarcity.weight(filler) >= scarcity && !e.isCompatible(now, serving, filler) && e.takes(now, n, filler, without) {
 			lost += weight * e.scarcity.weight(filler)
 		}
 	}
