Count runs that an earlier owner left until they have ended

A job was cancelled at 09:29:56.9 as the owner stopped; its successor learned of the cancellation first, didn't enter the job's run on the worker in its ledger, told it to stop and filled the worker at once. The same holds for runs of jobs that the successor doesn't know. On workers that refuse what doesn't fit, such starts were rejected, which costs worth.

Change: a listed run of a known task is always entered, and stopped if it isn't wanted. While a worker lists runs whose size isn't known, nothing starts there. Test "counts a run that an earlier owner left until it has ended", which failed first for both.

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -244,6 +244,29 @@
 	// the recovery as complete before it had seen the list of workers.
 	// Guards against a task that runs twice (TWICE): a start without an answer may be
 	// carried out late, also by the next life of its worker, which knows no epoch.
+	// Replays seed 136 of the soak: a job was cancelled as its owner stopped. The next owner
+	// stopped its run, and started others on the worker at once, above its capacity.
+	DescribeTable("counts a run that an earlier owner left until it has ended", func(known bool) {
+		b := newBench(2, 1)
+		w := b.workers["w0"]
+		left := dispatch.TaskRun{Task: dispatch.TaskID{Job: "left"}, Run: 1}
+		w.running[left.Task] = &dispatch.RunningTask{TaskRun: left}
+		b.list()
+		if known {
+			b.engine.AddJob(b.now, dispatch.Job{ID: "left", Queue: batchQueue, Accepted: b.now, Steps: []dispatch.Step{{Tasks: 1, Resources: cores(5)}}}, dispatch.Progress{}, true)
+			b.engine.Cancel(b.now, "left")
+		}
+		b.submit("j", dispatch.Step{Tasks: 1, Resources: cores(4)})
+		b.step(0)
+		Expect(b.stops).To(HaveLen(1))
+		Expect(b.starts).To(BeEmpty())
+		b.step(100 * time.Millisecond)
+		Expect(b.starts).To(HaveLen(1))
+	},
+		Entry("of a cancelled job", true),
+		Entry("of a job that nobody knows", false),
+	)
+
 	It("sends a start without an answer again, but not while it rests or the task isn't wanted", func() {
 		b := newBench(1, 1)
 		b.list()
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -108,6 +108,9 @@
 	doubts map[TaskRun]time.Time
 	// strays are runs that aren't this owner's, with the time of the last stop.
 	strays map[TaskRun]time.Time
+	// unknownRuns counts the runs in the last report whose room isn't known: those of jobs
+	// that this owner doesn't know, and of tasks that it runs elsewhere.
+	unknownRuns int
 	// avoidUntil is when a worker that refused starts is tried again.
 	avoidUntil time.Time
 	health     health
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -74,7 +74,7 @@
 	switch {
 	case !n.isSound(now), n.health.isQuarantined(now), e.zonesOut[n.Zone]:
 		return false
-	case n.Service != s.job.queue.Service:
+	case n.Service != s.job.queue.Service, n.unknownRuns > 0:
 		return false
 	case s.Requires != "" && !n.hasLabel(s.Requires):
 		return false
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -192,12 +192,14 @@
 }
 
 func (e *Engine) observeRunning(now time.Time, n *node, list []RunningTask) {
+	n.unknownRuns = 0
 	for _, r := range list {
 		a := n.runs[r.Task]
 		if a == nil || a.run != r.Run {
 			a = e.adopt(now, n, r.TaskRun)
 		}
 		if a == nil {
+			n.unknownRuns++
 			e.stopStray(now, n, r.TaskRun)
 			continue
 		}
@@ -222,10 +224,11 @@
 	}
 }
 
-// adopt enters a run that an earlier owner started, if it is still wanted.
+// adopt enters a run that an earlier owner started. One that is no longer wanted is stopped,
+// and takes its room until it has ended.
 func (e *Engine) adopt(now time.Time, n *node, r TaskRun) *attempt {
 	t := e.findTask(r.Task)
-	if t == nil || t.done || t.attempt != nil || t.step.job.ending != "" {
+	if t == nil || t.attempt != nil {
 		return nil
 	}
 	a := newAttempt(t, r.Run, n, now)
@@ -235,6 +238,9 @@
 	n.add(a)
 	e.record(now, Decision{Event: "TaskAdopted", Task: r, Worker: n.ID})
 	e.count("Task.Adopted")
+	if t.done || t.step.job.ending != "" {
+		e.stop(now, a, "no longer wanted")
+	}
 	return a
 }
 
