Make one piece of what the change wrote several times

Cause: read as a whole, the change has twins. The queue of a job was looked up the same way in AddJob and Admit; three moves of serving tasks noted, held and stopped alike; the placement policy was checked in two places; a stop was built in three; seven loops of the dispatcher waited for a time or the end of their context; what an instance carries was computed twice. Admit built all tasks of long-running jobs before it accepted them unseen, and each change of the fleet encoded every worker twice.

Change: queueOf, displace, isPermitted, commandStop, taskRun and Node.sleep serve all of them; workersCarried and coresOr tell what an instance carries; Admit builds a job only when it judges it; pages of the fleet are joined from entries that are encoded once; owner methods read the clock by now(); metrics sort names by slices.Sorted.

Conclusion: behaviour kept. Not done, since it would change placement: task.lookAt could be part of notBefore.

--- a/internal/decision/dispatch/admit.go
+++ b/internal/decision/dispatch/admit.go
@@ -42,17 +42,14 @@
 	if e.recovering || e.suspended || !e.listed {
 		return Admission{}
 	}
-	q, configured := e.queues[accepted.Queue]
-	if !configured {
-		q = accepted.Settings
-	}
+	q := e.queueOf(&accepted)
 	if !e.fitsSomewhere(&accepted, q.Service) {
 		return Admission{RefusedMisfit, misfitRetry}
 	}
-	j := newJob(accepted, q, false)
 	if accepted.Repetitions > 0 || accepted.Steps[0].LongRunning {
 		return Admission{}
 	}
+	j := newJob(accepted, q, false)
 	useful := lateFactor * j.objective
 	wait := e.expectedWait(now, j)
 	if wait+j.longestChain() <= time.Duration(refuseFactor*float64(useful)) {
--- a/internal/decision/dispatch/command.go
+++ b/internal/decision/dispatch/command.go
@@ -17,16 +17,19 @@
 		return
 	}
 	a.phase = stopping
-	e.record(now, Decision{Event: "TaskStopping", Task: TaskRun{a.task.id, a.run}, Worker: a.node.ID, Reason: reason})
+	e.record(now, Decision{Event: "TaskStopping", Task: a.taskRun(), Worker: a.node.ID, Reason: reason})
 	e.count("Task.Stopping")
 	e.sendStop(now, a)
 }
 
 func (e *Engine) sendStop(now time.Time, a *attempt) {
 	a.stopSent = now
-	e.commands = append(e.commands, Command{
-		Worker: a.node.ID, Address: a.node.Address, TaskRun: TaskRun{a.task.id, a.run}, Stop: true,
-	})
+	e.commandStop(a.node, a.taskRun())
+}
+
+// commandStop sends a stop, also of a run that isn't in the ledger of its worker.
+func (e *Engine) commandStop(n *node, r TaskRun) {
+	e.commands = append(e.commands, Command{Worker: n.ID, Address: n.Address, TaskRun: r, Stop: true})
 }
 
 // earlierLife is how far a clock in an answer may be ahead of the last report. One that
--- a/internal/decision/dispatch/defrag.go
+++ b/internal/decision/dispatch/defrag.go
@@ -99,7 +99,7 @@
 }
 
 func (e *Engine) mayHold(now time.Time, t *task, n *node) bool {
-	return e.suitsBut(now, t.step, n) && n.hold.isFor(now, t.step) && (!t.step.job.queue.Advised || e.ticket(now, t.step, n) != "")
+	return e.suitsBut(now, t.step, n) && n.hold.isFor(now, t.step) && e.isPermitted(now, t.step, n)
 }
 
 func (n *node) holdTask(now time.Time, t *task, moved *step) {
@@ -122,10 +122,7 @@
 			}
 			if to := e.roomFor(now, a, n); to != nil {
 				e.count("Task.MovedForRoom")
-				a.task.movedAt = now
-				n.holdTask(now, t, a.task.step)
-				to.holdTask(now, a.task, nil)
-				e.stop(now, a, "makes room for a larger task")
+				e.displace(now, a, t, to, nil, "makes room for a larger task")
 				return true
 			}
 		}
@@ -133,6 +130,15 @@
 	return false
 }
 
+// displace stops a run, whose place is held for another task while a place on the worker to
+// is held for its own. A task of the kept step must not take that one.
+func (e *Engine) displace(now time.Time, a *attempt, t *task, to *node, kept *step, reason string) {
+	a.task.movedAt = now
+	a.node.holdTask(now, t, a.task.step)
+	to.holdTask(now, a.task, kept)
+	e.stop(now, a, reason)
+}
+
 // roomFor returns a worker other than its own that has room for a running task.
 func (e *Engine) roomFor(now time.Time, a *attempt, own *node) *node {
 	for _, n := range e.fleet {
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -261,11 +261,7 @@
 	if _, known := e.finished[j.ID]; known {
 		return
 	}
-	q, configured := e.queues[j.Queue]
-	if !configured {
-		q = j.Settings
-	}
-	added := newJob(j, q, recovered)
+	added := newJob(j, e.queueOf(&j), recovered)
 	added.knownAt = now
 	e.learnWork(added)
 	e.learnDemand(added)
@@ -275,6 +271,15 @@
 	e.finishIfDone(now, added)
 }
 
+// queueOf returns the configuration of a job's queue, or what it was when the job was
+// accepted if it is no longer configured.
+func (e *Engine) queueOf(j *Job) Queue {
+	if q, configured := e.queues[j.Queue]; configured {
+		return q
+	}
+	return j.Settings
+}
+
 // AddFinished enters the stored outcome of a job that ended under an earlier owner,
 // so that a repeated submission doesn't run it again.
 func (e *Engine) AddFinished(now time.Time, id JobID, outcome JobState) {
--- a/internal/decision/dispatch/exchange.go
+++ b/internal/decision/dispatch/exchange.go
@@ -106,10 +106,7 @@
 	if a == nil {
 		return false
 	}
-	a.task.movedAt = now
-	a.node.holdTask(now, t, a.task.step)
-	room.holdTask(now, a.task, t.step)
-	e.stop(now, a, "changes places with a task that would keep fillers away")
+	e.displace(now, a, t, room, t.step, "changes places with a task that would keep fillers away")
 	return true
 }
 
@@ -173,10 +170,8 @@
 }
 
 func (e *Engine) swap(now time.Time, a, b *attempt) {
-	a.task.movedAt, b.task.movedAt = now, now
-	a.node.holdTask(now, b.task, a.task.step)
-	b.node.holdTask(now, a.task, b.task.step)
-	e.stop(now, a, "keeps fillers off its worker")
+	e.displace(now, a, b.task, b.node, b.task.step, "keeps fillers off its worker")
+	b.task.movedAt = now
 	e.stop(now, b, "changes places with a task that keeps fillers away")
 }
 
--- a/internal/decision/dispatch/filler.go
+++ b/internal/decision/dispatch/filler.go
@@ -278,7 +278,7 @@
 	a.pace.sentAt = now
 	e.count("Task.Paced")
 	e.commands = append(e.commands, Command{
-		Worker: a.node.ID, Address: a.node.Address, TaskRun: TaskRun{a.task.id, a.run}, Pace: &percent,
+		Worker: a.node.ID, Address: a.node.Address, TaskRun: a.taskRun(), Pace: &percent,
 	})
 }
 
--- a/internal/decision/dispatch/late.go
+++ b/internal/decision/dispatch/late.go
@@ -29,6 +29,6 @@
 			e.sendStop(now, a)
 			continue
 		}
-		e.commands = append(e.commands, Command{Worker: n.ID, Address: n.Address, TaskRun: r, Stop: true})
+		e.commandStop(n, r)
 	}
 }
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -221,6 +221,11 @@
 	}
 }
 
+// taskRun names the run.
+func (a *attempt) taskRun() TaskRun {
+	return TaskRun{a.task.id, a.run}
+}
+
 // newAttempt returns an attempt of the task with what it takes from a worker.
 func newAttempt(t *task, run Run, n *node, now time.Time) *attempt {
 	a := &attempt{task: t, run: run, node: n, reserved: t.step.Reserved(), sentAt: now, progressAt: now}
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -56,11 +56,12 @@
 
 // mayRun reports whether rules and room allow the task on the worker.
 func (e *Engine) mayRun(now time.Time, t *task, n *node) bool {
-	s := t.step
-	if s.job.queue.Advised && e.ticket(now, s, n) == "" {
-		return false
-	}
-	return e.suits(now, s, n)
+	return e.isPermitted(now, t.step, n) && e.suits(now, t.step, n)
+}
+
+// isPermitted reports whether the placement policy lets a step run on the worker.
+func (e *Engine) isPermitted(now time.Time, s *step, n *node) bool {
+	return !s.job.queue.Advised || e.ticket(now, s, n) != ""
 }
 
 // suits reports whether a worker may run a task of the step, as far as the
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -78,7 +78,7 @@
 	n.seen, n.observed, n.leaseSent = 0, 0, 0
 	clear(n.strays)
 	for _, a := range n.runs {
-		switch _, doubtful := n.doubts[TaskRun{a.task.id, a.run}]; {
+		switch _, doubtful := n.doubts[a.taskRun()]; {
 		case a.phase == sending:
 			a.restarted = true
 		case doubtful:
@@ -99,7 +99,7 @@
 
 func (e *Engine) lose(now time.Time, a *attempt, reason string) {
 	e.count("Task.Lost")
-	e.record(now, Decision{Event: "TaskLost", Task: TaskRun{a.task.id, a.run}, Worker: a.node.ID, Reason: reason})
+	e.record(now, Decision{Event: "TaskLost", Task: a.taskRun(), Worker: a.node.ID, Reason: reason})
 	e.release(now, a)
 }
 
@@ -250,7 +250,7 @@
 	}
 	n.strays[r] = now
 	e.count("Task.Stray")
-	e.commands = append(e.commands, Command{Worker: n.ID, Address: n.Address, TaskRun: r, Stop: true})
+	e.commandStop(n, r)
 }
 
 // findMissing deals with the runs that a worker should list and doesn't.
@@ -260,7 +260,7 @@
 		listed[run.TaskRun] = true
 	}
 	for _, a := range n.runs {
-		if listed[TaskRun{a.task.id, a.run}] {
+		if listed[a.taskRun()] {
 			continue
 		}
 		switch {
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -51,10 +51,8 @@
 			return err
 		}
 		n.Counters.Add("Submit.WaitedForOwner", 1)
-		select {
-		case <-ctx.Done():
+		if !n.sleep(ctx, ownerRetry) {
 			return err
-		case <-n.Clock.After(ownerRetry):
 		}
 	}
 }
--- a/internal/entry/dispatcher/authority.go
+++ b/internal/entry/dispatcher/authority.go
@@ -77,7 +77,7 @@
 }
 
 func (o *owner) askConfirmation(ctx context.Context, p peer) {
-	asked := o.node.Clock.Now()
+	asked := o.now()
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	answer, err := entry.Call[confirmRequest, confirmAnswer](ctx, o.node.Peers, p.Address, confirmMethod, confirmRequest{o.shard.id, o.currentRow()})
--- a/internal/entry/dispatcher/fleet.go
+++ b/internal/entry/dispatcher/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
@@ -13,22 +14,27 @@
 
 // fleetPages returns the workers in use as the contents of rows.
 func fleetPages(workers []dispatch.WorkerInfo) [][]byte {
-	var pages [][]byte
-	for len(workers) > 0 {
-		size, count := 0, 0
-		for count < len(workers) {
-			size += len(encode(workers[count]))
-			if count > 0 && size > maxPageBytes {
-				break
-			}
-			count++
+	var pages, page [][]byte
+	size := 0
+	for _, w := range workers {
+		entry := encode(w)
+		if len(page) > 0 && size+len(entry) > maxPageBytes {
+			pages = append(pages, joinArray(page))
+			page, size = nil, 0
 		}
-		pages = append(pages, encode(workers[:count]))
-		workers = workers[count:]
+		page, size = append(page, entry), size+len(entry)
+	}
+	if len(page) > 0 {
+		pages = append(pages, joinArray(page))
 	}
 	return pages
 }
 
+// joinArray returns the JSON array of encoded values.
+func joinArray(values [][]byte) []byte {
+	return slices.Concat([]byte("["), bytes.Join(values, []byte(",")), []byte("]"))
+}
+
 // writesOfFleet returns the rows that differ from those stored before.
 func (p part) writesOfFleet(stored, pages [][]byte) []table.Write {
 	var writes []table.Write
--- a/internal/entry/dispatcher/follow.go
+++ b/internal/entry/dispatcher/follow.go
@@ -203,10 +203,8 @@
 	s.node.claiming.Add(1)
 	defer s.node.claiming.Add(-1)
 	delay := min(claimDelayFactor*latency, maxClaimDelay) + s.burdenDelay()
-	select {
-	case <-ctx.Done():
+	if !s.node.sleep(ctx, delay) {
 		return
-	case <-s.node.Clock.After(delay):
 	}
 	epoch := s.currentView().owner.Epoch + 1
 	if row.Version != 0 {
--- a/internal/entry/dispatcher/gateway.go
+++ b/internal/entry/dispatcher/gateway.go
@@ -119,11 +119,9 @@
 			unknown = true
 		}
 		n.Counters.Add("Submit.StoreRetries", 1)
-		select {
-		case <-ctx.Done():
+		if !n.sleep(ctx, storeRetryPause) {
 			n.Counters.Add("Submit.OutcomeUnknown", 1)
 			return queue.ErrOutcomeUnknown
-		case <-n.Clock.After(storeRetryPause):
 		}
 	}
 }
@@ -351,10 +349,8 @@
 			return err
 		}
 		n.Counters.Add("Cancel.StoreRetries", 1)
-		select {
-		case <-ctx.Done():
+		if !n.sleep(ctx, storeRetryPause) {
 			return queue.ErrOutcomeUnknown
-		case <-n.Clock.After(storeRetryPause):
 		}
 	}
 }
--- a/internal/entry/dispatcher/layout.go
+++ b/internal/entry/dispatcher/layout.go
@@ -44,7 +44,7 @@
 	slices.SortFunc(strongest, func(a, b float64) int { return cmp.Compare(b, a) })
 	for count := 1; count <= len(strongest); count++ {
 		size := (workers + count - 1) / count
-		if size <= min(int(strongest[count-1]*workersPerCore), maxShardWorkers) {
+		if size <= workersCarried(strongest[count-1]) {
 			return count
 		}
 	}
@@ -52,16 +52,25 @@
 	return max(len(strongest), 1)
 }
 
+// workersCarried returns how many workers an owner with a share of processors can have.
+func workersCarried(cores float64) int {
+	return min(int(cores*workersPerCore), maxShardWorkers)
+}
+
+// coresOr returns a share of processors, or what an instance that doesn't tell it is taken
+// to have.
+func coresOr(told float64) float64 {
+	if told <= 0 {
+		return unknownCores
+	}
+	return told
+}
+
 // knownCores returns the shares of processors of this and all known instances.
 func (n *Node) knownCores() []float64 {
-	list := []float64{n.Cores}
+	list := []float64{coresOr(n.Cores)}
 	for _, p := range n.others() {
-		list = append(list, p.Cores)
-	}
-	for i := range list {
-		if list[i] <= 0 {
-			list[i] = unknownCores
-		}
+		list = append(list, coresOr(p.Cores))
 	}
 	return list
 }
@@ -95,10 +104,8 @@
 		if !n.carriesAlone(watch.workers) {
 			n.greet(ctx)
 		}
-		select {
-		case <-ctx.Done():
+		if !n.sleep(ctx, layoutInterval) {
 			return layoutRow{}, ctx.Err()
-		case <-n.Clock.After(layoutInterval):
 		}
 	}
 }
@@ -106,11 +113,7 @@
 // carriesAlone reports whether this instance can own all workers, so that it needn't know
 // the others before the first claim.
 func (n *Node) carriesAlone(workers int) bool {
-	own := n.Cores
-	if own <= 0 {
-		own = unknownCores
-	}
-	return workers <= min(int(own*workersPerCore), maxShardWorkers)
+	return workers <= workersCarried(coresOr(n.Cores))
 }
 
 // greet makes this instance known to the instances that the settings name, and learns
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -154,6 +154,16 @@
 	}
 }
 
+// sleep waits, and reports whether ctx goes on.
+func (n *Node) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-n.Clock.After(d):
+		return true
+	}
+}
+
 // every runs f once in each interval until ctx ends, and returns its error.
 func (n *Node) every(ctx context.Context, interval time.Duration, f func()) error {
 	ticker := n.Clock.NewTicker(interval)
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -189,7 +189,7 @@
 // with runs f with the engine and then lets it decide.
 func (o *owner) with(f func(now time.Time, e *dispatch.Engine)) {
 	o.lock.Lock()
-	f(o.node.Clock.Now(), o.engine)
+	f(o.now(), o.engine)
 	o.lock.Unlock()
 	o.kick()
 }
@@ -224,7 +224,7 @@
 func (o *owner) storeLost() bool {
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	return o.node.Clock.Now().Sub(o.authority.stored) > storeLostAfter
+	return o.now().Sub(o.authority.stored) > storeLostAfter
 }
 
 // supersede ends the ownership, which another instance has taken over.
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -38,10 +38,10 @@
 		if o.release.Load() {
 			continue
 		}
-		o.checkSuspension(o.node.Clock.Now())
-		o.checkAuthority(o.node.Clock.Now())
+		o.checkSuspension(o.now())
+		o.checkAuthority(o.now())
 		o.lock.Lock()
-		o.engine.Tick(o.node.Clock.Now())
+		o.engine.Tick(o.now())
 		commands := o.engine.TakeCommands()
 		questions := o.engine.TakeAdviceRequests()
 		unstored := o.engine.Unstored()
@@ -55,10 +55,7 @@
 		for _, c := range commands {
 			o.group.Go(func() error { return o.send(ctx, c) })
 		}
-		select {
-		case <-ctx.Done():
-		case <-o.node.Clock.After(decidePause):
-		}
+		o.node.sleep(ctx, decidePause)
 	}
 }
 
@@ -133,7 +130,7 @@
 func (o *owner) mayRepeat(c dispatch.Command) (repeat bool) {
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	return o.engine.MayRepeatStart(o.node.Clock.Now(), c.Worker, c.TaskRun)
+	return o.engine.MayRepeatStart(o.now(), c.Worker, c.TaskRun)
 }
 
 // checkFenced counts a failed command and ends the ownership if it was fenced.
@@ -153,7 +150,7 @@
 func (o *owner) pollWorker(id membership.InstanceID) error {
 	for {
 		o.lock.Lock()
-		p, known := o.engine.Poll(o.node.Clock.Now(), id)
+		p, known := o.engine.Poll(o.now(), id)
 		if !known {
 			delete(o.polled, id)
 		}
@@ -201,10 +198,5 @@
 
 // sleep waits and reports whether the owner still runs.
 func (o *owner) sleep(d time.Duration) bool {
-	select {
-	case <-o.ctx.Done():
-		return false
-	case <-o.node.Clock.After(d):
-		return true
-	}
+	return o.node.sleep(o.ctx, d)
 }
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -112,7 +112,7 @@
 		if err != nil {
 			return err
 		}
-		o.engine.RememberWorkers(o.node.Clock.Now(), list)
+		o.engine.RememberWorkers(o.now(), list)
 	}
 	// The rows of the earlier owner are written anew or removed.
 	o.fleet = make([][]byte, len(rows))
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -179,7 +179,7 @@
 func (o *owner) commit(ctx context.Context, tx table.Transaction, next ownerRow) (table.Version, time.Time, error) {
 	certain := true
 	for {
-		sent := o.node.Clock.Now()
+		sent := o.now()
 		version, err := o.node.commit(ctx, tx)
 		if err == nil {
 			return version, sent, nil
@@ -188,7 +188,7 @@
 			return 0, sent, ctx.Err()
 		}
 		if errors.Is(err, table.ErrConflict) {
-			sent = o.node.Clock.Now()
+			sent = o.now()
 			version, err = o.resolveConflict(ctx, next)
 			if err == nil || errors.Is(err, errSuperseded) {
 				return version, sent, err
--- a/internal/operator/counter/histogram.go
+++ b/internal/operator/counter/histogram.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -55,12 +56,7 @@
 func (t Text) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	values := t.Counters.Values()
-	names := make([]string, 0, len(values))
-	for name := range values {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(values)) {
 		fmt.Fprintf(w, "%s %d\n", name, values[name])
 	}
 	t.Histograms.write(w)
@@ -72,12 +68,7 @@
 	}
 	h.lock.Lock()
 	defer h.lock.Unlock()
-	names := make([]string, 0, len(h.byName))
-	for name := range h.byName {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(h.byName)) {
 		var line strings.Builder
 		histogram := h.byName[name]
 		fmt.Fprintf(&line, "%s count=%d", name, histogram.TotalCount())
