--- a/internal/caller/service/router_test.go
+++ b/internal/caller/service/router_test.go
@@ -75,21 +75,34 @@
 	var router *service.Router
 	var first service.Slot
 	chairdesk := manifest.Service{Name: "chairdesk"}
-	acquire := func(ctx context.Context) (service.Slot, error) {
-		return router.Acquire(ctx, service.Need{Service: "chairdesk", Deadline: clock.Now().Add(100 * time.Millisecond)})
+	acquire := func(ctx context.Context, timeout time.Duration) (service.Slot, error) {
+		return router.Acquire(ctx, service.Need{Service: "chairdesk", Deadline: clock.Now().Add(timeout)})
 	}
-	// later acquires in the background and returns once the request waits.
-	later := func(ctx context.Context) <-chan error {
+	// background acquires in the background.
+	background := func(ctx context.Context, timeout time.Duration) <-chan error {
 		errs := make(chan error, 1)
 		var group sync.WaitGroup
 		DeferCleanup(group.Wait)
 		group.Go(func() {
-			_, err := acquire(ctx)
+			_, err := acquire(ctx, timeout)
 			errs <- err
 		})
+		return errs
+	}
+	// later does so with little time, and returns once the request waits.
+	later := func(ctx context.Context) <-chan error {
+		errs := background(ctx, 100*time.Millisecond)
 		Eventually(held.counts).Should(Equal([2]int{1, 1}))
 		return errs
 	}
+	expectRefused := func(errs <-chan error, reason admission.Reason) {
+		GinkgoHelper()
+		var err error
+		Eventually(errs).Should(Receive(&err))
+		var refusal *service.Refusal
+		Expect(errors.As(err, &refusal)).To(BeTrue())
+		Expect(refusal.Reason).To(BeEquivalentTo(reason))
+	}
 
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
@@ -100,7 +113,7 @@
 		}
 		router = service.NewRouter(governor, held, clock)
 		var err error
-		first, err = acquire(context.Background())
+		first, err = acquire(context.Background(), 100*time.Millisecond)
 		Expect(err).NotTo(HaveOccurred())
 	})
 
@@ -115,11 +128,7 @@
 		waiting := later(context.Background())
 		Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
 		clock.Advance(85 * time.Millisecond)
-		var err error
-		Eventually(waiting).Should(Receive(&err))
-		var refusal *service.Refusal
-		Expect(errors.As(err, &refusal)).To(BeTrue())
-		Expect(refusal.Reason).To(BeEquivalentTo(admission.Dropped))
+		expectRefused(waiting, admission.Dropped)
 	})
 
 	// advance moves the clock on by so many looks at the slots in hand.
@@ -134,13 +143,7 @@
 	// Guards against refusals on a busy machine, where an owner takes longer to answer.
 	It("waits for the owner's answer, against refusing what a grant under way serves", func() {
 		held.set(true, true)
-		slots := make(chan error, 1)
-		var group sync.WaitGroup
-		DeferCleanup(group.Wait)
-		group.Go(func() {
-			_, err := router.Acquire(context.Background(), service.Need{Service: "chairdesk", Deadline: clock.Now().Add(2 * time.Second)})
-			slots <- err
-		})
+		slots := background(context.Background(), 2*time.Second)
 		advance(9)
 		Expect(slots).NotTo(Receive())
 		held.set(false, false)
@@ -151,19 +154,9 @@
 
 	It("refuses once the owner has answered that there is none, against waiting in vain", func() {
 		held.set(true, false)
-		slots := make(chan error, 1)
-		var group sync.WaitGroup
-		DeferCleanup(group.Wait)
-		group.Go(func() {
-			_, err := router.Acquire(context.Background(), service.Need{Service: "chairdesk", Deadline: clock.Now().Add(2 * time.Second)})
-			slots <- err
-		})
+		slots := background(context.Background(), 2*time.Second)
 		advance(5)
-		var err error
-		Eventually(slots).Should(Receive(&err))
-		var refusal *service.Refusal
-		Expect(errors.As(err, &refusal)).To(BeTrue())
-		Expect(refusal.Reason).To(BeEquivalentTo(admission.NoSlots))
+		expectRefused(slots, admission.NoSlots)
 	})
 
 	It("forgets a request whose caller left, against a slot that nobody frees", func() {
