--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -41,6 +41,8 @@
 	ended   []dispatch.End
 	number  int64
 	silent  bool
+	// replaced workers have ended, and another one answers at their address.
+	replaced bool
 }
 
 // bench drives an engine with fake workers in simulated time.
@@ -90,6 +92,10 @@
 	for _, id := range b.engine.Workers() {
 		w := b.workers[id]
 		p, _ := b.engine.Poll(b.now, id)
+		if w != nil && w.replaced {
+			b.engine.WorkerReplaced(b.now, id)
+			continue
+		}
 		if w == nil || w.silent {
 			b.engine.PollFailed(b.now, id)
 			continue
@@ -805,6 +811,23 @@
 	})
 })
 
+var _ = Describe("A worker whose address another one has", func() {
+	// Guards against runs that are waited for until their lease ends, though their worker
+	// has ended for certain.
+	It("loses its runs at once", func() {
+		b := newBench(1, 2)
+		b.list()
+		b.submit("j", tasks(1))
+		b.step(0)
+		b.step(0)
+		Expect(b.starts).To(HaveLen(1))
+		b.workers[b.starts[0].Worker].replaced = true
+		b.step(100 * time.Millisecond)
+		Expect(b.starts).To(HaveLen(2))
+		Expect(b.starts[1].Worker).NotTo(Equal(b.starts[0].Worker))
+	})
+})
+
 var _ = Describe("Recovery", func() {
 	// Guards against a second run of a task on a worker whose entry has lapsed while the
 	// store was away: it isn't listed and may still run the task.
@@ -826,6 +849,40 @@
 		Expect(b.starts).To(HaveLen(1))
 	})
 
+	// Guards against a shard that stands still until the leases on workers have ended whose
+	// machines have lost power and are back with new workers (bogkreds-jt, trouble-1: 13.6 s
+	// over two takeovers).
+	It("doesn't wait for a worker whose address another one has", func() {
+		b := newBench(2, 2)
+		ended := b.workers["w1"]
+		b.engine.RememberWorkers(b.now, []dispatch.WorkerInfo{ended.info})
+		b.engine.AddJob(b.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: b.now, Steps: []dispatch.Step{tasks(1)}}, dispatch.Progress{}, true)
+		b.engine.Recover(b.now, 0)
+		b.engine.SetWorkers(b.now, []dispatch.WorkerInfo{b.workers["w0"].info})
+		ended.silent = true
+		b.step(100 * time.Millisecond)
+		Expect(b.starts).To(BeEmpty())
+		ended.replaced = true
+		b.step(100 * time.Millisecond)
+		Expect(b.starts).To(HaveLen(1))
+	})
+
+	// Guards against a second run on a worker that has moved: what answers at the address
+	// that the earlier owner knew is no proof then.
+	It("waits for a worker that is listed at another address", func() {
+		b := newBench(2, 2)
+		moved := b.workers["w1"]
+		b.engine.RememberWorkers(b.now, []dispatch.WorkerInfo{moved.info})
+		b.engine.AddJob(b.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: b.now, Steps: []dispatch.Step{tasks(1)}}, dispatch.Progress{}, true)
+		b.engine.Recover(b.now, 0)
+		b.engine.WorkerReplaced(b.now, "w1")
+		moved.info.Address = "elsewhere"
+		moved.silent = true
+		b.list()
+		b.step(100 * time.Millisecond)
+		Expect(b.starts).To(BeEmpty())
+	})
+
 	// Guards against two runs of a task of a new job: an owner that didn't know yet that
 	// it was replaced had started it on a worker that the new owner hadn't reached
 	// (TWICE, amagasa-kyushu, mix with seed 608627514168).
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -222,6 +222,8 @@
 			n.drainingAt = now
 			e.record(now, Decision{Event: "WorkerDraining", Worker: info.ID})
 		}
+		// What answers at the former address says nothing about a new one.
+		n.replaced = n.replaced && n.Address == info.Address
 		n.WorkerInfo = info
 		n.listed = true
 	}
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -84,6 +84,9 @@
 	// clock is the worker's clock at heardAt.
 	clock  time.Duration
 	misses int
+	// replaced reports that another worker has taken over the address, so that nothing
+	// runs here.
+	replaced bool
 	// leaseSent is the latest lease end that was sent, on the worker's clock.
 	leaseSent time.Duration
 	runs      map[TaskID]*attempt
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -51,6 +51,23 @@
 	}
 }
 
+// WorkerReplaced notes that another worker answers at the address of this one, which has
+// ended with all its runs. It needn't be waited for.
+func (e *Engine) WorkerReplaced(now time.Time, id membership.InstanceID) {
+	n := e.workers[id]
+	if n == nil {
+		return
+	}
+	e.PollFailed(now, id)
+	if n.replaced {
+		return
+	}
+	n.replaced = true
+	e.count("Worker.Replaced")
+	e.record(now, Decision{Event: "WorkerReplaced", Worker: id, Age: now.Sub(n.heardAt)})
+	e.loseRuns(now, n, "worker replaced")
+}
+
 // Observe takes over the report of a worker.
 func (e *Engine) Observe(now time.Time, id membership.InstanceID, r Report) {
 	n := e.workers[id]
@@ -65,6 +82,7 @@
 	}
 	e.observe("Age.Report", now.Sub(n.heardAt))
 	n.born, n.heard, n.heardAt, n.clock, n.misses = r.Born, true, now, r.Clock, 0
+	n.replaced = false
 	e.observeEnds(now, n, r.Ended)
 	e.observeRunning(now, n, r.Running)
 	e.findMissing(now, n, r)
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -41,7 +41,7 @@
 			return
 		}
 		for _, n := range e.fleet {
-			if !n.heard {
+			if !n.heard && !n.replaced {
 				return
 			}
 		}
@@ -63,7 +63,7 @@
 		if n.listed || len(n.runs) > 0 || now.Sub(n.unlistedAt) < heardWithin {
 			return false
 		}
-		if e.recovering && !n.heard {
+		if e.recovering && !n.heard && !n.replaced {
 			return false
 		}
 		if n.misses == 0 && now.Sub(n.heardAt) < heardWithin {
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -180,7 +180,13 @@
 		if fenced := o.checkFenced(err, "Poll"); fenced != nil {
 			return 0, fenced
 		}
-		o.with(func(now time.Time, e *dispatch.Engine) { e.PollFailed(now, id) })
+		o.with(func(now time.Time, e *dispatch.Engine) {
+			if errors.Is(err, ErrReplaced) {
+				e.WorkerReplaced(now, id)
+				return
+			}
+			e.PollFailed(now, id)
+		})
 		return silentPause, nil
 	}
 	pause := pollPause
--- a/internal/entry/dispatcher/ports.go
+++ b/internal/entry/dispatcher/ports.go
@@ -39,13 +39,18 @@
 	// Stop returns the worker's clock. It fails with ErrFenced.
 	Stop(ctx context.Context, epoch dispatch.Epoch, c dispatch.Command) (time.Duration, error)
 	Pace(ctx context.Context, epoch dispatch.Epoch, c dispatch.Command) error
-	// Poll renews leases and returns the worker's report. It fails with ErrFenced.
+	// Poll renews leases and returns the worker's report. It fails with ErrFenced or
+	// ErrReplaced.
 	Poll(ctx context.Context, epoch dispatch.Epoch, id membership.InstanceID, p dispatch.Poll) (dispatch.Report, error)
 }
 
 // ErrFenced reports that a worker has seen a higher epoch. Nothing was done.
 var ErrFenced = errors.New("dispatcher: the worker has seen a higher epoch")
 
+// ErrReplaced reports that another worker answers at the address. The one that was asked
+// for has ended, with all that ran on it.
+var ErrReplaced = errors.New("dispatcher: another worker answers at the address")
+
 // Policy is the service that knows which workers may run a step.
 type Policy interface {
 	// Advise returns the workers that may run the step, and how long the tickets hold.
