--- a/internal/cmd/explain/explain.go
+++ b/internal/cmd/explain/explain.go
@@ -10,7 +10,9 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/explainday"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/logfiles"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/operatorflags"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/control"
 )
@@ -36,7 +38,8 @@
 		Short: "Tell what was decided about a task, job or request, and why",
 		Example: "  $ jacinthtrail explain task 4f0c8a6d9b1e2f3a4f0c8a6d9b1e2f3a/0\n" +
 			"  $ jacinthtrail explain job 4f0c8a6d9b1e2f3a4f0c8a6d9b1e2f3a --json\n" +
-			"  $ jacinthtrail explain job d939e0fa21b4fad0 --from bal-1.log --from dbn-3.log",
+			"  $ jacinthtrail explain job d939e0fa21b4fad0 --from bal-1.log --from dbn-3.log\n" +
+			"  $ jacinthtrail explain day --from bal-1.log --from dbn-3.log",
 		Args: cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if err := opts.Check(cmd, f); err != nil {
@@ -54,7 +57,8 @@
 		},
 	}
 	opts.Add(cmd)
-	cmd.Flags().StringArrayVar(&opts.From, "from", nil, "read the log `file` of an instance of serve-platform; repeat it for each, - is standard input")
+	logfiles.AddFlag(cmd, &opts.From)
+	cmd.AddCommand(explainday.NewCmd(f, nil))
 	return cmd
 }
 
--- /dev/null
+++ b/internal/cmd/explainday/explainday.go
@@ -0,0 +1,136 @@
+// Package explainday has the command that tells from logs how all jobs ended, and what
+// made those late that weren't in time.
+package explainday
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/logfiles"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/operatorflags"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/settings"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/diagnosis"
+)
+
+// defaultSpan is the length of the spans of time by which jobs are grouped.
+const defaultSpan = 5 * time.Second
+
+// Options are the settings of the command.
+type Options struct {
+	Factory *factory.Factory
+	From    []string
+	Span    time.Duration
+	JSON    bool
+}
+
+// NewCmd returns the command. Tests replace its run function with runF.
+func NewCmd(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{Factory: f}
+	if runF == nil {
+		runF = run
+	}
+	cmd := &cobra.Command{
+		Use:   "day",
+		Short: "Tell how all jobs of a log ended, and what made them late",
+		Long: "Reads the logs of all instances of serve-platform and counts the jobs by how they\n" +
+			"ended. For those that weren't in time it adds up what cost them time: by cause,\n" +
+			"by queue and by when they were accepted.",
+		Example: "  $ jacinthtrail explain day --from bal-1.log --from dbn-3.log\n" +
+			"  $ cat *.log | jacinthtrail explain day --from - --span 1m --json",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := opts.check(cmd); err != nil {
+				return err
+			}
+			return runF(cmd.Context(), opts)
+		},
+	}
+	logfiles.AddFlag(cmd, &opts.From)
+	cmd.Flags().DurationVar(&opts.Span, "span", defaultSpan, "length of the spans of time by which jobs are grouped")
+	cmd.Flags().BoolVar(&opts.JSON, "json", false, "print the answer as JSON")
+	return cmd
+}
+
+// check reads the environment and reports all flags that are wrong.
+func (o *Options) check(cmd *cobra.Command) error {
+	if err := settings.Apply(cmd, o.Factory.LookupEnv); err != nil {
+		return err
+	}
+	var findings settings.Findings
+	if len(o.From) == 0 {
+		findings.Add("from", "no log is named", "give the log file of each instance, or - for standard input")
+	}
+	if o.Span <= 0 {
+		findings.Add("span", fmt.Sprintf("%s is not positive", o.Span), "give a duration such as 5s")
+	}
+	return findings.Err()
+}
+
+func run(_ context.Context, opts *Options) error {
+	lines, err := logfiles.Read(opts.Factory.IO, opts.From)
+	if err != nil {
+		return err
+	}
+	day := diagnosis.ExplainDay(lines, opts.Span)
+	if opts.JSON {
+		return operatorflags.PrintJSON(opts.Factory.IO.Out, day)
+	}
+	return printDay(opts.Factory.IO.Out, day)
+}
+
+// outcomes are the columns of the table, best first.
+var outcomes = []diagnosis.Outcome{
+	diagnosis.InTime, diagnosis.Late, diagnosis.Worthless, diagnosis.GivenUp,
+	diagnosis.TurnedAway, diagnosis.Withdrawn, diagnosis.Open,
+}
+
+func printDay(out io.Writer, day diagnosis.Day) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprint(table, "Jobs\tAll")
+	for _, o := range outcomes {
+		fmt.Fprintf(table, "\t%s", o)
+	}
+	fmt.Fprintln(table, "\tSeconds lost, and jobs that lost most by it")
+	printGroup(table, day.All)
+	for _, g := range day.Queues {
+		printGroup(table, g)
+	}
+	for _, g := range day.Spans {
+		printGroup(table, g)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, r := range day.Latest {
+		fmt.Fprintf(out, "%s took %v, objective %v: %s\n", r.Job, r.Took, r.Objective, mainCause(r))
+	}
+	return nil
+}
+
+func printGroup(out io.Writer, g diagnosis.Group) {
+	fmt.Fprintf(out, "%s\t%d", g.Name, g.Jobs)
+	for _, o := range outcomes {
+		fmt.Fprintf(out, "\t%d", g.Outcomes[o])
+	}
+	causes := make([]string, len(g.Causes))
+	for i, c := range g.Causes {
+		causes[i] = fmt.Sprintf("%s %.0f (%d)", c.Cause, c.Lost.Seconds(), c.First)
+	}
+	fmt.Fprintf(out, "\t%s\n", strings.Join(causes, ", "))
+}
+
+// mainCause tells what cost a job most time.
+func mainCause(r diagnosis.Report) string {
+	if len(r.Findings) == 0 {
+		return "nothing in the log tells why"
+	}
+	f := r.Findings[0]
+	return fmt.Sprintf("%s %v: %s", f.Cause, f.Lost.Round(time.Millisecond), f.Facts)
+}
--- /dev/null
+++ b/internal/operator/diagnosis/day_test.go
@@ -0,0 +1,67 @@
+package diagnosis_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/diagnosis"
+)
+
+var _ = Describe("ExplainDay", func() {
+	// job returns the lines of a job of one task with an objective of one second.
+	job := func(id string, accepted, started, ended int) []string {
+		return []string{
+			line(accepted, fmt.Sprintf(`"Event":"JobAdded","Job":%q,"Reason":"q","Objective":1000`, id)),
+			line(started, fmt.Sprintf(`"Event":"TaskStart","Task":"%s/0/0/0","Run":1,"Worker":"w1","Reason":"Accepted"`, id)),
+			line(ended, fmt.Sprintf(`"Event":"TaskEnded","Task":"%s/0/0/0","Run":1,"Worker":"w1","Reason":"Done"`, id)),
+			line(ended, fmt.Sprintf(`"Event":"JobCompleted","Job":%q,"Took":%d,"Objective":1000`, id, ended-accepted)),
+		}
+	}
+	explainDay := func(lines ...string) diagnosis.Day {
+		GinkgoHelper()
+		read, _, err := diagnosis.Read(strings.NewReader(strings.Join(lines, "\n")))
+		Expect(err).NotTo(HaveOccurred())
+		return diagnosis.ExplainDay(read, 5*time.Second)
+	}
+	refused := line(6100, `"Event":"Refused","Path":"/q/r","Method":"POST","Reason":"StoreUnavailable","RetryAfter":1000`)
+	waited := append(append(job("fast", 0, 10, 900), job("late", 0, 1200, 2000)...), job("worst", 6000, 11000, 11500)...)
+
+	It("counts jobs by outcome, queue and span of time", func() {
+		d := explainDay(append(waited, refused)...)
+		Expect(d.All.Jobs).To(Equal(4))
+		Expect(d.All.Outcomes).To(Equal(map[diagnosis.Outcome]int{
+			diagnosis.InTime: 1, diagnosis.Late: 1, diagnosis.Worthless: 1, diagnosis.TurnedAway: 1,
+		}))
+		Expect(d.Queues).To(HaveLen(2))
+		Expect(d.Queues[0].Name).To(Equal("q"))
+		Expect(d.Queues[0].Jobs).To(Equal(3))
+		Expect(d.Spans).To(HaveLen(2))
+		Expect(d.Spans[1].Outcomes).To(HaveKeyWithValue(diagnosis.Worthless, 1))
+	})
+
+	It("adds up what cost time those that weren't in time, the costliest first", func() {
+		d := explainDay(waited...)
+		Expect(d.All.Causes).NotTo(BeEmpty())
+		Expect(d.All.Causes[0]).To(Equal(diagnosis.CauseTotal{Cause: diagnosis.WaitedForRoom, First: 2, Lost: 6200 * time.Millisecond}))
+		Expect(d.Latest).To(HaveLen(2))
+		Expect(d.Latest[0].Job).To(Equal("worst"))
+	})
+
+	It("counts nothing lost by jobs that were in time, still run or were cancelled", func() {
+		cancelled := append(job("c", 0, 4000, 4500)[:2], line(5000, `"Event":"JobCancelled","Job":"c","Took":5000,"Objective":1000`))
+		open := job("o", 0, 4000, 4500)[:2]
+		d := explainDay(append(append(job("fast", 0, 10, 900), cancelled...), open...)...)
+		Expect(d.All.Causes).To(BeEmpty())
+		Expect(d.All.Outcomes).To(Equal(map[diagnosis.Outcome]int{
+			diagnosis.InTime: 1, diagnosis.Withdrawn: 1, diagnosis.Open: 1,
+		}))
+	})
+
+	It("has nothing to tell of an empty log", func() {
+		Expect(explainDay().All.Jobs).To(BeZero())
+	})
+})
