--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -61,6 +61,8 @@
 	failed     []Run
 	failedOn   []*node
 	checkpoint Checkpoint
+	// blamedWorker reports that the task was restarted because its worker seemed slow.
+	blamedWorker bool
 	// movedAt is when the task was last moved to make room for fillers.
 	movedAt time.Time
 	// heldAt is when a worker was last held for the task.
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -117,8 +117,11 @@
 	// avoidUntil is when a worker that refused starts is tried again.
 	avoidUntil time.Time
 	health     health
-	slowness   slowness
-	harm       harmControl
+	speeds     speeds
+	// slowdown is how much longer than elsewhere tasks take, as of the last search for
+	// stragglers.
+	slowdown float64
+	harm     harmControl
 	// hold keeps the worker's room for one task.
 	hold hold
 	// fillerValue is how much of the demand for fillers the worker can serve, weighed
@@ -139,6 +142,7 @@
 		sampledAt:  map[Image]time.Time{},
 		strays:     map[TaskRun]time.Time{},
 		doubts:     map[TaskRun]time.Time{},
+		speeds:     speeds{},
 	}
 }
 
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -91,8 +91,8 @@
 func (e *Engine) cost(now time.Time, t *task, n *node) (float64, bool) {
 	s := t.step
 	cost := failureCost * float64(n.health.failures(now))
-	if slow := n.slowness.now(now); slow > avoidSlowness {
-		cost += slownessCost * (slow - 1)
+	if n.slowdown > avoidSlowdown {
+		cost += slowdownCost * (n.slowdown - 1)
 	}
 	for _, failed := range t.failedOn {
 		if failed == n {
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -149,7 +149,7 @@
 	if a := n.runs[end.Task]; a != nil && a.run == end.Run {
 		atWork = a.percent >= atWorkPercent
 		if end.Kind == EndDone && a.begin.from == 0 {
-			a.task.step.durations = append(a.task.step.durations, now.Sub(a.begin.at))
+			a.noteDuration(now)
 		}
 		e.release(now, a)
 	}
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -21,37 +20,8 @@
 	// and hungFactor times the usual duration the least for long tasks.
 	hungAfter  = 2500 * time.Millisecond
 	hungFactor = 0.6
-	// slownessHalfLife is the time after which a worker is believed to be half as slow.
-	slownessHalfLife = 4 * time.Second
-	// avoidSlowness is the slowdown from which a worker is avoided.
-	avoidSlowness = 1.5
-	// slownessCost times the slowdown makes a slow worker expensive.
-	slownessCost = 0.6
-	// slownessWeight is the weight of a new observation.
-	slownessWeight = 0.4
 )
 
-// slowness is how much longer than elsewhere tasks take on a worker.
-type slowness struct {
-	factor float64
-	at     time.Time
-}
-
-// now returns the factor, which moves towards 1 without new observations.
-func (s *slowness) now(now time.Time) float64 {
-	if s.factor <= 1 {
-		return 1
-	}
-	keep := math.Exp2(-float64(now.Sub(s.at)) / float64(slownessHalfLife))
-	return 1 + (s.factor-1)*keep
-}
-
-func (s *slowness) observe(now time.Time, factor float64) {
-	known := s.now(now)
-	s.factor = known + slownessWeight*(max(factor, 1)-known)
-	s.at = now
-}
-
 // progress of an attempt since it was first seen.
 type progress struct {
 	from int
@@ -69,12 +39,37 @@
 }
 
 // findStragglers restarts tasks elsewhere that take far longer than others of their
-// step, or stand still.
+// step, or stand still. The speeds of all tasks are noted first, since those of others
+// tell whether a worker is the cause.
 func (e *Engine) findStragglers(now time.Time) {
 	if now.Sub(e.stragglersAt) < stragglerInterval {
 		return
 	}
 	e.stragglersAt = now
+	steps := e.stepsAtWork()
+	for _, w := range steps {
+		w.noteSpeeds(now)
+	}
+	for _, n := range e.fleet {
+		n.slowdown = n.speeds.slowdown(now)
+	}
+	for _, w := range steps {
+		for _, a := range w.runs {
+			e.checkAttempt(now, a, w.usual, w.lonely)
+		}
+	}
+}
+
+// stepAtWork is a step with running tasks, and what they usually take.
+type stepAtWork struct {
+	runs   []*attempt
+	usual  time.Duration
+	lonely bool
+}
+
+// stepsAtWork returns the steps in which a straggler could be.
+func (e *Engine) stepsAtWork() []stepAtWork {
+	var list []stepAtWork
 	for _, j := range e.jobs {
 		if j.ending != "" || j.live == 0 {
 			continue
@@ -82,23 +77,48 @@
 		for _, steps := range j.occurrences {
 			for _, s := range steps {
 				if s.left > 0 && !s.LongRunning && !s.Filler && !s.Gang && len(s.perWorker) > 0 {
-					e.checkStep(now, s)
+					list = s.appendAtWork(list)
 				}
 			}
 		}
 	}
+	return list
 }
 
-func (e *Engine) checkStep(now time.Time, s *step) {
+func (s *step) appendAtWork(list []stepAtWork) []stepAtWork {
 	usual, lonely := s.usualDuration()
 	if usual == 0 {
-		return
+		return list
 	}
+	w := stepAtWork{usual: usual, lonely: lonely}
 	for _, t := range s.tasks {
 		if t.attempt != nil && t.attempt.phase == running {
-			e.checkAttempt(now, t.attempt, usual, lonely)
+			w.runs = append(w.runs, t.attempt)
 		}
 	}
+	return append(list, w)
+}
+
+// noteSpeeds enters the projected durations of the runs.
+func (w *stepAtWork) noteSpeeds(now time.Time) {
+	if w.lonely {
+		return
+	}
+	for _, a := range w.runs {
+		if projected := a.projected(); projected > 0 {
+			a.noteSpeed(now, projected, w.usual)
+		}
+	}
+}
+
+// noteDuration enters how long a run took that succeeded.
+func (a *attempt) noteDuration(now time.Time) {
+	s := a.task.step
+	took := now.Sub(a.begin.at)
+	s.durations = append(s.durations, took)
+	if usual, lonely := s.usualDuration(); !lonely && !s.Filler && !s.Gang {
+		a.noteSpeed(now, took, usual)
+	}
 }
 
 // usualDuration returns the median duration of the tasks of a step, finished or
@@ -121,11 +141,8 @@
 
 func (e *Engine) checkAttempt(now time.Time, a *attempt, usual time.Duration, lonely bool) {
 	projected := a.projected()
-	if projected > 0 && !lonely {
-		a.node.slowness.observe(now, float64(projected)/float64(usual))
-	}
 	hung := now.Sub(a.progressAt) > max(hungAfter, time.Duration(hungFactor*float64(usual)))
-	slow := !lonely && projected > time.Duration(slowFactor*float64(usual))
+	slow := !lonely && projected > time.Duration(slowFactor*float64(usual)) && a.mayBlameWorker(now)
 	left := projected - now.Sub(a.begin.at)
 	switch {
 	case hung && a.percent < 100:
@@ -135,6 +152,7 @@
 		e.stop(now, a, "makes no progress")
 	case slow && left > usual+restartTime:
 		e.count("Task.Evicted.Slow")
+		a.task.blamedWorker = true
 		a.task.failedOn = append(a.task.failedOn, a.node)
 		e.stop(now, a, "takes far longer than usual")
 	}
