--- a/internal/decision/dispatch/defrag.go
+++ b/internal/decision/dispatch/defrag.go
@@ -99,7 +99,7 @@
 }
 
 func (e *Engine) mayHold(now time.Time, t *task, n *node) bool {
-	return e.suitsBut(now, t.step, n) && n.hold.isFor(now, t.step) && e.isPermitted(now, t.step, n)
+	return e.suitsBut(t.step, n) && n.hold.isFor(now, t.step) && e.isPermitted(now, t.step, n)
 }
 
 func (n *node) holdTask(now time.Time, t *task, moved *step) {
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -88,6 +88,12 @@
 	stragglersAt time.Time
 	// forced counts the fillers that run although they found no worker.
 	forced int
+	// starvedAt is when starving fillers were last looked for, starveDue whether this tick
+	// does.
+	starvedAt time.Time
+	starveDue bool
+	// harmControlledAt is when fillers were last looked at that disturb.
+	harmControlledAt time.Time
 	// heldAt is when workers were last looked for to be held.
 	heldAt time.Time
 	// movedAt is when a serving task was last moved.
--- a/internal/decision/dispatch/filler.go
+++ b/internal/decision/dispatch/filler.go
@@ -48,6 +48,9 @@
 	evictRatio = 1.3
 	// tailWeight is the weight of a new sample in the smoothed tail of a worker.
 	tailWeight = 0.3
+	// controlInterval is the time between two looks at what the fillers disturb. Reports
+	// come at longer intervals.
+	controlInterval = 50 * time.Millisecond
 	// minPace is the pace, in percent, below which fillers are held still.
 	minPace = 10
 )
@@ -231,6 +234,10 @@
 // controlHarm moves fillers away from serving tasks that they disturb, and sends
 // the paces that fillers don't have yet.
 func (e *Engine) controlHarm(now time.Time) {
+	if now.Sub(e.harmControlledAt) < controlInterval {
+		return
+	}
+	e.harmControlledAt = now
 	for _, n := range e.fleet {
 		if n.fillers == 0 || n.misses > 0 {
 			continue
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -73,7 +73,10 @@
 // node is a worker with its ledger.
 type node struct {
 	WorkerInfo
-	listed     bool
+	listed bool
+	// open workers may get tasks in this tick: they are sound, not quarantined and in a
+	// zone that is in service.
+	open       bool
 	unlistedAt time.Time
 	// drainingAt is when the worker was first listed as draining.
 	drainingAt time.Time
--- a/internal/decision/dispatch/order.go
+++ b/internal/decision/dispatch/order.go
@@ -33,22 +33,35 @@
 		if j.ending != "" || j.cancelled || e.mustWait(now, j) {
 			continue
 		}
+		first := len(list)
+		list = j.appendWaiting(now, list)
+		if len(list) == first {
+			continue
+		}
 		u, density := j.urgency(now), e.density(j)
-		for k, steps := range j.occurrences {
-			if now.Before(j.Due(k)) {
-				continue
-			}
-			for _, s := range steps {
-				if s.left > 0 && s.hasWaiting(now) && s.ready() {
-					list = append(list, candidate{s, u, density})
-				}
-			}
+		for i := range list[first:] {
+			list[first+i].urgency, list[first+i].density = u, density
 		}
 	}
 	slices.SortFunc(list, compareCandidates)
 	return list
 }
 
+// appendWaiting appends the steps of the job that have tasks to start.
+func (j *job) appendWaiting(now time.Time, list []candidate) []candidate {
+	for k, steps := range j.occurrences {
+		if now.Before(j.Due(k)) {
+			continue
+		}
+		for _, s := range steps {
+			if s.left > 0 && s.hasWaiting(now) && s.ready() {
+				list = append(list, candidate{step: s})
+			}
+		}
+	}
+	return list
+}
+
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.step.job.queue.Priority, b.step.job.queue.Priority),
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -67,15 +67,21 @@
 // suits reports whether a worker may run a task of the step, as far as the
 // placement policy isn't concerned.
 func (e *Engine) suits(now time.Time, s *step, n *node) bool {
-	return e.suitsBut(now, s, n) && s.Reserved().FitsIn(n.free()) && (s.Filler || n.hold.isFor(now, s))
+	return e.suitsBut(s, n) && s.Reserved().FitsIn(n.free()) && (s.Filler || n.hold.isFor(now, s))
+}
+
+// noteOpenWorkers finds the workers that may get tasks in this tick. Each search for a
+// worker asks for all of them.
+func (e *Engine) noteOpenWorkers(now time.Time) {
+	for _, n := range e.fleet {
+		n.open = n.isSound(now) && !n.health.isQuarantined(now) && !e.zonesOut[n.Zone]
+	}
 }
 
 // suitsBut is the same without regard to room.
-func (e *Engine) suitsBut(now time.Time, s *step, n *node) bool {
+func (e *Engine) suitsBut(s *step, n *node) bool {
 	switch {
-	case !n.isSound(now), n.health.isQuarantined(now), e.zonesOut[n.Zone]:
-		return false
-	case n.Service != s.job.queue.Service, n.unknownRuns > 0:
+	case !n.open, n.Service != s.job.queue.Service, n.unknownRuns > 0:
 		return false
 	case s.Requires != "" && !n.hasLabel(s.Requires):
 		return false
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -63,7 +63,7 @@
 func (e *Engine) victim(now time.Time, t *task) *attempt {
 	var best *attempt
 	for _, n := range e.fleet {
-		if !e.suitsBut(now, t.step, n) {
+		if !e.suitsBut(t.step, n) {
 			continue
 		}
 		for _, a := range n.runs {
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -20,6 +20,7 @@
 	}
 	e.endRecovery(now)
 	e.dropSilentWorkers(now)
+	e.noteOpenWorkers(now)
 	e.repeatStops(now)
 	e.forgetFinished(now)
 	e.emptyLeavingWorkers(now)
@@ -100,6 +101,7 @@
 	clear(e.unplaceable)
 	e.countTrials(now)
 	e.countForced()
+	e.lookForStarving(now)
 	for _, c := range candidates {
 		if left <= 0 {
 			return
@@ -178,7 +180,7 @@
 
 func (e *Engine) startSingly(now time.Time, s *step, limit int) int {
 	placeable := !e.isUnplaceable(s)
-	if !placeable && (!s.isStarving(now) || e.forced >= maxForced) {
+	if !placeable && !e.mayForce(now, s) {
 		e.noteBlockedStep(now, s)
 		return 0
 	}
--- a/internal/decision/dispatch/starve.go
+++ b/internal/decision/dispatch/starve.go
@@ -6,6 +6,9 @@
 	// starveAfter is how long fillers wait before one of them runs nevertheless: on a
 	// worker without idle processors, or beside serving tasks that it disturbs.
 	starveAfter = 6 * time.Second
+	// starveInterval is the time between two searches for starving fillers, each of which
+	// looks at all workers.
+	starveInterval = 100 * time.Millisecond
 	// maxForced bounds the fillers that run so at the same time.
 	maxForced = 2
 	// intruderPatience is how long a serving task may be over its target beside a filler
@@ -18,18 +21,31 @@
 	return s.Filler && !s.Gang && !s.blockedAt.IsZero() && now.Sub(s.blockedAt) >= starveAfter
 }
 
+// lookForStarving decides whether this tick looks for starving fillers.
+func (e *Engine) lookForStarving(now time.Time) {
+	e.starveDue = now.Sub(e.starvedAt) >= starveInterval
+	if e.starveDue {
+		e.starvedAt = now
+	}
+}
+
+// mayForce reports whether a filler of the step may run although it found no worker.
+func (e *Engine) mayForce(now time.Time, s *step) bool {
+	return e.starveDue && e.forced < maxForced && s.isStarving(now)
+}
+
 // startStarving starts a filler that has waited for long, and reports whether it did. On
 // a worker where it disturbs nothing it only slows other fillers down. Where there is
 // none it intrudes on the serving tasks that reserve least, as fast as they stand.
 func (e *Engine) startStarving(now time.Time, t *task) bool {
 	s := t.step
-	if !s.isStarving(now) || e.forced >= maxForced {
+	if !e.mayForce(now, s) {
 		return false
 	}
 	var harmless, least *node
 	taken := false
 	for _, n := range e.fleet {
-		if !e.suitsBut(now, s, n) {
+		if !e.suitsBut(s, n) {
 			continue
 		}
 		fits := e.mayRun(now, t, n)
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -21,7 +21,7 @@
 	// decideInterval is the longest time between two runs of the engine.
 	decideInterval = 50 * time.Millisecond
 	// decidePause lets reports that arrive together be decided on together.
-	decidePause = 8 * time.Millisecond
+	decidePause = 25 * time.Millisecond
 	// workersPause is the least time between two looks at the list of workers.
 	workersPause = 300 * time.Millisecond
 	// jobsPause is the least time between two looks at the accepted jobs. The
