--- a/internal/entry/dispatcher/authority_test.go
+++ b/internal/entry/dispatcher/authority_test.go
@@ -4,10 +4,12 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
 )
 
 func TestDispatcher(t *testing.T) {
@@ -76,6 +78,32 @@
 		Expect(v.lastAuthority()).To(BeZero())
 	})
 
+	// Guards against a shard without an owner for as long as it takes to see, from the first
+	// look on, that a silent owner writes no more.
+	It("is known to be unproved since the owner last told of the same row", func() {
+		v := view{met: true, heard: at(1000), told: 7, owner: ownerRow{Epoch: 2}}
+		Expect(v.unchangedSince(at(1800), ownerRow{Epoch: 2, Sequence: 7})).To(Equal(at(1000)))
+	})
+
+	It("may have been proved just now if the row has changed, or the owner never answered", func() {
+		v := view{met: true, heard: at(1000), told: 7, owner: ownerRow{Epoch: 2}}
+		Expect(v.unchangedSince(at(1800), ownerRow{Epoch: 2, Sequence: 8})).To(Equal(at(1800)))
+		Expect(v.unchangedSince(at(1800), ownerRow{Epoch: 3, Sequence: 7})).To(Equal(at(1800)))
+		v.met = false
+		Expect(v.unchangedSince(at(1800), ownerRow{Epoch: 2, Sequence: 7})).To(Equal(at(1800)))
+	})
+
+	// Guards against a takeover right after an outage of the store, in which no owner beats.
+	It("may have been proved just now after a time without the store", func() {
+		clock := clockwork.NewFakeClockAt(at(0))
+		s := &shard{node: New(Options{Name: "a", Clock: clock})}
+		s.view = view{met: true, heard: at(0), told: 7, owner: ownerRow{Node: "b", Epoch: 2}}
+		row := table.Row{Version: 3, Value: encode(ownerRow{Node: "b", Epoch: 2, Sequence: 7})}
+		s.forgetRow()
+		Expect(s.shouldClaim(at(5000), row)).To(BeFalse())
+		Expect(s.shouldClaim(at(5000).Add(staleAfter), row)).To(BeTrue())
+	})
+
 	It("is gone after the machine was suspended", func() {
 		s := suspension{}
 		Expect(s.noticed(5 * time.Second)).To(BeFalse())
--- a/internal/entry/dispatcher/follow.go
+++ b/internal/entry/dispatcher/follow.go
@@ -26,7 +26,7 @@
 	silentAfter = 500 * time.Millisecond
 	// staleAfter is how long the row of a silent owner must stay unchanged before it
 	// is replaced: the owner writes it every beatInterval.
-	staleAfter = 900 * time.Millisecond
+	staleAfter = time.Second
 	// claimDelayFactor times the store's answer time is waited before a claim, so
 	// that the instance nearest to the store comes first.
 	claimDelayFactor = 8
@@ -41,6 +41,8 @@
 	owner ownerRow
 	// heard is when the owner last answered.
 	heard time.Time
+	// told is the sequence of the owner's row as it last answered.
+	told int64
 	// storeLost is what the owner last said of its access to the store.
 	storeLost bool
 	// met reports that the owner has answered this instance, so that it knows of it and
@@ -50,7 +52,7 @@
 	confirmed time.Time
 	// load is what the owner last said of the shard.
 	load balance.Load
-	// row is the owner's row as last read, and readAt when it was first seen so.
+	// row is the owner's row as last read, and readAt since when it is known to be so.
 	row    table.Row
 	readAt time.Time
 }
@@ -68,6 +70,15 @@
 	return v.readAt
 }
 
+// unchangedSince returns since when the owner's row, read now, is known to be as it is: since
+// the owner last answered, if it told of the same row.
+func (v *view) unchangedSince(now time.Time, stored ownerRow) time.Time {
+	if v.met && stored.Epoch == v.owner.Epoch && stored.Sequence == v.told {
+		return v.heard
+	}
+	return now
+}
+
 // follow calls the owner, and claims the shard when it has none.
 func (s *shard) follow(ctx context.Context) error {
 	ticker := s.node.Clock.NewTicker(helloInterval)
@@ -95,19 +106,25 @@
 }
 
 func (s *shard) followOnce(ctx context.Context) {
+	if s.isSilent(s.currentView()) && s.inspectOwner(ctx) {
+		return
+	}
 	current := s.currentView()
 	reachable := current.owner.Address != "" && !current.owner.Released && current.owner.Node != s.node.Name
 	if !current.owner.Released && (!reachable || !s.callOwner(ctx, current.owner)) {
 		s.askPeers(ctx)
 	}
 	current = s.currentView()
-	now := s.node.Clock.Now()
-	silent := now.Sub(current.heard) > silentAfter
-	if (silent || current.storeLost || current.owner.Released) && !s.node.draining.Load() {
+	if s.isSilent(current) || current.storeLost || current.owner.Released {
 		s.inspectOwner(ctx)
 	}
 }
 
+// isSilent reports whether the owner hasn't answered for long.
+func (s *shard) isSilent(v view) bool {
+	return s.node.Clock.Now().Sub(v.heard) > silentAfter
+}
+
 func (s *shard) currentView() view {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -155,24 +172,35 @@
 }
 
 // inspectOwner reads the owner's row and claims the shard if the owner has
-// released it or writes no more.
-func (s *shard) inspectOwner(ctx context.Context) {
+// released it or writes no more. It reports whether it tried to claim it.
+func (s *shard) inspectOwner(ctx context.Context) (claimed bool) {
+	if s.node.draining.Load() {
+		return false
+	}
 	if _, lost := s.node.store.lostFor(); lost {
-		return
+		s.forgetRow()
+		return false
 	}
 	began := s.node.Clock.Now()
 	row, err := s.node.read(ctx, s.part.ownerKey())
 	if err != nil {
-		s.lock.Lock()
-		// A time without the store says nothing about the owner's beats.
-		s.view.readAt = time.Time{}
-		s.lock.Unlock()
-		return
+		s.forgetRow()
+		return false
 	}
 	now := s.node.Clock.Now()
-	if s.shouldClaim(now, row) {
-		s.claim(ctx, row, now.Sub(began))
+	if !s.shouldClaim(now, row) {
+		return false
 	}
+	s.claim(ctx, row, now.Sub(began))
+	return true
+}
+
+// forgetRow lets the row count as changed: a time without the store says nothing about the
+// owner's beats.
+func (s *shard) forgetRow() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.view.readAt, s.view.told = time.Time{}, 0
 }
 
 // shouldClaim notes the row and reports whether its owner is to be replaced.
@@ -189,7 +217,7 @@
 	}
 	s.learnOwner(stored)
 	if s.view.readAt.IsZero() || row.Version != s.view.row.Version {
-		s.view.row, s.view.readAt = row, now
+		s.view.row, s.view.readAt = row, s.view.unchangedSince(now, stored)
 	}
 	if stored.Node == s.node.Name {
 		// An earlier life of this instance owned the shard.
--- a/internal/entry/dispatcher/hello.go
+++ b/internal/entry/dispatcher/hello.go
@@ -31,6 +31,7 @@
 	if a.IsOwner && a.Owner.Epoch == s.view.owner.Epoch {
 		s.view.heard = s.node.Clock.Now()
 		s.view.met = true
+		s.view.told = a.Owner.Sequence
 		s.view.storeLost = a.StoreLost
 		s.view.load = a.Load
 		s.view.owner.Released = a.Owner.Released
