--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -75,8 +75,8 @@
 	recovering   bool
 	// suspended reports that another owner may have taken over.
 	suspended bool
-	// recoveryBegan is when this owner took over.
-	recoveryBegan time.Time
+	// newJobsFrom is when jobs may start that were accepted after the takeover.
+	newJobsFrom time.Time
 	// fleetRevision rises whenever the workers or what is known of them may have changed.
 	fleetRevision int
 	// listed reports that the list of workers is known.
@@ -139,15 +139,6 @@
 	}
 }
 
-// Recover makes the tasks of recovered jobs wait until each worker that the
-// earlier owner used has reported, at most until its leases have ended. New jobs
-// wait as well, but for a shorter time.
-// The earlier owner may act for a further term before it rests.
-func (e *Engine) Recover(now time.Time, term time.Duration) {
-	e.recovering, e.recoveryBegan = true, now
-	e.recoveryEnds = now.Add(lapse(e.options.LeaseTerm) + inFlightMargin + term)
-}
-
 // Suspend lets the engine rest while another owner may have taken over: it starts
 // nothing, renews no leases and draws no conclusions from silence, since the other
 // owner may keep the runs on silent workers going.
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -36,6 +36,8 @@
 	tasks []*task
 	// left counts the tasks that haven't succeeded.
 	left int
+	// unbegun steps can't have been begun by an earlier owner.
+	unbegun bool
 	// perWorker counts the attempts on each worker.
 	perWorker map[*node]int
 	// blockedAt is when a task first found no room, zero after one did; preemptedAt is
--- a/internal/decision/dispatch/order.go
+++ b/internal/decision/dispatch/order.go
@@ -30,11 +30,11 @@
 func (e *Engine) candidates(now time.Time) []candidate {
 	var list []candidate
 	for _, j := range e.jobs {
-		if j.ending != "" || j.cancelled || e.mustWait(now, j) {
+		if j.ending != "" || j.cancelled {
 			continue
 		}
 		first := len(list)
-		list = j.appendWaiting(now, list)
+		list = j.appendWaiting(now, list, e.mustWait(now, j))
 		if len(list) == first {
 			continue
 		}
@@ -47,13 +47,17 @@
 	return list
 }
 
-// appendWaiting appends the steps of the job that have tasks to start.
-func (j *job) appendWaiting(now time.Time, list []candidate) []candidate {
+// appendWaiting appends the steps of the job that have tasks to start; while runs of an
+// earlier owner may go on unseen, only those that it can't have begun.
+func (j *job) appendWaiting(now time.Time, list []candidate, mustWait bool) []candidate {
 	for k, steps := range j.occurrences {
 		if now.Before(j.Due(k)) {
 			continue
 		}
 		for _, s := range steps {
+			if mustWait && !s.unbegun {
+				continue
+			}
 			if s.left > 0 && s.hasWaiting(now) && s.ready() {
 				list = append(list, candidate{step: s})
 			}
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -258,6 +258,10 @@
 	e.count("Task.Adopted")
 	if t.done || t.step.job.ending != "" {
 		e.stop(now, a, "no longer wanted")
+		return a
+	}
+	if e.recovering {
+		t.step.noteUnbegun()
 	}
 	return a
 }
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -32,25 +32,6 @@
 	e.makeRoom(now)
 }
 
-// endRecovery lets recovered jobs go on once nothing of them can run unseen.
-func (e *Engine) endRecovery(now time.Time) {
-	if !e.recovering {
-		return
-	}
-	if now.Before(e.recoveryEnds) {
-		if !e.listed {
-			return
-		}
-		for _, n := range e.fleet {
-			if !n.heard && !n.replaced {
-				return
-			}
-		}
-	}
-	e.recovering = false
-	e.record(now, Decision{Event: "RecoveryEnded"})
-}
-
 // dropSilentWorkers gives up the runs whose leases have ended, and forgets workers
 // that are neither listed nor running anything.
 func (e *Engine) dropSilentWorkers(now time.Time) {
@@ -145,16 +126,6 @@
 	}
 }
 
-// newJobWait is the time after a takeover in which an earlier owner that lives must
-// have learned of it: its transactions conflict, and workers refuse its polls.
-const newJobWait = 2 * time.Second
-
-// mustWait reports whether a job may be running unseen on a worker that hasn't
-// reported to this owner yet.
-func (e *Engine) mustWait(now time.Time, j *job) bool {
-	return e.recovering && (j.recovered || now.Sub(e.recoveryBegan) < newJobWait)
-}
-
 func (s *step) hasWaiting(now time.Time) bool {
 	for _, t := range s.tasks {
 		if t.isWaiting(now) {
