--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -27,6 +27,9 @@
 	// uncertainMixCost keeps fillers of two uncertain images apart, so that a slow
 	// serving task tells which one is the cause.
 	uncertainMixCost = 1.0
+	// packingGain times the share of its processors that are taken draws long-running
+	// tasks to full workers, so that what is free stays in pieces that others fit in.
+	packingGain = 0.5
 	// tailCost times the tail latency of the serving tasks of a worker, against their
 	// targets and beyond easyTail, leads fillers to where there is most reserve.
 	tailCost = 1.0
@@ -117,7 +120,12 @@
 	if s.Filler {
 		return e.fillerCost(now, s, n, cost)
 	}
-	cost += share(n.used.Processors+s.Resources.Processors, n.Capacity.Processors)
+	taken := share(n.used.Processors+s.Resources.Processors, n.Capacity.Processors)
+	if s.LongRunning {
+		cost -= packingGain * taken
+	} else {
+		cost += taken
+	}
 	if s.Target > 0 {
 		cost += e.servingCost(now, s, n)
 	}
--- /dev/null
+++ b/internal/decision/dispatch/room_test.go
@@ -0,0 +1,35 @@
+package dispatch_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+)
+
+// Replays how urgent jobs waited on the grown and large sites: long-running tasks reserve
+// nine tenths of the processors, and what they leave was in pieces that no urgent task fits.
+var _ = Describe("Room beside long-running tasks", func() {
+	lasting := func(tasks int, processors float64) dispatch.Step {
+		return dispatch.Step{Tasks: tasks, Resources: cores(processors), LongRunning: true, Image: "serve", Target: 20 * time.Millisecond}
+	}
+	short := func(processors float64) dispatch.Step {
+		return dispatch.Step{Tasks: 1, Resources: cores(processors), Estimate: time.Second}
+	}
+
+	It("is left in one piece, against a little on each worker", func() {
+		b := newBench(1, 4)
+		b.list()
+		b.step(0)
+		for _, id := range []dispatch.JobID{"a", "b", "c", "d"} {
+			b.submit(id, lasting(2, 2))
+			b.step(200 * time.Millisecond)
+		}
+		Expect(b.starts).To(HaveLen(8))
+		b.submit("urgent", short(5))
+		b.step(200 * time.Millisecond)
+		Expect(b.workersOf("urgent")).To(HaveLen(1))
+	})
+})
