--- a/internal/decision/dispatch/order.go
+++ b/internal/decision/dispatch/order.go
@@ -66,10 +66,23 @@
 	return list
 }
 
+// compareLasting puts short tasks before long-running ones: they need the room for a moment,
+// and earn more for it.
+func (s *step) compareLasting(other *step) int {
+	switch {
+	case s.LongRunning == other.LongRunning:
+		return 0
+	case s.LongRunning:
+		return 1
+	}
+	return -1
+}
+
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.step.job.queue.Priority, b.step.job.queue.Priority),
 		cmp.Compare(a.urgency, b.urgency),
+		a.step.compareLasting(b.step),
 		cmp.Compare(b.density, a.density),
 		a.step.job.deadline().Compare(b.step.job.deadline()),
 		cmp.Compare(a.step.id.Job, b.step.id.Job),
--- a/internal/decision/dispatch/room_test.go
+++ b/internal/decision/dispatch/room_test.go
@@ -32,4 +32,40 @@
 		b.step(200 * time.Millisecond)
 		Expect(b.workersOf("urgent")).To(HaveLen(1))
 	})
+
+	It("goes to a short task first, and to a long-running one as soon as that has ended", func() {
+		b := newBench(1, 1)
+		b.list()
+		b.step(0)
+		b.submit("lasting", lasting(1, 4))
+		b.submit("urgent", short(4))
+		b.step(200 * time.Millisecond)
+		Expect(b.workersOf("urgent")).To(HaveLen(1))
+		Expect(b.workersOf("lasting")).To(BeEmpty())
+		b.end("w0", dispatch.TaskID{Job: "urgent"}, dispatch.EndDone)
+		b.step(200 * time.Millisecond)
+		b.step(200 * time.Millisecond)
+		Expect(b.workersOf("lasting")).To(HaveLen(1))
+	})
+
+	// Guards against a long-running task that never runs: while a worker was held for it,
+	// short tasks that found no other room made it count as without room as well.
+	It("is taken by the long-running task for which a worker is held", func() {
+		b := newBench(1, 1)
+		b.list()
+		b.step(0)
+		b.submit("first", short(4))
+		b.step(200 * time.Millisecond)
+		b.submit("lasting", lasting(1, 4))
+		for _, id := range []dispatch.JobID{"s1", "s2", "s3"} {
+			b.submit(id, short(3))
+		}
+		for range 10 {
+			b.step(200 * time.Millisecond)
+		}
+		b.end("w0", dispatch.TaskID{Job: "first"}, dispatch.EndDone)
+		b.step(200 * time.Millisecond)
+		b.step(200 * time.Millisecond)
+		Expect(b.workersOf("lasting")).To(HaveLen(1))
+	})
 })
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -93,8 +93,10 @@
 
 // shape is what decides whether any worker can take a task.
 type shape struct {
-	service  ServiceName
-	filler   bool
+	service ServiceName
+	filler  bool
+	// lasting tasks may take workers that are held for them.
+	lasting  bool
 	image    Image
 	requires Label
 }
@@ -107,7 +109,7 @@
 }
 
 func (s *step) shape() shape {
-	own := shape{service: s.job.queue.Service, filler: s.Filler, requires: s.Requires}
+	own := shape{service: s.job.queue.Service, filler: s.Filler, lasting: s.LongRunning, requires: s.Requires}
 	if s.Filler {
 		own.image = s.Image
 	}
