--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -174,10 +174,11 @@
 }
 
 // commit applies a transaction, and sends the same again until its outcome is known.
-// It returns when the try that proved the ownership was sent. It fails with
-// table.ErrUnavailable if nothing was written, for certain.
+// It returns when the try that proved the ownership was sent, or the first one if any of
+// them may have been it: the row hasn't changed since, so that others count from then on.
+// It fails with table.ErrUnavailable if nothing was written, for certain.
 func (o *owner) commit(ctx context.Context, tx table.Transaction, next ownerRow) (table.Version, time.Time, error) {
-	certain := true
+	certain, first := true, o.now()
 	for {
 		sent := o.now()
 		version, err := o.node.commit(ctx, tx)
@@ -188,10 +189,9 @@
 			return 0, sent, ctx.Err()
 		}
 		if errors.Is(err, table.ErrConflict) {
-			sent = o.now()
 			version, err = o.resolveConflict(ctx, next)
 			if err == nil || errors.Is(err, errSuperseded) {
-				return version, sent, err
+				return version, first, err
 			}
 		}
 		if errors.Is(err, table.ErrInvalid) {
