--- a/internal/decision/dispatch/fault.go
+++ b/internal/decision/dispatch/fault.go
@@ -32,7 +32,7 @@
 // then of the fillers beside the serving tasks, which would be blamed wherever they run.
 func (e *Engine) noteFault(now time.Time, n *node, tails map[Image]tailSample) {
 	limit := float64(faultRatio)
-	if n.isFree(now) {
+	if n.hasNoFillers(now) {
 		limit = loneFaultRatio
 	}
 	worst := 0.0
@@ -56,7 +56,7 @@
 // checkFault learns from a worker that counts as faulty once its fillers have left: they
 // were the cause if that made the tail good.
 func (e *Engine) checkFault(now time.Time, n *node, sample tailSample) {
-	if !n.isFree(now) {
+	if !n.hasNoFillers(now) {
 		return
 	}
 	image := sample.step.Image
@@ -72,8 +72,8 @@
 	return now.Before(n.fault.until)
 }
 
-// isFree reports whether no filler has run on the worker for as long as a measurement shows.
-func (n *node) isFree(now time.Time) bool {
+// hasNoFillers reports whether no filler has run on the worker for as long as a measurement shows.
+func (n *node) hasNoFillers(now time.Time) bool {
 	for _, at := range n.departed {
 		if now.Sub(at) < measureLag {
 			return false
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -36,6 +36,8 @@
 	tasks []*task
 	// left counts the tasks that haven't succeeded.
 	left int
+	// seenAtWork reports that a run of an earlier owner was found at work.
+	seenAtWork bool
 	// unbegun steps can't have been begun by an earlier owner.
 	unbegun bool
 	// perWorker counts the attempts on each worker.
--- a/internal/decision/dispatch/node.go
+++ b/internal/decision/dispatch/node.go
@@ -146,7 +146,6 @@
 		sampledAt:  map[Image]time.Time{},
 		strays:     map[TaskRun]time.Time{},
 		doubts:     map[TaskRun]time.Time{},
-		speeds:     speeds{},
 	}
 }
 
--- a/internal/decision/dispatch/order.go
+++ b/internal/decision/dispatch/order.go
@@ -66,8 +66,8 @@
 	return list
 }
 
-// compareLasting puts short tasks before long-running ones: they need the room for a moment,
-// and earn more for it.
+// compareLasting puts short tasks before long-running ones, since they take room only for a
+// moment.
 func (s *step) compareLasting(other *step) int {
 	switch {
 	case s.LongRunning == other.LongRunning:
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -27,7 +27,7 @@
 	}
 	s.preemptedAt = now
 	for range min(s.waiting(now), maxVictims) {
-		victim := e.victim(now, t)
+		victim := e.victim(t)
 		if victim == nil {
 			return
 		}
@@ -60,7 +60,7 @@
 
 // victim returns the run of a less urgent queue whose end lets the task start and
 // loses least work, nil if there is none.
-func (e *Engine) victim(now time.Time, t *task) *attempt {
+func (e *Engine) victim(t *task) *attempt {
 	var best *attempt
 	for _, n := range e.fleet {
 		if !e.suitsBut(t.step, n) {
--- a/internal/decision/dispatch/recovery.go
+++ b/internal/decision/dispatch/recovery.go
@@ -42,26 +42,24 @@
 }
 
 // noteUnbegun notes, when a task of the step is seen at work, that no earlier owner can have
-// begun the steps that wait for it: its worker tells the end only to this owner from now on.
-// A gang ends on all its workers, of which others may still tell an earlier owner.
+// begun the steps that wait for it, directly or not: its worker tells the end only to this
+// owner from now on. A gang ends on all its workers, of which others may still tell an
+// earlier owner.
 func (s *step) noteUnbegun() {
-	if s.Gang || s.LongRunning {
+	if s.seenAtWork || s.Gang || s.LongRunning {
 		return
 	}
-	for _, other := range s.job.occurrences[s.id.Occurrence] {
-		if !other.unbegun && other.waitsFor(s) {
-			other.unbegun = true
-		}
-	}
-}
-
-// waitsFor reports whether the step starts only after the other one, directly or not.
-func (s *step) waitsFor(other *step) bool {
+	s.seenAtWork = true
 	steps := s.job.occurrences[s.id.Occurrence]
-	for _, before := range s.After {
-		if steps[before] == other || steps[before].waitsFor(other) {
-			return true
+	waits := make([]bool, len(steps))
+	waits[s.id.Step] = true
+	// Steps wait for earlier ones only, so that one pass finds them all.
+	for i := s.id.Step + 1; i < len(steps); i++ {
+		for _, before := range steps[i].After {
+			if waits[before] {
+				waits[i], steps[i].unbegun = true, true
+				break
+			}
 		}
 	}
-	return false
 }
--- a/internal/decision/dispatch/recovery_test.go
+++ b/internal/decision/dispatch/recovery_test.go
@@ -50,6 +50,24 @@
 		Expect(b.starts).To(HaveLen(3))
 	})
 
+	// Guards against a takeover that takes for ever: paths through the steps double with
+	// each of them.
+	It("are found in a job of many steps that all wait for each other", func() {
+		steps := []dispatch.Step{tasks(1)}
+		for i := 1; i < 60; i++ {
+			step := tasks(1)
+			for before := range i {
+				step.After = append(step.After, before)
+			}
+			steps = append(steps, step)
+		}
+		b := takeOver([]int{0}, steps...)
+		b.end("w0", dispatch.TaskID{Job: "j"}, dispatch.EndDone)
+		b.step(100 * time.Millisecond)
+		b.step(100 * time.Millisecond)
+		Expect(b.starts).To(HaveLen(1))
+	})
+
 	It("wait where the earlier owner may have begun them", func() {
 		for _, b := range []*bench{
 			// Nothing of the job is seen.
--- a/internal/decision/dispatch/speed.go
+++ b/internal/decision/dispatch/speed.go
@@ -16,25 +16,31 @@
 
 // speeds has how long tasks on a worker take, against others of their step: 1 is usual, 2
 // is twice as long. The zero value knows nothing.
-type speeds map[TaskID]speed
+type speeds struct {
+	tasks map[TaskID]speed
+}
 
+// speed is that of one task when it was last seen.
 type speed struct {
 	ratio float64
 	at    time.Time
 }
 
 // observe enters the speed of a task, in place of what was known of it.
-func (s speeds) observe(now time.Time, id TaskID, ratio float64) {
-	s[id] = speed{ratio, now}
+func (s *speeds) observe(now time.Time, id TaskID, ratio float64) {
+	if s.tasks == nil {
+		s.tasks = map[TaskID]speed{}
+	}
+	s.tasks[id] = speed{ratio, now}
 }
 
 // slowdown returns the median of what was seen lately, at least 1. One task that is long by
 // itself says nothing about its worker.
-func (s speeds) slowdown(now time.Time) float64 {
-	ratios := make([]float64, 0, len(s))
-	for id, seen := range s {
+func (s *speeds) slowdown(now time.Time) float64 {
+	ratios := make([]float64, 0, len(s.tasks))
+	for id, seen := range s.tasks {
 		if now.Sub(seen.at) > speedMemory {
-			delete(s, id)
+			delete(s.tasks, id)
 			continue
 		}
 		ratios = append(ratios, seen.ratio)
@@ -43,9 +49,9 @@
 }
 
 // besides returns the median of the other tasks, and false if none was seen lately.
-func (s speeds) besides(now time.Time, id TaskID) (float64, bool) {
+func (s *speeds) besides(now time.Time, id TaskID) (float64, bool) {
 	var ratios []float64
-	for other, seen := range s {
+	for other, seen := range s.tasks {
 		if other != id && now.Sub(seen.at) <= speedMemory {
 			ratios = append(ratios, seen.ratio)
 		}
