--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -829,14 +829,21 @@
 })
 
 var _ = Describe("Recovery", func() {
-	// Guards against a second run of a task on a worker whose entry has lapsed while the
-	// store was away: it isn't listed and may still run the task.
-	It("waits for workers that the earlier owner used and the list lacks", func() {
+	// takeOver lets an owner recover a job of one task. The list isn't known yet; the earlier
+	// owner used the worker that is returned.
+	takeOver := func() (*bench, *fakeWorker) {
 		b := newBench(2, 2)
-		hidden := b.workers["w1"]
-		b.engine.RememberWorkers(b.now, []dispatch.WorkerInfo{hidden.info})
+		used := b.workers["w1"]
+		b.engine.RememberWorkers(b.now, []dispatch.WorkerInfo{used.info})
 		b.engine.AddJob(b.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: b.now, Steps: []dispatch.Step{tasks(1)}}, dispatch.Progress{}, true)
 		b.engine.Recover(b.now, 0)
+		return b, used
+	}
+
+	// Guards against a second run of a task on a worker whose entry has lapsed while the
+	// store was away: it isn't listed and may still run the task.
+	It("waits for workers that the earlier owner used and the list lacks", func() {
+		b, hidden := takeOver()
 		b.engine.SetWorkers(b.now, []dispatch.WorkerInfo{b.workers["w0"].info})
 		hidden.silent = true
 		for range 35 {
@@ -853,11 +860,7 @@
 	// machines have lost power and are back with new workers (bogkreds-jt, trouble-1: 13.6 s
 	// over two takeovers).
 	It("doesn't wait for a worker whose address another one has", func() {
-		b := newBench(2, 2)
-		ended := b.workers["w1"]
-		b.engine.RememberWorkers(b.now, []dispatch.WorkerInfo{ended.info})
-		b.engine.AddJob(b.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: b.now, Steps: []dispatch.Step{tasks(1)}}, dispatch.Progress{}, true)
-		b.engine.Recover(b.now, 0)
+		b, ended := takeOver()
 		b.engine.SetWorkers(b.now, []dispatch.WorkerInfo{b.workers["w0"].info})
 		ended.silent = true
 		b.step(100 * time.Millisecond)
@@ -870,11 +873,7 @@
 	// Guards against a second run on a worker that has moved: what answers at the address
 	// that the earlier owner knew is no proof then.
 	It("waits for a worker that is listed at another address", func() {
-		b := newBench(2, 2)
-		moved := b.workers["w1"]
-		b.engine.RememberWorkers(b.now, []dispatch.WorkerInfo{moved.info})
-		b.engine.AddJob(b.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: b.now, Steps: []dispatch.Step{tasks(1)}}, dispatch.Progress{}, true)
-		b.engine.Recover(b.now, 0)
+		b, moved := takeOver()
 		b.engine.WorkerReplaced(b.now, "w1")
 		moved.info.Address = "elsewhere"
 		moved.silent = true
--- a/internal/decision/dispatch/fault_test.go
+++ b/internal/decision/dispatch/fault_test.go
@@ -23,6 +23,14 @@
 			}
 		}
 	}
+	// measure lets all workers report a short tail, but for the faulty one.
+	measure := func(b *bench, tail int) {
+		for id := range b.workers {
+			serve(b, id, 10)
+		}
+		serve(b, faulty, tail)
+		b.step(500 * time.Millisecond)
+	}
 	// setUp runs a serving task and a filler on each of four workers.
 	setUp := func() *bench {
 		b := newBench(1, 4)
@@ -42,11 +50,7 @@
 	It("is no reason to blame the fillers beside its serving tasks", func() {
 		b := setUp()
 		for range 6 {
-			for id := range b.workers {
-				serve(b, id, 10)
-			}
-			serve(b, faulty, 900)
-			b.step(500 * time.Millisecond)
+			measure(b, 900)
 		}
 		Expect(b.engine.Estimates(b.now)).To(HaveEach(HaveField("Probability", BeNumerically("<", 0.25))))
 	})
@@ -54,11 +58,7 @@
 	It("is left by its fillers, which run on elsewhere", func() {
 		b := setUp()
 		for range 3 {
-			for id := range b.workers {
-				serve(b, id, 10)
-			}
-			serve(b, faulty, 900)
-			b.step(500 * time.Millisecond)
+			measure(b, 900)
 		}
 		Expect(b.stops).To(HaveLen(1))
 		Expect(b.stops[0].Worker).To(Equal(faulty))
@@ -90,11 +90,7 @@
 
 	It("gets new tasks only when no other worker has room", func() {
 		b := setUp()
-		for id := range b.workers {
-			serve(b, id, 10)
-		}
-		serve(b, faulty, 900)
-		b.step(500 * time.Millisecond)
+		measure(b, 900)
 		before := len(b.starts)
 		b.submit("small", tasks(6))
 		b.step(100 * time.Millisecond)
@@ -107,11 +103,7 @@
 	It("still gives fillers away that disturb its serving tasks as neighbors do", func() {
 		b := setUp()
 		for range 4 {
-			for id := range b.workers {
-				serve(b, id, 10)
-			}
-			serve(b, faulty, 100)
-			b.step(500 * time.Millisecond)
+			measure(b, 100)
 		}
 		Expect(b.stops).NotTo(BeEmpty())
 		Expect(b.stops[0].Worker).To(Equal(faulty))
