--- a/internal/decision/dispatch/defrag_test.go
+++ b/internal/decision/dispatch/defrag_test.go
@@ -31,12 +31,10 @@
 		}
 	}
 
-	It("gets a worker from which smaller tasks are kept", func() {
-		b := newBench(1, 1)
-		b.list()
-		b.step(0)
+	// smallerTasks returns what lets a new short task come, and another one end, each time.
+	smallerTasks := func(b *bench) func() {
 		next := 0
-		flow := func() {
+		return func() {
 			for id, w := range b.workers {
 				for task, run := range w.running {
 					if task.Job != "lasting" && run.Percent == 100 && (next+int(task.Job[1]))%2 == 0 {
@@ -48,12 +46,35 @@
 			next++
 			b.submit(dispatch.JobID(fmt.Sprintf("s%04d", next)), dispatch.Step{Tasks: 1, Resources: cores(2), Estimate: 200 * time.Millisecond})
 		}
+	}
+
+	It("gets a worker from which smaller tasks are kept", func() {
+		b := newBench(1, 1)
+		b.list()
+		b.step(0)
+		flow := smallerTasks(b)
 		pass(b, 2*time.Second, flow)
 		b.submit("lasting", lasting(1, 4))
 		pass(b, 4*time.Second, flow)
 		Expect(b.workersOf("lasting")).To(HaveLen(1))
 	})
 
+	// Guards against a long-running task that never runs: while a worker was held for it,
+	// short tasks that found no room, and are worth more for their work, made it count as
+	// without room as well (LOST on the sweep of the large site, 17 s without a run).
+	It("gets that worker also where smaller tasks come first", func() {
+		b := newBench(1, 1)
+		b.list()
+		b.step(0)
+		flow := smallerTasks(b)
+		pass(b, 2*time.Second, flow)
+		step := lasting(1, 4)
+		step.Estimate = time.Minute
+		b.submit("lasting", step)
+		pass(b, 4*time.Second, flow)
+		Expect(b.workersOf("lasting")).To(HaveLen(1))
+	})
+
 	It("gets room that is there in pieces, by moving a smaller one", func() {
 		b := newBench(1, 2)
 		b.list()
