--- a/internal/decision/dispatch/defrag_test.go
+++ b/internal/decision/dispatch/defrag_test.go
@@ -13,9 +13,6 @@
 // Replays scale-1 of a grown site: all workers were nearly full, and a long-running task
 // that had failed waited for 34 s because smaller tasks took each gap (LOST).
 var _ = Describe("A long-running task that waits", func() {
-	lasting := func(tasks int, processors float64) dispatch.Step {
-		return dispatch.Step{Tasks: tasks, Resources: cores(processors), LongRunning: true, Image: "serve", Target: 20 * time.Millisecond}
-	}
 	// pass lets time pass with all long-running tasks at work.
 	pass := func(b *bench, d time.Duration, each func()) {
 		for range int(d / (100 * time.Millisecond)) {
@@ -54,7 +51,7 @@
 		b.step(0)
 		flow := smallerTasks(b)
 		pass(b, 2*time.Second, flow)
-		b.submit("lasting", lasting(1, 4))
+		b.submit("lasting", lastingStep(1, 4))
 		pass(b, 4*time.Second, flow)
 		Expect(b.workersOf("lasting")).To(HaveLen(1))
 	})
@@ -68,7 +65,7 @@
 		b.step(0)
 		flow := smallerTasks(b)
 		pass(b, 2*time.Second, flow)
-		step := lasting(1, 4)
+		step := lastingStep(1, 4)
 		step.Estimate = time.Minute
 		b.submit("lasting", step)
 		pass(b, 4*time.Second, flow)
@@ -79,12 +76,12 @@
 		b := newBench(1, 2)
 		b.list()
 		b.step(0)
-		small := lasting(4, 2)
+		small := lastingStep(4, 2)
 		small.MaxPerWorker = 2
 		b.submit("small", small)
 		pass(b, time.Second, nil)
 		Expect(b.workersOf("small")).To(HaveLen(4))
-		b.submit("large", lasting(1, 4))
+		b.submit("large", lastingStep(1, 4))
 		pass(b, 4*time.Second, nil)
 		Expect(b.workersOf("large")).To(BeEmpty())
 		for _, w := range b.workers {
@@ -103,14 +100,14 @@
 		b := newBench(1, 1)
 		b.list()
 		b.step(0)
-		b.submit("small", lasting(1, 3))
+		b.submit("small", lastingStep(1, 3))
 		pass(b, time.Second, nil)
 		b.submit("short", dispatch.Step{Tasks: 1, Resources: cores(1), Estimate: time.Minute})
 		pass(b, time.Second, nil)
-		b.submit("large", lasting(1, 3))
+		b.submit("large", lastingStep(1, 3))
 		pass(b, 2*time.Second, nil)
 		Expect(b.workersOf("large")).To(BeEmpty())
-		b.submit("other", lasting(1, 2))
+		b.submit("other", lastingStep(1, 2))
 		pass(b, 500*time.Millisecond, nil)
 		Expect(b.workersOf("other")).To(HaveLen(1))
 	})
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -413,17 +413,27 @@
 	return dispatch.Step{Tasks: n, Resources: cores(1), Filler: true, Image: image, Estimate: time.Second}
 }
 
-// serveAt lets all serving tasks report a tail latency in milliseconds, and the
+// lastingStep is a step of serving tasks of a size, any number of which may share a worker.
+func lastingStep(n int, processors float64) dispatch.Step {
+	return dispatch.Step{Tasks: n, Resources: cores(processors), LongRunning: true, Image: "serve", Target: 20 * time.Millisecond}
+}
+
+// serve lets the serving tasks of the worker report a tail latency in milliseconds, and the
 // fillers the use of a processor.
+func (w *fakeWorker) serve(tail int) {
+	for id, run := range w.running {
+		if id.Job == "serving" {
+			run.Percent, run.Measure = 100, tail
+		} else {
+			run.Measure = 1000
+		}
+	}
+}
+
+// serveAt lets all workers report a tail latency.
 func (b *bench) serveAt(tail int) {
 	for _, w := range b.workers {
-		for id, run := range w.running {
-			if id.Job == "serving" {
-				run.Percent, run.Measure = 100, tail
-			} else {
-				run.Measure = 1000
-			}
-		}
+		w.serve(tail)
 	}
 }
 
@@ -437,13 +447,7 @@
 				tail = 60
 			}
 		}
-		for id, run := range w.running {
-			if id.Job == "serving" {
-				run.Percent, run.Measure = 100, tail
-			} else {
-				run.Measure = 1000
-			}
-		}
+		w.serve(tail)
 	}
 }
 
--- a/internal/decision/dispatch/fault.go
+++ b/internal/decision/dispatch/fault.go
@@ -28,17 +28,14 @@
 	beside map[Image][]interference.Neighbor
 }
 
-// noteFault notes that the tails of a worker show a fault of its own. They tell nothing
-// then of the fillers beside the serving tasks, which would be blamed wherever they run.
-func (e *Engine) noteFault(now time.Time, n *node, tails map[Image]tailSample) {
+// noteFault notes that the tails of a worker, of which the worst has a ratio, show a fault of
+// its own. They tell nothing then of the fillers beside the serving tasks, which would be
+// blamed wherever they run.
+func (e *Engine) noteFault(now time.Time, n *node, tails map[Image]tailSample, worst float64) {
 	limit := float64(faultRatio)
 	if n.hasNoFillers(now) {
 		limit = loneFaultRatio
 	}
-	worst := 0.0
-	for _, sample := range tails {
-		worst = max(worst, sample.ratio)
-	}
 	if worst < limit {
 		return
 	}
--- a/internal/decision/dispatch/fault_test.go
+++ b/internal/decision/dispatch/fault_test.go
@@ -12,35 +12,22 @@
 
 var _ = Describe("A worker that is slow by itself", func() {
 	const faulty = membership.InstanceID("w0")
-	// serve lets the serving tasks of a worker report a tail latency in milliseconds, and
-	// all fillers the use of a processor.
-	serve := func(b *bench, id membership.InstanceID, tail int) {
-		for task, run := range b.workers[id].running {
-			if task.Job == "serving" {
-				run.Percent, run.Measure = 100, tail
-			} else {
-				run.Measure = 1000
-			}
-		}
-	}
 	// measure lets all workers report a short tail, but for the faulty one.
 	measure := func(b *bench, tail int) {
-		for id := range b.workers {
-			serve(b, id, 10)
-		}
-		serve(b, faulty, tail)
+		b.serveAt(10)
+		b.workers[faulty].serve(tail)
 		b.step(500 * time.Millisecond)
 	}
-	// setUp runs a serving task and a filler on each of four workers.
-	setUp := func() *bench {
+	// setUp runs a serving task on each of four workers, and fillers beside them.
+	setUp := func(fillers int, image dispatch.Image) *bench {
 		b := newBench(1, 4)
 		b.list()
 		b.submit("serving", servingStep(4))
 		b.step(0)
 		b.step(0)
-		b.submit("fill", fillerStep(4, "batch"))
+		b.submit("fill", fillerStep(fillers, image))
 		b.step(700 * time.Millisecond)
-		Expect(b.starts).To(HaveLen(8))
+		Expect(b.starts).To(HaveLen(4 + fillers))
 		return b
 	}
 
@@ -48,7 +35,7 @@
 	// measurements far over the target on scale-1 of bogkreds-jt 85 came from five workers
 	// that were slow or stood still, some of them without any filler.
 	It("is no reason to blame the fillers beside its serving tasks", func() {
-		b := setUp()
+		b := setUp(4, "batch")
 		for range 6 {
 			measure(b, 900)
 		}
@@ -56,7 +43,7 @@
 	})
 
 	It("is left by its fillers, which run on elsewhere", func() {
-		b := setUp()
+		b := setUp(4, "batch")
 		for range 3 {
 			measure(b, 900)
 		}
@@ -68,20 +55,14 @@
 
 	// Guards against fillers that disturb by more than is usual and are never found out.
 	It("was disturbed by its fillers after all when it is fast without them", func() {
-		b := newBench(1, 4)
-		b.list()
-		b.submit("serving", servingStep(4))
-		b.step(0)
-		b.step(0)
-		b.submit("fill", fillerStep(1, "loud"))
-		b.step(700 * time.Millisecond)
+		b := setUp(1, "loud")
 		for range 6 {
-			for id, w := range b.workers {
+			for _, w := range b.workers {
 				tail := 10
 				if len(w.running) > 1 {
 					tail = 900
 				}
-				serve(b, id, tail)
+				w.serve(tail)
 			}
 			b.step(500 * time.Millisecond)
 		}
@@ -89,7 +70,7 @@
 	})
 
 	It("gets new tasks only when no other worker has room", func() {
-		b := setUp()
+		b := setUp(4, "batch")
 		measure(b, 900)
 		before := len(b.starts)
 		b.submit("small", tasks(6))
@@ -101,7 +82,7 @@
 	})
 
 	It("still gives fillers away that disturb its serving tasks as neighbors do", func() {
-		b := setUp()
+		b := setUp(4, "batch")
 		for range 4 {
 			measure(b, 100)
 		}
--- a/internal/decision/dispatch/filler.go
+++ b/internal/decision/dispatch/filler.go
@@ -109,11 +109,13 @@
 
 // observeTails learns from the tail latencies in a report.
 func (e *Engine) observeTails(now time.Time, n *node, r Report) {
-	worst := 0.0
 	tails := n.tails(r)
-	e.noteFault(now, n, tails)
-	for image, sample := range tails {
+	worst := 0.0
+	for _, sample := range tails {
 		worst = max(worst, sample.ratio)
+	}
+	e.noteFault(now, n, tails, worst)
+	for image, sample := range tails {
 		if n.isFaulty(now) {
 			e.checkFault(now, n, sample)
 			continue
--- a/internal/decision/dispatch/room_test.go
+++ b/internal/decision/dispatch/room_test.go
@@ -12,9 +12,6 @@
 // Replays how urgent jobs waited on the grown and large sites: long-running tasks reserve
 // nine tenths of the processors, and what they leave was in pieces that no urgent task fits.
 var _ = Describe("Room beside long-running tasks", func() {
-	lasting := func(tasks int, processors float64) dispatch.Step {
-		return dispatch.Step{Tasks: tasks, Resources: cores(processors), LongRunning: true, Image: "serve", Target: 20 * time.Millisecond}
-	}
 	short := func(processors float64) dispatch.Step {
 		return dispatch.Step{Tasks: 1, Resources: cores(processors), Estimate: time.Second}
 	}
@@ -24,7 +21,7 @@
 		b.list()
 		b.step(0)
 		for _, id := range []dispatch.JobID{"a", "b", "c", "d"} {
-			b.submit(id, lasting(2, 2))
+			b.submit(id, lastingStep(2, 2))
 			b.step(200 * time.Millisecond)
 		}
 		Expect(b.starts).To(HaveLen(8))
@@ -37,7 +34,7 @@
 		b := newBench(1, 1)
 		b.list()
 		b.step(0)
-		b.submit("lasting", lasting(1, 4))
+		b.submit("lasting", lastingStep(1, 4))
 		b.submit("urgent", short(4))
 		b.step(200 * time.Millisecond)
 		Expect(b.workersOf("urgent")).To(HaveLen(1))
@@ -55,7 +52,7 @@
 		b.list()
 		b.step(0)
 		b.workers["w0"].silent = true
-		b.submit("lasting", lasting(1, 4))
+		b.submit("lasting", lastingStep(1, 4))
 		urgent := short(4)
 		// It can still be in time after the wait.
 		urgent.Estimate = 10 * time.Second
@@ -78,7 +75,7 @@
 		b.step(0)
 		b.submit("first", short(4))
 		b.step(200 * time.Millisecond)
-		b.submit("lasting", lasting(1, 4))
+		b.submit("lasting", lastingStep(1, 4))
 		for _, id := range []dispatch.JobID{"s1", "s2", "s3"} {
 			b.submit(id, short(3))
 		}
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -116,7 +116,10 @@
 	s := a.task.step
 	took := now.Sub(a.begin.at)
 	s.durations = append(s.durations, took)
-	if usual, lonely := s.usualDuration(); !lonely && !s.Filler && !s.Gang {
+	if s.Filler || s.Gang {
+		return
+	}
+	if usual, lonely := s.usualDuration(); !lonely {
 		a.noteSpeed(now, took, usual)
 	}
 }
