Give each part of the scheduling policy a name and a switch

The log line 'started' has the names. Checks that keep a promise (capacity, leases, epochs) aren't in the list.

--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -94,7 +94,7 @@
 	}
 	p.node = dispatcher.New(dispatcher.Options{
 		Name: s.Instance, PeerAddress: cmp.Or(opts.PeerAnnounceAddress, s.PeerAddress), Seeds: s.Seeds, Cores: s.Cores,
-		LeaseTerm: min(opts.LeaseTerm, s.MaxLease), RemoteDurationFactor: s.RemoteDurationFactor,
+		LeaseTerm: min(opts.LeaseTerm, s.MaxLease), RemoteDurationFactor: s.RemoteDurationFactor, Disabled: opts.Disabled,
 		Store:   platform.StoreClient{Address: s.StoreAddress, HTTP: httpClient},
 		Workers: platform.WorkerClient{HTTP: httpClient, Counters: p.counters},
 		Catalog: platform.Catalog{}, Policy: policy, Peers: p.peerClient, Counters: p.counters, Latencies: p.latencies,
@@ -176,7 +176,7 @@
 // run serves until ctx ends and then stops gracefully.
 func (p *process) run(ctx context.Context) error {
 	defer p.logs.Close()
-	p.log.Info().Str("Zone", string(p.settings.Zone)).Str("Store", p.settings.StoreAddress).Msg("started")
+	p.log.Info().Str("Zone", string(p.settings.Zone)).Str("Store", p.settings.StoreAddress).Strs("Disabled", p.options.Disabled.Names()).Msg("started")
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
--- a/internal/cmd/serveplatform/serveplatform.go
+++ b/internal/cmd/serveplatform/serveplatform.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/settings"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/platform"
 )
 
@@ -27,6 +28,10 @@
 	// PeerAnnounceAddress is the address that other instances are told to use; empty for the
 	// peer address of the settings file.
 	PeerAnnounceAddress string
+	// Disable has the names of the parts of the scheduling policy that aren't used, and
+	// Disabled their set.
+	Disable  []string
+	Disabled mechanism.Set
 	// MetricsPort is the port that serves counters and latencies as text; 0 for none.
 	MetricsPort int
 }
@@ -49,8 +54,9 @@
 		Long: "Run an entry instance on the users' platform. The platform's settings file has its addresses and limits. " +
 			"Every flag can also be given as an environment variable, for example JACINTHTRAIL_LOG_LEVEL for " +
 			"--log-level. SIGTERM starts a graceful stop.",
-		Example: "  $ jacinthtrail serve-platform --config /etc/jacinthtrail/settings.toml",
-		Args:    cobra.NoArgs,
+		Example: "  $ jacinthtrail serve-platform --config /etc/jacinthtrail/settings.toml\n" +
+			"  $ jacinthtrail serve-platform --config /etc/jacinthtrail/settings.toml --disable Preemption,Stragglers",
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if err := settings.Apply(cmd, f.LookupEnv); err != nil {
 				return err
@@ -66,6 +72,7 @@
 	flags.StringVar(&opts.LogLevel, "log-level", "info", "lowest `level` that is logged: debug, info, warn or error")
 	flags.DurationVar(&opts.LeaseTerm, "lease-term", defaultLeaseTerm, "`time` for which a worker runs its tasks without a renewal of its lease")
 	flags.StringVar(&opts.PeerAnnounceAddress, "announce-peer-address", "", "`address` that other entry instances are told to use, if it differs from the peer address")
+	flags.StringSliceVar(&opts.Disable, "disable", nil, "comma-separated `names` of parts of the scheduling policy that aren't used; a wrong name lists all of them")
 	flags.IntVar(&opts.MetricsPort, "metrics-port", 0, "`port` that serves counters and latencies as text; 0 for none")
 	return cmd
 }
@@ -81,6 +88,10 @@
 	if o.MetricsPort < 0 || o.MetricsPort > maxPort {
 		findings.Add("metrics-port", "it is not a port number", "give a number from 0 to 65535")
 	}
+	var err error
+	if o.Disabled, err = mechanism.Parse(o.Disable); err != nil {
+		findings.Add("disable", err.Error(), "give names from that list, separated by commas")
+	}
 	if o.LeaseTerm < time.Second {
 		findings.Add("lease-term", "it is shorter than the replacement of a lost owner", "give 1s or more")
 	}
--- a/internal/cmd/serveplatform/serveplatform_test.go
+++ b/internal/cmd/serveplatform/serveplatform_test.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
 func TestServePlatform(t *testing.T) {
@@ -77,6 +78,25 @@
 			ContainSubstring("--config"), ContainSubstring("--log-level"), ContainSubstring("--lease-term"))))
 	})
 
+	It("disables parts of the scheduling policy by their names", func() {
+		var got *Options
+		cmd := NewCmd(testFactory(map[string]string{"JACINTHTRAIL_DISABLE": "Holds,Preemption"}), func(_ context.Context, o *Options) error {
+			got = o
+			return nil
+		})
+		cmd.SetArgs([]string{"--config", "/x.toml"})
+		Expect(cmd.Execute()).To(Succeed())
+		Expect(got.Disabled).To(Equal(mechanism.Of(mechanism.Holds, mechanism.Preemption)))
+	})
+
+	It("lists the parts of the scheduling policy if one to disable isn't known", func() {
+		cmd := NewCmd(testFactory(nil), func(context.Context, *Options) error { return nil })
+		cmd.SilenceErrors, cmd.SilenceUsage = true, true
+		cmd.SetArgs([]string{"--config", "/x.toml", "--disable", "Hold"})
+		Expect(cmd.Execute()).To(MatchError(And(
+			ContainSubstring("--disable"), ContainSubstring(`"Hold"`), ContainSubstring("Holds"))))
+	})
+
 	// Without a handler, SIGHUP would end the process.
 	It("keeps running after SIGHUP and without a store, and stops when its context ends", func() {
 		path := filepath.Join(GinkgoT().TempDir(), "settings.toml")
--- a/internal/decision/dispatch/admit.go
+++ b/internal/decision/dispatch/admit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/balance"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
 const (
@@ -50,7 +51,7 @@
 	if !e.fitsSomewhere(&proposed, q.Service) {
 		return Admission{RefusedFitsNoWorker, fitsNoWorkerRetry}
 	}
-	if proposed.Repetitions > 0 || proposed.Steps[0].LongRunning {
+	if proposed.Repetitions > 0 || proposed.Steps[0].LongRunning || e.isDisabled(mechanism.OverloadRefusal) {
 		return Admission{}
 	}
 	j := newJob(proposed, q, false)
--- a/internal/decision/dispatch/command.go
+++ b/internal/decision/dispatch/command.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
@@ -101,7 +102,7 @@
 	}
 	a.worker.recordUnansweredStart(now, r)
 	e.startAnswers.record(e.startAnswers.timeout(), false)
-	return !e.suspended && !a.stopPending && !a.restarted && a.worker.missedPolls == 0 && e.startAnswers.takeRetry()
+	return !e.suspended && !e.isDisabled(mechanism.StartRetries) && !a.stopPending && !a.restarted && a.worker.missedPolls == 0 && e.startAnswers.takeRetry()
 }
 
 const (
--- a/internal/decision/dispatch/defrag.go
+++ b/internal/decision/dispatch/defrag.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
 const (
@@ -54,7 +55,7 @@
 // would suffice if it weren't fragmented. If waiting for short tasks to end doesn't
 // make room, it moves a smaller long-running task to another worker.
 func (e *Engine) defragment(now time.Time) {
-	if now.Sub(e.holdsCheckedAt) < holdInterval || e.recovering {
+	if now.Sub(e.holdsCheckedAt) < holdInterval || e.recovering || e.isDisabled(mechanism.Holds) {
 		return
 	}
 	e.holdsCheckedAt = now
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -12,6 +12,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
@@ -53,14 +54,18 @@
 	starts  []dispatch.Command
 	stops   []dispatch.Command
 	paces   []dispatch.Command
+	// decisions are the decisions that the engine recorded.
+	decisions []dispatch.Decision
 }
 
 func newHarness(epoch dispatch.Epoch, workers int) *harness {
-	h := &harness{
-		engine:  dispatch.New(dispatch.Options{Epoch: epoch, LeaseTerm: leaseTerm}),
-		now:     startTime,
-		workers: map[membership.InstanceID]*fakeWorker{},
-	}
+	return newHarnessWithout(0, epoch, workers)
+}
+
+// newHarnessWithout is like newHarness for an engine with some mechanisms disabled.
+func newHarnessWithout(disabled mechanism.Set, epoch dispatch.Epoch, workers int) *harness {
+	h := &harness{now: startTime, workers: map[membership.InstanceID]*fakeWorker{}}
+	h.engine = dispatch.New(dispatch.Options{Epoch: epoch, LeaseTerm: leaseTerm, Disabled: disabled, Recorder: h})
 	h.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{
 		batchQueue: {Name: batchQueue, Service: "pool", MaxAttempts: 2, SlackFactor: 2},
 	})
@@ -71,6 +76,11 @@
 	return h
 }
 
+// RecordDecision implements dispatch.Recorder.
+func (h *harness) RecordDecision(_ time.Time, d dispatch.Decision) {
+	h.decisions = append(h.decisions, d)
+}
+
 func newFakeWorker(id membership.InstanceID, processors float64) *fakeWorker {
 	return &fakeWorker{
 		info:        dispatch.WorkerInfo{ID: id, Address: string(id), Service: "pool", Zone: "z", Capacity: cores(processors)},
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -7,6 +7,7 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
@@ -47,7 +48,9 @@
 	LeaseTerm time.Duration
 	// RemoteDurationFactor is how many times longer a task takes away from its preferred rack.
 	RemoteDurationFactor float64
-	Counters             Counters
+	// Disabled are the parts of the policy that aren't used.
+	Disabled mechanism.Set
+	Counters Counters
 	// Latencies may be nil.
 	Latencies Latencies
 	Recorder  Recorder
@@ -376,6 +379,10 @@
 	return commands
 }
 
+func (e *Engine) isDisabled(m mechanism.Mechanism) bool {
+	return e.options.Disabled.Has(m)
+}
+
 func (e *Engine) count(name string) {
 	if e.options.Counters != nil {
 		e.options.Counters.Add(name, 1)
--- a/internal/decision/dispatch/exchange.go
+++ b/internal/decision/dispatch/exchange.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
+)
 
 const (
 	// maxBlockedDemand is the share of the filler demand, weighted by scarcity, at
@@ -43,7 +47,7 @@
 // doesn't block for scarce fillers, and tries to make such a worker available. Running
 // a serving task is worth far less than the fillers that it blocks.
 func (e *Engine) deferForBetterWorker(now time.Time, t *task, w *worker) bool {
-	if t.step.Target <= 0 || e.recovering || !e.wouldBlockFillers(now, w, t.step.Image) {
+	if t.step.Target <= 0 || e.recovering || e.isDisabled(mechanism.BetterWorkerWait) || !e.wouldBlockFillers(now, w, t.step.Image) {
 		return false
 	}
 	if t.deferredSince.IsZero() {
--- a/internal/decision/dispatch/fault.go
+++ b/internal/decision/dispatch/fault.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
 const (
@@ -37,7 +38,7 @@
 	if w.hasNoFillers(now) {
 		limit = faultRatioWithoutFillers
 	}
-	if worst < limit {
+	if worst < limit || e.isDisabled(mechanism.FaultyWorkers) {
 		return
 	}
 	if !w.isFaulty(now) {
--- a/internal/decision/dispatch/filler.go
+++ b/internal/decision/dispatch/filler.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
@@ -143,7 +144,9 @@
 		e.recordInterference(now, w, neighbors)
 	}
 	w.tailLatencyRatio += tailSmoothing * (worst - w.tailLatencyRatio)
-	w.paceControl.adjust(now, worst, w.hasInterferingFiller())
+	if !e.isDisabled(mechanism.PaceControl) {
+		w.paceControl.adjust(now, worst, w.hasInterferingFiller())
+	}
 }
 
 // tailSample is the tail latency of the slowest serving task of an image on a worker.
@@ -266,7 +269,7 @@
 }
 
 func (e *Engine) controlFiller(now time.Time, w *worker, a *attempt) {
-	if !a.interfering && e.interferenceProbability(now, a.task.step, w) > evictProbability {
+	if !a.interfering && !e.isDisabled(mechanism.InterferenceEviction) && e.interferenceProbability(now, a.task.step, w) > evictProbability {
 		e.count("Task.Evicted.Disturbs")
 		e.stop(now, a, "interferes with a serving task")
 		return
@@ -285,7 +288,7 @@
 // evictSuspect stops the filler that most likely slows down a serving task, unless one
 // was stopped so recently that measurements don't show the effect yet.
 func (e *Engine) evictSuspect(now time.Time, w *worker, serving *step) {
-	if now.Sub(w.suspectEvictedAt) < measurementLag || w.hasInterferingFiller() {
+	if now.Sub(w.suspectEvictedAt) < measurementLag || e.isDisabled(mechanism.SuspectEviction) || w.hasInterferingFiller() {
 		return
 	}
 	var worst *attempt
@@ -350,6 +353,9 @@
 // interference is uncertain. Only a few at a time do, so that few serving tasks suffer
 // if it interferes.
 func (e *Engine) mayStartTrial(now time.Time, s *step, w *worker) bool {
+	if e.isDisabled(mechanism.TrialLimit) {
+		return true
+	}
 	for serving := range w.servingImages {
 		pair := pairOf(serving, s.Image)
 		if e.interferenceProbabilities.Probability(now, pair) > maxHarmlessProbability && e.trialRuns[pair] >= maxTrialRuns {
--- a/internal/decision/dispatch/health.go
+++ b/internal/decision/dispatch/health.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
+)
 
 const (
 	// failureWindow is how long a failed run counts against its worker.
@@ -44,6 +48,11 @@
 	return now.Before(h.quarantinedUntil)
 }
 
+// isQuarantined reports whether a worker gets no new tasks because it fails everything.
+func (e *Engine) isQuarantined(now time.Time, w *worker) bool {
+	return w.health.isQuarantined(now) && !e.isDisabled(mechanism.Quarantine)
+}
+
 // failures returns the number of jobs that failed on the worker recently, with no
 // success since.
 func (h *health) failures(now time.Time) int {
--- a/internal/decision/dispatch/load.go
+++ b/internal/decision/dispatch/load.go
@@ -47,7 +47,7 @@
 func (e *Engine) Load(now time.Time) balance.Load {
 	var l balance.Load
 	for _, w := range e.sortedWorkers {
-		if w.mayBeAvailable(now) && !w.health.isQuarantined(now) && !e.zonesOutOfService[w.Zone] {
+		if w.mayBeAvailable(now) && !e.isQuarantined(now, w) && !e.zonesOutOfService[w.Zone] {
 			l.Capacity += w.Capacity.Processors
 		}
 	}
--- a/internal/decision/dispatch/order.go
+++ b/internal/decision/dispatch/order.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
 // urgency classifies a job by whether it can still meet its objective. Steps of jobs
@@ -44,8 +46,13 @@
 			continue
 		}
 		u, density := j.urgency(now), e.valueDensity(j)
+		if e.isDisabled(mechanism.UrgencyClasses) {
+			u = inTime
+		}
 		for i := range list[first:] {
-			list[first+i].urgency, list[first+i].valueDensity = u, density
+			c := &list[first+i]
+			c.urgency, c.valueDensity = u, density
+			c.yieldsToShortTasks = c.yieldsToShortTasks && !e.isDisabled(mechanism.YieldToShortTasks)
 		}
 	}
 	slices.SortFunc(list, compareCandidates)
@@ -137,7 +144,7 @@
 // the mean of the queue.
 func (e *Engine) valueDensity(j *job) float64 {
 	mean := e.meanWork[j.Queue]
-	if mean <= 0 {
+	if mean <= 0 || e.isDisabled(mechanism.ValueDensity) {
 		return 1
 	}
 	value := fixedValueShare + (1-fixedValueShare)*j.work()/mean
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
 // Weights of the terms of a worker's cost, and limits that apply to them. The unit of
@@ -86,7 +87,7 @@
 // once, because each search for a worker checks all of them.
 func (e *Engine) updateSchedulable(now time.Time) {
 	for _, w := range e.sortedWorkers {
-		w.schedulable = w.isAvailable(now) && !w.health.isQuarantined(now) && !e.zonesOutOfService[w.Zone]
+		w.schedulable = w.isAvailable(now) && !e.isQuarantined(now, w) && !e.zonesOutOfService[w.Zone]
 	}
 }
 
@@ -116,7 +117,7 @@
 		}
 		cost += faultCost
 	}
-	if w.slowdown > minSlowWorkerRatio {
+	if w.slowdown > minSlowWorkerRatio && !e.isDisabled(mechanism.SlowWorkers) {
 		cost += slowdownCost * (w.slowdown - 1)
 	}
 	for _, failed := range t.failedOn {
@@ -153,8 +154,11 @@
 	if probability > maxPlaceProbability || (probability > maxHarmlessProbability && !e.mayStartTrial(now, s, w)) {
 		return 0, false
 	}
-	cost += tailLatencyCost*max(w.tailLatencyRatio-unpenalizedTailRatio, 0) + scarceWorkerCost*w.fillerValue
-	if probability > maxHarmlessProbability && e.hasUncertain(now, w, s.Image) {
+	cost += scarceWorkerCost * w.fillerValue
+	if !e.isDisabled(mechanism.TailLatencyCost) {
+		cost += tailLatencyCost * max(w.tailLatencyRatio-unpenalizedTailRatio, 0)
+	}
+	if probability > maxHarmlessProbability && !e.isDisabled(mechanism.UncertainMixCost) && e.hasUncertain(now, w, s.Image) {
 		cost += uncertainMixCost
 	}
 	return cost + interferenceCost*probability - share(idle, w.Capacity.Processors), true
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
 const (
@@ -22,7 +24,7 @@
 	if s.blockedSince.IsZero() {
 		s.blockedSince = now
 	}
-	if s.Filler || s.LongRunning || now.Sub(s.blockedSince) < preemptDelay || now.Sub(s.preemptedAt) < preemptInterval {
+	if s.Filler || s.LongRunning || e.isDisabled(mechanism.Preemption) || now.Sub(s.blockedSince) < preemptDelay || now.Sub(s.preemptedAt) < preemptInterval {
 		return
 	}
 	s.preemptedAt = now
--- a/internal/decision/dispatch/scarcity.go
+++ b/internal/decision/dispatch/scarcity.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
+)
 
 const (
 	// scarcityInterval is the time between two updates of the scarcity of each filler
@@ -32,7 +36,7 @@
 // updateScarcity updates the scarcity of each filler image, and the value of each
 // worker from the demand that it can serve; the mean is 1.
 func (e *Engine) updateScarcity(now time.Time) {
-	if now.Sub(e.scarcity.updatedAt) < scarcityInterval {
+	if now.Sub(e.scarcity.updatedAt) < scarcityInterval || e.isDisabled(mechanism.Scarcity) {
 		return
 	}
 	e.scarcity = scarcity{updatedAt: now, weights: map[Image]float64{}}
--- a/internal/decision/dispatch/serving.go
+++ b/internal/decision/dispatch/serving.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
 const (
@@ -94,6 +96,9 @@
 // servingCost returns the cost terms that apply to serving tasks: the fillers that the
 // task would block, and a mix of serving images, which few fillers are compatible with.
 func (e *Engine) servingCost(now time.Time, s *step, w *worker) float64 {
+	if e.isDisabled(mechanism.ServingCost) {
+		return 0
+	}
 	cost := 0.0
 	if w.servingImages[s.Image] == 0 {
 		cost += blockedDemandCost * e.blockedDemand(now, w, s.Image)
@@ -115,7 +120,7 @@
 // consolidate moves a serving task that is the only one to block fillers on its worker
 // to a worker where it blocks none, or few.
 func (e *Engine) consolidate(now time.Time) {
-	if now.Sub(e.servingMovedAt) < moveInterval || e.recovering {
+	if now.Sub(e.servingMovedAt) < moveInterval || e.recovering || e.isDisabled(mechanism.Consolidation) {
 		return
 	}
 	for _, w := range e.sortedWorkers {
--- a/internal/decision/dispatch/slowdown.go
+++ b/internal/decision/dispatch/slowdown.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
 const (
@@ -86,9 +88,9 @@
 // workerMayBeSlow reports whether a run may take long because of its worker: other
 // tasks on the worker are slow too, or there is no sample of others and the task wasn't
 // restarted as slow before.
-func (a *attempt) workerMayBeSlow(now time.Time) bool {
+func (e *Engine) workerMayBeSlow(now time.Time, a *attempt) bool {
 	slowdown, known := a.worker.slowdownSamples.medianExcept(now, a.task.id)
-	if known {
+	if known && !e.isDisabled(mechanism.SlowWorkers) {
 		return slowdown >= minSlowWorkerRatio
 	}
 	return !a.task.restartedAsSlow
--- a/internal/decision/dispatch/starvation.go
+++ b/internal/decision/dispatch/starvation.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
+)
 
 const (
 	// starvationDelay is how long fillers wait before one of them is force-started: on
@@ -34,7 +38,7 @@
 // mayForceStart reports whether a filler of the step may run although no worker was
 // found for it.
 func (e *Engine) mayForceStart(now time.Time, s *step) bool {
-	return e.starvationCheckDue && e.forcedFillers < maxForcedFillers && s.isStarving(now)
+	return e.starvationCheckDue && !e.isDisabled(mechanism.ForcedStarts) && e.forcedFillers < maxForcedFillers && s.isStarving(now)
 }
 
 // forceStart starts a filler that has waited for too long, and reports whether it did.
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
 const (
@@ -55,6 +57,9 @@
 	for _, w := range e.sortedWorkers {
 		w.slowdown = w.slowdownSamples.median(now)
 	}
+	if e.isDisabled(mechanism.Stragglers) {
+		return
+	}
 	for _, r := range steps {
 		for _, a := range r.runs {
 			e.checkProgress(now, a, r.typical, r.estimated)
@@ -153,7 +158,7 @@
 func (e *Engine) checkProgress(now time.Time, a *attempt, typical time.Duration, estimated bool) {
 	projected := a.projectedDuration()
 	hung := now.Sub(a.progressAt) > max(minHungTime, time.Duration(hungFactor*float64(typical)))
-	slow := !estimated && projected > time.Duration(slowRunFactor*float64(typical)) && a.workerMayBeSlow(now)
+	slow := !estimated && projected > time.Duration(slowRunFactor*float64(typical)) && e.workerMayBeSlow(now, a)
 	remaining := projected - now.Sub(a.firstProgress.at)
 	switch {
 	case hung && a.percent < 100:
--- a/internal/entry/dispatcher/choose_shard.go
+++ b/internal/entry/dispatcher/choose_shard.go
@@ -5,6 +5,7 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/balance"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
 const (
@@ -42,7 +43,7 @@
 // shard stays.
 func (o *owner) chooseShard(j *dispatch.Job) shardID {
 	current := o.shard.id
-	if o.shard.count == 1 || o.isMovedHere(j.ID) {
+	if o.shard.count == 1 || o.isMovedHere(j.ID) || o.node.Disabled.Has(mechanism.ShardBalance) {
 		return current
 	}
 	demand := j.Demand()
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -17,6 +17,7 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/counter"
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
@@ -93,6 +94,8 @@
 	Store   Store
 	Workers Workers
 	Catalog Catalog
+	// Disabled are the parts of the scheduling policy that aren't used.
+	Disabled mechanism.Set
 	// Policy is nil if there is no placement policy.
 	Policy   Policy
 	Peers    *entry.Client
--- a/internal/entry/dispatcher/estimates.go
+++ b/internal/entry/dispatcher/estimates.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
 const (
@@ -18,7 +19,7 @@
 
 // exchangeEstimates merges the estimates of the owners of other shards.
 func (o *owner) exchangeEstimates(ctx context.Context) error {
-	if o.shard.count == 1 {
+	if o.shard.count == 1 || o.node.Disabled.Has(mechanism.EstimateExchange) {
 		return nil
 	}
 	return o.node.every(ctx, exchangeInterval, func() {
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
@@ -82,7 +83,9 @@
 		for _, s := range shards {
 			group.Go(func() error { return s.monitorOwner(ctx) })
 		}
-		group.Go(func() error { return n.runRebalancing(ctx) })
+		if !n.Disabled.Has(mechanism.OwnerRebalance) {
+			group.Go(func() error { return n.runRebalancing(ctx) })
+		}
 		return nil
 	})
 	return group.Wait()
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -113,7 +113,7 @@
 	}
 	o.engine = dispatch.New(dispatch.Options{
 		Epoch: row.Epoch, LeaseTerm: n.LeaseTerm, RemoteDurationFactor: n.RemoteDurationFactor,
-		Counters: n.Counters, Latencies: n.Latencies, Recorder: o,
+		Disabled: n.Disabled, Counters: n.Counters, Latencies: n.Latencies, Recorder: o,
 	})
 	return o
 }
