Let replicas of a comparison differ by a timer in place of the lease

The intervals of variants were honest before too, since they come from the differences between cells.

--- a/internal/operator/comparison/comparison.go
+++ b/internal/operator/comparison/comparison.go
@@ -38,7 +38,7 @@
 	Cell    Cell
 	Variant Variant
 	// Replica numbers the plays of a cell by a variant. They differ by a change without
-	// meaning, such as a lease that is a millisecond longer.
+	// meaning, such as a timer that is a millisecond longer.
 	Replica int
 	// Worth is the share of the possible worth that was served, by class.
 	Worth map[Class]float64
