--- a/internal/cmd/explainday/explainday.go
+++ b/internal/cmd/explainday/explainday.go
@@ -41,7 +41,9 @@
 		Short: "Report how all jobs of a log ended and why some weren't in time",
 		Long: "Read the logs of all instances of serve-platform and count the jobs by how they\n" +
 			"ended. For jobs that weren't in time, add up the time that they lost: by cause, by\n" +
-			"queue and by the time at which they were accepted.",
+			"queue and by the time at which they were accepted. Then tell for how long serving tasks\n" +
+			"were over their targets and long-running tasks were down, added up over the tasks,\n" +
+			"by reason.",
 		Example: "  $ jacinthtrail explain day --from bal-1.log --from dbn-3.log\n" +
 			"  $ cat *.log | jacinthtrail explain day --from - --span 1m --json",
 		Args: cobra.NoArgs,
@@ -108,12 +110,35 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	if err := printReasons(out, "serving tasks over their targets", summary.OverTarget); err != nil {
+		return err
+	}
+	if err := printReasons(out, "long-running tasks down", summary.Down); err != nil {
+		return err
+	}
 	for _, r := range summary.Latest {
 		fmt.Fprintf(out, "%s took %v, objective %v: %s\n", r.Job, r.Took, r.Objective, mainCause(r))
 	}
 	return nil
 }
 
+// printReasons prints the time that long-running tasks lost, in total and by reason.
+func printReasons(out io.Writer, title string, reasons []diagnosis.ReasonTotal) error {
+	if len(reasons) == 0 {
+		return nil
+	}
+	total := time.Duration(0)
+	for _, r := range reasons {
+		total += r.Lost
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(table, "%.1f s\t\t  %s\n", total.Seconds(), title)
+	for _, r := range reasons {
+		fmt.Fprintf(table, "%.1f s\t%d times\t  %s\n", r.Lost.Seconds(), r.Periods, r.Reason)
+	}
+	return table.Flush()
+}
+
 func printGroup(out io.Writer, g diagnosis.Group) {
 	fmt.Fprintf(out, "%s\t%d", g.Name, g.Jobs)
 	for _, o := range outcomes {
--- a/internal/decision/dispatch/command.go
+++ b/internal/decision/dispatch/command.go
@@ -18,6 +18,7 @@
 		return
 	}
 	a.phase = stopping
+	a.task.beginDowntime(now, a.worker, reason)
 	e.record(now, Decision{Event: "TaskStopping", Task: a.taskRun(), Worker: a.worker.ID, Reason: reason})
 	e.count("Task.Stopping")
 	e.sendStop(now, a)
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -82,6 +82,8 @@
 	deferredSince time.Time
 	// nextSearchAt is the earliest time of the next search for a worker.
 	nextSearchAt time.Time
+	// down is the downtime of a long-running task, with a zero time while it is at work.
+	down downtime
 	// notBefore is the earliest time of the next start.
 	notBefore time.Time
 }
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -89,6 +89,7 @@
 	e.observeRunning(now, w, r.Running)
 	e.handleMissingRuns(now, w, r)
 	e.observeTailLatencies(now, w, r)
+	e.accountServingTime(now, w, r)
 }
 
 // handleRestart drops the runs of a worker whose process has restarted. Runs whose
@@ -120,6 +121,7 @@
 
 func (e *Engine) loseRun(now time.Time, a *attempt, reason string) {
 	e.count("Task.Lost")
+	a.task.beginDowntime(now, a.worker, reason)
 	e.record(now, Decision{Event: "TaskLost", Task: a.taskRun(), Worker: a.worker.ID, Reason: reason})
 	e.releaseRun(now, a)
 }
@@ -151,6 +153,7 @@
 	startedUp := false
 	if a := w.runs[end.Task]; a != nil && a.run == end.Run {
 		startedUp = a.percent >= startedUpPercent
+		a.task.beginDowntime(now, w, reasonEnded)
 		if end.Kind == EndDone && a.firstProgress.percent == 0 {
 			a.recordDuration(now)
 		}
@@ -238,6 +241,9 @@
 			a.firstProgress = progressSample{r.Percent, now}
 		}
 		a.percent, a.progressAt = r.Percent, now
+		if a.percent >= startedUpPercent && a.phase == running {
+			e.endDowntime(now, a)
+		}
 	}
 	a.measurement = r.Measurement
 	if r.Checkpoint != "" {
@@ -255,6 +261,7 @@
 	a := newAttempt(t, r.Run, w, now)
 	a.phase = running
 	a.adopted = true
+	t.down = downtime{}
 	a.pace.percent = unknownPace
 	w.add(a)
 	e.record(now, Decision{Event: "TaskAdopted", Task: r, Worker: w.ID})
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -112,6 +112,8 @@
 	// fillerReducedAt is when a filler of each image last left or was slowed down.
 	// Measurements still include its effect for a while.
 	fillerReducedAt map[Image]time.Time
+	// overTargets has the serving steps with tasks over their target.
+	overTargets map[*step]*overTarget
 	// servingImages counts the serving tasks by image.
 	servingImages map[Image]int
 	// lastEndSeen is the number of the last end that was processed, lastEndStored that
@@ -154,6 +156,7 @@
 		servingImages:    map[Image]int{},
 		fillerReducedAt:  map[Image]time.Time{},
 		sampledAt:        map[Image]time.Time{},
+		overTargets:      map[*step]*overTarget{},
 		orphanStops:      map[TaskRun]time.Time{},
 		unansweredStarts: map[TaskRun]time.Time{},
 	}
--- a/internal/operator/diagnosis/summary.go
+++ b/internal/operator/diagnosis/summary.go
@@ -62,10 +62,22 @@
 	All    Group
 	Queues []Group
 	Spans  []Group
+	// OverTarget is the time for which serving tasks were over their targets, and Down the
+	// time for which long-running tasks weren't at work, added up over the tasks, by reason
+	// in descending order of the time lost.
+	OverTarget, Down []ReasonTotal
 	// Latest holds the jobs that exceeded their objectives by most, in descending order.
 	Latest []Report
 }
 
+// ReasonTotal is the time that long-running tasks lost for a reason.
+type ReasonTotal struct {
+	Reason string
+	// Periods is the number of periods, and Lost their total duration.
+	Periods int
+	Lost    time.Duration
+}
+
 // maxLatestJobs is the maximum length of Summary.Latest.
 const maxLatestJobs = 10
 
@@ -96,7 +108,10 @@
 		}
 	}
 	slices.SortStableFunc(late, func(a, b Report) int { return cmp.Compare(b.Took-b.Objective, a.Took-a.Objective) })
-	summary := Summary{All: all.build(), Latest: late[:min(len(late), maxLatestJobs)]}
+	summary := Summary{
+		All: all.build(), Latest: late[:min(len(late), maxLatestJobs)],
+		OverTarget: totalByReason(lines, "ServingOverTarget"), Down: totalByReason(lines, "TaskDown"),
+	}
 	for _, name := range slices.Sorted(maps.Keys(queues)) {
 		summary.Queues = append(summary.Queues, queues[name].build())
 	}
@@ -106,6 +121,29 @@
 	return summary
 }
 
+// totalByReason adds up the durations in the lines of an event by their reasons.
+func totalByReason(lines []Line, event string) []ReasonTotal {
+	totals := map[string]*ReasonTotal{}
+	for _, l := range lines {
+		if l.Event != event {
+			continue
+		}
+		if totals[l.Reason] == nil {
+			totals[l.Reason] = &ReasonTotal{Reason: l.Reason}
+		}
+		totals[l.Reason].Periods++
+		totals[l.Reason].Lost += fromMilliseconds(l.Took)
+	}
+	list := make([]ReasonTotal, 0, len(totals))
+	for _, t := range totals {
+		list = append(list, *t)
+	}
+	slices.SortFunc(list, func(a, b ReasonTotal) int {
+		return cmp.Or(cmp.Compare(b.Lost, a.Lost), cmp.Compare(a.Reason, b.Reason))
+	})
+	return list
+}
+
 // linesByJob groups lines by job. It omits the lines that are only about a worker or an
 // instance.
 func linesByJob(lines []Line) map[string][]Line {
--- a/internal/operator/diagnosis/summary_test.go
+++ b/internal/operator/diagnosis/summary_test.go
@@ -61,6 +61,20 @@
 		}))
 	})
 
+	It("totals the time that serving tasks lost, by reason", func() {
+		d := summarize(
+			line(1000, `"Event":"ServingOverTarget","Job":"j","Worker":"w1","Reason":"without fillers","Took":400`),
+			line(2000, `"Event":"ServingOverTarget","Job":"j","Worker":"w2","Reason":"beside a filler known to interfere","Took":1500.5`),
+			line(3000, `"Event":"ServingOverTarget","Job":"k","Worker":"w1","Reason":"without fillers","Took":600`),
+			line(3100, `"Event":"TaskDown","Task":"j/0/0/1","Run":2,"Worker":"w1","Reason":"lease ended","Took":5000`),
+		)
+		Expect(d.OverTarget).To(Equal([]diagnosis.ReasonTotal{
+			{Reason: "beside a filler known to interfere", Periods: 1, Lost: 1501 * time.Millisecond},
+			{Reason: "without fillers", Periods: 2, Lost: time.Second},
+		}))
+		Expect(d.Down).To(Equal([]diagnosis.ReasonTotal{{Reason: "lease ended", Periods: 1, Lost: 5 * time.Second}}))
+	})
+
 	It("summarizes an empty log as having no jobs", func() {
 		Expect(summarize().All.Jobs).To(BeZero())
 	})
