Give fillers what serving tasks don't use, as their tails show

The owner keeps the images apart well: 17 of 48 workers hold only the fifth image, and the five run there alone (315 of 320 processors of fillers). But these workers stood a third idle (own use 0.42 of what is reserved, fillers 315 of 1,184 processors) while 43 jobs of these images waited until they were worthless: fillers were given 35 % of the reserved processors at any load.

Change: the latency of a queue grows as 1/(1-load), so the ratio of a tail to the lowest one that its image was seen with tells the load. What is left to serving tasks follows that, from 25 % to the former 65 %, with 5 points of margin; a worker without measurements stays at 65 %. Switch: MeasuredUse.

--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -74,6 +74,8 @@
 	// recordedInterference has the last recorded decision for each pair: whether the
 	// filler image interferes with the serving image.
 	recordedInterference map[interference.Pair]bool
+	// unloadedTails has the lowest tail latency of each serving image.
+	unloadedTails map[Image]unloadedTail
 	// trialRuns counts the recently started fillers by pair.
 	trialRuns map[interference.Pair]int
 	// recoveryEnds is when all leases that an earlier owner granted have expired.
@@ -148,6 +150,7 @@
 		meanWork:             map[QueueName]float64{},
 		recordedInterference: map[interference.Pair]bool{},
 		trialRuns:            map[interference.Pair]int{},
+		unloadedTails:        map[Image]unloadedTail{},
 		unplaceable:          map[shape]resource.Vector{},
 	}
 }
--- a/internal/decision/dispatch/filler.go
+++ b/internal/decision/dispatch/filler.go
@@ -143,6 +143,7 @@
 		e.interferenceProbabilities.Observe(now, sample.ratio, neighbors)
 		e.recordInterference(now, w, neighbors)
 	}
+	e.observeServingUse(now, w, tails)
 	w.tailLatencyRatio += tailSmoothing * (worst - w.tailLatencyRatio)
 	if !e.isDisabled(mechanism.PaceControl) {
 		w.paceControl.adjust(now, worst, w.hasInterferingFiller())
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -42,9 +42,6 @@
 	// fillers to the workers with the most latency headroom.
 	tailLatencyCost      = 1.0
 	unpenalizedTailRatio = 0.5
-	// servingUsePercent is the percentage of its reserved processors that a serving
-	// task is assumed to use at peak load. Fillers may use the rest.
-	servingUsePercent = 65
 	// minIdleShare is the share of a filler's requested processors that must be idle.
 	minIdleShare = 0.6
 )
@@ -180,7 +177,7 @@
 
 // idleProcessors returns the processors that are still available to fillers.
 func (w *worker) idleProcessors() resource.MilliProcessors {
-	unused := w.servingReserved * (100 - servingUsePercent) / 100
+	unused := w.servingReserved * resource.MilliProcessors(100-w.servingUsePercent()) / 100
 	return w.Capacity.Processors - w.reserved.Processors + unused - w.fillerProcessors
 }
 
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -145,11 +145,15 @@
 	// tailLatencyRatio is the smoothed ratio of tail latency to target of the slowest
 	// serving task.
 	tailLatencyRatio float64
+	// servingUse is the smoothed share of their reserved processors that the serving tasks
+	// use, as far as their tail latencies show.
+	servingUse float64
 }
 
 func newWorker(info WorkerInfo, now time.Time) *worker {
 	return &worker{
 		WorkerInfo:       info,
+		servingUse:       1,
 		listed:           true,
 		lastReportAt:     now,
 		runs:             map[TaskID]*attempt{},
--- a/internal/decision/mechanism/mechanism.go
+++ b/internal/decision/mechanism/mechanism.go
@@ -20,6 +20,7 @@
 	BetterWorkerWait
 	Holds
 	Scarcity
+	MeasuredUse
 	TailLatencyCost
 	UncertainMixCost
 	TrialLimit
@@ -56,6 +57,7 @@
 	BetterWorkerWait:     {"BetterWorkerWait", "a new serving task for which only workers that fillers need have room"},
 	Holds:                {"Holds", "long-running tasks that fit on no worker because the free capacity is fragmented"},
 	Scarcity:             {"Scarcity", "filler images that only a few workers accept"},
+	MeasuredUse:          {"MeasuredUse", "fillers that wait while serving tasks use little of what they reserve"},
 	TailLatencyCost:      {"TailLatencyCost", "serving tasks that are already close to their targets"},
 	UncertainMixCost:     {"UncertainMixCost", "fillers of several images whose interference isn't known yet"},
 	TrialLimit:           {"TrialLimit", "a burst of fillers whose interference isn't known yet"},
