--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -39,6 +39,10 @@
 	// Took is the age of a job at its end. Objective is the target for it.
 	Took      time.Duration
 	Objective time.Duration
+	// SlackFactor and TargetLatency are those of the queue of an added job. Objective
+	// follows from them and the client's estimates.
+	SlackFactor   float64
+	TargetLatency time.Duration
 }
 
 // Options configures an Engine.
@@ -285,7 +289,10 @@
 	added.restore(stored)
 	added.eachTask(func(t *task) { t.down = downtime{since: now, reason: reasonFirstStart} })
 	e.jobs[j.ID] = added
-	e.record(now, Decision{Event: "JobAdded", Job: j.ID, Reason: string(j.Queue), Objective: added.objective})
+	e.record(now, Decision{
+		Event: "JobAdded", Job: j.ID, Reason: string(j.Queue), Objective: added.objective,
+		SlackFactor: added.queue.SlackFactor, TargetLatency: added.queue.TargetLatency,
+	})
 	e.completeIfDone(now, added)
 }
 
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -177,6 +177,9 @@
 	if d.Objective > 0 {
 		line = line.Dur("Objective", d.Objective)
 	}
+	if d.SlackFactor > 0 {
+		line = line.Float64("SlackFactor", d.SlackFactor).Dur("TargetLatency", d.TargetLatency)
+	}
 	line.Send()
 }
 
--- a/internal/operator/diagnosis/history.go
+++ b/internal/operator/diagnosis/history.go
@@ -27,7 +27,11 @@
 	added           time.Time
 	state           string
 	took, objective time.Duration
-	ended           time.Time
+	// slackFactor and targetLatency are those of the queue, or 0 in logs of earlier
+	// versions.
+	slackFactor   float64
+	targetLatency time.Duration
+	ended         time.Time
 	// runs is sorted by start time.
 	runs      []*run
 	runsByKey map[runKey]*run
@@ -58,6 +62,7 @@
 			h.added = l.Time
 		}
 		h.objective = fromMilliseconds(l.Objective)
+		h.slackFactor, h.targetLatency = l.SlackFactor, fromMilliseconds(l.TargetLatency)
 	case "JobCompleted", "JobFailed", "JobCancelled":
 		h.state = strings.TrimPrefix(l.Event, "Job")
 		h.took, h.ended = fromMilliseconds(l.Took), l.Time
@@ -217,7 +222,7 @@
 	for _, r := range h.runs {
 		if took := r.ended.Sub(r.started); r.endReason == "Done" && took > f.Lost {
 			f.Lost = took
-			f.Facts = fmt.Sprintf("%s took longest, on %s; the objective is based on the client's estimates", r.task, r.worker)
+			f.Facts = fmt.Sprintf("%s took longest, on %s", r.task, r.worker)
 		}
 	}
 	// Only the time beyond the objective counts as lost.
--- a/internal/operator/diagnosis/line.go
+++ b/internal/operator/diagnosis/line.go
@@ -27,11 +27,14 @@
 	Reason   string
 	Path     string
 	Queue    string
-	// Took, Objective, Age and RetryAfter are in milliseconds.
-	Took       float64
-	Objective  float64
-	Age        float64
-	RetryAfter float64
+	// SlackFactor and TargetLatency are those of the queue of an added job.
+	SlackFactor float64
+	// Took, Objective, TargetLatency, Age and RetryAfter are in milliseconds.
+	Took          float64
+	Objective     float64
+	TargetLatency float64
+	Age           float64
+	RetryAfter    float64
 }
 
 // maxLineBytes is the maximum length of a log line.
--- a/internal/operator/diagnosis/report.go
+++ b/internal/operator/diagnosis/report.go
@@ -46,7 +46,7 @@
 	// State is the last state of the job in the log, such as Completed.
 	State string
 	// Took is the time from the acceptance of the job to its end. Objective is the maximum
-	// that it should take.
+	// that it should take, given how long its tasks took.
 	Took, Objective time.Duration
 	// Findings holds the causes in descending order of the time lost.
 	Findings []Finding
@@ -69,6 +69,7 @@
 		return r
 	}
 	h := newJobHistory(r.Lines)
+	h.objective = h.objectiveOfWork()
 	r.State, r.Took, r.Objective = h.state, h.took, h.objective
 	switch {
 	case h.refused != nil && h.added.IsZero():
--- a/internal/operator/diagnosis/summary_test.go
+++ b/internal/operator/diagnosis/summary_test.go
@@ -1,7 +1,10 @@
 package diagnosis_test
 
 import (
+	"compress/gzip"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -75,6 +78,50 @@
 		Expect(d.Down).To(Equal([]diagnosis.ReasonTotal{{Reason: "lease ended", Periods: 1, Lost: 5 * time.Second}}))
 	})
 
+	// Guards against a verdict that rests on the client's estimates: it counted 81 jobs of a
+	// queue as late of which callers counted none.
+	It("counts as callers do on a recorded day", func() {
+		file, err := os.Open(filepath.Join("..", "..", "..", "testdata", "days", "quiet-1.jsonl.gz"))
+		Expect(err).NotTo(HaveOccurred())
+		defer file.Close()
+		unpacked, err := gzip.NewReader(file)
+		Expect(err).NotTo(HaveOccurred())
+		lines, skipped, err := diagnosis.Read(unpacked)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(skipped).To(BeZero())
+		d := diagnosis.Summarize(lines, 5*time.Second)
+
+		// Callers counted 212 and 203 jobs of the two queues of batch jobs as in time, the
+		// failed ones that can't be done among them, and 0 and 1 as late.
+		const reservations, catalogs = "r-f75hqdf", "r-fqkpyek"
+		outcomes := map[string]map[diagnosis.Outcome]int{}
+		for _, q := range d.Queues {
+			outcomes[q.Name] = q.Outcomes
+		}
+		Expect(outcomes[reservations][diagnosis.InTime] + outcomes[reservations][diagnosis.GivenUp]).To(BeNumerically("~", 212, 4))
+		Expect(outcomes[reservations][diagnosis.Late]).To(BeNumerically("<=", 4))
+		Expect(outcomes[catalogs][diagnosis.Late]).To(BeNumerically("~", 1, 4))
+
+		// Callers counted 232 s of serving tasks over their targets.
+		lost := time.Duration(0)
+		for _, r := range d.OverTarget {
+			lost += r.Lost
+		}
+		Expect(lost.Seconds()).To(BeNumerically("~", 232, 23.2))
+	})
+
+	It("limits a run on a slow worker when it derives the objective from the work", func() {
+		lines := []string{line(0, `"Event":"JobAdded","Job":"s","Reason":"q","Objective":9000,"SlackFactor":2,"TargetLatency":100`)}
+		for i, ended := range []int{1000, 1000, 8000} {
+			lines = append(lines,
+				line(0, fmt.Sprintf(`"Event":"TaskStart","Task":"s/0/0/%d","Run":1,"Worker":"w1","Reason":"Accepted"`, i)),
+				line(ended, fmt.Sprintf(`"Event":"TaskEnded","Task":"s/0/0/%d","Run":1,"Worker":"w1","Reason":"Done"`, i)))
+		}
+		d := summarize(append(lines, line(8000, `"Event":"JobCompleted","Job":"s","Took":8000,"Objective":9000`))...)
+		Expect(d.All.Outcomes).To(Equal(map[diagnosis.Outcome]int{diagnosis.Late: 1}))
+		Expect(d.Latest[0].Objective).To(Equal(3100 * time.Millisecond))
+	})
+
 	It("summarizes an empty log as having no jobs", func() {
 		Expect(summarize().All.Jobs).To(BeZero())
 	})
