Start a filler job that stands still beside serving tasks at last

One worker was left on which the image interfered with no serving task. The two force-started fillers that are allowed at a time crowded it and took 10 s each in place of 3, and others of the backlog came before the two jobs, which had nothing running from 39.5 s and 30.9 s to 68.3 s while the platform was nearly empty.

Change: a job without any running task for 12 s gets one of its fillers started beyond the limit of two, up to two more, beside serving tasks with which it interferes, under the same pause when these are over their target. The spec replays it: a crowded worker and three jobs; the third never runs on the code before.

Ruled out: a forced filler that is held still for good (none ran over 12 s), a task that the owner believes running.

--- a/internal/decision/dispatch/starvation.go
+++ b/internal/decision/dispatch/starvation.go
@@ -16,6 +16,12 @@
 	starvationCheckInterval = 100 * time.Millisecond
 	// maxForcedFillers limits the force-started fillers that run at the same time.
 	maxForcedFillers = 2
+	// standstillDelay is how long a job without any running task waits before one of its
+	// fillers is force-started beyond that limit. The platform counts a job as lost if it
+	// stands still for 3 s while most capacity is free, from 14 s after the last submission.
+	standstillDelay = 12 * time.Second
+	// maxStandstillFillers limits the force-started fillers beyond maxForcedFillers.
+	maxStandstillFillers = 2
 	// interferingPauseDelay is how long a serving task may exceed its target beside a
 	// force-started filler that is known to interfere before the fillers are paused.
 	interferingPauseDelay = 500 * time.Millisecond
@@ -27,6 +33,11 @@
 	return s.Filler && !s.Gang && !s.blockedSince.IsZero() && now.Sub(s.blockedSince) >= starvationDelay
 }
 
+// standsStill reports whether the step's job has had no running task for too long.
+func (s *step) standsStill(now time.Time) bool {
+	return s.isStarving(now) && s.job.activeAttempts == 0 && now.Sub(s.blockedSince) >= standstillDelay
+}
+
 // scheduleStarvationCheck decides whether this tick looks for starving fillers.
 func (e *Engine) scheduleStarvationCheck(now time.Time) {
 	e.starvationCheckDue = now.Sub(e.starvationCheckedAt) >= starvationCheckInterval
@@ -38,13 +49,18 @@
 // mayForceStart reports whether a filler of the step may run although no worker was
 // found for it.
 func (e *Engine) mayForceStart(now time.Time, s *step) bool {
-	return e.starvationCheckDue && !e.isDisabled(mechanism.ForcedStarts) && e.forcedFillers < maxForcedFillers && s.isStarving(now)
+	limit := maxForcedFillers
+	if s.standsStill(now) {
+		limit += maxStandstillFillers
+	}
+	return e.starvationCheckDue && !e.isDisabled(mechanism.ForcedStarts) && e.forcedFillers < limit && s.isStarving(now)
 }
 
 // forceStart starts a filler that has waited for too long, and reports whether it did.
 // On a worker where it doesn't interfere with serving tasks, it only slows down other
-// fillers. If there is no such worker, it runs beside the serving tasks that reserve
-// the fewest processors, at a pace that keeps them within their targets.
+// fillers. If there is no such worker, or force-started fillers crowd those that there are,
+// it runs beside the serving tasks that reserve the fewest processors, at a pace that keeps
+// them within their targets.
 func (e *Engine) forceStart(now time.Time, t *task) bool {
 	s := t.step
 	if !e.mayForceStart(now, s) {
@@ -68,7 +84,8 @@
 		}
 	}
 	to := fallback
-	if hasCompatible {
+	crowded := e.forcedFillers >= maxForcedFillers && fallback != nil
+	if hasCompatible && !crowded {
 		to = compatible
 	}
 	// A job with active runs makes progress without a forced start.
@@ -78,7 +95,7 @@
 	e.count("Task.Forced")
 	e.forcedFillers++
 	a := e.start(now, t, to, e.nextRun(t))
-	a.forced, a.interfering = true, !hasCompatible
+	a.forced, a.interfering = true, to == fallback
 	return true
 }
 
