--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -287,7 +287,7 @@
 	e.updateMeanWork(added)
 	e.updateFillerDemand(added)
 	added.restore(stored)
-	added.eachTask(func(t *task) { t.down = downtime{since: now, reason: reasonFirstStart} })
+	added.beginDowntimes(now)
 	e.jobs[j.ID] = added
 	e.record(now, Decision{
 		Event: "JobAdded", Job: j.ID, Reason: string(j.Queue), Objective: added.objective,
--- a/internal/decision/dispatch/serving_loss.go
+++ b/internal/decision/dispatch/serving_loss.go
@@ -91,10 +91,21 @@
 	// reasonFirstStart is the reason of the downtime of a task until it is at work for the
 	// first time.
 	reasonFirstStart = "first start"
+	// reasonTakeover is the reason of a task that wasn't at work when this owner took over.
+	reasonTakeover = "down when the owner took over"
 	// reasonEnded is the reason if the run ended by itself.
 	reasonEnded = "run ended by itself"
 )
 
+// beginDowntimes records that no task of a job that was just added is at work.
+func (j *job) beginDowntimes(now time.Time) {
+	reason := reasonFirstStart
+	if j.recovered {
+		reason = reasonTakeover
+	}
+	j.eachTask(func(t *task) { t.down = downtime{since: now, reason: reason} })
+}
+
 // beginDowntime records that a long-running task isn't at work any more.
 func (t *task) beginDowntime(now time.Time, w *worker, reason string) {
 	if t.step.LongRunning && t.down.since.IsZero() {
