Trust the lowest tail only after some seconds of measurements

Cause: after a takeover or with a new image the first measurement counts as the one without load. At a load peak the worker would be given away to fillers until the load falls. Found by reading the change on measured use.

The spec fails on the code before.

--- a/internal/decision/dispatch/serving_use.go
+++ b/internal/decision/dispatch/serving_use.go
@@ -16,6 +16,9 @@
 	// servingUseMargin is added to the estimated use, in percentage points, because the load
 	// changes until the next measurements.
 	servingUseMargin = 5
+	// minTailHistory is how long an image must have been measured before its lowest tail
+	// latency counts as that without load. Earlier, it may be that of a load peak.
+	minTailHistory = 8 * time.Second
 	// unloadedTailMemory is the time in which the lowest tail latency of an image is
 	// forgotten.
 	unloadedTailMemory = 5 * time.Minute
@@ -25,7 +28,8 @@
 // load: the lowest one that was seen.
 type unloadedTail struct {
 	ratio float64
-	at    time.Time
+	// since is when the image was first measured, and at when it was last measured.
+	since, at time.Time
 }
 
 // observe records a ratio. The lowest one rises slowly towards it.
@@ -36,11 +40,18 @@
 		u.ratio = ratio
 	}
 	u.at = now
+	if u.since.IsZero() {
+		u.since = now
+	}
 }
 
 // use returns the share of its reserved processors that a serving task uses, given its ratio
-// of tail latency to target. The latency of a queue grows as 1/(1-load).
+// of tail latency to target. The latency of a queue grows as 1/(1-load). It returns 1 while
+// the latency without load isn't known.
 func (u *unloadedTail) use(ratio float64) float64 {
+	if u.at.Sub(u.since) < minTailHistory {
+		return 1
+	}
 	return 1 - u.ratio/ratio
 }
 
--- a/internal/decision/dispatch/serving_use_test.go
+++ b/internal/decision/dispatch/serving_use_test.go
@@ -44,6 +44,11 @@
 		Expect(startedFillers(0, low, high)).To(Equal(startedFillers(0)))
 	})
 
+	// Guards against a first measurement at a load peak that counts as one without load.
+	It("gets no more fillers before its image was measured for some time", func() {
+		Expect(startedFillers(0, low)).To(Equal(startedFillers(0)))
+	})
+
 	It("gets the same number at any load if the use isn't measured", func() {
 		disabled := mechanism.Of(mechanism.MeasuredUse)
 		Expect(startedFillers(disabled, high, low)).To(Equal(startedFillers(disabled, low, high)))
