--- a/internal/operator/comparison/comparison.go
+++ b/internal/operator/comparison/comparison.go
@@ -28,9 +28,9 @@
 
 // Cell is a day of a deployment, played with a seed.
 type Cell struct {
-	Site string
-	Day  string
-	Seed int64
+	Deployment string
+	Day        string
+	Seed       int64
 }
 
 // Sample is the outcome of one play of a cell.
@@ -78,10 +78,10 @@
 	return i.Low > 0 || i.High < 0
 }
 
-// Row compares a variant with the baseline on the days of a site.
+// Row compares a variant with the baseline on the days of a deployment.
 type Row struct {
-	Site    string
-	Variant Variant
+	Deployment string
+	Variant    Variant
 	// Null reports that the row compares one replica of the baseline with the others.
 	Null bool
 	// Cells is the number of cells that both have played.
@@ -95,12 +95,12 @@
 	Broken, BaselineBroken map[string]int `json:",omitempty"`
 }
 
-// Compare returns for each site a row for each variant, and one for each replica of the
+// Compare returns for each deployment a row for each variant, and one for each replica of the
 // baseline against its other replicas.
 func Compare(samples []Sample, baseline Variant) []Row {
 	var rows []Row
-	for _, site := range distinct(samples, func(s Sample) string { return s.Cell.Site }) {
-		own := filter(samples, func(s Sample) bool { return s.Cell.Site == site })
+	for _, deployment := range distinct(samples, func(s Sample) string { return s.Cell.Deployment }) {
+		own := filter(samples, func(s Sample) bool { return s.Cell.Deployment == deployment })
 		base := filter(own, func(s Sample) bool { return s.Variant == baseline })
 		replicas := distinct(base, func(s Sample) int { return s.Replica })
 		for _, r := range replicas {
@@ -108,7 +108,7 @@
 				break
 			}
 			row := compare(filter(base, func(s Sample) bool { return s.Replica == r }), filter(base, func(s Sample) bool { return s.Replica != r }))
-			row.Site, row.Variant, row.Null = site, baseline, true
+			row.Deployment, row.Variant, row.Null = deployment, baseline, true
 			rows = append(rows, row)
 		}
 		for _, v := range distinct(own, func(s Sample) Variant { return s.Variant }) {
@@ -116,14 +116,14 @@
 				continue
 			}
 			row := compare(filter(own, func(s Sample) bool { return s.Variant == v }), base)
-			row.Site, row.Variant = site, v
+			row.Deployment, row.Variant = deployment, v
 			rows = append(rows, row)
 		}
 	}
 	return rows
 }
 
-// compare compares two groups of samples of the same site, cell by cell.
+// compare compares two groups of samples of the same deployment, cell by cell.
 func compare(own, base []Sample) Row {
 	row := Row{Gains: map[Class]Interval{}, Broken: map[string]int{}, BaselineBroken: map[string]int{}}
 	differences := map[Class][]float64{}
@@ -188,10 +188,10 @@
 	return list
 }
 
-// SortByGain sorts rows by site, with the null rows first and then the smallest gain.
+// SortByGain sorts rows by deployment, with the null rows first and then the smallest gain.
 func SortByGain(rows []Row) {
 	slices.SortStableFunc(rows, func(a, b Row) int {
-		return cmp.Or(cmp.Compare(a.Site, b.Site), compareNull(a, b), cmp.Compare(a.Gains[Whole].Mean, b.Gains[Whole].Mean))
+		return cmp.Or(cmp.Compare(a.Deployment, b.Deployment), compareNull(a, b), cmp.Compare(a.Gains[Whole].Mean, b.Gains[Whole].Mean))
 	})
 }
 
--- a/internal/operator/comparison/comparison_test.go
+++ b/internal/operator/comparison/comparison_test.go
@@ -26,7 +26,7 @@
 		for r := range replicas {
 			worth := 0.5 + 0.02*float64(c) + gain + playNoise*random.NormFloat64()
 			list = append(list, comparison.Sample{
-				Cell: comparison.Cell{Site: "s", Day: "d", Seed: int64(c)}, Variant: v, Replica: r,
+				Cell: comparison.Cell{Deployment: "s", Day: "d", Seed: int64(c)}, Variant: v, Replica: r,
 				Worth: map[comparison.Class]float64{comparison.Whole: worth},
 			})
 		}
