--- a/internal/decision/dispatch/filler.go
+++ b/internal/decision/dispatch/filler.go
@@ -157,13 +157,23 @@
 	ratio float64
 }
 
+// servingAttempt returns the attempt of a serving task in a report, or nil if the run isn't
+// one of a serving task that has started up.
+func (w *worker) servingAttempt(run RunningTask) *attempt {
+	a := w.runs[run.Task]
+	if a == nil || a.run != run.Run || a.task.step.Target <= 0 || run.Percent < startedUpPercent {
+		return nil
+	}
+	return a
+}
+
 // tailSamples returns the slowest task of each serving image in a report. Tasks of the
 // same image behave alike, so several of them provide no more evidence than one.
 func (w *worker) tailSamples(r Report) map[Image]tailSample {
 	slowest := map[Image]tailSample{}
 	for _, run := range r.Running {
-		a := w.runs[run.Task]
-		if a == nil || a.run != run.Run || a.task.step.Target <= 0 || run.Percent < startedUpPercent {
+		a := w.servingAttempt(run)
+		if a == nil {
 			continue
 		}
 		ratio := float64(run.Measurement) * float64(time.Millisecond) / float64(a.task.step.Target)
--- a/internal/decision/dispatch/serving_loss.go
+++ b/internal/decision/dispatch/serving_loss.go
@@ -32,9 +32,8 @@
 func (e *Engine) accountServingTime(now time.Time, w *worker, r Report) {
 	over := map[*step]int{}
 	for _, run := range r.Running {
-		a := w.runs[run.Task]
-		if a != nil && a.run == run.Run && a.task.step.Target > 0 && run.Percent >= startedUpPercent &&
-			time.Duration(run.Measurement)*time.Millisecond > a.task.step.Target {
+		a := w.servingAttempt(run)
+		if a != nil && time.Duration(run.Measurement)*time.Millisecond > a.task.step.Target {
 			over[a.task.step]++
 		}
 	}
--- a/internal/decision/placement/engine.go
+++ b/internal/decision/placement/engine.go
@@ -358,21 +358,32 @@
 	for len(e.leavingNodes) > 0 {
 		n := e.leavingNodes[0]
 		if !n.removed() && n.State == WorkerLeaving {
-			for _, a := range n.attempts {
-				if a.stopping {
-					continue
-				}
-				if remaining == 0 {
-					return
-				}
-				e.evict(now, a, ReasonWorkerLeaves, Facts{})
-				remaining--
+			evicted, all := e.evictUpTo(now, n, remaining)
+			if !all {
+				return
 			}
+			remaining -= evicted
 		}
 		e.leavingNodes = e.leavingNodes[1:]
 	}
 }
 
+// evictUpTo evicts up to limit attempts of a leaving worker. It returns their number, and
+// whether none is left to evict.
+func (e *Engine) evictUpTo(now time.Time, n *node, limit int) (evicted int, all bool) {
+	for _, a := range n.attempts {
+		if a.stopping {
+			continue
+		}
+		if evicted == limit {
+			return evicted, false
+		}
+		e.evict(now, a, ReasonWorkerLeaves, Facts{})
+		evicted++
+	}
+	return evicted, true
+}
+
 // kill stops an attempt at once, without a checkpoint.
 func (e *Engine) kill(now time.Time, a *attempt, reason DecisionReason) {
 	if a.killed {
--- a/internal/entry/dispatcher/choose_shard.go
+++ b/internal/entry/dispatcher/choose_shard.go
@@ -39,11 +39,16 @@
 	return s.view.load
 }
 
+// balancesShards reports whether jobs may go to another shard than their home shard.
+func (o *owner) balancesShards() bool {
+	return o.shard.count > 1 && !o.node.Disabled.Has(mechanism.ShardBalance)
+}
+
 // chooseShard returns the shard for a new job. A job that was moved here from its home
 // shard stays.
 func (o *owner) chooseShard(j *dispatch.Job) shardID {
 	current := o.shard.id
-	if o.shard.count == 1 || o.isMovedHere(j.ID) || o.node.Disabled.Has(mechanism.ShardBalance) {
+	if !o.balancesShards() || o.isMovedHere(j.ID) {
 		return current
 	}
 	demand := j.Demand()
--- a/internal/entry/dispatcher/reassign.go
+++ b/internal/entry/dispatcher/reassign.go
@@ -6,7 +6,6 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/balance"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
-	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
 const (
@@ -23,7 +22,7 @@
 // runReassignment moves waiting jobs to other shards if this shard has lost workers or
 // was full when the jobs arrived.
 func (o *owner) runReassignment(ctx context.Context) error {
-	if o.shard.count == 1 || o.node.Disabled.Has(mechanism.ShardBalance) {
+	if !o.balancesShards() {
 		return nil
 	}
 	return o.node.every(ctx, reassignInterval, o.reassignJobs)
