Log how old an instance's copy of the store's rows is

A failed watch was only counted, and neither the version that an owner works with nor the one that a request without a route met was logged.

Change: Mirror.OnCall reports each call with its time, the age of the copy and its version; failed reads, the first successful one after them and reads with changes of the operator's rows are logged (RowsReadFailed, RowsRead), ages are histograms. No decision changes.

--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -21,6 +21,8 @@
 	watchTimeout = 5 * time.Second
 	// operatorWatchInterval is the minimum time between two reads of the operator's rows.
 	operatorWatchInterval = 50 * time.Millisecond
+	// configurationRows names the operator's rows in counters and logs.
+	configurationRows = "Configuration"
 )
 
 // Node is the dispatcher of one entry instance.
@@ -114,7 +116,7 @@
 }
 
 func (n *Node) mirrorOperator() *table.Mirror {
-	return n.mirror("Configuration", n.Catalog.OperatorPrefix(), operatorWatchInterval, n.applyOperator)
+	return n.mirror(configurationRows, n.Catalog.OperatorPrefix(), operatorWatchInterval, n.applyOperator)
 }
 
 // mirror returns a mirror of the rows under a prefix. Failures are counted under the
@@ -123,10 +125,27 @@
 	return &table.Mirror{
 		Watcher: &n.store, Prefix: prefix, Clock: n.Clock, WatchTimeout: watchTimeout, MinInterval: minInterval,
 		OnChange: apply,
-		OnError:  func(error) { n.Counters.Add(name+".WatchFailed", 1) },
+		OnCall:   func(c table.MirrorCall) { n.recordMirrorCall(name, c) },
 	}
 }
 
+// recordMirrorCall counts and logs a mirror's call to the store: each failed one, the first
+// successful one after it, and the ones that read changes of the operator's rows.
+func (n *Node) recordMirrorCall(name string, c table.MirrorCall) {
+	event := "RowsRead"
+	if c.Err != nil {
+		event = "RowsReadFailed"
+		n.Counters.Add(name+".WatchFailed", 1)
+	} else {
+		n.Latencies.Observe("Age."+name, c.Age)
+	}
+	if c.Err == nil && !c.AfterFailure && (name != configurationRows || c.Changes == 0) {
+		return
+	}
+	n.Log.Info().Str("Event", event).Str("Rows", name).Bool("Snapshot", c.Snapshot).Int("Changes", c.Changes).
+		Int64("RowsVersion", int64(c.Version)).Dur("Took", c.Took).Dur("Age", c.Age).Err(c.Err).Send()
+}
+
 // applyOperator puts a configuration in force. If it is older than the current one,
 // only its list of zones that are out of service is used.
 func (n *Node) applyOperator(rows map[table.Key]table.Row) {
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -220,6 +220,8 @@
 		e.SetQueues(c.Queues)
 		e.SetZonesOutOfService(c.ZonesOut)
 	})
+	o.node.Log.Info().Str("Event", "ShardConfigured").Int("Shard", int(o.shard.id)).Int64("Epoch", int64(o.epoch)).
+		Int64("Version", int64(c.Version)).Send()
 }
 
 // currentRow returns the owner's row as last written, marked as released if a release
--- a/internal/platform/table/watch.go
+++ b/internal/platform/table/watch.go
@@ -33,6 +33,23 @@
 // minRetryPause is the minimum time before a Mirror repeats a failed call.
 const minRetryPause = 200 * time.Millisecond
 
+// MirrorCall describes one call of a Mirror to the service.
+type MirrorCall struct {
+	// Snapshot reports that the call read all rows, not only their changes.
+	Snapshot bool
+	// Changes is the number of rows or changes that the call returned.
+	Changes int
+	// Version is the version up to which the copy is complete after the call.
+	Version Version
+	// Took is how long the call took, which includes the wait for a change.
+	Took time.Duration
+	// Age is the time since the previous successful call ended, 0 if there was none.
+	Age time.Duration
+	// AfterFailure reports that the previous call failed.
+	AfterFailure bool
+	Err          error
+}
+
 // Mirror maintains a copy of the rows under a prefix.
 type Mirror struct {
 	Watcher Watcher
@@ -44,11 +61,13 @@
 	Clock       clockwork.Clock
 	// OnChange is called with all rows after each change. It must not retain the map.
 	OnChange func(rows map[Key]Row)
-	// OnError, if set, is called with the error of each failed call.
-	OnError func(err error)
+	// OnCall, if set, is called after each call to the service.
+	OnCall func(c MirrorCall)
 
 	rows    map[Key]Row
 	version Version
+	// succeededAt is when the last successful call ended.
+	succeededAt time.Time
 	// lastCallFailed reports that the last call failed. The next call then doesn't wait
 	// for a change, so that it soon shows whether the service is available again.
 	lastCallFailed bool
@@ -57,11 +76,7 @@
 // Run keeps the copy up to date until ctx ends, and returns the error of ctx.
 func (m *Mirror) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := m.step(ctx)
-		m.lastCallFailed = err != nil
-		if err != nil && m.OnError != nil && ctx.Err() == nil {
-			m.OnError(err)
-		}
+		m.step(ctx)
 		pause := m.MinInterval
 		if m.lastCallFailed {
 			pause = max(pause, minRetryPause)
@@ -74,24 +89,34 @@
 	return ctx.Err()
 }
 
-func (m *Mirror) step(ctx context.Context) error {
+// step makes one call: for the changes, or for all rows if none are known yet.
+func (m *Mirror) step(ctx context.Context) {
 	if m.rows == nil {
-		return m.Load(ctx)
+		_ = m.Load(ctx)
+		return
+	}
+	start := m.Clock.Now()
+	changes, err := m.watch(ctx)
+	if errors.Is(err, ErrCompacted) {
+		_ = m.Load(ctx)
+		return
 	}
+	m.recordCall(ctx, start, MirrorCall{Changes: changes, Err: err})
+}
+
+// watch waits for changes, applies them and returns their number.
+func (m *Mirror) watch(ctx context.Context) (int, error) {
 	wait := m.WatchTimeout
 	if m.lastCallFailed {
 		wait = 0
 	}
 	changes, version, err := m.Watcher.Watch(ctx, m.Prefix, m.version, wait)
-	if errors.Is(err, ErrCompacted) {
-		return m.Load(ctx)
-	}
 	if err != nil {
-		return err
+		return 0, err
 	}
 	m.version = version
 	if len(changes) == 0 {
-		return nil
+		return 0, nil
 	}
 	for _, c := range changes {
 		if c.Removed {
@@ -101,21 +126,39 @@
 		}
 	}
 	m.OnChange(m.rows)
-	return nil
+	return len(changes), nil
 }
 
 // Load reads all rows. Run calls it first, unless it was called before, and again when
 // Watch fails with ErrCompacted.
 func (m *Mirror) Load(ctx context.Context) error {
+	start := m.Clock.Now()
 	rows, version, err := m.Watcher.Snapshot(ctx, m.Prefix)
-	if err != nil {
-		return err
+	if err == nil {
+		m.rows = make(map[Key]Row, len(rows))
+		for _, r := range rows {
+			m.rows[r.Key] = r
+		}
+		m.version = version
+		m.OnChange(m.rows)
+	}
+	m.recordCall(ctx, start, MirrorCall{Snapshot: true, Changes: len(rows), Err: err})
+	return err
+}
+
+// recordCall records the outcome of a call and reports it to OnCall, unless the mirror is
+// being stopped.
+func (m *Mirror) recordCall(ctx context.Context, start time.Time, c MirrorCall) {
+	now := m.Clock.Now()
+	c.Version, c.Took, c.AfterFailure = m.version, now.Sub(start), m.lastCallFailed
+	if !m.succeededAt.IsZero() {
+		c.Age = now.Sub(m.succeededAt)
 	}
-	m.rows = make(map[Key]Row, len(rows))
-	for _, r := range rows {
-		m.rows[r.Key] = r
+	m.lastCallFailed = c.Err != nil
+	if c.Err == nil {
+		m.succeededAt = now
+	}
+	if m.OnCall != nil && ctx.Err() == nil {
+		m.OnCall(c)
 	}
-	m.version = version
-	m.OnChange(m.rows)
-	return nil
 }
