End a watch of the store in time to repeat it within the bound for changes

Cause: a watch waited 5 s for a change and could take 1.2 s more, whatever the platform promises to its operators (2.5 to 4 s). A store that is silent for a moment never answers a call that it received meanwhile, also when it answers others again, so an instance whose watch began in that moment went on with an old copy for 6.2 s. Class: the age of what an instance believes was bounded by a constant that had nothing to do with the promise that rests on it. The same watch serves the zones out of service, workers, jobs and cancellations.

StoreClient.Watch has no time limit of its own any more.

The specs of the table 20 times with the race detector, all passed.

--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// watchTimeout limits how long one watch request waits for changes in the store.
-	watchTimeout = 5 * time.Second
 	// operatorWatchInterval is the minimum time between two reads of the operator's rows.
 	operatorWatchInterval = 50 * time.Millisecond
 	// configurationRows names the operator's rows in counters and logs.
@@ -123,7 +121,7 @@
 // name.
 func (n *Node) mirror(name string, prefix table.Key, minInterval time.Duration, apply func(map[table.Key]table.Row)) *table.Mirror {
 	return &table.Mirror{
-		Watcher: &n.store, Prefix: prefix, Clock: n.Clock, WatchTimeout: watchTimeout, MinInterval: minInterval,
+		Watcher: &n.store, Prefix: prefix, Clock: n.Clock, ChangeBound: n.ChangeBound, MinInterval: minInterval,
 		OnChange: apply,
 		OnCall:   func(c table.MirrorCall) { n.recordMirrorCall(name, c) },
 	}
--- a/internal/platform/table/watch.go
+++ b/internal/platform/table/watch.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -25,11 +26,14 @@
 	Snapshot(ctx context.Context, prefix Key) ([]Row, Version, error)
 	// Watch returns the changes after a version of rows whose keys start with prefix, in
 	// order, and the version up to which the changes are complete. If there are none, it
-	// waits for the first change for at most the given time. It fails with ErrCompacted
-	// or ErrUnavailable.
+	// waits for the first change for at most the given time. It fails with ErrCompacted,
+	// or with ErrUnavailable, also if ctx ends before there is an answer.
 	Watch(ctx context.Context, prefix Key, after Version, wait time.Duration) ([]Change, Version, error)
 }
 
+// DefaultChangeBound is the ChangeBound of a Mirror that sets none.
+const DefaultChangeBound = 2500 * time.Millisecond
+
 // minRetryPause is the minimum time before a Mirror repeats a failed call.
 const minRetryPause = 200 * time.Millisecond
 
@@ -54,8 +58,10 @@
 type Mirror struct {
 	Watcher Watcher
 	Prefix  Key
-	// WatchTimeout limits the time that one call of Watch waits for a change.
-	WatchTimeout time.Duration
+	// ChangeBound is how soon OnChange must be called after a change, and after the service
+	// answers again. A call of Watch that is never answered and its repetition fit into it.
+	// 0 means DefaultChangeBound.
+	ChangeBound time.Duration
 	// MinInterval is the minimum time between two calls.
 	MinInterval time.Duration
 	Clock       clockwork.Clock
@@ -104,9 +110,14 @@
 	m.recordCall(ctx, start, MirrorCall{Changes: changes, Err: err})
 }
 
-// watch waits for changes, applies them and returns their number.
+// watch waits for changes, applies them and returns their number. A service that was
+// interrupted may never answer a call that it received before, so the call ends after half
+// of ChangeBound. Half of that time is for the wait, half for the answer.
 func (m *Mirror) watch(ctx context.Context) (int, error) {
-	wait := m.WatchTimeout
+	timeout := cmp.Or(m.ChangeBound, DefaultChangeBound) / 2
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	wait := timeout / 2
 	if m.lastCallFailed {
 		wait = 0
 	}
--- a/internal/platform/table/watch_test.go
+++ b/internal/platform/table/watch_test.go
@@ -12,6 +12,12 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
 )
 
+// watchCall has the time limits of a call of Watch: until its context ends, and for the wait.
+type watchCall struct {
+	timeout time.Duration
+	wait    time.Duration
+}
+
 // scriptedWatcher answers calls with the functions for them.
 type scriptedWatcher struct {
 	snapshot func() ([]table.Row, table.Version, error)
@@ -96,4 +102,31 @@
 			Changes: 1, Version: 9, Took: 300 * time.Millisecond, Age: 2600 * time.Millisecond, AfterFailure: true,
 		})
 	})
+
+	// Guards against a copy that stays old until a watch ends that the service never answers.
+	It("ends a watch without an answer early enough to repeat it within the bound", func() {
+		clock := clockwork.NewFakeClock()
+		watches := make(chan watchCall)
+		calls := start(clock, scriptedWatcher{
+			snapshot: func() ([]table.Row, table.Version, error) { return nil, 5, nil },
+			watch: func(ctx context.Context, wait time.Duration) ([]table.Change, table.Version, error) {
+				deadline, _ := ctx.Deadline()
+				select {
+				case watches <- watchCall{timeout: time.Until(deadline), wait: wait}:
+				case <-ctx.Done():
+				}
+				return nil, 0, table.ErrUnavailable
+			},
+		})
+		expectCall(calls, table.MirrorCall{Snapshot: true, Version: 5})
+		passPause(clock)
+		var first, second watchCall
+		Eventually(watches, 2*time.Second).Should(Receive(&first))
+		Expect(2 * first.timeout).To(And(BeNumerically(">", 0), BeNumerically("<=", table.DefaultChangeBound)))
+		Expect(first.wait).To(And(BeNumerically(">", 0), BeNumerically("<", first.timeout)))
+		expectCall(calls, table.MirrorCall{Version: 5, Age: minInterval, Err: table.ErrUnavailable})
+		passPause(clock)
+		Eventually(watches, 2*time.Second).Should(Receive(&second))
+		Expect(second.wait).To(BeZero())
+	})
 })
