Apply the configuration in force under the lock of the owner

What callers would see: jobs of a shard that follow an older configuration, or start in a zone that is out of service, until the operator changes something again.

Cause: an owner that starts loaded the configuration and then waited for its lock. A newer one that was put in force between the two was applied first, the older one over it. The class: a value was decided on before the lock, and applied after it.

Change: configure reads the configuration in force under the lock, so the last of several calls applies the newest. Node.applyOperator stores it before it calls.

--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -167,7 +167,7 @@
 	}
 	n.config.Store(&c)
 	for _, o := range n.ownedShards() {
-		o.configure(&c)
+		o.configure()
 	}
 }
 
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -120,11 +120,7 @@
 
 // run recovers the jobs and dispatches them until ctx ends or the shard is lost.
 func (o *owner) run(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	o.group, o.ctx = group, ctx
-	if c := o.node.config.Load(); c != nil {
-		o.configure(c)
-	}
+	group, ctx := o.start(ctx)
 	// The writer starts before the jobs are loaded: another instance would replace an
 	// owner that doesn't write heartbeats.
 	group.Go(func() error { return o.runWriter(ctx) })
@@ -133,6 +129,13 @@
 	return group.Wait()
 }
 
+// start creates the owner's group of goroutines and applies the configuration in force.
+func (o *owner) start(ctx context.Context) (*errgroup.Group, context.Context) {
+	o.group, o.ctx = errgroup.WithContext(ctx)
+	o.configure()
+	return o.group, o.ctx
+}
+
 // loadJobs recovers the jobs and starts the goroutines that dispatch them.
 func (o *owner) loadJobs(ctx context.Context) error {
 	jobs, err := o.recoverJobs(ctx)
@@ -215,13 +218,21 @@
 	}
 }
 
-func (o *owner) configure(c *queue.Configuration) {
+// configure applies the configuration in force, if there is one. It reads it under the lock,
+// so that of several calls at the same time the last one applies the newest.
+func (o *owner) configure() {
+	var version queue.Version
 	o.withEngine(func(_ time.Time, e *dispatch.Engine) {
-		e.SetQueues(c.Queues)
-		e.SetZonesOutOfService(c.ZonesOut)
+		if c := o.node.config.Load(); c != nil {
+			version = c.Version
+			e.SetQueues(c.Queues)
+			e.SetZonesOutOfService(c.ZonesOut)
+		}
 	})
-	o.node.Log.Info().Str("Event", "ShardConfigured").Int("Shard", int(o.shard.id)).Int64("Epoch", int64(o.epoch)).
-		Int64("Version", int64(c.Version)).Send()
+	if version != 0 {
+		o.node.Log.Info().Str("Event", "ShardConfigured").Int("Shard", int(o.shard.id)).Int64("Epoch", int64(o.epoch)).
+			Int64("Version", int64(version)).Send()
+	}
 }
 
 // currentRow returns the owner's row as last written, marked as released if a release
