--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -71,6 +71,8 @@
 	// engine's revision of them.
 	fleet           [][]byte
 	workersRevision int
+	// oddWorkers describes the entries of the list of workers that are left out.
+	oddWorkers string
 	// previousAuthorityAt is when the previous owner last confirmed its ownership, zero if
 	// unknown.
 	previousAuthorityAt time.Time
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -13,6 +13,9 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
 )
 
+// maxLoggedFindings is the maximum number of bytes of a log line about odd entries.
+const maxLoggedFindings = 1000
+
 // recoverJobs loads the stored jobs and returns the mirror that watches them. It reads
 // the rows concurrently, because the store may be slow.
 func (o *owner) recoverJobs(ctx context.Context) (*table.Mirror, error) {
@@ -172,11 +175,28 @@
 	return o.node.mirror("Workers", o.node.Catalog.WorkersPrefix(), workersWatchInterval, o.applyWorkers)
 }
 
+// logOddWorkers logs which entries of the list are left out, whenever these change.
+func (o *owner) logOddWorkers(err error) {
+	findings := ""
+	if err != nil {
+		findings = err.Error()
+	}
+	o.lock.Lock()
+	changed := findings != o.oddWorkers
+	o.oddWorkers = findings
+	o.lock.Unlock()
+	if changed {
+		o.node.Log.Warn().Str("Event", "OddWorkers").Int("Shard", int(o.shard.id)).
+			Str("Findings", findings[:min(len(findings), maxLoggedFindings)]).Send()
+	}
+}
+
 func (o *owner) applyWorkers(rows map[table.Key]table.Row) {
 	workers, err := o.node.Catalog.Workers(rows)
 	if err != nil {
 		o.node.Counters.Add("Workers.RowsLeftOut", 1)
 	}
+	o.logOddWorkers(err)
 	workers = slices.DeleteFunc(workers, func(w dispatch.WorkerInfo) bool { return !o.shard.hasWorker(w.ID) })
 	var ids []membership.InstanceID
 	o.withEngine(func(now time.Time, e *dispatch.Engine) {
