Leave out odd entries of the membership list one by one

Reported by operators of similar systems: one odd entry ended the processes that read the list, or kept them from following it. On the project's own deployment (serve) the second could happen.

Cause: the list is decoded as a whole. One entry with a number beyond 64 bits, an address of another type or an array in its place made each read fail, so every instance kept the list that it had for as long as the entry stood there. Entries with a port out of range or an impossible capacity were taken as they were.

Change: entries are decoded one by one if the whole can not be, and those that no instance can have are left out and counted (Membership.EntriesLeftOut). An entry nested deeper than the decoder allows can not be announced through the service's protocol, whose entries have fixed fields; such a list would still not be read.

--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -310,9 +310,12 @@
 }
 
 func (i *Instance) refreshMembership(ctx context.Context) {
-	if _, err := i.membership.view.Refresh(ctx); err != nil {
+	snapshot, err := i.membership.view.Refresh(ctx)
+	if err != nil {
 		i.counters.Add("Membership.ReadFailed", 1)
+		return
 	}
+	i.counters.Add("Membership.EntriesLeftOut", int64(len(snapshot.LeftOut)))
 }
 
 // pollTable reads the rows that every instance polls, and applies the manifest if the
--- a/internal/platform/membership/client.go
+++ b/internal/platform/membership/client.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/protocol"
 )
 
@@ -92,8 +95,19 @@
 	return err
 }
 
+// Limits of the capacity of an instance. The totals over all instances of a deployment stay
+// far below what a 64-bit number can hold.
+const (
+	maxProcessors   resource.MilliProcessors = 1e8
+	maxMemory       resource.Bytes           = 1e14
+	maxAccelerators resource.Accelerators    = 1e5
+	maxSlots                                 = 1_000_000
+	maxPort                                  = 65535
+)
+
 // Validate returns ErrInvalid unless the instance has an id, a known kind and state, an
-// availability zone and an address, as the membership service requires.
+// availability zone, an address with a port, and a capacity within the limits, as the
+// membership service requires.
 func (i Instance) Validate() error {
 	if i.ID == "" || i.Zone == "" || i.Address == "" {
 		return fmt.Errorf("%w: instance %q needs an id, an availability zone and an address", ErrInvalid, i.ID)
@@ -104,9 +118,29 @@
 	if i.State != Live && i.State != Leaving {
 		return fmt.Errorf("%w: instance %q has the unknown state %q", ErrInvalid, i.ID, i.State)
 	}
+	if !hasPort(i.Address) || (i.OperatorAddress != "" && !hasPort(i.OperatorAddress)) {
+		return fmt.Errorf("%w: instance %q needs addresses of the form host:port with a port from 1 to %d, not %q and %q",
+			ErrInvalid, i.ID, maxPort, i.Address, i.OperatorAddress)
+	}
+	limit := resource.Vector{Processors: maxProcessors, Memory: maxMemory, Accelerators: maxAccelerators}
+	if !i.Capacity.FitsIn(limit) || !(resource.Vector{}).FitsIn(i.Capacity) {
+		return fmt.Errorf("%w: instance %q has the capacity %+v, not from zero to %+v", ErrInvalid, i.ID, i.Capacity, limit)
+	}
+	if min(i.Slots, i.Connections) < 0 || max(i.Slots, i.Connections) > maxSlots {
+		return fmt.Errorf("%w: instance %q has %d slots and %d connections, not from 0 to %d", ErrInvalid, i.ID, i.Slots, i.Connections, maxSlots)
+	}
 	return nil
 }
 
+func hasPort(address string) bool {
+	_, text, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	port, err := strconv.ParseUint(text, 10, 16)
+	return err == nil && port > 0
+}
+
 func call[Answer any](ctx context.Context, c Client, method, path string, message any) (Answer, error) {
 	endpoint := protocol.Endpoint{Address: c.Address, HTTP: c.HTTP, Timeout: c.Timeout}
 	answer, err := protocol.Exchange[Answer](ctx, endpoint, method, path, message)
--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 )
@@ -69,6 +72,53 @@
 type Snapshot struct {
 	Revision  uint64
 	Instances []Instance
+	// LeftOut says for each entry that was left out, because it can't be an instance, what is
+	// wrong with it.
+	LeftOut []string `json:"-"`
+}
+
+// UnmarshalJSON decodes a list and leaves out entries that can't be instances. Only if an
+// entry has a field of another type are the entries decoded one by one, because lists can
+// have 20 MB.
+func (s *Snapshot) UnmarshalJSON(data []byte) error {
+	type fields Snapshot
+	var decoded fields
+	err := json.Unmarshal(data, &decoded)
+	*s = Snapshot(decoded)
+	if err != nil {
+		if err := s.decodeEach(data); err != nil {
+			return err
+		}
+	}
+	s.Instances = slices.DeleteFunc(s.Instances, func(i Instance) bool {
+		err := i.Validate()
+		if err != nil {
+			s.LeftOut = append(s.LeftOut, err.Error())
+		}
+		return err != nil
+	})
+	return nil
+}
+
+// decodeEach decodes the entries one by one.
+func (s *Snapshot) decodeEach(data []byte) error {
+	var list struct {
+		Revision  uint64
+		Instances []json.RawMessage
+	}
+	if err := json.Unmarshal(data, &list); err != nil {
+		return err
+	}
+	*s = Snapshot{Revision: list.Revision}
+	for _, entry := range list.Instances {
+		var instance Instance
+		if err := json.Unmarshal(entry, &instance); err != nil {
+			s.LeftOut = append(s.LeftOut, fmt.Sprintf("instance %q: %v", instance.ID, err))
+			continue
+		}
+		s.Instances = append(s.Instances, instance)
+	}
+	return nil
 }
 
 // Lister reads the current list.
