--- a/internal/backend/resource/resource.go
+++ b/internal/backend/resource/resource.go
@@ -10,6 +10,14 @@
 // Accelerators is a number of whole accelerators.
 type Accelerators int64
 
+// The largest amounts that one instance can have. The totals over all instances of a
+// deployment stay far below what a 64-bit number can hold.
+const (
+	MaxInstanceProcessors   MilliProcessors = 100_000_000
+	MaxInstanceMemory       Bytes           = 64 << 40
+	MaxInstanceAccelerators Accelerators    = 100_000
+)
+
 // Vector holds an amount of each resource.
 type Vector struct {
 	Processors   MilliProcessors
@@ -41,6 +49,12 @@
 	return v.Processors <= w.Processors && v.Memory <= w.Memory && v.Accelerators <= w.Accelerators
 }
 
+// IsInstanceCapacity reports whether an instance can have these resources: none is negative
+// or above the largest amount.
+func (v Vector) IsInstanceCapacity() bool {
+	return Vector{}.FitsIn(v) && v.FitsIn(Vector{MaxInstanceProcessors, MaxInstanceMemory, MaxInstanceAccelerators})
+}
+
 // IsZero reports whether all components of v are zero.
 func (v Vector) IsZero() bool {
 	return v == Vector{}
--- a/internal/platform/membership/client.go
+++ b/internal/platform/membership/client.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/protocol"
 )
 
@@ -95,14 +94,10 @@
 	return err
 }
 
-// Limits of the capacity of an instance. The totals over all instances of a deployment stay
-// far below what a 64-bit number can hold.
 const (
-	maxProcessors   resource.MilliProcessors = 1e8
-	maxMemory       resource.Bytes           = 1e14
-	maxAccelerators resource.Accelerators    = 1e5
-	maxSlots                                 = 1_000_000
-	maxPort                                  = 65535
+	// maxSlots limits the slots and the connections of an executor.
+	maxSlots = 1_000_000
+	maxPort  = 65535
 )
 
 // Validate returns ErrInvalid unless the instance has an id, a known kind and state, an
@@ -122,9 +117,8 @@
 		return fmt.Errorf("%w: instance %q needs addresses of the form host:port with a port from 1 to %d, not %q and %q",
 			ErrInvalid, i.ID, maxPort, i.Address, i.OperatorAddress)
 	}
-	limit := resource.Vector{Processors: maxProcessors, Memory: maxMemory, Accelerators: maxAccelerators}
-	if !i.Capacity.FitsIn(limit) || !(resource.Vector{}).FitsIn(i.Capacity) {
-		return fmt.Errorf("%w: instance %q has the capacity %+v, not from zero to %+v", ErrInvalid, i.ID, i.Capacity, limit)
+	if !i.Capacity.IsInstanceCapacity() {
+		return fmt.Errorf("%w: instance %q has the capacity %+v, which no instance can have", ErrInvalid, i.ID, i.Capacity)
 	}
 	if min(i.Slots, i.Connections) < 0 || max(i.Slots, i.Connections) > maxSlots {
 		return fmt.Errorf("%w: instance %q has %d slots and %d connections, not from 0 to %d", ErrInvalid, i.ID, i.Slots, i.Connections, maxSlots)
