--- /dev/null
+++ b/review/harness/main.go
@@ -0,0 +1,57 @@
+// Command harness runs the scripted cases of the review: it starts entry instances as separate
+// processes beside stand-ins for the platform's store, for executors and for clients, and checks
+// the rule TWICE from what these see.
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+)
+
+// background has the goroutines of the stand-ins. They run until the process exits.
+var background sync.WaitGroup
+
+// Exit statuses of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// scenario runs one case. With trouble false, it does the same without the disruption.
+type scenario func(j *judge, trouble bool) error
+
+var scenarios = map[string]scenario{
+	"many-ends":   runManyEnds,
+	"leaving-cut": runLeavingCut,
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	if len(args) != 2 || scenarios[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD")
+		return exitNotRun
+	}
+	j, err := newJudge(args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	j.note("case %s, with the disruption: %t", args[0], trouble)
+	if err := scenarios[args[0]](j, trouble); err != nil {
+		j.note("the case couldn't run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	if broken := j.verdict(); broken > 0 {
+		fmt.Printf("TWICE broken for %d tasks\n", broken)
+		return exitBroken
+	}
+	fmt.Println("TWICE holds")
+	return exitHeld
+}
