--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -55,6 +55,7 @@
 		return nil, err
 	}
 	d := &deployment{directory: directory, judge: j, store: s, client: &http.Client{Timeout: callTimeout}}
+	running.Store(d)
 	s.put("op", "config", map[string]any{
 		"version": 3,
 		"routes": []any{map[string]any{
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -6,12 +6,18 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"sync/atomic"
+	"syscall"
 )
 
 // background has the goroutines of the stand-ins. They run until the process exits.
 var background sync.WaitGroup
 
+// running is the deployment of the case.
+var running atomic.Pointer[deployment]
+
 // Exit statuses of a case.
 const (
 	exitHeld   = 0
@@ -32,6 +38,19 @@
 	os.Exit(run(os.Args[1:]))
 }
 
+// closeOnSignal ends the processes that the case started if the case itself is told to stop.
+func closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	background.Go(func() {
+		<-signals
+		if d := running.Load(); d != nil {
+			d.close()
+		}
+		os.Exit(exitNotRun)
+	})
+}
+
 func run(args []string) int {
 	if len(args) != 2 || scenarios[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD")
@@ -42,6 +61,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
+	closeOnSignal()
 	trouble := os.Getenv("TROUBLE") != "0"
 	j.note("case %s, with the disruption: %t", args[0], trouble)
 	if err := scenarios[args[0]](j, trouble); err != nil {
