--- a/review/harness/executor.go
+++ b/review/harness/executor.go
@@ -295,20 +295,26 @@
 	}
 }
 
+// refuseStart refuses a start command and records it.
+func (e *executor) refuseStart(w http.ResponseWriter, c command, reason string) {
+	e.judge.note("%s refuses %s run %d, token %d: %s", e.id, c.Task, c.Run, c.FencingToken, reason)
+	e.refuse(w, reason)
+}
+
 func (e *executor) start(w http.ResponseWriter, c command) {
 	current := e.running[c.Task]
 	plan := e.plan(c.Task)
 	switch {
 	case c.DeadlineMs < e.clock():
-		e.refuse(w, "late")
+		e.refuseStart(w, c, "late")
 		return
 	case c.Run <= e.highest[c.Task], current != nil && current.number != c.Run:
 		e.renew(c.DeadlineMs)
-		e.refuse(w, "old")
+		e.refuseStart(w, c, "old")
 		return
 	case current == nil && (e.usedCPU+plan.milliCPU > executorMilliCPU || e.usedMB+plan.memoryMB > executorMemoryMB):
 		e.renew(c.DeadlineMs)
-		e.refuse(w, "room")
+		e.refuseStart(w, c, "room")
 		return
 	}
 	e.renew(c.DeadlineMs)
@@ -322,6 +328,7 @@
 }
 
 func (e *executor) stop(w http.ResponseWriter, c command) {
+	e.judge.note("%s is told to stop %s run %d, token %d", e.id, c.Task, c.Run, c.FencingToken)
 	e.highest[c.Task] = max(e.highest[c.Task], c.Run)
 	if current := e.running[c.Task]; current != nil && current.number <= c.Run {
 		e.endRun(current, endStopped)
--- a/review/harness/judge.go
+++ b/review/harness/judge.go
@@ -29,8 +29,6 @@
 	runs   map[string][]*runRecord
 	starts int
 	done   int
-	// quiet keeps starts and ends out of the record, except those of tasks in a finding.
-	quiet bool
 	// failures counts the findings on other rules.
 	failures int
 }
@@ -61,9 +59,7 @@
 	defer j.lock.Unlock()
 	j.starts++
 	j.runs[task] = append(j.runs[task], &runRecord{executor: executor, number: number, token: token, startedAt: time.Now()})
-	if !j.quiet {
-		j.write("%s starts %s run %d, token %d", executor, task, number, token)
-	}
+	j.write("%s starts %s run %d, token %d", executor, task, number, token)
 }
 
 func (j *judge) find(executor, task string, number int64) *runRecord {
@@ -83,15 +79,14 @@
 	if how == endDone {
 		j.done++
 	}
-	if !j.quiet {
-		j.write("%s ends %s run %d: %s", executor, task, number, how)
-	}
+	j.write("%s ends %s run %d: %s", executor, task, number, how)
 }
 
 func (j *judge) observed(executor string, e end) {
 	j.lock.Lock()
 	defer j.lock.Unlock()
 	j.find(executor, e.task, e.run).noted = true
+	j.write("%s: end %d, %s run %d, is observed", executor, e.number, e.task, e.run)
 }
 
 // counts returns the numbers of starts and of runs that ended as done.
--- a/review/harness/leavingcut.go
+++ b/review/harness/leavingcut.go
@@ -8,11 +8,11 @@
 
 // Figures of the case leaving-cut.
 const (
-	leavingExecutors = 6
+	leavingExecutors = 16
 	leavingInstances = 3
-	longTasks        = 24
+	longTasks        = 64
 	longDuration     = 15 * time.Second
-	shortTasks       = 72
+	shortTasks       = 192
 	shortDuration    = 7 * time.Second
 	leavingMilliCPU  = 1000
 	leavingBefore    = 3 * time.Second
--- a/review/harness/manyends.go
+++ b/review/harness/manyends.go
@@ -21,7 +21,6 @@
 // runManyEnds hands in wide jobs of short tasks and lets the store be down for a while. The ends
 // that can't be stored meanwhile exceed what an executor lists at a time.
 func runManyEnds(j *judge, trouble bool) error {
-	j.quiet = true
 	plan := func(string) taskPlan {
 		return taskPlan{milliCPU: manyEndsMilliCPU, memoryMB: 256, duration: manyEndsDuration}
 	}
