Keep the runs of a draining worker until their leases have expired

Cause: a draining worker that was missing from the list and had missed two polls was taken for gone, and its tasks started elsewhere at once. But an entry of the list is removed for two reasons, "when the executor has left, or after three heartbeat intervals of silence". A worker that is cut off for 4.5 s loses its entry too and runs on, here for 0.8 s more, until its leases end. Neither the silence nor the missing entry proves that it ended.

Change: the special case (hasLeft) is removed. Such a worker is treated as any other silent one: its runs are given up when their leases must have ended. What was weighed and left: a refused connection as a proof that the process is gone (a proxy or firewall refuses for a live one as well; the soak does that), and an entry that disappears sooner than silence alone explains (the worker may have lost the store before it lost us).

The spec that demanded a restart as soon as the worker is unlisted and silent asked for the fault; two specs replace it: the tasks wait for the end of the leases and start then, and a worker that answers again keeps its runs.

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -1046,25 +1046,52 @@
 		Expect(h.workersOf("long")).NotTo(ContainElement(leaving))
 	})
 
-	// Guards against waiting for the lease of a worker to expire that has left as announced.
-	It("restarts the tasks of a draining worker once it is silent and no longer listed", func() {
-		h := newHarness(1, 2)
+	// drainAndUnlist drains the worker of a running task, makes it silent and removes its
+	// entry from the list, as happens when it has left and when it is only cut off.
+	drainAndUnlist := func() (h *harness, leaving membership.InstanceID) {
+		h = newHarness(1, 2)
 		h.listWorkers()
-		h.submit("j", dispatch.Step{Tasks: 1, Resources: cores(1), Estimate: time.Second})
+		h.submit("j", batchStep(1))
 		h.advance(0)
 		h.advance(0)
-		leaving := h.starts[0].Worker
+		leaving = h.starts[0].Worker
 		drain(h, leaving)
 		h.advance(100 * time.Millisecond)
-		gone := h.workers[leaving]
-		gone.silent = true
-		h.advance(100 * time.Millisecond)
-		Expect(h.starts).To(HaveLen(1))
+		h.workers[leaving].silent = true
+		cutOff := h.workers[leaving]
 		delete(h.workers, leaving)
 		h.listWorkers()
+		h.workers[leaving] = cutOff
+		return h, leaving
+	}
+
+	// Guards against two runs of a task at once: the entry of a draining worker that was cut off
+	// expired before the leases of its runs, and its tasks started elsewhere immediately.
+	It("restarts the tasks of a draining worker that is no longer listed only after its leases have expired", func() {
+		h, leaving := drainAndUnlist()
+		for range 39 {
+			h.advance(100 * time.Millisecond)
+		}
+		Expect(h.workersOf("j")).To(Equal([]membership.InstanceID{leaving}))
+		for range 10 {
+			h.advance(100 * time.Millisecond)
+		}
+		Expect(h.starts).To(HaveLen(2))
+		Expect(h.starts[1].Worker).NotTo(Equal(leaving))
+	})
+
+	It("keeps the runs of a draining worker that answers again after its entry expired", func() {
+		h, leaving := drainAndUnlist()
+		for range 20 {
+			h.advance(100 * time.Millisecond)
+		}
+		h.workers[leaving].silent = false
 		h.advance(100 * time.Millisecond)
+		Expect(h.workersOf("j")).To(Equal([]membership.InstanceID{leaving}))
+		h.endRun(leaving, h.starts[0].Task, dispatch.EndDone)
 		h.advance(100 * time.Millisecond)
-		Expect(h.starts).To(HaveLen(2))
+		h.advance(100 * time.Millisecond)
+		expectState(h, "j", dispatch.Completed)
 	})
 })
 
--- a/internal/decision/dispatch/drain.go
+++ b/internal/decision/dispatch/drain.go
@@ -50,9 +50,3 @@
 	remaining := total - now.Sub(a.firstProgress.at)
 	return remaining > a.worker.Remaining-now.Sub(a.worker.drainingAt)-drainMargin
 }
-
-// hasLeft reports whether a draining worker is gone: the platform no longer lists it
-// and it doesn't answer.
-func (w *worker) hasLeft() bool {
-	return w.Draining && !w.listed && w.missedPolls > 1
-}
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -34,15 +34,13 @@
 }
 
 // dropSilentWorkers gives up runs whose leases have expired, and forgets workers that
-// are neither listed nor running anything.
+// are neither listed nor running anything. A worker that is missing from the platform's
+// list may be running: its entry also expires while it is only cut off.
 func (e *Engine) dropSilentWorkers(now time.Time) {
 	e.sortedWorkers = slices.DeleteFunc(e.sortedWorkers, func(w *worker) bool {
 		if w.missedPolls > 0 && w.reported && len(w.runs) > 0 && now.After(w.leasesExpireAt()) {
 			e.loseRuns(now, w, "lease ended")
 		}
-		if w.hasLeft() {
-			e.loseRuns(now, w, "worker left")
-		}
 		if w.listed || len(w.runs) > 0 || now.Sub(w.unlistedAt) < maxReportAge {
 			return false
 		}
