Ignore another worker's answer from an address that was left

The poll may have been sent to an address that the worker has left meanwhile, as one does that starts again under its ID elsewhere; runs that it had accepted at its new address were started elsewhere too (rule TWICE).

Change: WorkerReplaced takes the address that was polled, and counts only while it is the worker's. "keeps the runs of a worker that is listed at another address while a poll is on its way" fails without the check.

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -132,7 +132,7 @@
 		w := h.workers[id]
 		p, _ := h.engine.Poll(h.now, id)
 		if w != nil && w.replaced {
-			h.engine.WorkerReplaced(h.now, id)
+			h.engine.WorkerReplaced(h.now, id, p.Address)
 			continue
 		}
 		if w == nil || w.silent {
@@ -879,6 +879,31 @@
 		Expect(h.starts).To(HaveLen(2))
 		Expect(h.starts[1].Worker).NotTo(Equal(h.starts[0].Worker))
 	})
+
+	// Guards against two runs of a task at once: a worker that started again under its ID, at
+	// another address, lost its new runs to the answer of whoever had its old address by then.
+	It("keeps the runs of a worker that is listed at another address while a poll is on its way", func() {
+		h := newHarness(1, 2)
+		h.listWorkers()
+		h.advance(0)
+		moved := h.workers["w0"]
+		p, _ := h.engine.Poll(h.now, "w0")
+		moved.info.Address = "elsewhere"
+		h.workers["w1"].info.Draining = true
+		h.listWorkers()
+		h.submit("j", batchStep(1))
+		h.tick()
+		Expect(h.starts).To(HaveLen(1))
+		Expect(h.starts[0].Address).To(Equal("elsewhere"))
+		h.engine.WorkerReplaced(h.now, "w0", p.Address)
+		h.workers["w1"].info.Draining = false
+		h.listWorkers()
+		for range 3 {
+			h.tick()
+			h.advance(100 * time.Millisecond)
+		}
+		Expect(h.starts).To(HaveLen(1))
+	})
 })
 
 var _ = Describe("Recovery", func() {
@@ -927,7 +952,7 @@
 	// the address that the earlier owner knew doesn't prove that the moved one has ended.
 	It("waits for a worker that is listed at another address", func() {
 		h, moved := takeOver()
-		h.engine.WorkerReplaced(h.now, "w1")
+		h.engine.WorkerReplaced(h.now, "w1", moved.info.Address)
 		moved.info.Address = "elsewhere"
 		moved.silent = true
 		h.listWorkers()
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -59,16 +59,17 @@
 	}
 }
 
-// WorkerReplaced records that another worker answers at the address of this one, so
-// this one has ended with all its runs. Its tasks can restart without waiting for its
-// leases to expire.
-func (e *Engine) WorkerReplaced(now time.Time, id membership.InstanceID) {
+// WorkerReplaced records that another worker answered a poll at the address of this one,
+// so this one has ended with all its runs. Its tasks can restart without waiting for its
+// leases to expire. An answer from an address that the worker no longer has says nothing
+// about it.
+func (e *Engine) WorkerReplaced(now time.Time, id membership.InstanceID, address string) {
 	w := e.workers[id]
 	if w == nil {
 		return
 	}
 	e.PollFailed(now, id)
-	if w.replaced {
+	if w.replaced || w.Address != address {
 		return
 	}
 	w.replaced = true
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -189,7 +189,7 @@
 		}
 		o.withEngine(func(now time.Time, e *dispatch.Engine) {
 			if errors.Is(err, ErrWorkerReplaced) {
-				e.WorkerReplaced(now, id)
+				e.WorkerReplaced(now, id, p.Address)
 				return
 			}
 			e.PollFailed(now, id)
