Acknowledge no ends to a worker that may have restarted

Change: a poll to a worker whose last poll failed acknowledges nothing; the ends that it lists again are known by their numbers. "acknowledges no ends of a worker that may have restarted" failed before.

--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -31,8 +31,14 @@
 		return Poll{}, false
 	}
 	w.polls, w.pollSentAt = w.polls+1, now
-	p := Poll{Address: w.Address, LastStoredEnd: w.lastEndStored}
-	if !w.reported || w.missedPolls > 0 || e.suspended {
+	p := Poll{Address: w.Address}
+	if !w.reported || w.missedPolls > 0 {
+		// The worker may have restarted. It then numbers its ends anew, and must not take
+		// new ends for stored ones.
+		return p, true
+	}
+	p.LastStoredEnd = w.lastEndStored
+	if e.suspended {
 		return p, true
 	}
 	p.Lease = w.renewLease(now, e.options.LeaseTerm)
--- a/internal/decision/dispatch/report_test.go
+++ b/internal/decision/dispatch/report_test.go
@@ -192,6 +192,30 @@
 	})
 })
 
+// Guards against losing the ends of a worker that has restarted: it numbers them anew, and took
+// the first ones for stored when a poll acknowledged the number of its earlier process.
+var _ = Describe("A poll", func() {
+	It("acknowledges no ends of a worker that may have restarted", func() {
+		h := newHarness(1, 1)
+		h.listWorkers()
+		h.advance(0)
+		h.submit("j", batchStep(1))
+		h.advance(0)
+		h.endRun("w0", h.starts[0].Task, dispatch.EndDone)
+		for range 2 {
+			h.advance(100 * time.Millisecond)
+		}
+		p, _ := h.engine.Poll(h.now, "w0")
+		Expect(p.LastStoredEnd).To(BeEquivalentTo(1))
+		h.engine.PollFailed(h.now, "w0")
+		p, _ = h.engine.Poll(h.now, "w0")
+		Expect(p.LastStoredEnd).To(BeZero())
+		h.engine.Observe(h.now, "w0", h.workers["w0"].report(p))
+		p, _ = h.engine.Poll(h.now, "w0")
+		Expect(p.LastStoredEnd).To(BeEquivalentTo(1))
+	})
+})
+
 // eventsOf returns how many decisions of a kind the engine has recorded.
 func (h *harness) eventsOf(event string) (count int) {
 	for _, d := range h.decisions {
