Count the wait of a long-running task from its last run that was active

A start that a worker refused counted as a run, so each refusal began the wait anew.

Change: only runs that a worker accepted or listed count, and the wait goes on over refused starts. "gives a worker that scarce fillers need to a serving task that has been down for too long, when another worker refuses its starts" fails before.

--- a/internal/decision/dispatch/command.go
+++ b/internal/decision/dispatch/command.go
@@ -66,7 +66,7 @@
 	e.record(now, Decision{Event: "TaskStart", Task: r, Worker: id, Reason: string(result), Age: now.Sub(a.sentAt)})
 	switch result {
 	case StartAccepted:
-		a.phase, a.settledPoll = running, a.worker.polls
+		a.phase, a.settledPoll, a.confirmed = running, a.worker.polls, true
 		e.observe("Latency.StartCommand", now.Sub(a.sentAt))
 		e.startAnswers.record(min(now.Sub(a.sentAt), maxAnswerTimeout), true)
 		if j := a.task.step.job; !j.started {
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -50,6 +50,8 @@
 	// slowStops reports that a stopped run stays active, in neither list, until endRun is
 	// called.
 	slowStops bool
+	// refuses reports that the worker refuses all starts for lack of room.
+	refuses bool
 	// replaced reports that the worker has ended and another one answers at its address.
 	replaced bool
 }
@@ -174,6 +176,10 @@
 			h.engine.StartAnswered(h.now, c.Worker, c.TaskRun, dispatch.StartUnanswered)
 			return
 		}
+		if w.refuses {
+			h.engine.StartAnswered(h.now, c.Worker, c.TaskRun, dispatch.StartNoRoom)
+			return
+		}
 		w.running[c.Task] = &dispatch.RunningTask{TaskRun: c.TaskRun}
 		h.engine.StartAnswered(h.now, c.Worker, c.TaskRun, dispatch.StartAccepted)
 	case c.Stop:
--- a/internal/decision/dispatch/exchange.go
+++ b/internal/decision/dispatch/exchange.go
@@ -71,10 +71,12 @@
 // mayDefer reports whether a task may keep waiting for a better worker.
 func (e *Engine) mayDefer(now time.Time, t *task) bool {
 	switch waited := now.Sub(t.deferredSince); {
-	case waited < minBetterWorkerWait, t.run > 0 && now.Sub(t.lastReportAt) < maxBetterWorkerWait:
+	case waited < minBetterWorkerWait:
 		return true
-	case waited >= maxBetterWorkerWait:
+	case t.isDownFor(now, maxBetterWorkerWait), waited >= maxBetterWorkerWait:
 		return false
+	case !t.lastRunAt.IsZero():
+		return true
 	}
 	return !e.hasSpareRoom(now, t)
 }
--- a/internal/decision/dispatch/exchange_test.go
+++ b/internal/decision/dispatch/exchange_test.go
@@ -125,7 +125,7 @@
 	// Guards against a task that waits too long for a better worker. In run leaving-workers of a
 	// site with seed 913964129843, a task whose worker was lost waited so long for another one
 	// that it was counted as lost.
-	It("gives a worker that scarce fillers need to a serving task that has been down for too long", func() {
+	DescribeTable("gives a worker that scarce fillers need to a serving task that has been down for too long", func(refused bool) {
 		h.submit("calm", serving("calm", 1, 2))
 		runFor(500 * time.Millisecond)
 		lostWorker := h.workersOf("calm")[0]
@@ -140,13 +140,25 @@
 		h.submit("full", serving("touchy", 2, 6))
 		learn()
 		runFor(500 * time.Millisecond)
+		if refused {
+			h.workers["w4"] = newFakeWorker("w4", 12)
+			h.listWorkers()
+			runFor(200 * time.Millisecond)
+			h.submit("partly", serving("touchy", 1, 10))
+			runFor(500 * time.Millisecond)
+			h.workers["w4"].refuses = true
+		}
 		Expect(h.workersOf("touchy")).NotTo(ContainElement(lostWorker))
 		h.workers[h.workersOf("touchy")[0]].silent = true
 		runFor(5 * time.Second)
 		Expect(h.workersOf("touchy")).NotTo(ContainElement(lostWorker))
 		runFor(1500 * time.Millisecond)
 		Expect(h.workersOf("touchy")).To(ContainElement(lostWorker))
-	})
+	},
+		Entry("when no other worker has room", false),
+		// Each refused start began the wait anew.
+		Entry("when another worker refuses its starts", true),
+	)
 
 	// Guards against a pointless wait where fillers find room anywhere.
 	It("starts a serving task immediately while most workers accept the fillers", func() {
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -75,10 +75,11 @@
 	movedAt time.Time
 	// lastHeldAt is when a worker was last held for the task.
 	lastHeldAt time.Time
-	// lastReportAt is when the worker of the last run last reported.
-	lastReportAt time.Time
-	// deferredSince is when the task began to wait for a worker that doesn't block
-	// fillers, or zero if it has started since.
+	// lastRunAt is when the worker of the last run that was active last reported. Starts that a
+	// worker refused don't count.
+	lastRunAt time.Time
+	// deferredSince is when the task, after its last run, began to wait for a worker that
+	// doesn't block fillers, or zero if it didn't yet.
 	deferredSince time.Time
 	// nextSearchAt is the earliest time of the next search for a worker.
 	nextSearchAt time.Time
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -172,6 +172,7 @@
 	startedUp := false
 	if a := w.runs[end.Task]; a != nil && a.run == end.Run {
 		startedUp = a.percent >= startedUpPercent
+		a.confirmed = true
 		a.task.beginDowntime(now, w, reasonEnded)
 		if end.Kind == EndDone && a.firstProgress.percent == 0 {
 			a.recordDuration(now)
@@ -263,6 +264,7 @@
 	if a.phase == unconfirmed {
 		a.phase = running
 	}
+	a.confirmed = true
 	a.task.step.job.started = true
 	if r.Percent > a.percent {
 		if a.percent == 0 && (a.adopted || a.task.checkpoint != "") {
@@ -287,7 +289,7 @@
 		return nil
 	}
 	a := newAttempt(t, r.Run, w, now)
-	a.phase, a.settledPoll = running, w.polls
+	a.phase, a.settledPoll, a.confirmed = running, w.polls, true
 	a.adopted = true
 	t.down = downtime{}
 	a.pace.percent = unknownPace
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -60,6 +60,8 @@
 	settledPoll int64
 	// missingSince is when a report first should have listed the run and didn't, or zero.
 	missingSince time.Time
+	// confirmed reports that the worker accepted the run or listed it.
+	confirmed bool
 	// previousRun is the task's run number before the placement of its gang, to restore
 	// if the gang doesn't fit.
 	previousRun Run
@@ -244,7 +246,6 @@
 	a.task.step.job.activeAttempts++
 	a.task.attempt = a
 	a.task.run = max(a.task.run, a.run)
-	a.task.deferredSince = time.Time{}
 }
 
 // remove removes an attempt and frees its resources.
@@ -273,7 +274,9 @@
 	s.job.activeAttempts--
 	if a.task.attempt == a {
 		a.task.attempt = nil
-		a.task.lastReportAt = w.lastReportAt
+		if a.confirmed {
+			a.task.lastRunAt, a.task.deferredSince = w.lastReportAt, time.Time{}
+		}
 	}
 }
 
