Leave first starts out of the long downtimes again

Change: a task counts as one that ran before if a worker accepted or listed a run of it, or if it was down when the owner took over.

--- a/internal/decision/dispatch/long_downtime.go
+++ b/internal/decision/dispatch/long_downtime.go
@@ -30,7 +30,8 @@
 
 func (e *Engine) recordLongDowntime(now time.Time, t *task) {
 	d := &t.down
-	if d.since.IsZero() || d.recorded || t.run == 0 && d.reason == reasonFirstStart || now.Sub(d.since) < longDowntime {
+	ranBefore := !t.lastRunAt.IsZero() || t.isDownSinceTakeover()
+	if d.since.IsZero() || d.recorded || !ranBefore || now.Sub(d.since) < longDowntime {
 		return
 	}
 	d.recorded = true
