Hold the place of a moved task while it is still stopping

A hold counted as used as soon as its task had an attempt, and that which was being stopped is one.

Change: the hold for a moved task is active while its earlier run is stopping. "starts a serving task where it was moved to, whatever else waits" lets the stop take its time now and failed before for all three competitors.

--- a/internal/decision/dispatch/defrag.go
+++ b/internal/decision/dispatch/defrag.go
@@ -33,9 +33,14 @@
 	moved bool
 }
 
-// isActive reports whether the worker is held for a task that hasn't started yet.
+// isActive reports whether the worker is held for a task that hasn't started yet. A moved task
+// may still be stopping on its earlier worker.
 func (h *hold) isActive(now time.Time) bool {
-	return h.task != nil && !now.After(h.expiresAt) && h.task.attempt == nil
+	if h.task == nil || now.After(h.expiresAt) {
+		return false
+	}
+	a := h.task.attempt
+	return a == nil || h.moved && a.phase == stopping
 }
 
 // isForMoved reports whether the task was stopped to run on the held worker.
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -1099,11 +1099,14 @@
 	// other tasks took the room for which it was stopped (bogkreds-jt-grown, trouble-2: 5 s).
 	DescribeTable("starts a serving task where it was moved to, whatever else waits", func(competitor dispatch.Step) {
 		h := blockFillers()
+		h.workers[calm].slowStops = true
 		for n := 0; len(h.stops) == 0 && n < 20; n++ {
 			startUp(h, 100*time.Millisecond)
 		}
 		Expect(h.stops).To(HaveLen(1))
 		h.submit("competitor", competitor)
+		startUp(h, 100*time.Millisecond)
+		h.endRun(calm, h.stops[0].Task, dispatch.EndStopped)
 		for range 4 {
 			startUp(h, 100*time.Millisecond)
 		}
