Wait for the leases that an earlier owner renewed

Cause, found by reading what a new owner takes for gone: it knew only the leases that it had renewed itself. Suspended between a worker's first report and the first renewal, it took the leases of a worker that then went silent for expired 0.3 s after the report, and started its tasks elsewhere, although the earlier owner's leases hold for up to 4 s (rule TWICE).

The spec "waits for the leases that the earlier owner may have renewed" failed before.

--- a/internal/decision/dispatch/recovery_test.go
+++ b/internal/decision/dispatch/recovery_test.go
@@ -126,3 +126,31 @@
 		Expect(h.starts).To(BeEmpty())
 	})
 })
+
+// Guards against two runs of a task at once: a new owner that was suspended right after a worker's
+// first report took the worker's leases for expired, because it had renewed none itself.
+var _ = Describe("A takeover beside a worker that goes silent after its first report", func() {
+	It("waits for the leases that the earlier owner may have renewed", func() {
+		h := newHarness(2, 2)
+		run := dispatch.TaskRun{Task: dispatch.TaskID{Job: "j"}, Run: 1}
+		h.workers["w1"].running[run.Task] = &dispatch.RunningTask{TaskRun: run}
+		h.engine.AddJob(h.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{batchStep(1)}}, dispatch.Progress{}, true)
+		h.engine.Recover(h.now, 0)
+		h.listWorkers()
+		h.advance(100 * time.Millisecond)
+		h.engine.SetSuspended(h.now, true)
+		h.workers["w1"].silent = true
+		for range 5 {
+			h.advance(100 * time.Millisecond)
+		}
+		h.engine.SetSuspended(h.now, false)
+		for range 34 {
+			h.advance(100 * time.Millisecond)
+			Expect(h.starts).To(BeEmpty())
+		}
+		for range 20 {
+			h.advance(100 * time.Millisecond)
+		}
+		Expect(h.starts).To(HaveLen(1))
+	})
+})
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -95,6 +95,10 @@
 	if restarted {
 		e.handleRestart(now, w)
 	}
+	if !w.reported {
+		// An earlier owner may have renewed the leases just before.
+		w.leaseEndSent = max(w.leaseEndSent, r.Clock+e.options.LeaseTerm)
+	}
 	if w.missedPolls > 0 {
 		e.record(now, Decision{Event: "WorkerAnswers", Worker: id, Age: now.Sub(w.lastReportAt)})
 	}
