Let others use the room that a moved task leaves

Cause: to keep a place for a moved task its whole worker was held.

Change: only what the moved task needs is kept; the rest of its destination is free for others. The spec "starts other tasks in the room that a moved task leaves" failed before.

--- a/internal/decision/dispatch/defrag.go
+++ b/internal/decision/dispatch/defrag.go
@@ -63,6 +63,11 @@
 	return h.task.step == s || (s != h.excluded && !h.moved && s.LongRunning && h.task.step.LongRunning)
 }
 
+// allowsBeside reports whether the step may use the free capacity that the held task doesn't need.
+func (h *hold) allowsBeside(now time.Time, s *step) bool {
+	return h.allows(now, s) || h.moved && s != h.excluded
+}
+
 // isExcludedFromHold reports whether a worker is held that the step must not use,
 // because one of its tasks was stopped there to make room.
 func (e *Engine) isExcludedFromHold(now time.Time, s *step) bool {
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -1116,6 +1116,24 @@
 		Entry("long-running tasks", serving("calm", 8)),
 		Entry("larger long-running tasks", dispatch.Step{Tasks: 1, Resources: cores(5), LongRunning: true}),
 	)
+
+	// Guards against capacity that stays unused: a place that was kept for a moved task kept all
+	// others off its worker.
+	It("starts other tasks in the room that a moved task leaves", func() {
+		h := blockFillers()
+		h.workers[calm].slowStops = true
+		for n := 0; len(h.stops) == 0 && n < 20; n++ {
+			startUp(h, 100*time.Millisecond)
+		}
+		Expect(h.stops).To(HaveLen(1))
+		h.submit("beside", dispatch.Step{Tasks: 1, Resources: cores(4), Estimate: time.Minute})
+		startUp(h, 100*time.Millisecond)
+		Expect(h.workersOf("beside")).To(Equal([]membership.InstanceID{other}))
+		h.endRun(calm, h.stops[0].Task, dispatch.EndStopped)
+		startUp(h, 100*time.Millisecond)
+		startUp(h, 100*time.Millisecond)
+		Expect(h.workersOf("touchy")).To(Equal([]membership.InstanceID{other}))
+	})
 })
 
 var _ = Describe("Draining workers", func() {
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -69,7 +69,16 @@
 // mayPlace reports whether the placement policy, the step's constraints and the free
 // capacity allow the task on the worker.
 func (e *Engine) mayPlace(now time.Time, t *task, w *worker) bool {
-	return !w.hold.isForOtherMoved(now, t) && e.isPermitted(now, t.step, w) && e.isFeasible(now, t.step, w)
+	return w.hasRoomBesideHold(now, t) && e.isPermitted(now, t.step, w) && e.isFeasible(now, t.step, w)
+}
+
+// hasRoomBesideHold reports whether a task leaves enough room for another one that was moved to
+// the worker. Fillers take no room from it.
+func (w *worker) hasRoomBesideHold(now time.Time, t *task) bool {
+	if t.step.Filler || !w.hold.isForOtherMoved(now, t) {
+		return true
+	}
+	return t.step.Reserved().Add(w.hold.task.step.Reserved()).FitsIn(w.free())
 }
 
 // isPermitted reports whether the placement policy allows the step on the worker.
@@ -80,7 +89,7 @@
 // isFeasible reports whether the worker meets the step's constraints and has room for
 // one of its tasks. It doesn't check the placement policy.
 func (e *Engine) isFeasible(now time.Time, s *step, w *worker) bool {
-	return e.meetsConstraints(s, w) && s.Reserved().FitsIn(w.free()) && (s.Filler || w.hold.allows(now, s))
+	return e.meetsConstraints(s, w) && s.Reserved().FitsIn(w.free()) && (s.Filler || w.hold.allowsBeside(now, s))
 }
 
 // updateSchedulable marks the workers that may get tasks in this tick, and the steps for
