--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -346,14 +346,18 @@
 }
 
 // isGone reports whether a run that isn't reported, though it must be, can't be active any more.
-// A run that ended while the report was made, or that is being stopped, may be in neither list,
-// but at the latest after the time for a stop its end is listed.
+// A run that is starting up, that ended while the report was made, or that is being stopped may
+// be in neither list for a while.
 func (e *Engine) isGone(now time.Time, a *attempt) bool {
 	if a.missingSince.IsZero() {
 		a.missingSince = now
 		return false
 	}
-	return a.worker.pollSentAt.Sub(a.missingSince) >= e.options.StopTimeout+stopTimeoutMargin
+	minMissing := e.options.StopTimeout + stopTimeoutMargin
+	if a.phase == running {
+		minMissing = max(minMissing, minMissingTime)
+	}
+	return a.worker.pollSentAt.Sub(a.missingSince) >= minMissing
 }
 
 // dropMissingRun gives up a run that its worker doesn't have. If one of its start commands may
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -20,6 +20,9 @@
 	maxReportAge = 2500 * time.Millisecond
 	// stopTimeoutMargin covers timers that fire late on the worker.
 	stopTimeoutMargin = 100 * time.Millisecond
+	// minMissingTime is how long an accepted run must be missing from the reports before it
+	// counts as lost. A worker may list a run only once it has started up.
+	minMissingTime = 2 * time.Second
 	// stopRetryInterval is the time after which a stop command is sent again.
 	stopRetryInterval = 400 * time.Millisecond
 )
