Log on what an owner relies when it gives up runs

Change: TaskLost, TaskMissing, WorkerReplaced and WorkerRestarted carry Evidence, logged field by field. TaskOrphan is new: a worker lists a run that the owner has given up or never had, with the task's other run; until now it was counted only. RecoveryEnded says why. The four that may cost a second run are warnings, so that a log that is cut short keeps them. No decision changes.

The specs under "A run that is given up" ask for fields and an event that the code before doesn't have.

--- a/internal/decision/dispatch/command.go
+++ b/internal/decision/dispatch/command.go
@@ -36,12 +36,18 @@
 
 // StopAccepted records that a worker accepted a stop command. An answer to a command that was
 // issued to an earlier incarnation of the worker doesn't count.
-func (e *Engine) StopAccepted(id membership.InstanceID, r TaskRun, incarnation int64) {
+func (e *Engine) StopAccepted(now time.Time, id membership.InstanceID, r TaskRun, incarnation int64) {
 	a := e.findAttempt(id, r)
 	if a == nil || a.phase != stopping || a.stopAccepted || incarnation != a.worker.incarnation {
 		return
 	}
-	a.stopAccepted, a.settledPoll = true, a.worker.polls
+	a.stopAccepted = true
+	a.settle(now)
+}
+
+// settle records that the answer to the last start or stop command for the run has arrived.
+func (a *attempt) settle(now time.Time) {
+	a.settledPoll, a.answeredAt = a.worker.polls, now
 }
 
 func (e *Engine) findAttempt(id membership.InstanceID, r TaskRun) *attempt {
@@ -66,7 +72,8 @@
 	e.record(now, Decision{Event: "TaskStart", Task: r, Worker: id, Reason: string(result), Age: now.Sub(a.sentAt)})
 	switch result {
 	case StartAccepted:
-		a.phase, a.settledPoll, a.confirmed = running, a.worker.polls, true
+		a.phase, a.confirmed = running, true
+		a.settle(now)
 		e.observe("Latency.StartCommand", now.Sub(a.sentAt))
 		e.startAnswers.record(min(now.Sub(a.sentAt), maxAnswerTimeout), true)
 		if j := a.task.step.job; !j.started {
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -187,7 +187,7 @@
 		if w.silent {
 			return
 		}
-		h.engine.StopAccepted(c.Worker, c.TaskRun, c.Incarnation)
+		h.engine.StopAccepted(h.now, c.Worker, c.TaskRun, c.Incarnation)
 		if w.slowStops {
 			w.hidden[c.Task] = true
 			return
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -43,6 +43,8 @@
 	// follows from them and the client's estimates.
 	SlackFactor   float64
 	TargetLatency time.Duration
+	// Evidence is set if the decision is about runs that may be active.
+	Evidence *Evidence
 }
 
 // Options configures an Engine.
--- a/internal/decision/dispatch/recovery.go
+++ b/internal/decision/dispatch/recovery.go
@@ -26,6 +26,7 @@
 	if !e.recovering || e.hasWorkerWithMoreEnds(now) {
 		return
 	}
+	reason := "the leases of the earlier owner have expired"
 	if now.Before(e.recoveryEnds) {
 		if !e.workersListed {
 			return
@@ -35,9 +36,10 @@
 				return
 			}
 		}
+		reason = "all workers have reported"
 	}
 	e.recovering = false
-	e.record(now, Decision{Event: "RecoveryEnded"})
+	e.record(now, Decision{Event: "RecoveryEnded", Reason: reason})
 }
 
 // hasWorkerWithMoreEnds reports whether a worker has ends that this owner doesn't know. An unknown
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
@@ -81,7 +82,8 @@
 	}
 	w.replaced = true
 	e.count("Worker.Replaced")
-	e.record(now, Decision{Event: "WorkerReplaced", Worker: id, Age: now.Sub(w.lastReportAt)})
+	ev := w.evidence(now)
+	e.record(now, Decision{Event: "WorkerReplaced", Worker: id, Reason: address, Age: ev.ReportAge, Evidence: &ev})
 	e.loseRuns(now, w, "worker replaced")
 }
 
@@ -91,11 +93,10 @@
 	if w == nil {
 		return
 	}
-	restarted := w.reported && w.incarnation != r.Incarnation
-	w.incarnation = r.Incarnation
-	if restarted {
-		e.handleRestart(now, w)
+	if w.reported && w.incarnation != r.Incarnation {
+		e.handleRestart(now, w, r)
 	}
+	w.incarnation = r.Incarnation
 	if !w.reported {
 		// An earlier owner may have renewed the leases just before.
 		w.leaseEndSent = max(w.leaseEndSent, r.Clock+e.options.LeaseTerm)
@@ -117,9 +118,13 @@
 // handleRestart drops the runs of a worker whose process has restarted. Runs whose
 // start got no answer stay, because the new process may still execute the command, and so
 // do runs that either process may have accepted.
-func (e *Engine) handleRestart(now time.Time, w *worker) {
+func (e *Engine) handleRestart(now time.Time, w *worker, r Report) {
 	e.count("Worker.Restarted")
-	e.record(now, Decision{Event: "WorkerRestarted", Worker: w.ID})
+	ev := w.evidence(now)
+	ev.EarlierIncarnation, ev.EarlierClock = ev.Incarnation, ev.Clock
+	ev.Incarnation, ev.Clock = r.Incarnation, r.Clock
+	e.record(now, Decision{Event: "WorkerRestarted", Worker: w.ID, Age: ev.ReportAge, Evidence: &ev})
+	w.incarnation = r.Incarnation
 	w.lastEndSeen, w.lastEndStored, w.leaseEndSent = 0, 0, 0
 	clear(w.orphanStops)
 	for _, a := range w.runs {
@@ -146,7 +151,8 @@
 func (e *Engine) loseRun(now time.Time, a *attempt, reason string) {
 	e.count("Task.Lost")
 	a.task.beginDowntime(now, a.worker, reason)
-	e.record(now, Decision{Event: "TaskLost", Task: a.taskRun(), Worker: a.worker.ID, Reason: reason})
+	ev := a.evidence(now)
+	e.record(now, Decision{Event: "TaskLost", Task: a.taskRun(), Worker: a.worker.ID, Reason: reason, Age: ev.ReportAge, Evidence: &ev})
 	e.releaseRun(now, a)
 }
 
@@ -315,11 +321,28 @@
 	if now.Sub(w.orphanStops[r]) < stopRetryInterval {
 		return
 	}
+	if w.orphanStops[r].IsZero() {
+		ev := w.evidence(now)
+		e.record(now, Decision{Event: "TaskOrphan", Task: r, Worker: w.ID, Reason: e.explainOrphan(r), Age: ev.ReportAge, Evidence: &ev})
+	}
 	w.orphanStops[r] = now
 	e.count("Task.Stray")
 	e.issueStopCommand(w, r)
 }
 
+// explainOrphan returns what the owner knows of the task of a run that isn't in its records.
+func (e *Engine) explainOrphan(r TaskRun) string {
+	t := e.findTask(r.Task)
+	switch {
+	case t == nil:
+		return "its job is unknown or has ended"
+	case t.attempt != nil:
+		return fmt.Sprintf("run %d of the task on %s is %s", t.attempt.run, t.attempt.worker.ID, t.attempt.phase)
+	default:
+		return "no run of the task is known"
+	}
+}
+
 // handleMissingRuns handles the runs that a worker should report but doesn't. It never compares
 // times on the worker's clock: the worker may read the clock after the lists, and responses on
 // different connections may overtake each other.
@@ -368,7 +391,8 @@
 	switch {
 	case a.phase == stopping:
 		e.count("Task.MissingAfterStop")
-		e.record(now, Decision{Event: "TaskMissing", Task: a.taskRun(), Worker: a.worker.ID, Reason: "stopped", Age: now.Sub(a.missingSince)})
+		ev := a.evidence(now)
+		e.record(now, Decision{Event: "TaskMissing", Task: a.taskRun(), Worker: a.worker.ID, Reason: "stopped", Age: ev.MissingFor, Evidence: &ev})
 		e.releaseRun(now, a)
 	case unanswered:
 		e.stop(now, a, "not reported by its worker")
--- a/internal/decision/dispatch/report_test.go
+++ b/internal/decision/dispatch/report_test.go
@@ -188,7 +188,7 @@
 		p, _ = h.engine.Poll(h.now, id)
 		h.engine.Observe(h.now, id, w.report(p))
 		h.engine.TakeCommands()
-		h.engine.StopAccepted(id, earlier[0].TaskRun, earlier[0].Incarnation)
+		h.engine.StopAccepted(h.now, id, earlier[0].TaskRun, earlier[0].Incarnation)
 		for range 10 {
 			h.now, w.clock = h.now.Add(interval), w.clock+interval
 			p, _ = h.engine.Poll(h.now, id)
@@ -287,3 +287,88 @@
 	}
 	return count
 }
+
+// Guards against losses that the logs don't explain: an owner gave up runs that were active, and no
+// line told on which answers, leases or starts of the worker that rested.
+var _ = Describe("A run that is given up", func() {
+	evidenceOf := func(h *harness, event string) dispatch.Evidence {
+		GinkgoHelper()
+		for _, d := range h.decisions {
+			if d.Event == event {
+				Expect(d.Evidence).NotTo(BeNil())
+				return *d.Evidence
+			}
+		}
+		Fail("no decision " + event)
+		return dispatch.Evidence{}
+	}
+	// start starts a task on the only worker, which reports it.
+	start := func() (*harness, *fakeWorker) {
+		h := newHarness(1, 1)
+		h.listWorkers()
+		h.advance(0)
+		h.submit("j", batchStep(1))
+		h.advance(0)
+		h.advance(100 * time.Millisecond)
+		Expect(h.starts).To(HaveLen(1))
+		return h, h.workers["w0"]
+	}
+
+	It("is recorded with the polls and answers that show that it is missing", func() {
+		h, w := start()
+		delete(w.running, h.starts[0].Task)
+		for range 30 {
+			h.advance(100 * time.Millisecond)
+		}
+		ev := evidenceOf(h, "TaskLost")
+		Expect(ev.Phase).To(Equal("running"))
+		Expect(ev.AnswerAge).To(BeNumerically(">", ev.MissingFor))
+		Expect(ev.MissingFor).To(BeNumerically(">=", 2*time.Second))
+		Expect(ev.LeaseExpiresIn).To(BeNumerically(">", 0))
+	})
+
+	It("is recorded with the end of its lease if its worker is silent", func() {
+		h, w := start()
+		w.silent = true
+		for range 60 {
+			h.advance(100 * time.Millisecond)
+		}
+		ev := evidenceOf(h, "TaskLost")
+		Expect(ev.LeaseExpiresIn).To(BeNumerically("<", 0))
+		Expect(ev.ReportAge).To(BeNumerically(">", leaseTerm))
+	})
+
+	It("is recorded with both starts of its worker if that has restarted", func() {
+		h, w := start()
+		w.incarnation, w.clock = 7, 0
+		clear(w.running)
+		h.advance(100 * time.Millisecond)
+		ev := evidenceOf(h, "WorkerRestarted")
+		Expect(ev.EarlierIncarnation).To(BeEquivalentTo(1))
+		Expect(ev.Incarnation).To(BeEquivalentTo(7))
+		Expect(ev.EarlierClock).To(BeNumerically(">", ev.Clock-time.Second))
+		Expect(ev.Runs).To(Equal(1))
+	})
+
+	It("is recorded again when its worker lists it beside the next run", func() {
+		h := newHarness(1, 2)
+		h.listWorkers()
+		h.advance(0)
+		h.submit("j", batchStep(1))
+		h.advance(0)
+		h.advance(100 * time.Millisecond)
+		first := h.starts[0]
+		h.workers[first.Worker].hidden[first.Task] = true
+		h.workers[first.Worker].refuses = true
+		for range 30 {
+			h.advance(100 * time.Millisecond)
+		}
+		Expect(len(h.starts)).To(BeNumerically(">", 1))
+		h.workers[first.Worker].hidden[first.Task] = false
+		h.advance(100 * time.Millisecond)
+		Expect(h.decisions).To(ContainElement(SatisfyAll(
+			HaveField("Event", "TaskOrphan"), HaveField("Task", first.TaskRun),
+			HaveField("Reason", MatchRegexp("^run [0-9]+ of the task on w[01] is running$")),
+		)))
+	})
+})
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -61,6 +61,8 @@
 	// the last start or stop command for the run arrived. Later polls reached the worker after
 	// that command, so that only their reports tell whether it took effect.
 	settledPoll int64
+	// answeredAt is when that answer arrived, or zero.
+	answeredAt time.Time
 	// missingSince is when a report first should have listed the run and didn't, or zero.
 	missingSince time.Time
 	// confirmed reports that the worker accepted the run or listed it.
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
@@ -160,7 +161,7 @@
 	if isRoutine(d) {
 		log = &o.node.RoutineLog
 	}
-	line := log.Info().Str("Event", d.Event).Int("Shard", int(o.shard.id)).Int64("Epoch", int64(o.epoch))
+	line := log.WithLevel(levelOf(d)).Str("Event", d.Event).Int("Shard", int(o.shard.id)).Int64("Epoch", int64(o.epoch))
 	if d.Job != "" {
 		line = line.Str("Job", string(d.Job))
 	}
@@ -185,9 +186,49 @@
 	if d.SlackFactor > 0 {
 		line = line.Float64("SlackFactor", d.SlackFactor).Dur("TargetLatency", d.TargetLatency)
 	}
+	if d.Evidence != nil {
+		line = addEvidence(line, d.Evidence)
+	}
 	line.Send()
 }
 
+// addEvidence adds the fields of the evidence that are known.
+func addEvidence(line *zerolog.Event, ev *dispatch.Evidence) *zerolog.Event {
+	if ev.Phase != "" {
+		line = line.Str("Phase", ev.Phase)
+	}
+	for _, age := range []struct {
+		name  string
+		value time.Duration
+	}{
+		{"PollAge", ev.PollAge},
+		{"ReportAge", ev.ReportAge},
+		{"AnswerAge", ev.AnswerAge},
+		{"MissingFor", ev.MissingFor},
+		{"LeaseExpiresIn", ev.LeaseExpiresIn},
+		{"Clock", ev.Clock},
+		{"EarlierClock", ev.EarlierClock},
+	} {
+		if age.value != 0 {
+			line = line.Dur(age.name, age.value)
+		}
+	}
+	if ev.EarlierIncarnation != 0 {
+		line = line.Int64("EarlierIncarnation", ev.EarlierIncarnation)
+	}
+	return line.Int64("Incarnation", ev.Incarnation).Int("Runs", ev.Runs)
+}
+
+// levelOf returns the level of a decision in the log. Runs that are given up although they may be
+// active are warnings, so that their lines are kept where a log is cut short.
+func levelOf(d dispatch.Decision) zerolog.Level {
+	switch d.Event {
+	case "TaskLost", "TaskOrphan", "WorkerReplaced", "WorkerRestarted":
+		return zerolog.WarnLevel
+	}
+	return zerolog.InfoLevel
+}
+
 // isRoutine reports whether a decision is part of the normal course of a task.
 func isRoutine(d dispatch.Decision) bool {
 	switch d.Event {
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -99,7 +99,7 @@
 	case c.Stop:
 		err := o.node.Workers.Stop(ctx, o.epoch, c)
 		if err == nil {
-			o.withEngine(func(_ time.Time, e *dispatch.Engine) { e.StopAccepted(c.Worker, c.TaskRun, c.Incarnation) })
+			o.withEngine(func(now time.Time, e *dispatch.Engine) { e.StopAccepted(now, c.Worker, c.TaskRun, c.Incarnation) })
 		}
 		return o.checkStaleEpoch(err, "Stop")
 	case c.Pace != nil:
