Show two ways in which one answer makes an owner start running tasks again

- A new owner ends its recovery once each worker has reported once.
A run that is being stopped (up to stopTimeoutMs, in neither list), or that ends between the reading of the two lists, is missing from that report; its task starts again.
- A report without the start of the worker's process counts as one from another process.
All runs of the worker are given up and started again.

--- a/internal/decision/dispatch/recovery_test.go
+++ b/internal/decision/dispatch/recovery_test.go
@@ -154,3 +154,57 @@
 		Expect(h.starts).To(HaveLen(1))
 	})
 })
+
+// Guards against two runs of a task at once, and against running a task again that is done: a new
+// owner took what a worker's first report didn't list for gone. A run that ends between the reading of
+// the two lists, or that is being stopped, may be in neither for a while.
+var _ = Describe("A takeover beside a run that a worker's first report doesn't list", func() {
+	const interval = 50 * time.Millisecond
+
+	// takeOver makes a second owner recover a job whose task runs on a worker that lists it nowhere.
+	takeOver := func() (*harness, *fakeWorker, dispatch.TaskID) {
+		h := newHarness(2, 2)
+		w, id := h.workers["w0"], dispatch.TaskID{Job: "j"}
+		w.running[id] = &dispatch.RunningTask{TaskRun: dispatch.TaskRun{Task: id, Run: 1}}
+		w.hidden[id] = true
+		h.engine.AddJob(h.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{batchStep(1)}}, dispatch.Progress{}, true)
+		h.engine.Recover(h.now, 0)
+		h.listWorkers()
+		h.advance(interval)
+		return h, w, id
+	}
+
+	It("doesn't start the task again if it ended between the reading of the two lists", func() {
+		h, _, id := takeOver()
+		h.endRun("w0", id, dispatch.EndDone)
+		for range 20 {
+			h.advance(interval)
+		}
+		Expect(h.starts).To(BeEmpty())
+		expectState(h, "j", dispatch.Completed)
+	})
+
+	It("starts the task again only after the earlier owner's stop must have ended the run", func() {
+		h, _, id := takeOver()
+		for elapsed := time.Duration(0); elapsed < stopTimeout; elapsed += interval {
+			h.advance(interval)
+			Expect(h.starts).To(BeEmpty())
+		}
+		h.endRun("w0", id, dispatch.EndStopped)
+		for range 4 {
+			h.advance(interval)
+		}
+		Expect(h.starts).To(HaveLen(1))
+	})
+
+	It("adopts the run if a later report lists it", func() {
+		h, w, id := takeOver()
+		h.advance(interval)
+		w.hidden[id] = false
+		for range 20 {
+			h.advance(interval)
+		}
+		Expect(h.eventsOf("TaskAdopted")).To(Equal(1))
+		Expect(h.starts).To(BeEmpty())
+	})
+})
--- a/internal/decision/dispatch/report_test.go
+++ b/internal/decision/dispatch/report_test.go
@@ -372,3 +372,44 @@
 		)))
 	})
 })
+
+// Guards against two runs of a task at once: a report that doesn't tell when the worker's process
+// started counted as one from another process, and all runs of the worker were given up.
+var _ = Describe("A report without the start of the worker's process", func() {
+	const interval = 100 * time.Millisecond
+
+	// startOn starts a task of the job on the only worker, which reports it.
+	startOn := func() (*harness, *fakeWorker) {
+		GinkgoHelper()
+		h := newHarness(1, 1)
+		h.listWorkers()
+		h.advance(interval)
+		h.submit("j", batchStep(1))
+		h.advance(interval)
+		h.advance(interval)
+		Expect(h.starts).To(HaveLen(1))
+		return h, h.workers["w0"]
+	}
+
+	It("isn't taken for a restart", func() {
+		h, w := startOn()
+		for _, incarnation := range []int64{0, 1, 0, 0, 1} {
+			w.incarnation = incarnation
+			h.advance(interval)
+		}
+		Expect(h.eventsOf("WorkerRestarted")).To(BeZero())
+		Expect(h.starts).To(HaveLen(1))
+	})
+
+	It("is taken for a restart if the worker's clock has started anew", func() {
+		h, w := startOn()
+		w.incarnation, w.clock = 0, 0
+		clear(w.running)
+		h.advance(interval)
+		Expect(h.eventsOf("WorkerRestarted")).To(Equal(1))
+		w.incarnation = 2
+		h.advance(interval)
+		Expect(h.eventsOf("WorkerRestarted")).To(Equal(1))
+		Expect(h.starts).To(HaveLen(2))
+	})
+})
