Don't let a new owner take what one report lacks for gone

Cause: a new owner ended its recovery once every worker had reported once. A report lists two things one after the other, and a run that is being stopped may be in neither list for as long as a stop may take. So a run that ended between the two, or that the earlier owner was stopping, was missing, and its task started again. Class: absence in one answer taken as proof.

Change: during a recovery a worker counts only once it has answered a poll that was sent stopTimeoutMs and 100 ms after its first report. Polls wait no longer than until then, so this costs one poll a worker.

Also changed: the set-up of "Steps after a takeover beside a silent worker" lets the other workers list their runs before it looks at starts.

--- a/internal/decision/dispatch/recovery.go
+++ b/internal/decision/dispatch/recovery.go
@@ -11,7 +11,7 @@
 const newJobDelay = 2 * time.Second
 
 // Recover delays the tasks of recovered jobs until each worker that the earlier owner
-// used has reported, or until all of its leases must have expired. New jobs are delayed
+// used has listed its runs, or until all of its leases must have expired. New jobs are delayed
 // too, but for a shorter time. The earlier owner may keep acting for up to term before
 // it suspends itself.
 func (e *Engine) Recover(now time.Time, term time.Duration) {
@@ -23,7 +23,7 @@
 // endRecovery ends the recovery once no run of a recovered job can be active without
 // being known.
 func (e *Engine) endRecovery(now time.Time) {
-	if !e.recovering || e.hasWorkerWithMoreEnds(now) {
+	if !e.recovering || slices.ContainsFunc(e.sortedWorkers, func(w *worker) bool { return e.mayHaveUnlistedRuns(now, w) }) {
 		return
 	}
 	reason := "the leases of the earlier owner have expired"
@@ -31,24 +31,50 @@
 		if !e.workersListed {
 			return
 		}
-		for _, w := range e.sortedWorkers {
-			if !w.reported && !w.replaced {
-				return
-			}
-		}
-		reason = "all workers have reported"
+		reason = "all workers have listed their runs"
 	}
 	e.recovering = false
 	e.record(now, Decision{Event: "RecoveryEnded", Reason: reason})
 }
 
-// hasWorkerWithMoreEnds reports whether a worker has ends that this owner doesn't know. An unknown
-// end may be that of a task which would run again. The ends of a silent worker no longer count once
-// its leases have expired.
-func (e *Engine) hasWorkerWithMoreEnds(now time.Time) bool {
-	return slices.ContainsFunc(e.sortedWorkers, func(w *worker) bool {
-		return w.hasMoreEnds && (w.missedPolls == 0 || now.Before(w.leasesExpireAt()))
-	})
+// mayHaveUnlistedRuns reports whether a worker may have runs, or ends of runs, of the earlier owner
+// that this owner doesn't know. An unknown end may be that of a task which would run again. Those of a
+// silent worker no longer count once its leases have expired.
+func (e *Engine) mayHaveUnlistedRuns(now time.Time, w *worker) bool {
+	switch {
+	case w.replaced:
+		return false
+	case !w.reported:
+		return now.Before(e.recoveryEnds)
+	default:
+		return (w.hasMoreEnds || !w.hasListedRuns) && (w.missedPolls == 0 || now.Before(w.leasesExpireAt()))
+	}
+}
+
+// stopTimeout returns the time after which a run that was told to stop must have been listed as
+// ended.
+func (e *Engine) stopTimeout() time.Duration {
+	return e.options.StopTimeout + stopTimeoutMargin
+}
+
+// observeFirstLists records whether the worker has listed all runs of the earlier owner. Its first
+// report may lack one that was being stopped, or that ended while the report was made.
+func (e *Engine) observeFirstLists(now time.Time, w *worker) {
+	if !w.reported {
+		w.firstReportAt = now
+	}
+	if !w.hasListedRuns {
+		w.hasListedRuns = w.pollSentAt.Sub(w.firstReportAt) >= e.stopTimeout()
+	}
+}
+
+// recoveryPollWait limits how long a worker may wait before it answers during a recovery, so that the
+// poll after that one can end the recovery.
+func (e *Engine) recoveryPollWait(now time.Time, w *worker) time.Duration {
+	if !e.recovering || w.hasListedRuns {
+		return maxPollWait
+	}
+	return max(w.firstReportAt.Add(e.stopTimeout()).Sub(now), 0)
 }
 
 // mustAwaitRecovery reports whether a job may have runs on a worker that hasn't
--- a/internal/decision/dispatch/recovery_test.go
+++ b/internal/decision/dispatch/recovery_test.go
@@ -24,7 +24,9 @@
 		h.engine.AddJob(h.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: h.now, Steps: steps}, dispatch.Progress{}, true)
 		h.engine.Recover(h.now, 0)
 		h.listWorkers()
-		h.advance(100 * time.Millisecond)
+		for range 5 {
+			h.advance(100 * time.Millisecond)
+		}
 		return h
 	}
 	after := func(step dispatch.Step, dependencies ...int) dispatch.Step {
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -51,6 +51,7 @@
 	if w.hasUncertainRun() {
 		p.Wait = uncertainRunPollWait
 	}
+	p.Wait = min(p.Wait, e.recoveryPollWait(now, w))
 	return p, true
 }
 
@@ -105,6 +106,7 @@
 		e.record(now, Decision{Event: "WorkerAnswers", Worker: id, Age: now.Sub(w.lastReportAt)})
 	}
 	e.observe("Age.Report", now.Sub(w.lastReportAt))
+	e.observeFirstLists(now, w)
 	w.reported, w.lastReportAt, w.reportedClock, w.missedPolls = true, now, r.Clock, 0
 	w.hasMoreEnds = r.MoreEnds
 	w.replaced = false
@@ -377,7 +379,7 @@
 		a.missingSince = now
 		return false
 	}
-	minMissing := e.options.StopTimeout + stopTimeoutMargin
+	minMissing := e.stopTimeout()
 	if a.phase == running {
 		minMissing = max(minMissing, minMissingTime)
 	}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -108,6 +108,10 @@
 	incarnation int64
 	// reported is true once the worker has answered this owner.
 	reported bool
+	// firstReportAt is when that answer arrived. hasListedRuns is true once a report must have
+	// listed all runs of an earlier owner, or their ends.
+	firstReportAt time.Time
+	hasListedRuns bool
 	// hasMoreEnds reports that the last report didn't have all ends that aren't stored.
 	hasMoreEnds  bool
 	lastReportAt time.Time
