Don't take a report without the start of the worker's process for a restart

Cause: a missing start was compared like a different one, so one such answer gave up all runs of a worker, and the next answer did so again.

Change: only two known starts that differ show a restart. If one is unknown, a clock that has gone back does, as polls are answered in the order in which they are sent and a new process begins with a new clock.

--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -94,10 +94,12 @@
 	if w == nil {
 		return
 	}
-	if w.reported && w.incarnation != r.Incarnation {
+	if w.hasRestarted(r) {
 		e.handleRestart(now, w, r)
 	}
-	w.incarnation = r.Incarnation
+	if r.Incarnation != 0 {
+		w.incarnation = r.Incarnation
+	}
 	if !w.reported {
 		// An earlier owner may have renewed the leases just before.
 		w.leaseEndSent = max(w.leaseEndSent, r.Clock+e.options.LeaseTerm)
@@ -117,6 +119,19 @@
 	e.accountServingTime(now, w, r)
 }
 
+// hasRestarted reports whether a report comes from a later process of the worker. Without its start
+// only the clock can tell: it starts anew, and the reports arrive in the order in which they were
+// made.
+func (w *worker) hasRestarted(r Report) bool {
+	if !w.reported {
+		return false
+	}
+	if r.Incarnation != 0 && w.incarnation != 0 {
+		return r.Incarnation != w.incarnation
+	}
+	return r.Clock < w.reportedClock
+}
+
 // handleRestart drops the runs of a worker whose process has restarted. Runs whose
 // start got no answer stay, because the new process may still execute the command, and so
 // do runs that either process may have accepted.
--- a/internal/decision/dispatch/types.go
+++ b/internal/decision/dispatch/types.go
@@ -234,7 +234,8 @@
 
 // Report is the status that a worker reports.
 type Report struct {
-	// Incarnation identifies the worker process by its start time.
+	// Incarnation identifies the worker process by its start time. It is 0 if the worker didn't
+	// tell.
 	Incarnation int64
 	// Clock is the worker's monotonic clock. It may be read some time after the lists.
 	Clock   time.Duration
