Show that a paused owner gives up the runs of workers that live

Trace, instance n-6, epoch 4: 45:54.57 last report of i-41; 45:54.75 run 3001 accepted there; 45:58.21 AuthorityLost; 46:01.106 AuthorityRegained, and 0.4 ms later TaskLost "lease ended" (ReportAge 6536, PollAge 2651, LeaseExpiresIn -1429); 46:01.279 run 3002 accepted on i-2; 46:01.519 i-41 answers: TaskEnded, run 3001, Done. The owner's polls failed because it had no processor, not because the workers were silent.

--- a/internal/decision/dispatch/report_test.go
+++ b/internal/decision/dispatch/report_test.go
@@ -413,3 +413,52 @@
 		Expect(h.starts).To(HaveLen(2))
 	})
 })
+
+// Guards against running tasks again that are done: an owner that had no processor for some seconds
+// took the polls that failed meanwhile for the silence of its workers, and gave up their runs before
+// they could answer (soak, seed 979 at the settings of a deployment).
+var _ = Describe("A worker whose owner was paused until the leases had expired", func() {
+	// pause starts a task on a worker and pauses the owner for so long that the leases expire. The
+	// poll that was on its way fails, and the other worker answers first.
+	pause := func() (h *harness, w *fakeWorker) {
+		h = newHarness(1, 2)
+		h.listWorkers()
+		h.advance(0)
+		h.submit("j", batchStep(1))
+		h.advance(0)
+		h.advance(100 * time.Millisecond)
+		Expect(h.starts).To(HaveLen(1))
+		id := h.starts[0].Worker
+		w = h.workers[id]
+		h.engine.Poll(h.now, id)
+		h.now = h.now.Add(leaseTerm + 2*time.Second)
+		for other, o := range h.workers {
+			o.clock += leaseTerm + 2*time.Second
+			if other != id {
+				p, _ := h.engine.Poll(h.now, other)
+				h.engine.Observe(h.now, other, o.report(p))
+			}
+		}
+		h.engine.PollFailed(h.now, id)
+		h.tick()
+		return h, w
+	}
+
+	It("keeps its runs until it could answer", func() {
+		h, w := pause()
+		Expect(h.starts).To(HaveLen(1))
+		h.endRun(w.info.ID, h.starts[0].Task, dispatch.EndDone)
+		for range 2 {
+			h.advance(200 * time.Millisecond)
+		}
+		Expect(h.starts).To(HaveLen(1))
+		expectState(h, "j", dispatch.Completed)
+	})
+
+	It("loses its runs if it doesn't answer the next poll either", func() {
+		h, w := pause()
+		w.silent = true
+		h.advance(200 * time.Millisecond)
+		Expect(h.starts).To(HaveLen(2))
+	})
+})
