Don't take polls that failed in a pause of the owner for silent workers

Cause: an owner that has no processor for some seconds, or that regains its authority, finds its own polls failed and all leases expired, and gives up the runs of all these workers at once. They live and answer a moment later with the ends of their runs. Class: an owner's own pause taken for a fault of others.

Change: the runs of a silent worker are given up only if its last failed poll was sent within the last 2 s (two timeouts and the interval between them: an owner that isn't paused always has one), or was sent after the leases had expired. So nothing waits longer unless the owner was paused, and then for one more poll.

--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -62,6 +62,7 @@
 		return
 	}
 	w.missedPolls++
+	w.failedPollSentAt = w.pollSentAt
 	if w.missedPolls == 1 {
 		e.count("Worker.Silent")
 		e.record(now, Decision{Event: "WorkerSilent", Worker: id, Age: now.Sub(w.lastReportAt)})
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -39,7 +39,7 @@
 // list may be running: its entry also expires while it is only cut off.
 func (e *Engine) dropSilentWorkers(now time.Time) {
 	e.sortedWorkers = slices.DeleteFunc(e.sortedWorkers, func(w *worker) bool {
-		if w.missedPolls > 0 && w.reported && len(w.runs) > 0 && now.After(w.leasesExpireAt()) {
+		if len(w.runs) > 0 && w.hasLostRuns(now) {
 			e.loseRuns(now, w, "lease ended")
 		}
 		if w.listed || len(w.runs) > 0 || now.Sub(w.unlistedAt) < maxReportAge {
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -18,6 +18,9 @@
 	// tasks. It allows for the longest poll wait and the retransmission of a few lost
 	// packets.
 	maxReportAge = 2500 * time.Millisecond
+	// maxFailedPollAge is how long ago the last failed poll of a silent worker was sent at most,
+	// unless the owner was paused: two timeouts of a poll and the interval between them.
+	maxFailedPollAge = 2 * time.Second
 	// stopTimeoutMargin covers timers that fire late on the worker.
 	stopTimeoutMargin = 100 * time.Millisecond
 	// minMissingTime is how long an accepted run must be missing from the reports before it
@@ -122,6 +125,8 @@
 	// was. A poll is sent only after the one before it has been answered or has failed.
 	polls      int64
 	pollSentAt time.Time
+	// failedPollSentAt is when the last poll that failed was sent.
+	failedPollSentAt time.Time
 	// replaced reports that another worker answers at this worker's address, so nothing
 	// runs on this one.
 	replaced bool
@@ -215,6 +220,17 @@
 	return w.lastReportAt.Add(maxLeaseDuration(max(w.leaseEndSent-w.reportedClock, 0)) + leaseEndMargin)
 }
 
+// hasLostRuns reports whether all runs of the worker have ended because it is silent. After a pause
+// of the owner a failed poll says nothing about the worker, which may answer the next one with the
+// ends of its runs.
+func (w *worker) hasLostRuns(now time.Time) bool {
+	expireAt := w.leasesExpireAt()
+	if !w.reported || w.missedPolls == 0 || !now.After(expireAt) {
+		return false
+	}
+	return now.Sub(w.failedPollSentAt) <= maxFailedPollAge || w.failedPollSentAt.After(expireAt)
+}
+
 // isAvailable reports whether the worker answers and may get new tasks.
 func (w *worker) isAvailable(now time.Time) bool {
 	return w.reported && w.listed && !w.Draining && w.missedPolls == 0 &&
