End a recovery although workers keep joining

Callers: jobs that began late.

Cause: a worker that has answered but not yet listed all its runs held up the recovery without a bound.

Change: a worker that first answers once the earlier owner's leases have expired has no run of it and holds up nothing. The spec "ends when the earlier owner's leases have expired" failed before.

--- a/internal/decision/dispatch/recovery.go
+++ b/internal/decision/dispatch/recovery.go
@@ -47,7 +47,9 @@
 	case !w.reported:
 		return now.Before(e.recoveryEnds)
 	default:
-		return (w.hasMoreEnds || !w.hasListedRuns) && (w.missedPolls == 0 || now.Before(w.leasesExpireAt()))
+		// A worker that first answers once the earlier owner's leases have expired has no run of it.
+		mayBeHidden := !w.hasListedRuns && w.firstReportAt.Before(e.recoveryEnds)
+		return (w.hasMoreEnds || mayBeHidden) && (w.missedPolls == 0 || now.Before(w.leasesExpireAt()))
 	}
 }
 
--- a/internal/decision/dispatch/recovery_test.go
+++ b/internal/decision/dispatch/recovery_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -210,3 +211,128 @@
 		Expect(h.starts).To(BeEmpty())
 	})
 })
+
+// Guards against a shard that makes no progress after a takeover while workers keep joining, as they
+// do after a power loss: no lease of the earlier owner is left, and a worker that first answers then
+// can't have a run of it.
+var _ = Describe("A recovery during which workers keep joining", func() {
+	It("ends when the earlier owner's leases have expired", func() {
+		h := newHarness(2, 1)
+		h.engine.AddJob(h.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{batchStep(1)}}, dispatch.Progress{}, true)
+		h.engine.Recover(h.now, 0)
+		for i := range 80 {
+			if i%2 == 0 {
+				id := membership.InstanceID(fmt.Sprintf("x%02d", i))
+				h.workers[id] = newFakeWorker(id, 6)
+				h.listWorkers()
+			}
+			h.advance(100 * time.Millisecond)
+		}
+		Expect(h.eventsOf("RecoveryEnded")).To(Equal(1))
+		Expect(h.starts).NotTo(BeEmpty())
+	})
+})
+
+// Guards against two runs of a task at once after a takeover or a restart: rules whose removal no
+// other spec shows.
+var _ = Describe("The rules of a recovery and of a restart", func() {
+	const interval = 100 * time.Millisecond
+
+	// takeOver makes a second owner recover a job whose task runs on w0, which lists it nowhere.
+	takeOver := func() (*harness, *fakeWorker, dispatch.TaskID) {
+		h := newHarness(2, 2)
+		w, id := h.workers["w0"], dispatch.TaskID{Job: "j"}
+		w.running[id] = &dispatch.RunningTask{TaskRun: dispatch.TaskRun{Task: id, Run: 1}}
+		w.hidden[id] = true
+		h.engine.AddJob(h.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{batchStep(1)}}, dispatch.Progress{}, true)
+		h.engine.Recover(h.now, 0)
+		h.listWorkers()
+		return h, w, id
+	}
+
+	It("keep a listed worker that goes silent after its first report in the recovery until its leases have expired", func() {
+		h, w, _ := takeOver()
+		h.advance(interval)
+		w.silent = true
+		for range 39 {
+			h.advance(interval)
+			Expect(h.starts).To(BeEmpty())
+		}
+	})
+
+	// The worker may make the report when it receives the poll, and answer it late.
+	It("count a report by when its poll was sent", func() {
+		h, w, _ := takeOver()
+		h.advance(interval)
+		w1 := h.workers["w1"]
+		p, _ := h.engine.Poll(h.now, "w0")
+		early := w.report(p)
+		for range 5 {
+			h.now = h.now.Add(interval)
+			p, _ = h.engine.Poll(h.now, "w1")
+			h.engine.Observe(h.now, "w1", w1.report(p))
+			h.tick()
+		}
+		h.engine.Observe(h.now, "w0", early)
+		h.tick()
+		Expect(h.starts).To(BeEmpty())
+	})
+
+	It("let no worker wait beyond the time of a stop before it answers its second poll", func() {
+		h, _, _ := takeOver()
+		h.advance(interval)
+		p, _ := h.engine.Poll(h.now, "w0")
+		Expect(p.Wait).To(BeNumerically("<=", stopTimeout+100*time.Millisecond))
+	})
+
+	// Guards against an overcommitted worker: a run that is being stopped occupies its resources.
+	It("start no new job on a worker that has just answered for the first time", func() {
+		h, w, _ := takeOver()
+		w.silent, h.workers["w1"].silent = true, true
+		for range 22 {
+			h.advance(interval)
+		}
+		h.submit("new", batchStep(1))
+		w.silent = false
+		h.advance(interval)
+		h.advance(interval)
+		Expect(h.starts).To(BeEmpty())
+		for range 4 {
+			h.advance(interval)
+		}
+		Expect(h.starts).To(HaveLen(1))
+	})
+
+	It("show a restart although the report before it had no start of the process", func() {
+		h := newHarness(1, 1)
+		h.listWorkers()
+		h.advance(interval)
+		h.workers["w0"].incarnation = 0
+		h.advance(interval)
+		h.workers["w0"].incarnation = 2
+		h.advance(interval)
+		Expect(h.eventsOf("WorkerRestarted")).To(Equal(1))
+	})
+
+	// Guards against losing the ends of a process that numbers them anew.
+	It("take the first ends of a restarted process for new ones", func() {
+		h := newHarness(1, 1)
+		w := h.workers["w0"]
+		h.listWorkers()
+		h.advance(interval)
+		h.submit("j", batchStep(1))
+		h.advance(interval)
+		h.endRun("w0", h.starts[0].Task, dispatch.EndDone)
+		h.advance(interval)
+		w.incarnation, w.clock, w.endCount, w.ended = 2, 0, 0, nil
+		h.advance(interval)
+		h.submit("k", batchStep(1))
+		h.advance(interval)
+		h.advance(interval)
+		Expect(h.starts).To(HaveLen(2))
+		h.endRun("w0", h.starts[1].Task, dispatch.EndDone)
+		h.advance(interval)
+		expectState(h, "k", dispatch.Completed)
+		Expect(h.starts).To(HaveLen(2))
+	})
+})
