Stop a run that isn't reported before its task starts again

Callers: a task could run twice. Found in review; by reading and by spec.

Cause: a run that was accepted and then missing from the reports for 2 s was given up without a stop, on the guess that a worker lists a run within 2 s. The protocol offers a proof: after an accepted stop, a run that isn't there yet is refused, and one that is there ends in time. Where a stop was sent, the time for which the run had been missing before counted too, so that the stop was left no time.

Change: a missing run is always told to stop, and given up once it is still missing a whole time for a stop after the stop was accepted.

--- a/internal/decision/dispatch/command.go
+++ b/internal/decision/dispatch/command.go
@@ -41,7 +41,7 @@
 	if a == nil || a.phase != stopping || a.stopAccepted || incarnation != a.worker.incarnation {
 		return
 	}
-	a.stopAccepted = true
+	a.stopAccepted, a.missingSince = true, time.Time{}
 	a.settle(now)
 }
 
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -402,21 +402,17 @@
 	return a.worker.pollSentAt.Sub(a.missingSince) >= minMissing
 }
 
-// dropMissingRun gives up a run that its worker doesn't have. If one of its start commands may
-// still be executed, the run is stopped first, which keeps the worker from executing it.
+// dropMissingRun gives up a run that its worker doesn't have. The run is stopped first: after that,
+// a worker that doesn't have the run refuses to start it.
 func (e *Engine) dropMissingRun(now time.Time, a *attempt) {
-	_, unanswered := a.worker.unansweredStarts[a.taskRun()]
-	switch {
-	case a.phase == stopping:
-		e.count("Task.MissingAfterStop")
-		ev := a.evidence(now)
-		e.record(now, Decision{Event: "TaskMissing", Task: a.taskRun(), Worker: a.worker.ID, Reason: "stopped", Age: ev.MissingFor, Evidence: &ev})
-		e.releaseRun(now, a)
-	case unanswered:
+	if a.phase != stopping {
 		e.stop(now, a, "not reported by its worker")
-	default:
-		e.loseRun(now, a, "not reported by its worker")
+		return
 	}
+	e.count("Task.MissingAfterStop")
+	ev := a.evidence(now)
+	e.record(now, Decision{Event: "TaskMissing", Task: a.taskRun(), Worker: a.worker.ID, Reason: "stopped", Age: ev.MissingFor, Evidence: &ev})
+	e.releaseRun(now, a)
 }
 
 // findTask returns the task of an unfinished job, or nil if there is none.
