Keep runs that a worker's new process may have accepted across a failed poll

Callers: a task could run twice. Found in review; by reading and by spec.

Cause: at a restart, runs stayed if their start was answered after the poll that shows the restart was sent. If the poll before that one had failed, the new process may have accepted a start earlier; its run counted as one of the old process and was given up.

Change: what counts is the last poll that the old process answered: runs that were accepted after it was sent may be of either process and stay until they are listed or stopped.

--- a/internal/decision/dispatch/lost_run_test.go
+++ b/internal/decision/dispatch/lost_run_test.go
@@ -5,6 +5,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
 // Guards against two runs of a task at once: places where what one answer lacks, or a lease end that
@@ -12,6 +15,28 @@
 var _ = Describe("A run that may still be active", func() {
 	const interval = 100 * time.Millisecond
 
+	// restartDuringStart lets w0 restart under its ID while a poll is on its way, and its new process
+	// accept a start that was sent before the owner knew. The run isn't listed yet. It returns the
+	// poll, which hasn't been answered.
+	restartDuringStart := func() (*harness, *fakeWorker, dispatch.Poll) {
+		GinkgoHelper()
+		h := newHarness(1, 2)
+		h.workers["w1"].info.Draining = true
+		h.listWorkers()
+		h.advance(interval)
+		w := h.workers["w0"]
+		p, _ := h.engine.Poll(h.now, "w0")
+		w.incarnation, w.clock = 2, 0
+		h.submit("j", batchStep(1))
+		h.tick()
+		Expect(h.starts).To(HaveLen(1))
+		Expect(h.starts[0].Worker).To(Equal(membership.InstanceID("w0")))
+		w.hidden[h.starts[0].Task] = true
+		w.refuses, h.workers["w1"].info.Draining = true, false
+		h.listWorkers()
+		return h, w, p
+	}
+
 	// A stop command would make the absence a proof: the worker has ended the run after it, or
 	// refuses to start it.
 	It("is told to stop before its task starts again if no report lists it", func() {
@@ -54,4 +79,18 @@
 			Expect(h.starts).To(HaveLen(1))
 		}
 	})
+
+	// The old process's poll fails, so the poll that shows the restart is sent after the new process
+	// has accepted the start, but its report may miss the run, as any other may.
+	It("is kept if the worker's new process accepted it before the poll that shows the restart", func() {
+		h, w, _ := restartDuringStart()
+		h.engine.PollFailed(h.now, "w0")
+		for range 5 {
+			h.advance(interval)
+			Expect(h.workersOf("j")).To(Equal([]membership.InstanceID{"w0"}))
+		}
+		w.hidden[h.starts[0].Task] = false
+		h.advance(interval)
+		Expect(h.starts).To(HaveLen(1))
+	})
 })
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -111,7 +111,7 @@
 	e.observe("Age.Report", now.Sub(w.lastReportAt))
 	e.observeFirstLists(now, w)
 	w.reported, w.lastReportAt, w.reportedClock, w.missedPolls = true, now, r.Clock, 0
-	w.hasMoreEnds = r.MoreEnds
+	w.hasMoreEnds, w.answeredPoll = r.MoreEnds, w.polls
 	w.replaced = false
 	e.observeEnds(now, w, r.Ended)
 	e.observeRunning(now, w, r)
@@ -134,8 +134,9 @@
 }
 
 // handleRestart drops the runs of a worker whose process has restarted. Runs whose
-// start got no answer stay, because the new process may still execute the command, and so
-// do runs that either process may have accepted.
+// start got no answer stay, because the new process may still execute the command, and so do
+// runs that were accepted after the last poll that the old process answered was sent: either
+// process may have accepted them.
 func (e *Engine) handleRestart(now time.Time, w *worker, r Report) {
 	e.count("Worker.Restarted")
 	ev := w.evidence(now)
@@ -151,7 +152,7 @@
 			a.restarted = true
 		case unanswered:
 			a.phase, a.stopAccepted = stopping, false
-		case w.polls <= a.settledPoll:
+		case a.settledPoll >= w.answeredPoll:
 		default:
 			e.loseRun(now, a, "worker restarted")
 		}
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -125,6 +125,8 @@
 	// was. A poll is sent only after the one before it has been answered or has failed.
 	polls      int64
 	pollSentAt time.Time
+	// answeredPoll is the number of the last poll that the worker answered.
+	answeredPoll int64
 	// failedPollSentAt is when the last poll that failed was sent.
 	failedPollSentAt time.Time
 	// replaced reports that another worker answers at this worker's address, so nothing
