--- a/internal/decision/dispatch/lost_run_test.go
+++ b/internal/decision/dispatch/lost_run_test.go
@@ -15,6 +15,12 @@
 var _ = Describe("A run that may still be active", func() {
 	const interval = 100 * time.Millisecond
 
+	// recoverTask makes a second owner recover a job with the given number of tasks.
+	recoverTask := func(h *harness, tasks int) {
+		h.engine.AddJob(h.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{batchStep(tasks)}}, dispatch.Progress{}, true)
+		h.engine.Recover(h.now, 0)
+	}
+
 	// restartDuringStart lets w0 restart under its ID while a poll is on its way, and its new process
 	// accept a start that was sent before the owner knew. The run isn't listed yet. It returns the
 	// poll, which hasn't been answered.
@@ -93,4 +99,49 @@
 		h.advance(interval)
 		Expect(h.starts).To(HaveLen(1))
 	})
+
+	// The worker was used by the earlier owner and has lost its entry. It answers once and is cut
+	// off: it is forgotten 2.5 s later, and the recovery no longer waits for its leases.
+	It("isn't started again if its unlisted worker answers a new owner once and then goes silent", func() {
+		h := newHarness(2, 2)
+		w, id := h.workers["w1"], dispatch.TaskID{Job: "j"}
+		w.running[id] = &dispatch.RunningTask{TaskRun: dispatch.TaskRun{Task: id, Run: 1}}
+		w.hidden[id] = true
+		h.engine.AddPreviousWorkers(h.now, []dispatch.WorkerInfo{w.info})
+		recoverTask(h, 1)
+		h.engine.SetWorkers(h.now, []dispatch.WorkerInfo{h.workers["w0"].info})
+		h.advance(interval)
+		w.silent = true
+		for range 39 {
+			h.advance(interval)
+			Expect(h.starts).To(BeEmpty())
+		}
+	})
+
+	// As above, with ends beyond those that the worker lists.
+	It("isn't started again after its end if its unlisted worker had more ends than it listed", func() {
+		h := newHarness(2, 2)
+		w := h.workers["w1"]
+		w.maxListedEnds = 2
+		for i := range 3 {
+			id := dispatch.TaskID{Job: "j", Index: i}
+			w.running[id] = &dispatch.RunningTask{TaskRun: dispatch.TaskRun{Task: id, Run: 1}}
+			h.endRun("w1", id, dispatch.EndDone)
+		}
+		h.engine.AddPreviousWorkers(h.now, []dispatch.WorkerInfo{w.info})
+		recoverTask(h, 3)
+		h.engine.SetWorkers(h.now, []dispatch.WorkerInfo{h.workers["w0"].info})
+		h.advance(interval)
+		w.silent = true
+		for range 35 {
+			h.advance(interval)
+			Expect(h.starts).To(BeEmpty())
+		}
+		w.silent = false
+		for range 3 {
+			h.advance(interval)
+		}
+		expectState(h, "j", dispatch.Completed)
+		Expect(h.starts).To(BeEmpty())
+	})
 })
