Count the longest lease for the runs of a restarted worker

Callers: a task could run twice. Found in review; by reading and by spec.

Cause: a restart set the end of the leases that the owner had sent to zero. A start that was sent with a lease end on the old process's clock grants the new process's run the longest lease there is.

The spec "is kept until its lease has expired if the worker restarts and the owner is suspended then" failed before.

--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -94,7 +94,7 @@
 	}
 	p.node = dispatcher.New(dispatcher.Options{
 		Name: s.Instance, PeerAddress: cmp.Or(opts.PeerAnnounceAddress, s.PeerAddress), Seeds: s.Seeds, Cores: s.Cores,
-		LeaseTerm: min(opts.LeaseTerm, s.MaxLease), StopTimeout: s.StopTimeout, ChangeBound: s.ChangeBound, RemoteDurationFactor: s.RemoteDurationFactor, Disabled: opts.Disabled,
+		LeaseTerm: min(opts.LeaseTerm, s.MaxLease), MaxLease: s.MaxLease, StopTimeout: s.StopTimeout, ChangeBound: s.ChangeBound, RemoteDurationFactor: s.RemoteDurationFactor, Disabled: opts.Disabled,
 		Store:   platform.StoreClient{Address: s.StoreAddress, HTTP: httpClient},
 		Workers: platform.WorkerClient{HTTP: httpClient, Counters: p.counters},
 		Catalog: platform.Catalog{}, Policy: policy, Peers: p.peerClient, Counters: p.counters, Latencies: p.latencies,
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -52,6 +52,8 @@
 	Epoch Epoch
 	// LeaseTerm is how long a worker continues its runs without a renewal.
 	LeaseTerm time.Duration
+	// MaxLease is the longest lease that a worker grants, whatever lease end it is sent.
+	MaxLease time.Duration
 	// StopTimeout is how long a worker may take to stop a run.
 	StopTimeout time.Duration
 	// RemoteDurationFactor is how many times longer a task takes away from its preferred rack.
--- a/internal/decision/dispatch/lost_run_test.go
+++ b/internal/decision/dispatch/lost_run_test.go
@@ -144,4 +144,20 @@
 		expectState(h, "j", dispatch.Completed)
 		Expect(h.starts).To(BeEmpty())
 	})
+
+	// The lease of the new process's run came with the start. The restart makes the owner forget it.
+	It("is kept until its lease has expired if the worker restarts and the owner is suspended then", func() {
+		h, w, p := restartDuringStart()
+		h.engine.Observe(h.now, "w0", w.report(p))
+		h.engine.SetSuspended(h.now, true)
+		w.silent = true
+		for range 5 {
+			h.advance(interval)
+		}
+		h.engine.SetSuspended(h.now, false)
+		for range 30 {
+			h.advance(interval)
+			Expect(h.starts).To(HaveLen(1))
+		}
+	})
 })
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -88,6 +88,8 @@
 	Cores float64
 	// LeaseTerm is how long a worker continues without a lease renewal.
 	LeaseTerm time.Duration
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
 	// ChangeBound is how soon a change in the store must take effect on this instance. 0 means
 	// table.DefaultChangeBound.
 	ChangeBound time.Duration
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -115,7 +115,7 @@
 		earlyCancels: map[dispatch.JobID]bool{},
 	}
 	o.engine = dispatch.New(dispatch.Options{
-		Epoch: row.Epoch, LeaseTerm: n.LeaseTerm, StopTimeout: n.StopTimeout, RemoteDurationFactor: n.RemoteDurationFactor,
+		Epoch: row.Epoch, LeaseTerm: n.LeaseTerm, MaxLease: n.MaxLease, StopTimeout: n.StopTimeout, RemoteDurationFactor: n.RemoteDurationFactor,
 		Disabled: n.Disabled, Counters: n.Counters, Latencies: n.Latencies, Recorder: o,
 	})
 	return o
