Stop late starts on a worker that comes back after it lost its entry

Callers: a task could run twice. Found in review; by reading and by spec.

Cause: a worker that was silent and unlisted was forgotten with its unanswered starts. A process that came back under its id got no stops for them, though a start may still be executed late there, and no epoch or lease keeps the new process from it.

The spec failed before: the new process got no stop. As written by the reviewer it also asked that the worker be forgotten, which is what no longer happens.

--- a/internal/decision/dispatch/lost_run_test.go
+++ b/internal/decision/dispatch/lost_run_test.go
@@ -161,3 +161,31 @@
 		}
 	})
 })
+
+// Guards against two runs of a task at once: an unanswered start may be executed late by the next
+// process of its worker, which knows no epoch and has a new clock.
+var _ = Describe("An unanswered start on a worker that loses its entry", func() {
+	It("is stopped on the worker's next process", func() {
+		h := newHarness(1, 2)
+		h.workers["w1"].info.Draining = true
+		h.listWorkers()
+		h.advance(100 * time.Millisecond)
+		w := h.workers["w0"]
+		w.silent = true
+		h.submit("j", batchStep(1))
+		h.tick()
+		Expect(h.starts).To(HaveLen(1))
+		h.workers["w1"].info.Draining = false
+		h.engine.SetWorkers(h.now, []dispatch.WorkerInfo{h.workers["w1"].info})
+		for range 60 {
+			h.advance(100 * time.Millisecond)
+		}
+		Expect(h.starts).To(HaveLen(2))
+		Expect(h.stops).To(BeEmpty())
+		w.silent, w.incarnation, w.clock = false, 2, 0
+		h.listWorkers()
+		h.advance(100 * time.Millisecond)
+		Expect(h.stops).To(HaveLen(1))
+		Expect(h.stops[0].TaskRun).To(Equal(h.starts[0].TaskRun))
+	})
+})
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -45,7 +45,7 @@
 		if w.listed || len(w.runs) > 0 || now.Sub(w.unlistedAt) < maxReportAge {
 			return false
 		}
-		if e.recovering && e.mayHaveUnlistedRuns(now, w) {
+		if e.recovering && e.mayHaveUnlistedRuns(now, w) || w.mayExecuteLateStart(now) {
 			return false
 		}
 		if w.missedPolls == 0 && now.Sub(w.lastReportAt) < maxReportAge {
--- a/internal/decision/dispatch/unanswered_start.go
+++ b/internal/decision/dispatch/unanswered_start.go
@@ -16,6 +16,17 @@
 	w.unansweredStarts[r] = now
 }
 
+// mayExecuteLateStart reports whether a start without an answer may still be executed on the worker,
+// if need be by its next process.
+func (w *worker) mayExecuteLateStart(now time.Time) bool {
+	for _, at := range w.unansweredStarts {
+		if now.Sub(at) <= maxStartDelay {
+			return true
+		}
+	}
+	return false
+}
+
 // stopLateStarts stops the unanswered starts on the new incarnation of a worker. The
 // new process knows no epoch and has a new clock, so nothing else prevents it from
 // executing them late.
