Hold a task back while a worker lists another run of it

Callers: pairs of runs multiplied.

Cause: a run that isn't in the owner's records was told to stop, but once the known run had ended the task started again, beside the one that was stopping.

Change: the task waits until the end of that run is listed, at most until the leases of its worker have expired. The spec "keeps its task from starting again after another run of the task has ended" failed before.

--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -87,6 +87,9 @@
 	down downtime
 	// notBefore is the earliest time of the next start.
 	notBefore time.Time
+	// orphan is a run that a worker lists beside the known one. It may be active until orphanUntil.
+	orphan      TaskRun
+	orphanUntil time.Time
 }
 
 func newJob(j Job, q Queue, recovered bool) *job {
@@ -242,7 +245,7 @@
 
 // isWaiting reports whether the task may start.
 func (t *task) isWaiting(now time.Time) bool {
-	return !t.done && t.attempt == nil && !now.Before(t.notBefore)
+	return !t.done && t.attempt == nil && !now.Before(t.notBefore) && !now.Before(t.orphanUntil)
 }
 
 // recordFailure records a failed run and reports whether it was new.
--- a/internal/decision/dispatch/lost_run_test.go
+++ b/internal/decision/dispatch/lost_run_test.go
@@ -160,6 +160,28 @@
 			Expect(h.starts).To(HaveLen(1))
 		}
 	})
+
+	// The owner knows of a second run of the task on w0 and has told it to stop.
+	It("keeps its task from starting again after another run of the task has ended", func() {
+		h := newHarness(1, 3)
+		h.workers["w0"].info.Draining = true
+		h.listWorkers()
+		h.advance(interval)
+		h.submit("j", batchStep(1))
+		h.advance(interval)
+		h.advance(interval)
+		Expect(h.starts).To(HaveLen(1))
+		task := h.starts[0].Task
+		orphaned := h.workers["w0"]
+		orphaned.slowStops = true
+		orphaned.running[task] = &dispatch.RunningTask{TaskRun: dispatch.TaskRun{Task: task, Run: 0}}
+		h.advance(interval)
+		Expect(h.eventsOf("TaskOrphan")).To(Equal(1))
+		orphaned.hidden[task] = false
+		h.endRun(h.starts[0].Worker, task, dispatch.EndStopped)
+		h.advance(interval)
+		Expect(h.workersOf("j")).To(Equal([]membership.InstanceID{"w0"}))
+	})
 })
 
 // Guards against two runs of a task at once: an unanswered start may be executed late by the next
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -217,6 +217,9 @@
 		return
 	}
 	t.run = max(t.run, end.Run)
+	if t.orphan == end.TaskRun {
+		t.orphanUntil = time.Time{}
+	}
 	e.record(now, Decision{Event: "TaskEnded", Task: end.TaskRun, Worker: w.ID, Reason: string(end.Kind)})
 	e.count("End." + string(end.Kind))
 	if end.Checkpoint != "" && t.checkpoint != end.Checkpoint {
@@ -338,7 +341,12 @@
 	return a
 }
 
+// stopOrphan stops a run that isn't in this owner's records. Its task doesn't start again while the
+// run may be active.
 func (e *Engine) stopOrphan(now time.Time, w *worker, r TaskRun) {
+	if t := e.findTask(r.Task); t != nil {
+		t.orphan, t.orphanUntil = r, w.leasesExpireAt()
+	}
 	if now.Sub(w.orphanStops[r]) < stopRetryInterval {
 		return
 	}
