List the end of a task whose job a new owner doesn't know

Not mended: such an end would have to be kept until the job is known, and not acknowledged meanwhile.

--- a/internal/decision/dispatch/lost_run_test.go
+++ b/internal/decision/dispatch/lost_run_test.go
@@ -211,3 +211,25 @@
 		Expect(h.stops[0].TaskRun).To(Equal(h.starts[0].TaskRun))
 	})
 })
+
+// Guards against running a task again that is done: the earlier owner may start a job that the new
+// owner hasn't read from the store yet.
+var _ = Describe("The end of a task whose job a new owner doesn't know yet", Label("known-red"), func() {
+	It("counts once the job is known", func() {
+		h := newHarness(2, 1)
+		id := dispatch.TaskID{Job: "new"}
+		h.workers["w0"].running[id] = &dispatch.RunningTask{TaskRun: dispatch.TaskRun{Task: id, Run: 1}}
+		h.endRun("w0", id, dispatch.EndDone)
+		h.engine.Recover(h.now, 0)
+		h.listWorkers()
+		for range 3 {
+			h.advance(100 * time.Millisecond)
+		}
+		h.submit("new", batchStep(1))
+		for range 30 {
+			h.advance(100 * time.Millisecond)
+		}
+		Expect(h.starts).To(BeEmpty())
+		expectState(h, "new", dispatch.Completed)
+	})
+})
