Don't poll workers for ends that wait to be stored

Cause: a worker with unstored ends answers at once, and was polled again after 40 ms. While the store is slow or the owner busy, these polls only return the same ends, and take the processor time that storing them needs.

Change: the next poll waits until the ends are stored, at most five such intervals. So a further end is seen up to 0.2 s later while the store lags; otherwise nothing changes.

--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -20,6 +20,9 @@
 	// unstoredPollInterval is used instead while the worker keeps reporting finished runs
 	// that aren't stored yet.
 	unstoredPollInterval = 40 * time.Millisecond
+	// maxUnstoredIntervals is the number of these intervals after which such a worker is polled
+	// although its ends aren't stored yet.
+	maxUnstoredIntervals = 5
 	// storeLostPollInterval is used instead of unstoredPollInterval while the store is
 	// unavailable.
 	storeLostPollInterval = 400 * time.Millisecond
@@ -169,12 +172,38 @@
 		if err != nil {
 			return err
 		}
-		if !o.sleep(interval) {
+		if !o.awaitNextPoll(id, interval) {
 			return nil
 		}
 	}
 }
 
+// awaitNextPoll waits until the next poll of a worker is due, and reports whether the owner is still
+// running. While the ends that the worker has reported aren't stored, a poll would only return them
+// again, and take the processor time that storing them needs.
+func (o *owner) awaitNextPoll(id membership.InstanceID, interval time.Duration) bool {
+	intervals := 1
+	if interval == unstoredPollInterval {
+		intervals = maxUnstoredIntervals
+	}
+	for range intervals {
+		if !o.sleep(interval) {
+			return false
+		}
+		if !o.hasUnstoredEnds(id) {
+			break
+		}
+	}
+	return true
+}
+
+// hasUnstoredEnds reports whether a worker has reported ends that aren't stored yet.
+func (o *owner) hasUnstoredEnds(id membership.InstanceID) bool {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	return o.engine.HasUnstoredEnds(id)
+}
+
 // pollOnce polls a worker and returns the time until the next poll.
 func (o *owner) pollOnce(id membership.InstanceID, p dispatch.Poll) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(o.ctx, p.Wait+pollTimeout)
