Renew leases for the lease term after a restart of a worker, too

Callers: a task could run twice.

Cause: the end of the longest lease was kept where the last one that was sent is, so that the next poll really granted 6 s in place of 4.5 s. The next owner counts 4.5 s.

Change: what commands to an earlier process may have granted is a field of its own, which counts for the silence of the worker and is never sent.

--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -30,6 +30,7 @@
 
 const (
 	leaseTerm   = 4 * time.Second
+	maxLease    = 6 * time.Second
 	stopTimeout = 200 * time.Millisecond
 	batchQueue  = dispatch.QueueName("batch")
 	gigabyte    = resource.Bytes(1 << 30)
--- a/internal/decision/dispatch/lost_run_test.go
+++ b/internal/decision/dispatch/lost_run_test.go
@@ -233,3 +233,54 @@
 		expectState(h, "new", dispatch.Completed)
 	})
 })
+
+// Guards against two runs of a task at once after a takeover: the next owner counts leases of the
+// lease term, so an owner must not renew longer ones.
+var _ = Describe("The lease after a restart of a worker", func() {
+	It("is renewed for the lease term, not for the longest lease", func() {
+		h := newMaxLeaseHarness(1, 1)
+		w := h.workers["w0"]
+		h.listWorkers()
+		h.advance(100 * time.Millisecond)
+		w.incarnation, w.clock = 2, 0
+		h.advance(100 * time.Millisecond)
+		p, _ := h.engine.Poll(h.now, "w0")
+		Expect(p.Lease).To(BeNumerically("<=", w.clock+leaseTerm))
+	})
+
+	It("keeps the next owner from starting the task of a silent worker while the run may be active", func() {
+		first := newMaxLeaseHarness(1, 1)
+		w := first.workers["w0"]
+		first.listWorkers()
+		first.advance(100 * time.Millisecond)
+		w.incarnation, w.clock = 2, 0
+		first.advance(100 * time.Millisecond)
+		p, _ := first.engine.Poll(first.now, "w0")
+		leaseEnd := p.Lease
+
+		h := newMaxLeaseHarness(2, 2)
+		w.info = h.workers["w0"].info
+		h.workers["w0"] = w
+		id := dispatch.TaskID{Job: "j"}
+		w.running[id] = &dispatch.RunningTask{TaskRun: dispatch.TaskRun{Task: id, Run: 1}}
+		h.engine.AddJob(h.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{batchStep(1)}}, dispatch.Progress{}, true)
+		h.engine.Recover(h.now, 0)
+		h.listWorkers()
+		h.advance(100 * time.Millisecond)
+		w.silent = true
+		for w.clock < leaseEnd-100*time.Millisecond {
+			h.advance(100 * time.Millisecond)
+			Expect(h.starts).To(BeEmpty(), "worker clock %s, lease end %s", w.clock, leaseEnd)
+		}
+	})
+})
+
+// newMaxLeaseHarness is like newHarness for workers that grant leases of up to maxLease.
+func newMaxLeaseHarness(epoch dispatch.Epoch, workers int) *harness {
+	h := newHarness(epoch, workers)
+	h.engine = dispatch.New(dispatch.Options{Epoch: epoch, LeaseTerm: leaseTerm, MaxLease: maxLease, StopTimeout: stopTimeout, Recorder: h})
+	h.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{
+		batchQueue: {Name: batchQueue, Service: "pool", MaxAttempts: 2, SlackFactor: 2},
+	})
+	return h
+}
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -144,9 +144,9 @@
 	ev.Incarnation, ev.Clock = r.Incarnation, r.Clock
 	e.record(now, Decision{Event: "WorkerRestarted", Worker: w.ID, Age: ev.ReportAge, Evidence: &ev})
 	w.incarnation = r.Incarnation
-	w.lastEndSeen, w.lastEndStored = 0, 0
+	w.lastEndSeen, w.lastEndStored, w.leaseEndSent = 0, 0, 0
 	// A start with a lease end on the old process's clock grants the longest lease on the new one.
-	w.leaseEndSent = r.Clock + max(e.options.MaxLease, e.options.LeaseTerm)
+	w.possibleLeaseEnd = r.Clock + max(e.options.MaxLease, e.options.LeaseTerm)
 	clear(w.orphanStops)
 	for _, a := range w.runs {
 		switch _, unanswered := w.unansweredStarts[a.taskRun()]; {
--- a/internal/decision/dispatch/store_test.go
+++ b/internal/decision/dispatch/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -104,3 +105,63 @@
 		Expect(acknowledged(h)).To(BeEquivalentTo(jobs))
 	})
 })
+
+// Guards against running a task again that is done: a crash of the owner loses what isn't stored,
+// and workers have forgotten the ends that were acknowledged.
+var _ = Describe("The ends that were acknowledged", func() {
+	It("are all stored, whatever transactions fail and whatever ends arrive in between", func() {
+		for seed := range uint64(300) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			h := newHarness(1, 2)
+			h.listWorkers()
+			h.advance(100 * time.Millisecond)
+			for i := range 12 {
+				h.submit(dispatch.JobID(fmt.Sprintf("j%02d", i)), batchStep(4))
+			}
+			stored := map[dispatch.TaskID]bool{}
+			completed := map[dispatch.JobID]bool{}
+			for range 60 {
+				h.now = h.now.Add(100 * time.Millisecond)
+				for _, w := range h.workers {
+					w.clock += 100 * time.Millisecond
+				}
+				h.pollWorkers()
+				h.tick()
+				b := h.engine.TakeBatch(1 + random.IntN(3))
+				for id, w := range h.workers {
+					for task := range w.running {
+						if random.IntN(3) == 0 {
+							h.endRun(id, task, dispatch.EndDone)
+						}
+					}
+				}
+				h.pollWorkers()
+				if random.IntN(3) == 0 {
+					h.engine.RequeueBatch(b)
+				} else {
+					for _, u := range b.Updates {
+						completed[u.ID] = completed[u.ID] || u.Outcome != ""
+						for _, s := range u.Progress.Steps {
+							for _, r := range s.Done {
+								for i := r.First; i <= r.Last; i++ {
+									stored[dispatch.TaskID{Job: u.ID, Index: i}] = true
+								}
+							}
+						}
+					}
+					h.engine.MarkStored(h.now, b)
+				}
+				for id, w := range h.workers {
+					p, _ := h.engine.Poll(h.now, id)
+					h.engine.Observe(h.now, id, w.report(p))
+					for _, end := range w.ended {
+						// The end of a run that was stopped changes nothing that must be stored.
+						if end.Number <= p.LastStoredEnd && end.Kind == dispatch.EndDone {
+							Expect(stored[end.Task] || completed[end.Task.Job]).To(BeTrue(), "seed %d, end %v", seed, end)
+						}
+					}
+				}
+			}
+		}
+	})
+})
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -136,7 +136,9 @@
 	// runs on this one.
 	replaced bool
 	// leaseEndSent is the latest lease end sent to the worker, on the worker's clock.
+	// possibleLeaseEnd is the latest one that commands to an earlier process may have granted.
 	leaseEndSent     time.Duration
+	possibleLeaseEnd time.Duration
 	runs             map[TaskID]*attempt
 	reserved         resource.Vector
 	fillerProcessors resource.MilliProcessors
@@ -226,7 +228,8 @@
 
 // leasesExpireAt returns when no run can be active any more if the worker stays silent.
 func (w *worker) leasesExpireAt() time.Time {
-	return w.lastReportAt.Add(maxLeaseDuration(max(w.leaseEndSent-w.reportedClock, 0)) + leaseEndMargin)
+	leaseEnd := max(w.leaseEndSent, w.possibleLeaseEnd)
+	return w.lastReportAt.Add(maxLeaseDuration(max(leaseEnd-w.reportedClock, 0)) + leaseEndMargin)
 }
 
 // hasLostRuns reports whether all runs of the worker have ended because it is silent. After a pause
