Use a worker again once the run that the earlier owner was stopping has ended

Callers: for up to 1 s after a takeover nothing started on a worker although nothing was being stopped there.

Cause: the end of such a run counted only if its job was still known.

Change: the end of the run is enough. The spec "gets tasks once the end of the run is listed although the run's job has ended" failed before.

--- a/internal/decision/dispatch/recovery_test.go
+++ b/internal/decision/dispatch/recovery_test.go
@@ -351,3 +351,20 @@
 		Expect(h.starts).To(HaveLen(2))
 	})
 })
+
+// Guards against a worker that gets no tasks after a takeover although nothing is being stopped there.
+var _ = Describe("A worker with a run that the earlier owner was stopping", func() {
+	It("gets tasks once the end of the run is listed although the run's job has ended", func() {
+		h := newHarness(2, 1)
+		h.engine.AddFinished(h.now, "old", dispatch.Cancelled)
+		h.listWorkers()
+		h.submit("new", batchStep(1))
+		id := dispatch.TaskID{Job: "old"}
+		w := h.workers["w0"]
+		w.running[id] = &dispatch.RunningTask{TaskRun: dispatch.TaskRun{Task: id, Run: 1}}
+		h.endRun("w0", id, dispatch.EndStopped)
+		h.engine.AwaitStops(h.now, []dispatch.StoppingRun{{TaskRun: dispatch.TaskRun{Task: id, Run: 1}, Worker: "w0"}})
+		h.advance(100 * time.Millisecond)
+		Expect(h.starts).To(HaveLen(1))
+	})
+})
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -212,6 +212,7 @@
 		e.releaseRun(now, a)
 	}
 	delete(w.orphanStops, end.TaskRun)
+	delete(w.awaitedStops, end.TaskRun)
 	t := e.findTask(end.Task)
 	if t == nil || t.step.job.outcome != "" {
 		return
