Hand on stopping runs that an owner awaits itself

Callers: a task could run twice when a shard is released twice within the time of a stop, as in a rolling restart.

Cause: the list for the next owner had only the runs in the owner's own records.

Change: it also has those that the owner still awaits from its predecessor, and runs outside its records that it has told to stop. What doesn't fit is counted (Task.StoppingNotListed). Both specs under "The list of stopping runs for the next owner" failed before.

--- a/internal/decision/dispatch/awaited_stop.go
+++ b/internal/decision/dispatch/awaited_stop.go
@@ -12,20 +12,42 @@
 	Worker membership.InstanceID
 }
 
-// StoppingRuns returns up to limit runs that are being stopped, for the next owner: until they have
-// ended their workers needn't list them.
-func (e *Engine) StoppingRuns(limit int) []StoppingRun {
+// StoppingRuns returns up to limit runs that are being stopped, those that this owner awaits itself
+// included. Workers needn't list them until they have ended, so the next owner can't learn of them from
+// reports.
+func (e *Engine) StoppingRuns(now time.Time, limit int) []StoppingRun {
 	var list []StoppingRun
 	for _, w := range e.sortedWorkers {
-		for _, a := range w.runs {
-			if a.phase == stopping && len(list) < limit {
-				list = append(list, StoppingRun{a.taskRun(), w.ID})
+		for _, r := range w.stoppingRuns(now) {
+			if len(list) == limit {
+				e.count("Task.StoppingNotListed")
+				continue
 			}
+			list = append(list, StoppingRun{r, w.ID})
 		}
 	}
 	return list
 }
 
+// stoppingRuns returns the runs on the worker that are being stopped.
+func (w *worker) stoppingRuns(now time.Time) []TaskRun {
+	var runs []TaskRun
+	for _, a := range w.runs {
+		if a.phase == stopping {
+			runs = append(runs, a.taskRun())
+		}
+	}
+	for r, until := range w.awaitedStops {
+		if now.Before(until) {
+			runs = append(runs, r)
+		}
+	}
+	for r := range w.orphanStops {
+		runs = append(runs, r)
+	}
+	return runs
+}
+
 // AwaitStops delays the tasks of runs that the earlier owner was stopping, and new tasks on their
 // workers, until the runs are listed or must have ended. The jobs and workers must have been added.
 func (e *Engine) AwaitStops(now time.Time, runs []StoppingRun) {
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -222,6 +222,21 @@
 	h.engine.AddJob(h.now, dispatch.Job{ID: id, Queue: batchQueue, Accepted: h.now, Steps: steps}, dispatch.Progress{}, false)
 }
 
+// startOnLast starts the only task of job "j" on the last worker. The others are draining at first.
+func startOnLast(h *harness, workers int) dispatch.TaskID {
+	GinkgoHelper()
+	for i := range workers - 1 {
+		h.workers[membership.InstanceID(fmt.Sprintf("w%d", i))].info.Draining = true
+	}
+	h.listWorkers()
+	h.advance(100 * time.Millisecond)
+	h.submit("j", batchStep(1))
+	h.advance(100 * time.Millisecond)
+	h.advance(100 * time.Millisecond)
+	Expect(h.starts).To(HaveLen(1))
+	return h.starts[0].Task
+}
+
 func batchStep(n int) dispatch.Step {
 	return dispatch.Step{Tasks: n, Resources: cores(1), Estimate: time.Second}
 }
--- a/internal/decision/dispatch/recovery_test.go
+++ b/internal/decision/dispatch/recovery_test.go
@@ -368,3 +368,30 @@
 		Expect(h.starts).To(HaveLen(1))
 	})
 })
+
+// Guards against two runs of a task at once in a rolling restart: the shard may be released twice
+// within the time of a stop.
+var _ = Describe("The list of stopping runs for the next owner", func() {
+	It("has the runs of the earlier owner that must still be awaited", func() {
+		h := newHarness(2, 1)
+		h.listWorkers()
+		id := dispatch.TaskID{Job: "j"}
+		h.engine.AddJob(h.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{batchStep(1)}}, dispatch.Progress{}, true)
+		h.engine.Recover(h.now, 0)
+		stopping := []dispatch.StoppingRun{{TaskRun: dispatch.TaskRun{Task: id, Run: 1}, Worker: "w0"}}
+		h.engine.AwaitStops(h.now, stopping)
+		h.advance(100 * time.Millisecond)
+		Expect(h.engine.StoppingRuns(h.now, 10)).To(Equal(stopping))
+	})
+
+	It("has the runs that were stopped because they weren't in the records", func() {
+		h := newHarness(1, 3)
+		task := startOnLast(h, 3)
+		w := h.workers["w0"]
+		w.slowStops = true
+		w.running[task] = &dispatch.RunningTask{TaskRun: dispatch.TaskRun{Task: task, Run: 0}}
+		h.advance(100 * time.Millisecond)
+		Expect(h.stops).To(HaveLen(1))
+		Expect(h.engine.StoppingRuns(h.now, 10)).To(HaveLen(1))
+	})
+})
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -83,7 +83,7 @@
 		return u
 	}
 	if u.next.Released {
-		stopping := stoppingRow{Epoch: o.epoch, Runs: o.engine.StoppingRuns(maxStoppingRuns)}
+		stopping := stoppingRow{Epoch: o.epoch, Runs: o.engine.StoppingRuns(o.now(), maxStoppingRuns)}
 		u.writes = append(u.writes, table.Write{Key: o.shard.partition.stoppingKey(), Value: encode(stopping)})
 	}
 	now := o.now()
