--- a/internal/decision/dispatch/recovery_test.go
+++ b/internal/decision/dispatch/recovery_test.go
@@ -164,15 +164,10 @@
 var _ = Describe("A takeover beside a run that a worker's first report doesn't list", func() {
 	const interval = 50 * time.Millisecond
 
-	// takeOver makes a second owner recover a job whose task runs on a worker that lists it nowhere.
+	// takeOver makes a second owner recover a job whose task runs on a worker that lists it nowhere,
+	// and lets the workers report once.
 	takeOver := func() (*harness, *fakeWorker, dispatch.TaskID) {
-		h := newHarness(2, 2)
-		w, id := h.workers["w0"], dispatch.TaskID{Job: "j"}
-		w.running[id] = &dispatch.RunningTask{TaskRun: dispatch.TaskRun{Task: id, Run: 1}}
-		w.hidden[id] = true
-		h.engine.AddJob(h.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{batchStep(1)}}, dispatch.Progress{}, true)
-		h.engine.Recover(h.now, 0)
-		h.listWorkers()
+		h, w, id := recoverUnlistedRun()
 		h.advance(interval)
 		return h, w, id
 	}
@@ -253,20 +248,8 @@
 var _ = Describe("The rules of a recovery and of a restart", func() {
 	const interval = 100 * time.Millisecond
 
-	// takeOver makes a second owner recover a job whose task runs on w0, which lists it nowhere.
-	takeOver := func() (*harness, *fakeWorker, dispatch.TaskID) {
-		h := newHarness(2, 2)
-		w, id := h.workers["w0"], dispatch.TaskID{Job: "j"}
-		w.running[id] = &dispatch.RunningTask{TaskRun: dispatch.TaskRun{Task: id, Run: 1}}
-		w.hidden[id] = true
-		h.engine.AddJob(h.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{batchStep(1)}}, dispatch.Progress{}, true)
-		h.engine.Recover(h.now, 0)
-		h.listWorkers()
-		return h, w, id
-	}
-
 	It("keep a listed worker that goes silent after its first report in the recovery until its leases have expired", func() {
-		h, w, _ := takeOver()
+		h, w, _ := recoverUnlistedRun()
 		h.advance(interval)
 		w.silent = true
 		for range 39 {
@@ -277,7 +260,7 @@
 
 	// The worker may make the report when it receives the poll, and answer it late.
 	It("count a report by when its poll was sent", func() {
-		h, w, _ := takeOver()
+		h, w, _ := recoverUnlistedRun()
 		h.advance(interval)
 		w1 := h.workers["w1"]
 		p, _ := h.engine.Poll(h.now, "w0")
@@ -294,7 +277,7 @@
 	})
 
 	It("let no worker wait for an end before it answers its second poll", func() {
-		h, _, _ := takeOver()
+		h, _, _ := recoverUnlistedRun()
 		h.advance(interval)
 		p, _ := h.engine.Poll(h.now, "w0")
 		Expect(p.Wait).To(BeNumerically("<=", 100*time.Millisecond))
@@ -302,7 +285,7 @@
 
 	// Guards against an overcommitted worker: a run that is being stopped occupies its resources.
 	It("start no new job on a worker that has just answered for the first time", func() {
-		h, w, _ := takeOver()
+		h, w, _ := recoverUnlistedRun()
 		w.silent, h.workers["w1"].silent = true, true
 		for range 22 {
 			h.advance(interval)
@@ -395,3 +378,16 @@
 		Expect(h.engine.StoppingRuns(h.now, 10)).To(HaveLen(1))
 	})
 })
+
+// recoverUnlistedRun makes a second owner recover a job whose task runs on w0, which lists the run
+// nowhere. No worker has reported yet.
+func recoverUnlistedRun() (*harness, *fakeWorker, dispatch.TaskID) {
+	h := newHarness(2, 2)
+	w, id := h.workers["w0"], dispatch.TaskID{Job: "j"}
+	w.running[id] = &dispatch.RunningTask{TaskRun: dispatch.TaskRun{Task: id, Run: 1}}
+	w.hidden[id] = true
+	h.engine.AddJob(h.now, dispatch.Job{ID: "j", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{batchStep(1)}}, dispatch.Progress{}, true)
+	h.engine.Recover(h.now, 0)
+	h.listWorkers()
+	return h, w, id
+}
