--- a/internal/decision/dispatch/awaited_stop.go
+++ b/internal/decision/dispatch/awaited_stop.go
@@ -73,10 +73,11 @@
 	return false
 }
 
-// endAwaitedStop ends the delays for a run that a worker lists as running or as ended.
-func (t *task) endAwaitedStop(w *worker, r TaskRun) {
+// endAwaitedStop ends the delays for a run that the worker lists as running or as ended. The task is
+// nil if its job is unknown.
+func (w *worker) endAwaitedStop(t *task, r TaskRun) {
 	delete(w.awaitedStops, r)
-	if t.otherRun == r {
+	if t != nil && t.otherRun == r {
 		t.otherRunEndsBy = time.Time{}
 	}
 }
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -212,13 +212,12 @@
 		e.releaseRun(now, a)
 	}
 	delete(w.orphanStops, end.TaskRun)
-	delete(w.awaitedStops, end.TaskRun)
 	t := e.findTask(end.Task)
+	w.endAwaitedStop(t, end.TaskRun)
 	if t == nil || t.step.job.outcome != "" {
 		return
 	}
 	t.run = max(t.run, end.Run)
-	t.endAwaitedStop(w, end.TaskRun)
 	e.record(now, Decision{Event: "TaskEnded", Task: end.TaskRun, Worker: w.ID, Reason: string(end.Kind)})
 	e.count("End." + string(end.Kind))
 	if end.Checkpoint != "" && t.checkpoint != end.Checkpoint {
@@ -322,7 +321,7 @@
 	if t == nil || t.attempt != nil {
 		return nil
 	}
-	t.endAwaitedStop(w, r)
+	w.endAwaitedStop(t, r)
 	a := newAttempt(t, r.Run, w, now)
 	a.phase, a.settledPoll, a.confirmed = running, w.polls, true
 	a.adopted = true
@@ -344,7 +343,8 @@
 // stopOrphan stops a run that isn't in this owner's records. Its task doesn't start again while the
 // run may be active.
 func (e *Engine) stopOrphan(now time.Time, w *worker, r TaskRun) {
-	if t := e.findTask(r.Task); t != nil {
+	t := e.findTask(r.Task)
+	if t != nil {
 		t.otherRun, t.otherRunEndsBy = r, w.leasesExpireAt()
 	}
 	if now.Sub(w.orphanStops[r]) < stopRetryInterval {
@@ -352,24 +352,20 @@
 	}
 	if w.orphanStops[r].IsZero() {
 		ev := w.evidence(now)
-		e.record(now, Decision{Event: "TaskOrphan", Task: r, Worker: w.ID, Reason: e.explainOrphan(r), Age: ev.ReportAge, Evidence: &ev})
+		e.record(now, Decision{Event: "TaskOrphan", Task: r, Worker: w.ID, Reason: explainOrphan(t), Age: ev.ReportAge, Evidence: &ev})
 	}
 	w.orphanStops[r] = now
 	e.count("Task.Stray")
 	e.issueStopCommand(w, r)
 }
 
-// explainOrphan returns what the owner knows of the task of a run that isn't in its records.
-func (e *Engine) explainOrphan(r TaskRun) string {
-	t := e.findTask(r.Task)
-	switch {
-	case t == nil:
+// explainOrphan returns why a run of the task wasn't adopted. The task is nil if its job is unknown;
+// otherwise another run of it is known.
+func explainOrphan(t *task) string {
+	if t == nil {
 		return "its job is unknown or has ended"
-	case t.attempt != nil:
-		return fmt.Sprintf("run %d of the task on %s is %s", t.attempt.run, t.attempt.worker.ID, t.attempt.phase)
-	default:
-		return "no run of the task is known"
 	}
+	return fmt.Sprintf("run %d of the task on %s is %s", t.attempt.run, t.attempt.worker.ID, t.attempt.phase)
 }
 
 // handleMissingRuns handles the runs that a worker should report but doesn't. It never compares
--- a/internal/decision/dispatch/report_test.go
+++ b/internal/decision/dispatch/report_test.go
@@ -302,20 +302,9 @@
 		Fail("no decision " + event)
 		return dispatch.Evidence{}
 	}
-	// start starts a task on the only worker, which reports it.
-	start := func() (*harness, *fakeWorker) {
-		h := newHarness(1, 1)
-		h.listWorkers()
-		h.advance(0)
-		h.submit("j", batchStep(1))
-		h.advance(0)
-		h.advance(100 * time.Millisecond)
-		Expect(h.starts).To(HaveLen(1))
-		return h, h.workers["w0"]
-	}
 
 	It("is recorded with the polls and answers that show that it is missing", func() {
-		h, w := start()
+		h, w := startOnOnlyWorker()
 		delete(w.running, h.starts[0].Task)
 		for range 30 {
 			h.advance(100 * time.Millisecond)
@@ -328,7 +317,7 @@
 	})
 
 	It("is recorded with the end of its lease if its worker is silent", func() {
-		h, w := start()
+		h, w := startOnOnlyWorker()
 		w.silent = true
 		for range 60 {
 			h.advance(100 * time.Millisecond)
@@ -339,7 +328,7 @@
 	})
 
 	It("is recorded with both starts of its worker if that has restarted", func() {
-		h, w := start()
+		h, w := startOnOnlyWorker()
 		w.incarnation, w.clock = 7, 0
 		clear(w.running)
 		h.advance(100 * time.Millisecond)
@@ -377,21 +366,8 @@
 var _ = Describe("A report without the start of the worker's process", func() {
 	const interval = 100 * time.Millisecond
 
-	// startOn starts a task of the job on the only worker, which reports it.
-	startOn := func() (*harness, *fakeWorker) {
-		GinkgoHelper()
-		h := newHarness(1, 1)
-		h.listWorkers()
-		h.advance(interval)
-		h.submit("j", batchStep(1))
-		h.advance(interval)
-		h.advance(interval)
-		Expect(h.starts).To(HaveLen(1))
-		return h, h.workers["w0"]
-	}
-
 	It("isn't taken for a restart", func() {
-		h, w := startOn()
+		h, w := startOnOnlyWorker()
 		for _, incarnation := range []int64{0, 1, 0, 0, 1} {
 			w.incarnation = incarnation
 			h.advance(interval)
@@ -401,7 +377,7 @@
 	})
 
 	It("is taken for a restart if the worker's clock has started anew", func() {
-		h, w := startOn()
+		h, w := startOnOnlyWorker()
 		w.incarnation, w.clock = 0, 0
 		clear(w.running)
 		h.advance(interval)
@@ -463,3 +439,16 @@
 		Expect(h.starts).To(HaveLen(2))
 	})
 })
+
+// startOnOnlyWorker starts a task on the only worker, which reports it.
+func startOnOnlyWorker() (*harness, *fakeWorker) {
+	GinkgoHelper()
+	h := newHarness(1, 1)
+	h.listWorkers()
+	h.advance(100 * time.Millisecond)
+	h.submit("j", batchStep(1))
+	h.advance(100 * time.Millisecond)
+	h.advance(100 * time.Millisecond)
+	Expect(h.starts).To(HaveLen(1))
+	return h, h.workers["w0"]
+}
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -182,17 +182,19 @@
 // running. While the ends that the worker has reported aren't stored, a poll would only return them
 // again, and take the processor time that storing them needs.
 func (o *owner) awaitNextPoll(id membership.InstanceID, interval time.Duration) bool {
-	intervals := 1
-	if interval == unstoredPollInterval {
-		intervals = maxUnstoredIntervals
+	if !o.sleep(interval) {
+		return false
 	}
-	for range intervals {
+	if interval != unstoredPollInterval {
+		return true
+	}
+	for range maxUnstoredIntervals - 1 {
+		if !o.awaitsStoring(id) {
+			return true
+		}
 		if !o.sleep(interval) {
 			return false
 		}
-		if !o.awaitsStoring(id) {
-			break
-		}
 	}
 	return true
 }
