Reproduce long-running tasks that aren't started again in time

- A worker with ten tasks of one step comes back empty 5.5 s after it was cut off, while short tasks arrive at twice the rate that the room allows.
- A task finds room 8 s after its lease has ended, on a worker that scarce fillers need.
It waits for a better worker for 1.5 s more, whatever its downtime.

Both are hypotheses of the incident (H1, H2); that they were its cause isn't shown by this.

--- a/internal/decision/dispatch/exchange_test.go
+++ b/internal/decision/dispatch/exchange_test.go
@@ -133,6 +133,30 @@
 		Entry("when another worker refuses its starts", true),
 	)
 
+	// Guards against a task that waits for a better worker although it has been down for longer than
+	// that wait may take: the wait began anew with the first worker that had room.
+	It("gives a worker that scarce fillers need at once to a serving task that was down for too long before it found room", Label("known-red"), func() {
+		h.workers["w2"], h.workers["w3"] = newFakeWorker("w2", 6), newFakeWorker("w3", 6)
+		h.listWorkers()
+		h.submit("calm", serving("calm", 1, 2))
+		runFor(500 * time.Millisecond)
+		h.submit("full", serving("touchy", 2, 6))
+		h.submit("touchy", serving("touchy", 1, 6))
+		runFor(500 * time.Millisecond)
+		learn()
+		Expect(h.workersOf("touchy")).To(HaveLen(1))
+		lost := h.workers[h.workersOf("touchy")[0]]
+		lost.silent = true
+		runFor(leaseTerm)
+		clear(lost.running)
+		const downBeforeRoom = 8 * time.Second
+		runFor(downBeforeRoom)
+		h.workers["w4"] = newFakeWorker("w4", 8)
+		h.listWorkers()
+		runFor(maxDowntime - downBeforeRoom)
+		Expect(h.workersOf("touchy")).To(Equal([]membership.InstanceID{"w4"}))
+	})
+
 	// Guards against a pointless wait where fillers find room anywhere.
 	It("starts a serving task immediately while most workers accept the fillers", func() {
 		for n := range 4 {
--- /dev/null
+++ b/internal/decision/dispatch/restart_test.go
@@ -0,0 +1,130 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// maxDowntime is the time after which the platform counts a long-running task without a run as
+// lost, if there is room for it.
+const maxDowntime = 9 * time.Second
+
+// shortTaskLoad submits short tasks at a steady rate.
+type shortTaskLoad struct {
+	h *harness
+	// perStep is the number of tasks submitted in each step of 100 ms.
+	perStep   int
+	submitted int
+	startedAt map[dispatch.TaskID]time.Time
+}
+
+func newShortTaskLoad(h *harness) *shortTaskLoad {
+	return &shortTaskLoad{h: h, startedAt: map[dispatch.TaskID]time.Time{}}
+}
+
+const (
+	minShortDuration = 300 * time.Millisecond
+	maxShortDuration = 1300 * time.Millisecond
+)
+
+// durationOf returns how long a task of the load runs. Neighbours differ, so that their room becomes
+// free at different times.
+func (l *shortTaskLoad) durationOf(task dispatch.TaskID) time.Duration {
+	const primeStep = 370 * time.Millisecond
+	n, err := strconv.Atoi(string(task.Job[1:]))
+	Expect(err).NotTo(HaveOccurred())
+	return minShortDuration + time.Duration(n)*primeStep%(maxShortDuration-minShortDuration)
+}
+
+// runFor advances the time in steps of 100 ms. Short tasks end after their duration, and others
+// report that they have started up.
+func (l *shortTaskLoad) runFor(d time.Duration) {
+	h := l.h
+	for range int(d / (100 * time.Millisecond)) {
+		for id, w := range h.workers {
+			for task, run := range w.running {
+				if run.Percent = 100; task.Job[0] != 's' {
+					continue
+				}
+				if at, started := l.startedAt[task]; !started {
+					l.startedAt[task] = h.now
+				} else if h.now.Sub(at) >= l.durationOf(task) {
+					h.endRun(id, task, dispatch.EndDone)
+				}
+			}
+		}
+		for range l.perStep {
+			l.submitted++
+			h.submit(dispatch.JobID(fmt.Sprintf("s%05d", l.submitted)), dispatch.Step{Tasks: 1, Resources: cores(2), Estimate: maxShortDuration})
+		}
+		h.advance(100 * time.Millisecond)
+	}
+}
+
+// loseRuns ends all runs of a worker that was cut off for longer than its leases.
+func (w *fakeWorker) loseRuns(h *harness) {
+	for task := range w.running {
+		h.endRun(w.info.ID, task, dispatch.EndLeaseExpired)
+	}
+}
+
+// Guards against long-running tasks that aren't started again while short tasks take the room:
+// the workers of a zone were cut off, came back empty, and the last tasks of a step waited for more
+// than 9 s, because each start of a task of the step began the time anew for which the step lets
+// short tasks go first.
+var _ = Describe("Long-running tasks whose workers come back after their leases have expired", func() {
+	var h *harness
+	var load *shortTaskLoad
+	const cutDuration = 5500 * time.Millisecond
+
+	// cutOff cuts the worker off for longer than its leases last, and returns when it was cut off.
+	cutOff := func(id membership.InstanceID) time.Time {
+		at := h.now
+		w := h.workers[id]
+		w.silent = true
+		load.runFor(leaseTerm)
+		w.loseRuns(h)
+		load.runFor(cutDuration - leaseTerm)
+		w.silent = false
+		return at
+	}
+	expectRunning := func(job dispatch.JobID, tasks int) {
+		GinkgoHelper()
+		Expect(h.workersOf(job)).To(HaveLen(tasks))
+	}
+
+	BeforeEach(func() {
+		h = newHarness(1, 1)
+		h.workers["back"] = newFakeWorker("back", 24)
+		h.listWorkers()
+		load = newShortTaskLoad(h)
+		h.submit("full", longRunningStep(3, 2))
+		load.runFor(500 * time.Millisecond)
+	})
+
+	It("runs all tasks of a step again in time while short tasks wait for the same room", Label("known-red"), func() {
+		h.submit("watch", longRunningStep(10, 2))
+		load.runFor(500 * time.Millisecond)
+		expectRunning("watch", 10)
+		load.perStep = 3
+		cutAt := cutOff("back")
+		load.runFor(cutAt.Add(leaseTerm + maxDowntime).Sub(h.now))
+		expectRunning("watch", 10)
+		for _, d := range h.decisions {
+			if d.Event == "TaskDown" && d.Task.Task.Job == "watch" {
+				fmt.Println(d.Task.Task, d.Took, d.Reason)
+			}
+			if d.Event == "TaskDownForLong" {
+				fmt.Println(d.Task.Task, d.Reason)
+			}
+		}
+		expectRunning("full", 3)
+	})
+})
