Keep the places of moved tasks again

Change: a move for fillers, an exchange and a swap hold the destination for the moved task, also while its earlier run is still stopping. Only what the task needs is held; other tasks may use the rest of the worker. A step for which a worker is held is always tried.

--- a/internal/decision/dispatch/defrag.go
+++ b/internal/decision/dispatch/defrag.go
@@ -28,16 +28,44 @@
 	// excluded is the step whose task was stopped to make room. Its tasks must not take
 	// the room again.
 	excluded *step
+	// moved reports that the task was stopped to run here. It would stay without a run if
+	// another one took the room.
+	moved bool
+}
+
+// isActive reports whether the worker is held for a task that hasn't started yet. A moved task
+// may still be stopping on its earlier worker.
+func (h *hold) isActive(now time.Time) bool {
+	if h.task == nil || now.After(h.expiresAt) {
+		return false
+	}
+	a := h.task.attempt
+	return a == nil || h.moved && a.phase == stopping
+}
+
+// isForMoved reports whether the task was stopped to run on the held worker.
+func (h *hold) isForMoved(now time.Time, t *task) bool {
+	return h.moved && h.task == t && h.isActive(now)
+}
+
+// isForOtherMoved reports whether another task was stopped to run on the held worker.
+func (h *hold) isForOtherMoved(now time.Time, t *task) bool {
+	return h.moved && h.task != t && h.isActive(now)
 }
 
 // allows reports whether the step may use the free capacity. Besides the step of the
 // held task, long-running steps other than the excluded one may, if the hold is for a
-// long-running task: one that fits now must not wait for a larger one.
+// long-running task that wasn't moved: one that fits now must not wait for a larger one.
 func (h *hold) allows(now time.Time, s *step) bool {
-	if h.task == nil || now.After(h.expiresAt) || h.task.attempt != nil {
+	if !h.isActive(now) {
 		return true
 	}
-	return h.task.step == s || (s != h.excluded && s.LongRunning && h.task.step.LongRunning)
+	return h.task.step == s || (s != h.excluded && !h.moved && s.LongRunning && h.task.step.LongRunning)
+}
+
+// allowsBeside reports whether the step may use the free capacity that the held task doesn't need.
+func (h *hold) allowsBeside(now time.Time, s *step) bool {
+	return h.allows(now, s) || h.moved && s != h.excluded
 }
 
 // isExcludedFromHold reports whether a worker is held that the step must not use,
@@ -75,7 +103,7 @@
 func (e *Engine) countHeld(now time.Time) int {
 	held := 0
 	for _, w := range e.sortedWorkers {
-		if w.hold.task != nil && now.Before(w.hold.expiresAt) && w.hold.task.attempt == nil {
+		if w.hold.isActive(now) {
 			held++
 		}
 	}
@@ -121,10 +149,19 @@
 }
 
 func (w *worker) setHold(now time.Time, t *task, excluded *step) {
-	w.hold = hold{t, now.Add(holdDuration), excluded}
+	w.hold = hold{task: t, expiresAt: now.Add(holdDuration), excluded: excluded}
 	t.lastHeldAt = now
 }
 
+// move stops a run and holds the worker on which its task will run instead. Tasks of the
+// excluded step can't use that worker meanwhile.
+func (e *Engine) move(now time.Time, a *attempt, to *worker, excluded *step, reason string) {
+	a.task.movedAt = now
+	to.setHold(now, a.task, excluded)
+	to.hold.moved = true
+	e.stop(now, a, reason)
+}
+
 // moveSmallerTask moves a smaller long-running task to another worker with room, so
 // that the waiting task fits in its place.
 func (e *Engine) moveSmallerTask(now time.Time, t *task) bool {
@@ -152,10 +189,8 @@
 // destination worker is held for its own task. Tasks of the excluded step can't use the
 // place at the destination.
 func (e *Engine) displace(now time.Time, a *attempt, t *task, to *worker, excluded *step, reason string) {
-	a.task.movedAt = now
 	a.worker.setHold(now, t, a.task.step)
-	to.setHold(now, a.task, excluded)
-	e.stop(now, a, reason)
+	e.move(now, a, to, excluded, reason)
 }
 
 // findRoom returns another worker that has room for a running task, or nil.
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -1071,45 +1071,94 @@
 })
 
 var _ = Describe("Serving tasks", func() {
-	// Guards against a single serving task that blocks a worker. In run scale-1 of a site, most
-	// fillers interfered with its image, so it kept all fillers off a worker with tasks of
-	// another image.
-	It("moves a serving task off a worker on which it alone blocks fillers", func() {
+	const calm, other = membership.InstanceID("w0"), membership.InstanceID("w1")
+	serving := func(image dispatch.Image, n int) dispatch.Step {
+		return dispatch.Step{Tasks: n, Resources: cores(1), LongRunning: true, Image: image, Target: 20 * time.Millisecond}
+	}
+	startUp := func(h *harness, d time.Duration) {
+		for _, w := range h.workers {
+			for _, run := range w.running {
+				run.Percent = 100
+			}
+		}
+		h.advance(d)
+	}
+	// blockFillers returns a harness in which a task of the image touchy, beside three of the
+	// image calm, blocks its worker for fillers. The other worker runs a touchy task already.
+	blockFillers := func() *harness {
 		h := newHarness(1, 2)
+		h.workers[other].silent = true
 		h.listWorkers()
-		var learned []interference.Estimate
-		learned = append(learned, interference.Estimate{Pair: interference.Pair{Service: "touchy", Class: "fill"}, Probability: 0.97},
-			interference.Estimate{Pair: interference.Pair{Service: "calm", Class: "fill"}, Probability: 0.02})
-		serving := func(image dispatch.Image, n int) dispatch.Step {
-			return dispatch.Step{Tasks: n, Resources: cores(1), LongRunning: true, Image: image, Target: 20 * time.Millisecond}
-		}
 		h.submit("calm", serving("calm", 3))
 		h.advance(0)
 		h.advance(0)
-		calm := h.starts[0].Worker
-		other := membership.InstanceID("w0")
-		if calm == "w0" {
-			other = "w1"
-		}
+		h.workers[calm].silent, h.workers[other].silent = true, false
+		h.advance(0)
 		h.submit("touchy-home", serving("touchy", 1))
 		h.advance(0)
-		Expect(h.workersOf("touchy-home")).To(Equal([]membership.InstanceID{other}))
-		h.workers[other].silent = true
+		h.workers[calm].silent, h.workers[other].silent = false, true
 		h.advance(0)
 		h.submit("touchy", serving("touchy", 1))
 		h.advance(0)
 		h.workers[other].silent = false
+		Expect(h.workersOf("touchy-home")).To(Equal([]membership.InstanceID{other}))
 		Expect(h.workersOf("touchy")).To(Equal([]membership.InstanceID{calm}))
-		h.engine.RestoreEstimates(h.now, learned)
+		h.engine.RestoreEstimates(h.now, []interference.Estimate{
+			{Pair: interference.Pair{Service: "touchy", Class: "fill"}, Probability: 0.97},
+			{Pair: interference.Pair{Service: "calm", Class: "fill"}, Probability: 0.02},
+		})
 		h.submit("fill", fillerStep(1, "fill"))
+		return h
+	}
+
+	// Guards against a single serving task that blocks a worker. In run scale-1 of a site, most
+	// fillers interfered with its image, so it kept all fillers off a worker with tasks of
+	// another image.
+	It("moves a serving task off a worker on which it alone blocks fillers", func() {
+		h := blockFillers()
 		for range 4 {
-			for _, w := range h.workers {
-				for _, run := range w.running {
-					run.Percent = 100
-				}
-			}
-			h.advance(300 * time.Millisecond)
+			startUp(h, 300*time.Millisecond)
+		}
+		Expect(h.workersOf("touchy")).To(Equal([]membership.InstanceID{other}))
+	})
+
+	// Guards against a task that is without a run for long because it was moved: while it stopped,
+	// other tasks took the room for which it was stopped (bogkreds-jt-grown, trouble-2: 5 s).
+	DescribeTable("starts a serving task where it was moved to, whatever else waits", func(competitor dispatch.Step) {
+		h := blockFillers()
+		h.workers[calm].slowStops = true
+		for n := 0; len(h.stops) == 0 && n < 20; n++ {
+			startUp(h, 100*time.Millisecond)
 		}
+		Expect(h.stops).To(HaveLen(1))
+		h.submit("competitor", competitor)
+		startUp(h, 100*time.Millisecond)
+		h.endRun(calm, h.stops[0].Task, dispatch.EndStopped)
+		for range 4 {
+			startUp(h, 100*time.Millisecond)
+		}
+		Expect(h.workersOf("touchy")).To(Equal([]membership.InstanceID{other}))
+	},
+		Entry("short tasks", dispatch.Step{Tasks: 8, Resources: cores(1), Estimate: time.Minute}),
+		Entry("long-running tasks", serving("calm", 8)),
+		Entry("larger long-running tasks", dispatch.Step{Tasks: 1, Resources: cores(5), LongRunning: true}),
+	)
+
+	// Guards against capacity that stays unused: a place that was kept for a moved task kept all
+	// others off its worker.
+	It("starts other tasks in the room that a moved task leaves", func() {
+		h := blockFillers()
+		h.workers[calm].slowStops = true
+		for n := 0; len(h.stops) == 0 && n < 20; n++ {
+			startUp(h, 100*time.Millisecond)
+		}
+		Expect(h.stops).To(HaveLen(1))
+		h.submit("beside", dispatch.Step{Tasks: 1, Resources: cores(4), Estimate: time.Minute})
+		startUp(h, 100*time.Millisecond)
+		Expect(h.workersOf("beside")).To(Equal([]membership.InstanceID{other}))
+		h.endRun(calm, h.stops[0].Task, dispatch.EndStopped)
+		startUp(h, 100*time.Millisecond)
+		startUp(h, 100*time.Millisecond)
 		Expect(h.workersOf("touchy")).To(Equal([]membership.InstanceID{other}))
 	})
 })
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -143,6 +143,8 @@
 	fillerDemand map[Image]float64
 	scarcity     scarcity
 	startAnswers startAnswers
+	// stepsWithHold has the steps for whose tasks a worker is held.
+	stepsWithHold map[*step]bool
 	// unplaceable has the shapes of tasks for which no worker was found in this tick,
 	// with the smallest resources that didn't fit.
 	unplaceable map[shape]resource.Vector
@@ -171,6 +173,7 @@
 		trialRuns:            map[interference.Pair]int{},
 		unloadedTails:        map[Image]unloadedTail{},
 		unplaceable:          map[shape]resource.Vector{},
+		stepsWithHold:        map[*step]bool{},
 	}
 }
 
--- a/internal/decision/dispatch/exchange.go
+++ b/internal/decision/dispatch/exchange.go
@@ -47,7 +47,8 @@
 // doesn't block for scarce fillers, and tries to make such a worker available. Running
 // a serving task is worth far less than the fillers that it blocks.
 func (e *Engine) deferForBetterWorker(now time.Time, t *task, w *worker) bool {
-	if t.step.Target <= 0 || e.recovering || e.isDisabled(mechanism.BetterWorkerWait) || !e.wouldBlockFillers(now, w, t.step.Image) {
+	if t.step.Target <= 0 || e.recovering || e.isDisabled(mechanism.BetterWorkerWait) ||
+		w.hold.isForMoved(now, t) || !e.wouldBlockFillers(now, w, t.step.Image) {
 		return false
 	}
 	if t.deferredSince.IsZero() {
@@ -185,9 +186,8 @@
 }
 
 func (e *Engine) swap(now time.Time, a, b *attempt) {
-	e.displace(now, a, b.task, b.worker, b.task.step, "blocks fillers on its worker")
-	b.task.movedAt = now
-	e.stop(now, b, "swapped with a task that blocks fillers")
+	e.move(now, a, b.worker, b.task.step, "blocks fillers on its worker")
+	e.move(now, b, a.worker, a.task.step, "swapped with a task that blocks fillers")
 }
 
 // nextBlockingTask returns the next serving task that, with at most one other of its
--- a/internal/decision/dispatch/exchange_test.go
+++ b/internal/decision/dispatch/exchange_test.go
@@ -60,27 +60,54 @@
 		h.advance(0)
 	})
 
-	It("keeps a worker for scarce fillers by exchanging a serving task that would block it with another one", func() {
+	// exchange makes the task of touchy-2 take the place of that of calm-2, which moves to the
+	// worker of calm-1. It calls during once calm-2 has been stopped.
+	exchange := func(during func()) (blocked, unblocked membership.InstanceID) {
 		h.submit("calm-1", serving("calm", 1, 5))
 		runFor(500 * time.Millisecond)
-		// The task of calm-2 starts beside that of touchy-1, which blocks its worker for fillers.
-		h.submit("touchy-1", serving("touchy", 1, 4))
+		h.submit("touchy-1", serving("touchy", 1, 5))
 		runFor(500 * time.Millisecond)
+		// The task of calm-2 starts beside that of touchy-1, which blocks its worker for fillers,
+		// because the other worker is silent.
+		h.workers[h.workersOf("calm-1")[0]].silent = true
+		runFor(200 * time.Millisecond)
 		h.submit("calm-2", serving("calm", 1, 1))
-		runFor(500 * time.Millisecond)
+		runFor(200 * time.Millisecond)
+		Expect(h.workersOf("calm-2")).To(Equal(h.workersOf("touchy-1")))
+		h.workers[h.workersOf("calm-1")[0]].silent = false
+		runFor(200 * time.Millisecond)
 		learn()
 		runFor(500 * time.Millisecond)
-		blocked := h.workersOf("touchy-1")[0]
-		Expect(h.workersOf("calm-2")).To(HaveLen(1))
-		unblocked := h.workersOf("calm-1")[0]
-		before := len(h.starts)
+		blocked = h.workersOf("touchy-1")[0]
+		unblocked = h.workersOf("calm-1")[0]
 		h.submit("touchy-2", serving("touchy", 1, 1))
+		for n := 0; len(h.stops) == 0 && n < 40; n++ {
+			runFor(100 * time.Millisecond)
+		}
+		Expect(h.stops).To(HaveLen(1))
+		during()
+		return blocked, unblocked
+	}
+
+	It("keeps a worker for scarce fillers by exchanging a serving task that would block it with another one", func() {
+		blocked, unblocked := exchange(func() {})
 		runFor(4 * time.Second)
-		Expect(len(h.starts)).To(BeNumerically(">", before))
 		Expect(h.workersOf("touchy-2")).To(Equal([]membership.InstanceID{blocked}))
 		Expect(h.workersOf("calm-2")).To(Equal([]membership.InstanceID{unblocked}))
 	})
 
+	// Guards against a task that is without a run for long because it was moved: another
+	// long-running task took the room that was held for it (bogkreds-jt-grown, trouble-2: 5 s).
+	It("keeps the place of an exchanged serving task for it, even if another one would come first", func() {
+		_, unblocked := exchange(func() {
+			h.engine.AddJob(h.now, dispatch.Job{
+				ID: "rival", Queue: batchQueue, Accepted: h.now.Add(-time.Hour), Steps: []dispatch.Step{serving("calm", 1, 1)},
+			}, dispatch.Progress{}, false)
+		})
+		runFor(time.Second)
+		Expect(h.workersOf("calm-2")).To(Equal([]membership.InstanceID{unblocked}))
+	})
+
 	It("doesn't keep a worker for scarce fillers indefinitely if a serving task has no other worker", func() {
 		h.submit("calm", serving("calm", 1, 2))
 		runFor(500 * time.Millisecond)
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -55,6 +55,9 @@
 		if !e.mayPlace(now, t, w) {
 			continue
 		}
+		if w.hold.isForMoved(now, t) {
+			return w
+		}
 		cost, ok := e.cost(now, t, w)
 		if ok && (best == nil || cost < bestCost) {
 			best, bestCost = w, cost
@@ -66,7 +69,16 @@
 // mayPlace reports whether the placement policy, the step's constraints and the free
 // capacity allow the task on the worker.
 func (e *Engine) mayPlace(now time.Time, t *task, w *worker) bool {
-	return e.isPermitted(now, t.step, w) && e.isFeasible(now, t.step, w)
+	return w.hasRoomBesideHold(now, t) && e.isPermitted(now, t.step, w) && e.isFeasible(now, t.step, w)
+}
+
+// hasRoomBesideHold reports whether a task leaves enough room for another one that was moved to
+// the worker. Fillers take no room from it.
+func (w *worker) hasRoomBesideHold(now time.Time, t *task) bool {
+	if t.step.Filler || !w.hold.isForOtherMoved(now, t) {
+		return true
+	}
+	return t.step.Reserved().Add(w.hold.task.step.Reserved()).FitsIn(w.free())
 }
 
 // isPermitted reports whether the placement policy allows the step on the worker.
@@ -77,15 +89,20 @@
 // isFeasible reports whether the worker meets the step's constraints and has room for
 // one of its tasks. It doesn't check the placement policy.
 func (e *Engine) isFeasible(now time.Time, s *step, w *worker) bool {
-	return e.meetsConstraints(s, w) && s.Reserved().FitsIn(w.free()) && (s.Filler || w.hold.allows(now, s))
+	return e.meetsConstraints(s, w) && s.Reserved().FitsIn(w.free()) && (s.Filler || w.hold.allowsBeside(now, s))
 }
 
-// updateSchedulable marks the workers that may get tasks in this tick. It is computed
-// once, because each search for a worker checks all of them.
+// updateSchedulable marks the workers that may get tasks in this tick, and the steps for
+// which a worker is held. It is computed once, because each search for a worker checks all
+// of them.
 func (e *Engine) updateSchedulable(now time.Time) {
+	clear(e.stepsWithHold)
 	for _, w := range e.sortedWorkers {
 		resourcesKnown := (!e.recovering || w.hasListedRuns) && !w.isAwaitingStop(now)
 		w.schedulable = w.isAvailable(now) && resourcesKnown && !e.isQuarantined(now, w) && !e.zonesOutOfService[w.Zone]
+		if w.hold.isActive(now) {
+			e.stepsWithHold[w.hold.task.step] = true
+		}
 	}
 }
 
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -103,8 +103,11 @@
 }
 
 // isUnplaceable reports whether no worker was found in this tick for a task of the same
-// shape that needs no more resources.
+// shape that needs no more resources, and none is held for the step.
 func (e *Engine) isUnplaceable(s *step) bool {
+	if e.stepsWithHold[s] {
+		return false
+	}
 	smallest, failed := e.unplaceable[s.shape()]
 	return failed && smallest.FitsIn(s.Resources)
 }
--- a/internal/decision/dispatch/serving.go
+++ b/internal/decision/dispatch/serving.go
@@ -127,11 +127,10 @@
 		if !w.isAvailable(now) || len(w.servingImages) < 2 {
 			continue
 		}
-		if a := e.findMovable(now, w); a != nil {
+		if a, to := e.findMovable(now, w); a != nil {
 			e.servingMovedAt = now
-			a.task.movedAt = now
 			e.count("Task.Moved")
-			e.stop(now, a, "blocks fillers on its worker")
+			e.move(now, a, to, nil, "blocks fillers on its worker")
 			return
 		}
 	}
@@ -144,8 +143,9 @@
 	}
 }
 
-// findMovable returns the serving task of a worker that is worth moving, or nil.
-func (e *Engine) findMovable(now time.Time, w *worker) *attempt {
+// findMovable returns the serving task of a worker that is worth moving and the worker to which
+// it can move, or nil.
+func (e *Engine) findMovable(now time.Time, w *worker) (*attempt, *worker) {
 	for _, a := range w.runs {
 		s := a.task.step
 		if s.Target <= 0 || w.servingImages[s.Image] != 1 || !a.mayMove(now) {
@@ -154,11 +154,11 @@
 		if e.blockedDemand(now, w, s.Image) < minUnblockedDemand {
 			continue
 		}
-		if to := e.chooseWorker(now, a.task); to != nil && to != w && e.isBetterDestination(now, to, s) {
-			return a
+		if to := e.chooseWorker(now, a.task); to != nil && to != w && !to.hold.isActive(now) && e.isBetterDestination(now, to, s) {
+			return a, to
 		}
 	}
-	return nil
+	return nil, nil
 }
 
 // isBetterDestination reports whether a task of the step blocks hardly any additional
