Start tasks on any worker again after a takeover

Why: the wait for a better worker counts from the first search of the new owner, but the task has been down since its last run under the earlier owner and through the recovery.

The spec "gives a worker that scarce fillers need to a serving task that was down when the owner took over" fails without the change.

--- a/internal/decision/dispatch/exchange.go
+++ b/internal/decision/dispatch/exchange.go
@@ -47,7 +47,7 @@
 // doesn't block for scarce fillers, and tries to make such a worker available. Running
 // a serving task is worth far less than the fillers that it blocks.
 func (e *Engine) deferForBetterWorker(now time.Time, t *task, w *worker) bool {
-	if t.step.Target <= 0 || e.recovering || e.isDisabled(mechanism.BetterWorkerWait) ||
+	if t.step.Target <= 0 || e.recovering || t.isDownSinceTakeover() || e.isDisabled(mechanism.BetterWorkerWait) ||
 		w.hold.isForMoved(now, t) || !e.wouldBlockFillers(now, w, t.step.Image) {
 		return false
 	}
--- a/internal/decision/dispatch/exchange_test.go
+++ b/internal/decision/dispatch/exchange_test.go
@@ -184,6 +184,23 @@
 		Expect(h.workersOf("touchy")).To(Equal([]membership.InstanceID{"w4"}))
 	})
 
+	// Guards against waits that add up: after a takeover a task was without a run until its new owner
+	// had recovered, and then waited for a better worker (bogkreds-jt-grown: 5.4 s after the recovery).
+	It("gives a worker that scarce fillers need to a serving task that was down when the owner took over", func() {
+		h = newHarness(2, 2)
+		h.engine.AddJob(h.now, dispatch.Job{
+			ID: "touchy", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{serving("touchy", 2, 1)},
+		}, dispatch.Progress{}, true)
+		h.engine.Recover(h.now, 0)
+		left := dispatch.TaskRun{Task: dispatch.TaskID{Job: "touchy", Index: 1}, Run: 1}
+		h.workers["w1"].running[left.Task] = &dispatch.RunningTask{TaskRun: left, Percent: 100}
+		h.workers["w1"].info.Capacity = cores(1)
+		learn()
+		h.listWorkers()
+		runFor(300 * time.Millisecond)
+		Expect(h.workersOf("touchy")).To(ConsistOf(membership.InstanceID("w0"), membership.InstanceID("w1")))
+	})
+
 	// Guards against a pointless wait where fillers find room anywhere.
 	It("starts a serving task immediately while most workers accept the fillers", func() {
 		for n := range 4 {
