Hold workers for tasks that need an urgent restart

Cause: a worker that is held for a long-running task may be used by any other long-running task that fits, and may be held for another one instead.

Change: workers are held for tasks that need an urgent restart first and without a delay. Only steps that need one too may use what is free there. A held worker isn't held for another task.

The limit on held workers stays.

--- a/internal/decision/dispatch/defrag.go
+++ b/internal/decision/dispatch/defrag.go
@@ -55,12 +55,14 @@
 
 // allows reports whether the step may use the free capacity. Besides the step of the
 // held task, long-running steps other than the excluded one may, if the hold is for a
-// long-running task that wasn't moved: one that fits now must not wait for a larger one.
+// long-running task that wasn't moved: one that fits now must not wait for a larger one. If
+// the held task needs an urgent restart, these are only steps that need one too.
 func (h *hold) allows(now time.Time, s *step) bool {
-	if !h.isActive(now) {
+	if !h.isActive(now) || h.task.step == s {
 		return true
 	}
-	return h.task.step == s || (s != h.excluded && !h.moved && s.LongRunning && h.task.step.LongRunning)
+	own := h.task.step
+	return s != h.excluded && !h.moved && s.LongRunning && own.LongRunning && (s.restartsUrgently || !own.restartsUrgently)
 }
 
 // allowsBeside reports whether the step may use the free capacity that the held task doesn't need.
@@ -87,9 +89,11 @@
 		return
 	}
 	e.holdsCheckedAt = now
+	limit := len(e.sortedWorkers)/workersPerHold + 1
 	held := e.countHeld(now)
+	held += e.holdForUrgentRestarts(now, limit-held)
 	for _, j := range e.jobs {
-		if j.outcome != "" || !j.Steps[0].LongRunning || held > len(e.sortedWorkers)/workersPerHold {
+		if j.outcome != "" || !j.Steps[0].LongRunning || held >= limit {
 			continue
 		}
 		for _, s := range j.occurrences[0] {
@@ -129,7 +133,7 @@
 func (e *Engine) holdFor(now time.Time, t *task) bool {
 	var best *worker
 	for _, w := range e.sortedWorkers {
-		if e.mayHold(now, t, w) && t.step.Reserved().FitsIn(w.free().Add(w.shortTaskResources())) &&
+		if e.mayHold(now, t, w) && !w.hold.isActive(now) && t.step.Reserved().FitsIn(w.free().Add(w.shortTaskResources())) &&
 			(best == nil || best.free().Processors < w.free().Processors) {
 			best = w
 		}
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -48,6 +48,8 @@
 	// room for the step.
 	blockedSince time.Time
 	preemptedAt  time.Time
+	// restartsUrgently reports that a task of the step needs an urgent restart in this tick.
+	restartsUrgently bool
 	// durations are the durations of the tasks that have succeeded.
 	durations []time.Duration
 	// rack is the rack on which the tasks of a OneRack step run.
--- a/internal/decision/dispatch/restart.go
+++ b/internal/decision/dispatch/restart.go
@@ -34,8 +34,11 @@
 }
 
 // findUrgentRestarts collects the long-running tasks that need an urgent restart, in the order in
-// which they went down. A gang starts as a whole, by the order of the steps.
+// which they went down, and marks their steps. A gang starts as a whole, by the order of the steps.
 func (e *Engine) findUrgentRestarts(now time.Time) {
+	for _, t := range e.urgentRestarts {
+		t.step.restartsUrgently = false
+	}
 	e.urgentRestarts = e.urgentRestarts[:0]
 	for _, j := range e.jobs {
 		if j.outcome != "" || j.cancelled || !j.Steps[0].LongRunning || e.mustAwaitRecovery(now, j) {
@@ -44,6 +47,7 @@
 		j.eachTask(func(t *task) {
 			if t.needsUrgentRestart(now) && !t.step.Gang {
 				e.urgentRestarts = append(e.urgentRestarts, t)
+				t.step.restartsUrgently = true
 			}
 		})
 	}
@@ -84,3 +88,18 @@
 	}
 	return started
 }
+
+// holdForUrgentRestarts holds workers for tasks that need an urgent restart and found no room, up to
+// limit, and returns their number.
+func (e *Engine) holdForUrgentRestarts(now time.Time, limit int) int {
+	held := 0
+	for _, t := range e.urgentRestarts {
+		if held >= limit {
+			break
+		}
+		if t.isWaiting(now) && now.Sub(t.lastHeldAt) > holdDuration && e.holdFor(now, t) {
+			held++
+		}
+	}
+	return held
+}
--- a/internal/decision/dispatch/restart_test.go
+++ b/internal/decision/dispatch/restart_test.go
@@ -119,4 +119,36 @@
 		expectRunning("watch", 10)
 		expectRunning("full", 3)
 	})
+
+	// Guards against a large task that never finds room, because any smaller long-running task may
+	// take what is free on the worker that is held for it.
+	It("runs a large task again in time while smaller long-running tasks come and go", func() {
+		h.submit("large", longRunningStep(1, 20))
+		load.runFor(500 * time.Millisecond)
+		expectRunning("large", 1)
+		const (
+			submitInterval = 500 * time.Millisecond
+			lifetime       = 4 * time.Second
+		)
+		submitted := 0
+		runWithOtherJobs := func(d time.Duration) {
+			for range int(d / submitInterval) {
+				submitted++
+				h.submit(dispatch.JobID(fmt.Sprintf("other-%d", submitted)), longRunningStep(1, 4))
+				if ended := submitted - int(lifetime/submitInterval); ended > 0 {
+					h.engine.Cancel(h.now, dispatch.JobID(fmt.Sprintf("other-%d", ended)))
+				}
+				load.runFor(submitInterval)
+			}
+		}
+		cutAt := h.now
+		w := h.workers["back"]
+		w.silent = true
+		runWithOtherJobs(leaseTerm)
+		w.loseRuns(h)
+		runWithOtherJobs(cutDuration - leaseTerm)
+		w.silent = false
+		runWithOtherJobs(cutAt.Add(leaseTerm + maxDowntime).Sub(h.now))
+		expectRunning("large", 1)
+	})
 })
