Bound the wait for a better worker by the downtime

Cause: the minimum wait of 1.5 s is counted from when the first worker with room is found, and was checked before the limit of 5 s on the downtime.

Change: the limit on the downtime goes first. The table "... that has been down for too long" counted on the 1.5 s after the 5 s: it now looks at 4.7 s and at 5.3 s, in place of 5 s and 6.5 s, so its upper bound is tighter. Later than that its task may already be moved to a worker that it doesn't block.

--- a/internal/decision/dispatch/exchange.go
+++ b/internal/decision/dispatch/exchange.go
@@ -20,8 +20,9 @@
 	// as lost if it doesn't run for 9 s after its last run while there was room for it
 	// twice over in the last 3 s.
 	maxBetterWorkerWait = 5 * time.Second
-	// minBetterWorkerWait is the minimum wait. A task that never ran waits no longer
-	// than this once the workers have room for two such tasks.
+	// minBetterWorkerWait is the minimum wait, counted from when a worker with room was first
+	// found. A task that never ran waits no longer than this once the workers have room for
+	// two such tasks.
 	minBetterWorkerWait = 1500 * time.Millisecond
 	// deferredSearchInterval is the time between two searches for a worker for a
 	// deferred task.
@@ -71,10 +72,10 @@
 // mayDefer reports whether a task may keep waiting for a better worker.
 func (e *Engine) mayDefer(now time.Time, t *task) bool {
 	switch waited := now.Sub(t.deferredSince); {
-	case waited < minBetterWorkerWait:
-		return true
 	case t.isDownFor(now, maxBetterWorkerWait), waited >= maxBetterWorkerWait:
 		return false
+	case waited < minBetterWorkerWait:
+		return true
 	case !t.lastRunAt.IsZero():
 		return true
 	}
--- a/internal/decision/dispatch/exchange_test.go
+++ b/internal/decision/dispatch/exchange_test.go
@@ -150,9 +150,9 @@
 		}
 		Expect(h.workersOf("touchy")).NotTo(ContainElement(lostWorker))
 		h.workers[h.workersOf("touchy")[0]].silent = true
-		runFor(5 * time.Second)
+		runFor(4700 * time.Millisecond)
 		Expect(h.workersOf("touchy")).NotTo(ContainElement(lostWorker))
-		runFor(1500 * time.Millisecond)
+		runFor(600 * time.Millisecond)
 		Expect(h.workersOf("touchy")).To(ContainElement(lostWorker))
 	},
 		Entry("when no other worker has room", false),
@@ -162,7 +162,7 @@
 
 	// Guards against a task that waits for a better worker although it has been down for longer than
 	// that wait may take: the wait began anew with the first worker that had room.
-	It("gives a worker that scarce fillers need at once to a serving task that was down for too long before it found room", Label("known-red"), func() {
+	It("gives a worker that scarce fillers need at once to a serving task that was down for too long before it found room", func() {
 		h.workers["w2"], h.workers["w3"] = newFakeWorker("w2", 6), newFakeWorker("w3", 6)
 		h.listWorkers()
 		h.submit("calm", serving("calm", 1, 2))
