Move long-running tasks off draining workers only to places that are kept

Cause: a task was stopped as soon as one worker had room for it. All tasks that were stopped, up to 16 at a time, counted on the same room, which wasn't kept for any of them. So tasks were without a run that had 6 s left on their workers.

Change: a long-running task leaves a draining worker only for a place that is held for it, after tasks that need an urgent restart and before all others. Fillers leave the memory of a held place free.

The specs "Long-running tasks on a draining worker stay there until another worker has room for each of them" and "... move to a worker that gets room, one after the other" failed before.

--- /dev/null
+++ b/internal/decision/dispatch/drain_test.go
@@ -0,0 +1,82 @@
+package dispatch_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// Guards against long-running tasks that are stopped on a draining worker although no other worker has
+// room for them: all that were stopped at once counted on the same room (bogkreds-jt-grown: 64 tasks
+// within a second, and some had no run for 15 s).
+var _ = Describe("Long-running tasks on a draining worker", func() {
+	const (
+		available = 5 * time.Second
+		leaving   = membership.InstanceID("w0")
+		other     = membership.InstanceID("other")
+		late      = membership.InstanceID("late")
+	)
+	var h *harness
+
+	// drainFull drains a worker with three tasks of job "watch". The only other worker has room for
+	// one of them.
+	drainFull := func() {
+		h = newHarness(1, 1)
+		h.listWorkers()
+		h.advance(0)
+		h.submit("watch", longRunningStep(3, 2))
+		h.advance(100 * time.Millisecond)
+		h.advance(100 * time.Millisecond)
+		h.workers[other] = newFakeWorker(other, 6)
+		h.listWorkers()
+		h.advance(100 * time.Millisecond)
+		h.submit("full", longRunningStep(2, 2))
+		h.advance(100 * time.Millisecond)
+		Expect(h.workersOf("full")).To(ConsistOf(other, other))
+		w := h.workers[leaving]
+		w.info.Draining, w.info.Remaining = true, available
+		h.listWorkers()
+	}
+	expectAtWork := func(atLeast int) {
+		GinkgoHelper()
+		Expect(len(h.workersOf("watch"))).To(BeNumerically(">=", atLeast))
+	}
+
+	It("stay there until another worker has room for each of them", func() {
+		drainFull()
+		for range 40 {
+			h.advance(100 * time.Millisecond)
+			expectAtWork(2)
+		}
+		Expect(h.workersOf("watch")).To(ConsistOf(other, leaving, leaving))
+	})
+
+	It("move to a worker that gets room, one after the other", func() {
+		drainFull()
+		h.advance(100 * time.Millisecond)
+		h.engine.Cancel(h.now, "full")
+		for range 10 {
+			h.advance(100 * time.Millisecond)
+			expectAtWork(2)
+		}
+		Expect(h.workersOf("watch")).To(ConsistOf(other, other, other))
+	})
+
+	It("are stopped before the worker leaves, so that their ends are known", func() {
+		drainFull()
+		for range int(available / (100 * time.Millisecond)) {
+			h.advance(100 * time.Millisecond)
+		}
+		Expect(h.workersOf("watch")).To(ConsistOf(other))
+		delete(h.workers, leaving)
+		h.workers[late] = newFakeWorker(late, 6)
+		h.listWorkers()
+		for range 10 {
+			h.advance(100 * time.Millisecond)
+		}
+		Expect(h.workersOf("watch")).To(ConsistOf(other, late, late))
+	})
+})
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -49,10 +49,21 @@
 // chooseWorker returns the worker with the lowest cost for a task, or nil if none is
 // feasible.
 func (e *Engine) chooseWorker(now time.Time, t *task) *worker {
+	return e.chooseWorkerAmong(now, t, func(*worker) bool { return true })
+}
+
+// chooseDestination returns the worker with the lowest cost to which a running task can move, or nil.
+// A worker that is held for anything is left out, since it can't be held for the task as well.
+func (e *Engine) chooseDestination(now time.Time, a *attempt) *worker {
+	return e.chooseWorkerAmong(now, a.task, func(w *worker) bool { return w != a.worker && !w.hold.isActive(now) })
+}
+
+// chooseWorkerAmong is like chooseWorker but considers only eligible workers.
+func (e *Engine) chooseWorkerAmong(now time.Time, t *task, isEligible func(*worker) bool) *worker {
 	var best *worker
 	bestCost := 0.0
 	for _, w := range e.sortedWorkers {
-		if !e.mayPlace(now, t, w) {
+		if !isEligible(w) || !e.mayPlace(now, t, w) {
 			continue
 		}
 		if w.hold.isForMoved(now, t) {
@@ -73,12 +84,16 @@
 }
 
 // hasRoomBesideHold reports whether a task leaves enough room for another one that was moved to
-// the worker. Fillers take no room from it.
+// the worker. Fillers take no processors from it.
 func (w *worker) hasRoomBesideHold(now time.Time, t *task) bool {
-	if t.step.Filler || !w.hold.isForOtherMoved(now, t) {
+	if !w.hold.isForOtherMoved(now, t) {
 		return true
 	}
-	return t.step.Reserved().Add(w.hold.task.step.Reserved()).FitsIn(w.free())
+	both := t.step.Reserved().Add(w.hold.task.step.Reserved())
+	if t.step.Filler {
+		both.Processors = 0
+	}
+	return both.FitsIn(w.free())
 }
 
 // isPermitted reports whether the placement policy allows the step on the worker.
--- a/internal/decision/dispatch/restart.go
+++ b/internal/decision/dispatch/restart.go
@@ -60,6 +60,7 @@
 // startUrgentRestarts starts up to limit of the tasks that need an urgent restart and returns their
 // number. If one finds no worker, the others of its step aren't tried.
 func (e *Engine) startUrgentRestarts(now time.Time, limit int) int {
+	e.findUrgentRestarts(now)
 	started := 0
 	blocked := map[*step]bool{}
 	for _, t := range e.urgentRestarts {
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -24,10 +24,12 @@
 	e.updateSchedulable(now)
 	e.retryStops(now)
 	e.forgetFinishedJobs(now)
-	e.drainWorkers(now)
 	e.findStragglers(now)
 	e.updateScarcity(now)
-	e.startTasks(now)
+	clear(e.unplaceable)
+	started := e.startUrgentRestarts(now, maxStartsPerTick)
+	e.drainWorkers(now)
+	e.startTasks(now, maxStartsPerTick-started)
 	e.recordLongDowntimes(now)
 	e.controlInterference(now)
 	e.consolidate(now)
@@ -77,18 +79,16 @@
 	}
 }
 
-func (e *Engine) startTasks(now time.Time) {
-	clear(e.unplaceable)
+// startTasks starts up to limit of the tasks that may start, in the order of the candidates.
+func (e *Engine) startTasks(now time.Time, limit int) {
 	e.countTrialRuns(now)
 	e.countForcedFillers()
 	e.scheduleStarvationCheck(now)
-	e.findUrgentRestarts(now)
-	remaining := maxStartsPerTick - e.startUrgentRestarts(now, maxStartsPerTick)
 	for _, c := range e.candidates(now) {
-		if remaining <= 0 {
+		if limit <= 0 {
 			return
 		}
-		remaining -= e.startStep(now, c.step, remaining)
+		limit -= e.startStep(now, c.step, limit)
 	}
 }
 
--- a/internal/decision/dispatch/serving.go
+++ b/internal/decision/dispatch/serving.go
@@ -154,7 +154,7 @@
 		if e.blockedDemand(now, w, s.Image) < minUnblockedDemand {
 			continue
 		}
-		if to := e.chooseWorker(now, a.task); to != nil && to != w && !to.hold.isActive(now) && e.isBetterDestination(now, to, s) {
+		if to := e.chooseDestination(now, a); to != nil && e.isBetterDestination(now, to, s) {
 			return a, to
 		}
 	}
