Record long downtimes again every 2 s, with what the task needs

TaskDownForLong told once, after 4 s, what a long-running task waits for.

The event now comes after 4 s and then every 2 s. It carries the awaited condition as a field of its own, the reserved resources, the number of unavailable workers with room for the task, and the number of waiting tasks of its step. Task.DownForLong still counts once for each downtime. No scheduling decision changes.

--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -45,6 +45,8 @@
 	TargetLatency time.Duration
 	// Evidence is set if the decision is about runs that may be active.
 	Evidence *Evidence
+	// LongDowntime is set if the decision is about a task that is down for long.
+	LongDowntime *LongDowntime
 }
 
 // Options configures an Engine.
--- a/internal/decision/dispatch/serving_loss.go
+++ b/internal/decision/dispatch/serving_loss.go
@@ -84,8 +84,8 @@
 	reason string
 	// worker is the one on which the task last was at work.
 	worker membership.InstanceID
-	// recorded reports that the downtime was recorded as a long one.
-	recorded bool
+	// recordedAt is when the downtime was last recorded as a long one, or zero.
+	recordedAt time.Time
 }
 
 const (
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -189,6 +189,9 @@
 	if d.Evidence != nil {
 		line = addEvidence(line, d.Evidence)
 	}
+	if d.LongDowntime != nil {
+		line = addLongDowntime(line, d.LongDowntime)
+	}
 	line.Send()
 }
 
@@ -219,6 +222,16 @@
 	return line.Int64("Incarnation", ev.Incarnation).Int("Runs", ev.Runs)
 }
 
+// addLongDowntime adds the fields of a task that is down for long.
+func addLongDowntime(line *zerolog.Event, d *dispatch.LongDowntime) *zerolog.Event {
+	line = line.Str("Awaits", string(d.Awaits)).
+		Int64("Processors", int64(d.Resources.Processors)).Int64("Memory", int64(d.Resources.Memory))
+	if d.Resources.Accelerators > 0 {
+		line = line.Int64("Accelerators", int64(d.Resources.Accelerators))
+	}
+	return line.Int("UnavailableWithRoom", d.UnavailableWithRoom).Int("WaitingTasks", d.WaitingTasks)
+}
+
 // levelOf returns the level of a decision in the log. Runs that are given up although they may be
 // active are warnings, so that their lines are kept where a log is cut short.
 func levelOf(d dispatch.Decision) zerolog.Level {
--- /dev/null
+++ b/internal/entry/dispatcher/owner_test.go
@@ -0,0 +1,39 @@
+package dispatcher
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/counter"
+)
+
+// Guards against decisions whose fields don't reach the log, from which operators explain them.
+var _ = Describe("The log line of a decision", func() {
+	expectFields := func(d dispatch.Decision, want map[string]any) {
+		GinkgoHelper()
+		var log bytes.Buffer
+		n := New(Options{Name: "a", Clock: clockwork.NewFakeClock(), Log: zerolog.New(&log), Counters: &counter.Set{}})
+		o := newOwner(newShard(n, 1, 1), ownerRow{Node: "a", Epoch: 3}, 7, func() {})
+		o.RecordDecision(time.Time{}, d)
+		var got map[string]any
+		Expect(json.Unmarshal(log.Bytes(), &got)).To(Succeed())
+		want["level"], want["Event"], want["Shard"], want["Epoch"] = "info", d.Event, 1.0, 3.0
+		Expect(got).To(Equal(want))
+	}
+
+	It("has what a task that is down for long needs", func() {
+		expectFields(dispatch.Decision{Event: "TaskDownForLong", Took: 4 * time.Second, LongDowntime: &dispatch.LongDowntime{
+			Awaits: dispatch.AwaitsRoom, Resources: resource.Vector{Processors: 2000, Memory: 512}, UnavailableWithRoom: 3, WaitingTasks: 4,
+		}}, map[string]any{
+			"Took": 4000.0, "Awaits": "Room", "Processors": 2000.0, "Memory": 512.0, "UnavailableWithRoom": 3.0, "WaitingTasks": 4.0,
+		})
+	})
+})
