Record the room of each shard once a second

A long-running task that is down waits for room in its own shard, while the platform counts the room of all shards.

The new event ShardRoom has the numbers of workers in service and of unavailable ones among them, the capacity and reserved resources of the available ones, the free resources of the four available workers and of the two unavailable ones with the most free processors, and the number and longest downtime of the long-running tasks that ran before and are down. The engine goes through its workers once a second for it and sorts none. It is one line for each owned shard and second; a suspended owner writes none. The workers of all services count alike. No scheduling decision changes.

--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -47,6 +47,8 @@
 	Evidence *Evidence
 	// LongDowntime is set if the decision is about a task that is down for long.
 	LongDowntime *LongDowntime
+	// ShardRoom is set if the decision records the room of the shard.
+	ShardRoom *ShardRoom
 }
 
 // Options configures an Engine.
@@ -128,6 +130,8 @@
 	// longDowntimesCheckedAt is when long-running tasks that are down for long were last
 	// looked for.
 	longDowntimesCheckedAt time.Time
+	// shardRoomRecordedAt is when the room of the shard was last recorded.
+	shardRoomRecordedAt time.Time
 	// servingMovedAt is when a serving task was last moved.
 	servingMovedAt time.Time
 	// swapCheckedAt is when serving tasks that could swap workers were last searched
--- a/internal/decision/dispatch/long_downtime.go
+++ b/internal/decision/dispatch/long_downtime.go
@@ -102,17 +102,6 @@
 	return count
 }
 
-// isInService reports whether the platform lists the worker for new tasks.
-func (e *Engine) isInService(w *worker) bool {
-	return w.listed && !w.Draining && !w.replaced && !e.zonesOutOfService[w.Zone]
-}
-
-// isUnavailable reports whether the worker is in service but gets no new tasks for now: it is silent,
-// hasn't listed its runs, has refused a start, is quarantined or has runs of unknown size.
-func (e *Engine) isUnavailable(w *worker) bool {
-	return e.isInService(w) && (!w.schedulable || w.untrackedRuns > 0)
-}
-
 // explainDowntime returns what keeps a task that is down from being at work.
 func (e *Engine) explainDowntime(now time.Time, t *task) (AwaitedCondition, string) {
 	switch {
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -29,6 +29,7 @@
 	e.updateScarcity(now)
 	e.startTasks(now)
 	e.recordLongDowntimes(now)
+	e.recordShardRoom(now)
 	e.controlInterference(now)
 	e.consolidate(now)
 	e.defragment(now)
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -192,6 +192,9 @@
 	if d.LongDowntime != nil {
 		line = addLongDowntime(line, d.LongDowntime)
 	}
+	if d.ShardRoom != nil {
+		line = addShardRoom(line, d.ShardRoom)
+	}
 	line.Send()
 }
 
@@ -232,6 +235,14 @@
 	return line.Int("UnavailableWithRoom", d.UnavailableWithRoom).Int("WaitingTasks", d.WaitingTasks)
 }
 
+// addShardRoom adds the fields of the room of a shard.
+func addShardRoom(line *zerolog.Event, r *dispatch.ShardRoom) *zerolog.Event {
+	return line.Int("Workers", r.Workers).Int("Unavailable", r.Unavailable).
+		Interface("Capacity", r.Capacity).Interface("Reserved", r.Reserved).
+		Interface("Free", r.Free).Interface("UnavailableFree", r.UnavailableFree).
+		Int("TasksDown", r.TasksDown).Dur("LongestDowntime", r.LongestDowntime)
+}
+
 // levelOf returns the level of a decision in the log. Runs that are given up although they may be
 // active are warnings, so that their lines are kept where a log is cut short.
 func levelOf(d dispatch.Decision) zerolog.Level {
--- a/internal/entry/dispatcher/owner_test.go
+++ b/internal/entry/dispatcher/owner_test.go
@@ -36,4 +36,19 @@
 			"Took": 4000.0, "Awaits": "Room", "Processors": 2000.0, "Memory": 512.0, "UnavailableWithRoom": 3.0, "WaitingTasks": 4.0,
 		})
 	})
+
+	It("has the room of the shard", func() {
+		vector := func(processors, memory float64) map[string]any {
+			return map[string]any{"Processors": processors, "Memory": memory, "Accelerators": 0.0}
+		}
+		expectFields(dispatch.Decision{Event: "ShardRoom", ShardRoom: &dispatch.ShardRoom{
+			Workers: 2, Unavailable: 1,
+			Capacity: resource.Vector{Processors: 6000, Memory: 512}, Reserved: resource.Vector{Processors: 2000, Memory: 128},
+			Free:      []resource.Vector{{Processors: 4000, Memory: 384}},
+			TasksDown: 3, LongestDowntime: 4 * time.Second,
+		}}, map[string]any{
+			"Workers": 2.0, "Unavailable": 1.0, "Capacity": vector(6000, 512), "Reserved": vector(2000, 128),
+			"Free": []any{vector(4000, 384)}, "UnavailableFree": nil, "TasksDown": 3.0, "LongestDowntime": 4000.0,
+		})
+	})
 })
