List long downtimes and where there was room for the task

It tells why each task went down, what it waited for in the owner's records, and for how long in a row, from 6 s on, there was room for it twice over on one worker or on two: in its own shard, in others, on workers that get no tasks for now, or on all together.

A downtime that began before its job was cancelled counts until the cancellation; what follows doesn't. A run that no line ends while the shard changes its owner ends where the new owner first counts the task as down. A shard's room holds for 2 s without a later record.

Lines of TaskDownForLong and ShardRoom are decoded with their further fields. The shard of a line is kept if it is a number: the lines of serve have a text there.

--- a/internal/cmd/explain/explain.go
+++ b/internal/cmd/explain/explain.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/explainday"
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/explaindowntime"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/factory"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/logfiles"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/operatorflags"
@@ -39,7 +40,8 @@
 		Example: "  $ jacinthtrail explain task 4f0c8a6d9b1e2f3a4f0c8a6d9b1e2f3a/0\n" +
 			"  $ jacinthtrail explain job 4f0c8a6d9b1e2f3a4f0c8a6d9b1e2f3a --json\n" +
 			"  $ jacinthtrail explain job d939e0fa21b4fad0 --from bal-1.log --from dbn-3.log\n" +
-			"  $ jacinthtrail explain day --from bal-1.log --from dbn-3.log",
+			"  $ jacinthtrail explain day --from bal-1.log --from dbn-3.log\n" +
+			"  $ jacinthtrail explain downtime --from bal-1.log --from dbn-3.log",
 		Args: cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if err := opts.Check(cmd, f); err != nil {
@@ -58,7 +60,7 @@
 	}
 	opts.Add(cmd)
 	logfiles.AddFlag(cmd, &opts.From)
-	cmd.AddCommand(explainday.NewCmd(f, nil))
+	cmd.AddCommand(explainday.NewCmd(f, nil), explaindowntime.NewCmd(f, nil))
 	return cmd
 }
 
--- a/internal/operator/diagnosis/line.go
+++ b/internal/operator/diagnosis/line.go
@@ -12,6 +12,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 )
 
 // Line is a log line of an entry instance. Fields that are missing in the log are zero.
@@ -35,6 +37,45 @@
 	TargetLatency float64
 	Age           float64
 	RetryAfter    float64
+	// Shard is the shard of an owner's line.
+	Shard ShardNumber
+	// LongDowntime has the further fields of TaskDownForLong, and Room those of ShardRoom. They are
+	// nil for other events.
+	LongDowntime *LongDowntime `json:"-"`
+	Room         *ShardRoom    `json:"-"`
+}
+
+// LongDowntime describes a long-running task that is down for long.
+type LongDowntime struct {
+	// Awaits is what the task waits for, such as Room.
+	Awaits string
+	// Vector has the resources that the task reserves.
+	resource.Vector
+	// UnavailableWithRoom is the number of workers that aren't available but have room for the task.
+	UnavailableWithRoom int
+	// WaitingTasks is the number of tasks of the same step that wait.
+	WaitingTasks int
+}
+
+// ShardRoom has the free resources of the workers of a shard with the most free processors.
+type ShardRoom struct {
+	// Free has those of available workers.
+	Free []resource.Vector
+	// UnavailableFree has those of workers that get no tasks for now.
+	UnavailableFree []resource.Vector
+}
+
+// ShardNumber is the number of a shard of the users' platform. Other lines have a text as shard,
+// which counts as 0.
+type ShardNumber int
+
+// UnmarshalJSON decodes a number and ignores any other value.
+func (n *ShardNumber) UnmarshalJSON(content []byte) error {
+	var number int
+	if err := json.Unmarshal(content, &number); err == nil {
+		*n = ShardNumber(number)
+	}
+	return nil
 }
 
 // maxLineBytes is the maximum length of a log line.
@@ -71,9 +112,22 @@
 // decodeLine decodes a JSON line without its first brace.
 func decodeLine(content []byte) (Line, error) {
 	var line Line
-	if err := json.Unmarshal(append([]byte("{"), content...), &line); err != nil {
+	content = append([]byte("{"), content...)
+	if err := json.Unmarshal(content, &line); err != nil {
 		return Line{}, err
 	}
+	switch line.Event {
+	case "TaskDownForLong":
+		line.LongDowntime = &LongDowntime{}
+		if err := json.Unmarshal(content, line.LongDowntime); err != nil {
+			return Line{}, err
+		}
+	case "ShardRoom":
+		line.Room = &ShardRoom{}
+		if err := json.Unmarshal(content, line.Room); err != nil {
+			return Line{}, err
+		}
+	}
 	if line.Time.IsZero() {
 		return Line{}, errNoTime
 	}
