--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -31,6 +31,7 @@
 	e.drainWorkers(now)
 	e.startTasks(now, maxStartsPerTick-started)
 	e.recordLongDowntimes(now)
+	e.recordShardRoom(now)
 	e.controlInterference(now)
 	e.consolidate(now)
 	e.defragment(now)
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -189,6 +189,12 @@
 	if d.Evidence != nil {
 		line = addEvidence(line, d.Evidence)
 	}
+	if d.LongDowntime != nil {
+		line = addLongDowntime(line, d.LongDowntime)
+	}
+	if d.ShardRoom != nil {
+		line = addShardRoom(line, d.ShardRoom)
+	}
 	line.Send()
 }
 
@@ -219,6 +225,24 @@
 	return line.Int64("Incarnation", ev.Incarnation).Int("Runs", ev.Runs)
 }
 
+// addLongDowntime adds the fields of a task that is down for long.
+func addLongDowntime(line *zerolog.Event, d *dispatch.LongDowntime) *zerolog.Event {
+	line = line.Str("Awaits", string(d.Awaits)).
+		Int64("Processors", int64(d.Resources.Processors)).Int64("Memory", int64(d.Resources.Memory))
+	if d.Resources.Accelerators > 0 {
+		line = line.Int64("Accelerators", int64(d.Resources.Accelerators))
+	}
+	return line.Int("UnavailableWithRoom", d.UnavailableWithRoom).Int("WaitingTasks", d.WaitingTasks)
+}
+
+// addShardRoom adds the fields of the room of a shard.
+func addShardRoom(line *zerolog.Event, r *dispatch.ShardRoom) *zerolog.Event {
+	return line.Int("Workers", r.Workers).Int("Unavailable", r.Unavailable).
+		Interface("Capacity", r.Capacity).Interface("Reserved", r.Reserved).
+		Interface("Free", r.Free).Interface("UnavailableFree", r.UnavailableFree).
+		Int("TasksDown", r.TasksDown).Dur("LongestDowntime", r.LongestDowntime)
+}
+
 // levelOf returns the level of a decision in the log. Runs that are given up although they may be
 // active are warnings, so that their lines are kept where a log is cut short.
 func levelOf(d dispatch.Decision) zerolog.Level {
