Guard the restart of many tasks of a lost zone

A spec at the size of a small zone: 24 long-running tasks lose their workers while short tasks take all room as it becomes free.

--- a/internal/decision/dispatch/restart_test.go
+++ b/internal/decision/dispatch/restart_test.go
@@ -19,14 +19,15 @@
 // shortTaskLoad submits short tasks at a steady rate.
 type shortTaskLoad struct {
 	h *harness
-	// perStep is the number of tasks submitted in each step of 100 ms.
-	perStep   int
-	submitted int
-	startedAt map[dispatch.TaskID]time.Time
+	// perStep is the number of tasks submitted in each step of 100 ms, and processors what each needs.
+	perStep    int
+	processors float64
+	submitted  int
+	startedAt  map[dispatch.TaskID]time.Time
 }
 
 func newShortTaskLoad(h *harness) *shortTaskLoad {
-	return &shortTaskLoad{h: h, startedAt: map[dispatch.TaskID]time.Time{}}
+	return &shortTaskLoad{h: h, processors: 2, startedAt: map[dispatch.TaskID]time.Time{}}
 }
 
 const (
@@ -62,7 +63,7 @@
 		}
 		for range l.perStep {
 			l.submitted++
-			h.submit(dispatch.JobID(fmt.Sprintf("s%05d", l.submitted)), dispatch.Step{Tasks: 1, Resources: cores(2), Estimate: maxShortDuration})
+			h.submit(dispatch.JobID(fmt.Sprintf("s%05d", l.submitted)), dispatch.Step{Tasks: 1, Resources: cores(l.processors), Estimate: maxShortDuration})
 		}
 		h.advance(100 * time.Millisecond)
 	}
@@ -152,3 +153,41 @@
 		expectRunning("large", 1)
 	})
 })
+
+// Guards against a limit on held workers that lets the tasks of a lost zone come back only a few at a
+// time, while smaller short tasks keep every worker from having enough room at once.
+var _ = Describe("Long-running tasks of a lost zone", func() {
+	It("run again in time on workers that are full of short tasks", func() {
+		h := newHarness(1, 0)
+		load := newShortTaskLoad(h)
+		load.processors = 1
+		addWorkers := func(prefix string, count int) {
+			for i := range count {
+				id := membership.InstanceID(fmt.Sprintf("%s%d", prefix, i))
+				h.workers[id] = newFakeWorker(id, 6)
+			}
+			h.listWorkers()
+			load.runFor(200 * time.Millisecond)
+		}
+		const lost, others = 8, 26
+		addWorkers("lost", lost)
+		h.submit("watch", longRunningStep(3*lost, 2))
+		load.runFor(500 * time.Millisecond)
+		addWorkers("other", others)
+		h.submit("full", longRunningStep(2*others, 2))
+		load.runFor(500 * time.Millisecond)
+		Expect(h.workersOf("full")).To(HaveLen(2 * others))
+		load.perStep = 20
+		load.runFor(2 * time.Second)
+		for i := range lost {
+			h.workers[membership.InstanceID(fmt.Sprintf("lost%d", i))].silent = true
+		}
+		load.runFor(leaseTerm)
+		for i := range lost {
+			w := h.workers[membership.InstanceID(fmt.Sprintf("lost%d", i))]
+			clear(w.running)
+		}
+		load.runFor(maxDowntime)
+		Expect(h.workersOf("watch")).To(HaveLen(3 * lost))
+	})
+})
