Hold more workers at once for tasks that need an urgent restart

Evidence: after a cut of workers and a drain, 50 to 70 tasks of one shard need a restart at the same time. At most one worker in twelve was held, so 14 of them at a time got room.

Change: one in four for these tasks. A check tries no larger task after one for which no worker can be held, and moves a smaller task for the first only: with 70 tasks down it would look at all runs of all workers for each of them, every 250 ms.

--- a/internal/decision/dispatch/defrag.go
+++ b/internal/decision/dispatch/defrag.go
@@ -17,8 +17,10 @@
 	// holdInterval is the time between two searches for workers to hold.
 	holdInterval = 250 * time.Millisecond
 	// workersPerHold limits the workers that are held at the same time: at most one in
-	// this many.
-	workersPerHold = 12
+	// this many. For tasks that need an urgent restart, workersPerUrgentHold applies instead:
+	// all tasks of a zone or of many draining workers may be down at once.
+	workersPerHold       = 12
+	workersPerUrgentHold = 4
 )
 
 // hold keeps the free capacity of a worker for one task.
@@ -89,9 +91,9 @@
 		return
 	}
 	e.holdsCheckedAt = now
-	limit := len(e.sortedWorkers)/workersPerHold + 1
 	held := e.countHeld(now)
-	held += e.holdForUrgentRestarts(now, limit-held)
+	held += e.holdForUrgentRestarts(now, len(e.sortedWorkers)/workersPerUrgentHold+1-held)
+	limit := len(e.sortedWorkers)/workersPerHold + 1
 	for _, j := range e.jobs {
 		if j.outcome != "" || !j.Steps[0].LongRunning || held >= limit {
 			continue
@@ -131,6 +133,12 @@
 // holdFor holds a worker for a waiting task: one that shorter tasks will leave soon, or
 // else one from which a smaller long-running task can be moved.
 func (e *Engine) holdFor(now time.Time, t *task) bool {
+	return e.holdAfterShortTasks(now, t) || e.moveSmallerTask(now, t)
+}
+
+// holdAfterShortTasks holds the worker with the most free processors on which a waiting task fits
+// once the short tasks there have ended, and reports whether there is one.
+func (e *Engine) holdAfterShortTasks(now time.Time, t *task) bool {
 	var best *worker
 	for _, w := range e.sortedWorkers {
 		if e.mayHold(now, t, w) && !w.hold.isActive(now) && t.step.Reserved().FitsIn(w.free().Add(w.shortTaskResources())) &&
@@ -138,12 +146,12 @@
 			best = w
 		}
 	}
-	if best != nil {
-		e.count("Worker.Held")
-		best.setHold(now, t, nil)
-		return true
+	if best == nil {
+		return false
 	}
-	return e.moveSmallerTask(now, t)
+	e.count("Worker.Held")
+	best.setHold(now, t, nil)
+	return true
 }
 
 // mayHold reports whether a worker may be held for a task. It checks everything except
--- a/internal/decision/dispatch/restart.go
+++ b/internal/decision/dispatch/restart.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 )
 
 // urgentDowntime is the time without a run after which the restart of a long-running task goes before
@@ -91,16 +93,25 @@
 }
 
 // holdForUrgentRestarts holds workers for tasks that need an urgent restart and found no room, up to
-// limit, and returns their number.
+// limit, and returns their number. Once no worker can be held for a task, larger tasks aren't tried, so that a check takes a few milliseconds however many
+// tasks are down. A smaller long-running task is moved for the first of them only.
 func (e *Engine) holdForUrgentRestarts(now time.Time, limit int) int {
 	held := 0
+	failed := map[shape]resource.Vector{}
 	for _, t := range e.urgentRestarts {
 		if held >= limit {
 			break
 		}
-		if t.isWaiting(now) && now.Sub(t.lastHeldAt) > holdDuration && e.holdFor(now, t) {
+		s := t.step
+		smallest, hasFailed := failed[s.shape()]
+		if !t.isWaiting(now) || now.Sub(t.lastHeldAt) <= holdDuration || hasFailed && smallest.FitsIn(s.Resources) {
+			continue
+		}
+		if e.holdAfterShortTasks(now, t) || len(failed) == 0 && e.moveSmallerTask(now, t) {
 			held++
+			continue
 		}
+		failed[s.shape()] = s.Resources
 	}
 	return held
 }
