Transfer long-running tasks that are down to a shard with room

The platform counts the room of both shards.

Cause: a job that has begun can't leave its shard, however full that is. The hash of the ids gives shards different numbers of workers, and a drain or a cut takes different numbers from them.

Change: a task that has been down for 4 s and found no room, although it goes first, is transferred to the shard with the lowest share of started tasks, if that is at most 0.97 and 0.01 lower. The job's own shard stores the transfer with the job's progress before it tells the other shard, so that its next owner neither starts the task nor forgets the transfer; it repeats the call until the other shard has stored it. Run numbers go on from those used before. A cancellation is forwarded, and the outcome of the job is stored only afterwards. Nothing is transferred while an instance of an earlier build is alive, and an earlier build takes the row of the other shard for no job. Left out: gangs, steps that want one rack or tickets, jobs with several steps, and jobs that were moved here whole.

--- a/internal/decision/balance/balance.go
+++ b/internal/decision/balance/balance.go
@@ -13,6 +13,11 @@
 	// minShareGain is how much lower the share of processors that long-running tasks need
 	// must be in another shard for a long-running job to leave its home shard.
 	minShareGain = 0.05
+	// minRestartGain is how much lower the share of processors that started long-running tasks need
+	// must be in another shard for a task that is down to be transferred there, and maxRestartShare
+	// the highest share there. Less than all is usable, because the free capacity is fragmented.
+	minRestartGain  = 0.01
+	maxRestartShare = 0.97
 	// minWaitSaved is how much shorter the wait must be in another shard for a batch job
 	// to leave its home shard, because a handover costs a transaction and a call.
 	minWaitSaved = 600 * time.Millisecond
@@ -25,6 +30,9 @@
 	// LongRunning is the total of the processors that long-running tasks need, whether they
 	// run or wait.
 	LongRunning resource.MilliProcessors `json:"Lasting"`
+	// Started is the part of LongRunning of tasks that run or ran before. These start before tasks
+	// that never ran.
+	Started resource.MilliProcessors `json:",omitempty"`
 	// ReservingWork and FillerWork are the processor time that other tasks still need: tasks
 	// that reserve processors, and fillers, which use idle processors.
 	ReservingWork time.Duration `json:"Reserving"`
@@ -34,6 +42,7 @@
 // Demand is what a job adds to a Load.
 type Demand struct {
 	LongRunning   resource.MilliProcessors
+	Started       resource.MilliProcessors
 	ReservingWork time.Duration
 	FillerWork    time.Duration
 }
@@ -41,6 +50,7 @@
 // Add returns the load with one more job.
 func (l Load) Add(d Demand) Load {
 	l.LongRunning += d.LongRunning
+	l.Started += d.Started
 	l.ReservingWork += d.ReservingWork
 	l.FillerWork += d.FillerWork
 	return l
@@ -48,15 +58,24 @@
 
 // Sub returns the load without a job that it includes.
 func (l Load) Sub(d Demand) Load {
-	return l.Add(Demand{-d.LongRunning, -d.ReservingWork, -d.FillerWork})
+	return l.Add(Demand{-d.LongRunning, -d.Started, -d.ReservingWork, -d.FillerWork})
 }
 
 // longRunningShare returns the share of the processors that long-running tasks need.
 func (l Load) longRunningShare() float64 {
+	return l.share(l.LongRunning)
+}
+
+// startedShare returns the share of the processors that long-running tasks which run or ran before need.
+func (l Load) startedShare() float64 {
+	return l.share(l.Started)
+}
+
+func (l Load) share(processors resource.MilliProcessors) float64 {
 	if l.Capacity <= 0 {
 		return 1
 	}
-	return float64(l.LongRunning) / float64(l.Capacity)
+	return float64(processors) / float64(l.Capacity)
 }
 
 const (
@@ -105,6 +124,19 @@
 	return best
 }
 
+// ChooseForRestart returns the index of the shard that should run a long-running task that is down, and
+// false if none has enough more room than its own shard.
+func ChooseForRestart(own int, d Demand, loads []Load) (int, bool) {
+	best := own
+	for i, l := range loads {
+		if i != own && l.Capacity > 0 && (best == own || l.startedShare() < loads[best].startedShare()) {
+			best = i
+		}
+	}
+	share := loads[best].Add(d).startedShare()
+	return best, best != own && share <= maxRestartShare && loads[own].startedShare()-share >= minRestartGain
+}
+
 // isBetter reports whether the first shard suits the job better than the second.
 func isBetter(a, b Load, d Demand) bool {
 	if d.LongRunning > 0 {
--- a/internal/decision/balance/balance_test.go
+++ b/internal/decision/balance/balance_test.go
@@ -58,3 +58,34 @@
 		Expect(balance.Choose(0, batch, []balance.Load{unknown, unknown})).To(Equal(0))
 	})
 })
+
+// Guards against long-running tasks that stay down in a full shard while another one has room, and
+// against shards that pass such tasks to each other.
+var _ = Describe("ChooseForRestart", func() {
+	overfull := balance.Load{Capacity: 100_000, LongRunning: 105_000, Started: 105_000}
+	full := balance.Load{Capacity: 100_000, LongRunning: 96_500, Started: 96_500}
+	free := balance.Load{Capacity: 100_000, LongRunning: 105_000, Started: 80_000}
+	task := balance.Demand{LongRunning: 1_000, Started: 1_000}
+	expectNone := func(own int, loads ...balance.Load) {
+		GinkgoHelper()
+		_, found := balance.ChooseForRestart(own, task, loads)
+		Expect(found).To(BeFalse())
+	}
+
+	It("chooses the shard with the lowest share of started tasks, whatever new ones wait there", func() {
+		chosen, found := balance.ChooseForRestart(0, task, []balance.Load{overfull, full, free})
+		Expect(found).To(BeTrue())
+		Expect(chosen).To(Equal(2))
+	})
+
+	It("chooses none if no other shard has room, or hardly more than the own one", func() {
+		expectNone(0, overfull, full)
+		expectNone(0, free, free)
+		expectNone(0, overfull)
+	})
+
+	It("never chooses a shard with an unknown load", func() {
+		expectNone(0, overfull, balance.Load{})
+		expectNone(0, overfull, balance.Load{}, overfull)
+	})
+})
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -127,6 +127,8 @@
 	// holdsCheckedAt is when workers were last searched for one to hold for a waiting
 	// task.
 	holdsCheckedAt time.Time
+	// transfers has the stored transfers that TakeTransfers returns next.
+	transfers []Transfer
 	// urgentRestarts has the tasks that needed an urgent restart when the current tick began.
 	urgentRestarts []*task
 	// longDowntimesCheckedAt is when long-running tasks that are down for long were last
@@ -300,9 +302,12 @@
 }
 
 // AddJob adds a job, with its stored progress if it was accepted under an earlier
-// owner. It does nothing if the job is already known.
+// owner. Of a job that is already known it adds only tasks that were transferred to this shard since.
 func (e *Engine) AddJob(now time.Time, j Job, stored Progress, recovered bool) {
-	if _, known := e.jobs[j.ID]; known {
+	if known := e.jobs[j.ID]; known != nil {
+		if !e.HasTasks(&j) {
+			known.takeTransferred(now, j.Transferred)
+		}
 		return
 	}
 	if _, known := e.finishedJobs[j.ID]; known {
@@ -314,7 +319,11 @@
 	e.updateFillerDemand(added)
 	added.restore(stored)
 	added.beginDowntimes(now)
+	if len(j.Transferred) > 0 {
+		added.takeTransferred(now, j.Transferred)
+	}
 	e.jobs[j.ID] = added
+	e.issueTransfers(added, stored)
 	e.record(now, Decision{
 		Event: "JobAdded", Job: j.ID, Reason: string(j.Queue), Objective: added.objective,
 		SlackFactor: added.queue.SlackFactor, TargetLatency: added.queue.TargetLatency,
@@ -386,6 +395,7 @@
 		return
 	}
 	j.outcome = state
+	j.dropUnissuedTransfers()
 	e.markDirty(j)
 	e.record(now, Decision{
 		Event: "Job" + string(state), Job: j.ID, Reason: reason,
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -23,6 +23,10 @@
 	occurrences   [][]*step
 	// remainingTasks counts the tasks that haven't succeeded.
 	remainingTasks int
+	// transfers has the tasks that other shards run, takenTasks those that another shard has
+	// transferred here.
+	transfers  map[Shard]*outgoingTransfer
+	takenTasks map[int]bool
 	// activeAttempts counts the attempts that may be running.
 	activeAttempts int
 	// objective is the target for the duration of the job.
@@ -61,10 +65,14 @@
 	id   TaskID
 	step *step
 	done bool
+	// elsewhere reports that another shard runs the task.
+	elsewhere bool
 	// attempt is the run that may be active, or nil.
 	attempt *attempt
-	// run is the highest run number used so far.
-	run Run
+	// run is the highest run number used so far, and firstRun the highest one that was used before the
+	// task was transferred to this shard.
+	run      Run
+	firstRun Run
 	// failed lists the runs that failed, failedOn the workers that failed the task or
 	// were too slow for it.
 	failed     []Run
@@ -248,7 +256,7 @@
 
 // isWaiting reports whether the task may start.
 func (t *task) isWaiting(now time.Time) bool {
-	return !t.done && t.attempt == nil && !now.Before(t.notBefore) && !now.Before(t.otherRunEndsBy)
+	return !t.done && !t.elsewhere && t.attempt == nil && !now.Before(t.notBefore) && !now.Before(t.otherRunEndsBy)
 }
 
 // recordFailure records a failed run and reports whether it was new.
@@ -287,6 +295,8 @@
 	Done        []TaskRange        `json:",omitempty"`
 	Failed      map[int][]Run      `json:",omitempty"`
 	Checkpoints map[int]Checkpoint `json:",omitempty"`
+	// Transferred has the tasks that other shards run.
+	Transferred map[Shard][]TransferredTask `json:",omitempty"`
 }
 
 // Progress is the state that must outlive the owner: the ends of runs that workers may
@@ -306,7 +316,7 @@
 }
 
 func (s *step) progress() StepProgress {
-	var p StepProgress
+	p := StepProgress{Transferred: s.storedTransfers()}
 	for i, t := range s.tasks {
 		if t.done {
 			p.Done = appendIndex(p.Done, i)
@@ -366,7 +376,8 @@
 			s.tasks[i].checkpoint = saved
 		}
 	}
-	s.job.started = s.job.started || len(p.Done) > 0 || len(p.Failed) > 0
+	s.restoreTransfers(p.Transferred)
+	s.job.started = s.job.started || len(p.Done) > 0 || len(p.Failed) > 0 || len(p.Transferred) > 0
 }
 
 // succeed marks the task as done. Further calls have no effect.
--- a/internal/decision/dispatch/load.go
+++ b/internal/decision/dispatch/load.go
@@ -31,12 +31,41 @@
 	}
 }
 
-// remainingDemand returns the demand of the tasks that haven't succeeded.
+// startedProcessors returns the processors that the long-running tasks of the job need which run or ran
+// before.
+func (j *job) startedProcessors() resource.MilliProcessors {
+	started := resource.MilliProcessors(0)
+	if !j.Steps[0].LongRunning {
+		return started
+	}
+	j.eachTask(func(t *task) {
+		if t.attempt != nil || !t.downSince().IsZero() {
+			started += t.step.Resources.Processors
+		}
+	})
+	return started
+}
+
+// tasksElsewhere returns the number of tasks that other shards run.
+func (s *step) tasksElsewhere() int {
+	count := 0
+	if len(s.job.transfers) == 0 && len(s.job.takenTasks) == 0 {
+		return count
+	}
+	for _, t := range s.tasks {
+		if t.elsewhere {
+			count++
+		}
+	}
+	return count
+}
+
+// remainingDemand returns the demand of the tasks of this shard that haven't succeeded.
 func (j *job) remainingDemand() balance.Demand {
 	var d balance.Demand
 	for _, steps := range j.occurrences {
 		for _, s := range steps {
-			s.addDemand(&d, s.remainingTasks)
+			s.addDemand(&d, s.remainingTasks-s.tasksElsewhere())
 		}
 	}
 	return d
@@ -54,6 +83,7 @@
 	for _, j := range e.jobs {
 		if j.outcome == "" && j.urgency(now) != overdue {
 			l = l.Add(j.remainingDemand())
+			l.Started += j.startedProcessors()
 		}
 	}
 	return l
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -318,7 +318,7 @@
 // stopped, and occupies its capacity until it has ended.
 func (e *Engine) adopt(now time.Time, w *worker, r TaskRun) *attempt {
 	t := e.findTask(r.Task)
-	if t == nil || t.attempt != nil {
+	if t == nil || t.attempt != nil || t.elsewhere {
 		return nil
 	}
 	w.endAwaitedStop(t, r)
@@ -359,11 +359,13 @@
 	e.issueStopCommand(w, r)
 }
 
-// explainOrphan returns why a run of the task wasn't adopted. The task is nil if its job is unknown;
-// otherwise another run of it is known.
+// explainOrphan returns why a run of the task wasn't adopted. The task is nil if its job is unknown.
 func explainOrphan(t *task) string {
-	if t == nil {
+	switch {
+	case t == nil:
 		return "its job is unknown or has ended"
+	case t.attempt == nil:
+		return "another shard runs the task"
 	}
 	return fmt.Sprintf("run %d of the task on %s is %s", t.attempt.run, t.attempt.worker.ID, t.attempt.phase)
 }
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -241,9 +241,10 @@
 // never reuses the number of a run that it doesn't know.
 const runsPerEpoch = 1000
 
-// nextRun returns the number of the task's next run.
+// nextRun returns the number of the task's next run. It is higher than any that another shard used
+// before it transferred the task.
 func (e *Engine) nextRun(t *task) Run {
-	return max(t.run, Run(e.options.Epoch-1)*runsPerEpoch) + 1
+	return max(t.run, t.firstRun+Run(e.options.Epoch-1)*runsPerEpoch) + 1
 }
 
 func (e *Engine) start(now time.Time, t *task, w *worker, run Run) *attempt {
--- a/internal/decision/dispatch/serving.go
+++ b/internal/decision/dispatch/serving.go
@@ -168,12 +168,15 @@
 }
 
 // mayMove reports whether a long-running task can be down for a moment: it wasn't moved
-// recently, and all tasks of its step have started up.
+// recently, and all tasks of its step have started up. Whether those in other shards have isn't known.
 func (a *attempt) mayMove(now time.Time) bool {
 	if a.phase != running || now.Sub(a.task.movedAt) < moveCooldown {
 		return false
 	}
 	for _, t := range a.task.step.tasks {
+		if t.elsewhere && t.step.MaxUnavailable == 0 {
+			continue
+		}
 		if t.attempt == nil || t.attempt.phase != running || t.attempt.percent < startedUpPercent {
 			return false
 		}
--- a/internal/decision/dispatch/serving_loss.go
+++ b/internal/decision/dispatch/serving_loss.go
@@ -94,6 +94,8 @@
 	reasonFirstStart = "first start"
 	// reasonTakeover is the reason of a task that wasn't at work when this owner took over.
 	reasonTakeover = "down when the owner took over"
+	// reasonTransferred is the reason of a task that another shard transferred to this one.
+	reasonTransferred = "transferred from another shard"
 	// reasonEnded is the reason if the run ended by itself.
 	reasonEnded = "run ended by itself"
 )
@@ -104,7 +106,11 @@
 	if j.recovered {
 		reason = reasonTakeover
 	}
-	j.eachTask(func(t *task) { t.down = downtime{since: now, reason: reason} })
+	j.eachTask(func(t *task) {
+		if !t.elsewhere {
+			t.down = downtime{since: now, reason: reason}
+		}
+	})
 }
 
 // isDownSinceTakeover reports whether a task had no run when this owner took over and has had none
--- a/internal/decision/dispatch/store.go
+++ b/internal/decision/dispatch/store.go
@@ -68,6 +68,10 @@
 		if j == nil {
 			continue
 		}
+		if j.awaitsTransfers() {
+			delete(e.dirty, id)
+			continue
+		}
 		u := Update{ID: id, Outcome: j.outcome}
 		if j.outcome == "" {
 			u.Progress = j.progress()
@@ -101,7 +105,11 @@
 	e.storing = false
 	for _, u := range b.Updates {
 		j := e.jobs[u.ID]
-		if j == nil || u.Outcome == "" {
+		if j == nil {
+			continue
+		}
+		if u.Outcome == "" {
+			e.issueTransfers(j, u.Progress)
 			continue
 		}
 		j.outcomeStored = true
--- a/internal/decision/dispatch/types.go
+++ b/internal/decision/dispatch/types.go
@@ -131,6 +131,9 @@
 	Repetitions int           `json:",omitempty"`
 	FirstRun    time.Time     `json:",omitzero"`
 	Interval    time.Duration `json:",omitempty"`
+	// Transferred has the tasks that the job's own shard has transferred to this one. If there are
+	// any, this shard runs only these. They are stored in a row of their own.
+	Transferred []TransferredTask `json:"-"`
 }
 
 // Occurrences returns how often the steps run.
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -150,7 +150,7 @@
 		waiting.target = &chosen
 	}
 	o.lock.Lock()
-	known := o.knows(j.ID)
+	known := o.covers(&j)
 	full := !o.loaded || len(o.submissions) >= maxSubmissions
 	if !known && !full {
 		o.submissions = append(o.submissions, waiting)
@@ -177,6 +177,12 @@
 	return o.engine.HasJob(id) || o.moved[id] != nil
 }
 
+// covers reports whether the job or its outcome is known, with all tasks of it that were transferred to
+// this shard. The lock must be held.
+func (o *owner) covers(j *dispatch.Job) bool {
+	return o.moved[j.ID] != nil || o.engine.HasTasks(j)
+}
+
 // takeSubmissions returns the jobs to store in the next transaction. A job that has
 // become known since it was queued is already stored and may have finished; writing it
 // again would overwrite its outcome. A second submission of the same job waits until
@@ -186,7 +192,7 @@
 	var taken, remaining []*submission
 	for _, next := range o.submissions {
 		switch {
-		case o.knows(next.job.ID):
+		case o.covers(&next.job):
 			next.done <- nil
 		case len(taken) == maxBatchSubmissions || o.storing[next.job.ID]:
 			remaining = append(remaining, next)
@@ -203,7 +209,11 @@
 func (o *owner) submissionWrites(list []*submission) []table.Write {
 	writes := make([]table.Write, 0, len(list))
 	for _, s := range list {
-		writes = append(writes, table.Write{Key: o.shard.partition.jobKey(s.job.ID), Value: encode(jobRow{Job: &s.job, Moved: s.target})})
+		row := jobRow{Job: &s.job, Moved: s.target}
+		if len(s.job.Transferred) > 0 {
+			row = jobRow{Transferred: &transferredJob{s.job, s.job.Transferred}}
+		}
+		writes = append(writes, table.Write{Key: o.shard.partition.jobKey(s.job.ID), Value: encode(row)})
 	}
 	return writes
 }
--- a/internal/entry/dispatcher/cancel.go
+++ b/internal/entry/dispatcher/cancel.go
@@ -18,7 +18,7 @@
 	case o.moved[id] != nil:
 		o.forwardCancel(id)
 	case o.engine.HasJob(id):
-		o.engine.Cancel(now, id)
+		o.cancelKnownJob(now, id)
 	default:
 		if len(o.earlyCancels) >= maxEarlyCancels {
 			o.node.Counters.Add("Cancel.EarlyDropped", int64(len(o.earlyCancels)))
@@ -34,6 +34,18 @@
 	o.engine.AddJob(now, j, progress, recovered)
 	if o.earlyCancels[j.ID] {
 		delete(o.earlyCancels, j.ID)
-		o.engine.Cancel(now, j.ID)
+		o.cancelKnownJob(now, j.ID)
+	}
+}
+
+// cancelKnownJob stops a job, also in the shards to which tasks of it were transferred. The lock must be
+// held.
+func (o *owner) cancelKnownJob(now time.Time, id dispatch.JobID) {
+	if o.engine.IsCancelled(id) {
+		return
+	}
+	o.engine.Cancel(now, id)
+	for _, to := range o.engine.TransferTargets(id) {
+		o.group.Go(func() error { o.cancelTransfer(id, shardID(to)); return nil })
 	}
 }
--- a/internal/entry/dispatcher/hello.go
+++ b/internal/entry/dispatcher/hello.go
@@ -23,7 +23,7 @@
 
 // self describes this instance to its peers.
 func (n *Node) self() peer {
-	return peer{Name: n.Name, Address: n.PeerAddress, Cores: n.Cores, Owned: len(n.ownedShards())}
+	return peer{Name: n.Name, Address: n.PeerAddress, Cores: n.Cores, Owned: len(n.ownedShards()), Transfers: true}
 }
 
 // applyHello applies what a peer reports about the owner and the instances that it
--- a/internal/entry/dispatcher/messages.go
+++ b/internal/entry/dispatcher/messages.go
@@ -18,6 +18,7 @@
 	stateMethod       = "Dispatch.State"
 	pendingMethod     = "Dispatch.Pending"
 	acceptMethod      = "Dispatch.Accept"
+	transferMethod    = "Dispatch.Transfer"
 	estimatesMethod   = "Dispatch.Estimates"
 	relaySubmitMethod = "Dispatch.RelaySubmit"
 	relayCancelMethod = "Dispatch.RelayCancel"
@@ -30,6 +31,8 @@
 	// Cores is its share of processors, and Owned the number of shards that it owns.
 	Cores float64
 	Owned int
+	// Transfers reports that the instance knows of tasks that were transferred between shards.
+	Transfers bool `json:",omitempty"`
 	// Age is the time since the instance was last heard from.
 	Age time.Duration `json:",omitempty"`
 }
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -50,6 +50,7 @@
 		o.engine.Tick(o.now())
 		commands := o.engine.TakeCommands()
 		adviceRequests := o.engine.TakeAdviceRequests()
+		transfers := o.engine.TakeTransfers()
 		unstored := o.engine.HasUnstored()
 		o.lock.Unlock()
 		if unstored {
@@ -58,6 +59,9 @@
 		for _, r := range adviceRequests {
 			o.group.Go(func() error { o.requestAdvice(ctx, r); return nil })
 		}
+		for _, t := range transfers {
+			o.group.Go(func() error { o.deliverTransfer(t); return nil })
+		}
 		for _, c := range commands {
 			o.group.Go(func() error { return o.sendCommand(ctx, c) })
 		}
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -166,6 +166,8 @@
 				o.expiredJobs[id] = true
 			case content.Outcome != "":
 				e.AddFinished(now, id, content.Outcome)
+			case content.Transferred != nil:
+				o.addJob(now, content.Transferred.job(), progress[id], recovered)
 			case content.Job != nil:
 				o.addJob(now, *content.Job, progress[id], recovered)
 			}
--- a/internal/entry/dispatcher/reassign.go
+++ b/internal/entry/dispatcher/reassign.go
@@ -19,13 +19,16 @@
 	reassignBatch = 4
 )
 
-// runReassignment moves waiting jobs to other shards if this shard has lost workers or
-// was full when the jobs arrived.
+// runReassignment moves waiting jobs, and long-running tasks that are down, to other shards if this
+// shard has lost workers or was full when the jobs arrived.
 func (o *owner) runReassignment(ctx context.Context) error {
 	if !o.balancesShards() {
 		return nil
 	}
-	return o.node.every(ctx, reassignInterval, o.reassignJobs)
+	return o.node.every(ctx, reassignInterval, func() {
+		o.reassignJobs()
+		o.transferTasks()
+	})
 }
 
 func (o *owner) reassignJobs() {
--- a/internal/entry/dispatcher/rows.go
+++ b/internal/entry/dispatcher/rows.go
@@ -58,6 +58,9 @@
 type jobRow struct {
 	Job     *dispatch.Job     `json:",omitempty"`
 	Outcome dispatch.JobState `json:",omitempty"`
+	// Transferred is set in place of Job if the job belongs to another shard, which has transferred
+	// tasks to this one.
+	Transferred *transferredJob `json:",omitempty"`
 	// Moved is the shard that the job moves to, nil if it stays. Job is omitted once that
 	// shard has stored it.
 	Moved *shardID `json:",omitempty"`
--- /dev/null
+++ b/internal/entry/dispatcher/transfer_test.go
@@ -0,0 +1,205 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/counter"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
+)
+
+// memoryStore keeps rows in memory.
+type memoryStore struct {
+	Store
+	lock    sync.Mutex
+	rows    map[table.Key]table.Row
+	version table.Version
+}
+
+// Read implements Store.
+func (s *memoryStore) Read(_ context.Context, key table.Key) (table.Row, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.rows[key], nil
+}
+
+// Commit implements Store.
+func (s *memoryStore) Commit(_ context.Context, tx table.Transaction) (table.Version, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, c := range tx.Conditions {
+		if s.rows[c.Key].Version != c.Version {
+			return 0, table.ErrConflict
+		}
+	}
+	s.version++
+	for _, w := range tx.Writes {
+		if w.Delete {
+			delete(s.rows, w.Key)
+			continue
+		}
+		s.rows[w.Key] = table.Row{Key: w.Key, Value: w.Value, Version: s.version}
+	}
+	return s.version, nil
+}
+
+// Guards against a long-running task that stays down in a full shard, and against one that runs on in
+// the shard to which it was transferred after its job was cancelled.
+var _ = Describe("A long-running task that is down in a full shard", func() {
+	const stepLimit = 5 * time.Second
+	var (
+		store  *memoryStore
+		node   *Node
+		owners []*owner
+		job    dispatch.Job
+	)
+
+	// addOwner adds an owner of a shard with some workers, whose transactions are stored while the spec
+	// runs.
+	addOwner := func(ctx context.Context, group *errgroup.Group, id shardID, workers int) {
+		s := node.allShards()[id]
+		ctx, cancel := context.WithCancel(ctx)
+		o := newOwner(s, ownerRow{Node: node.Name, Epoch: 1}, 0, cancel)
+		o.group, o.ctx, o.loaded = group, ctx, true
+		var list []dispatch.WorkerInfo
+		for i := range workers {
+			list = append(list, dispatch.WorkerInfo{
+				ID: membership.InstanceID(fmt.Sprintf("w%d-%d", id, i)), Service: "pool", Capacity: resource.Vector{Processors: 1000},
+			})
+		}
+		o.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{"q": {Name: "q", Service: "pool"}})
+		o.engine.SetWorkers(o.now(), list)
+		s.owned.Store(o)
+		owners = append(owners, o)
+		group.Go(func() error {
+			_ = o.runWriter(ctx)
+			return nil
+		})
+	}
+	// rowOf returns the row of the job in a shard.
+	rowOf := func(o *owner) jobRow {
+		row, err := store.Read(context.Background(), o.shard.partition.jobKey(job.ID))
+		Expect(err).NotTo(HaveOccurred())
+		if row.Version == 0 {
+			return jobRow{}
+		}
+		content, err := decode[jobRow](row)
+		Expect(err).NotTo(HaveOccurred())
+		return content
+	}
+	isCancelled := func(o *owner) func() bool {
+		return func() bool {
+			o.lock.Lock()
+			defer o.lock.Unlock()
+			state, _ := o.engine.State(job.ID)
+			return state == dispatch.Cancelled
+		}
+	}
+	outcomeOf := func(o *owner) func() dispatch.JobState {
+		return func() dispatch.JobState { return rowOf(o).Outcome }
+	}
+	// tickOwner runs the engine of the first owner and delivers its transfers.
+	tickOwner := func(group *errgroup.Group) {
+		o := owners[0]
+		o.lock.Lock()
+		o.engine.Tick(o.now())
+		transfers := o.engine.TakeTransfers()
+		o.lock.Unlock()
+		for _, t := range transfers {
+			group.Go(func() error {
+				o.deliverTransfer(t)
+				return nil
+			})
+		}
+	}
+
+	BeforeEach(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		group, ctx := errgroup.WithContext(ctx)
+		DeferCleanup(func() {
+			cancel()
+			Expect(group.Wait()).To(Succeed())
+		})
+		store, owners = &memoryStore{rows: map[table.Key]table.Row{}}, nil
+		node = New(Options{Name: "n", Clock: clockwork.NewRealClock(), Store: store, Counters: &counter.Set{}})
+		node.group, node.groupContext = group, ctx
+		shards := []*shard{newShard(node, 0, 2), newShard(node, 1, 2)}
+		node.shards.Store(&shards)
+		addOwner(ctx, group, 0, 1)
+		addOwner(ctx, group, 1, 10)
+
+		job = dispatch.Job{Queue: "q", Steps: []dispatch.Step{{
+			Tasks: 2, Resources: resource.Vector{Processors: 1000}, LongRunning: true,
+		}}}
+		for n := 0; job.ID == "" || shardOf(string(job.ID), 2) != 0; n++ {
+			job.ID = dispatch.JobID(fmt.Sprintf("j%d", n))
+		}
+		o := owners[0]
+		key := o.shard.partition.jobKey(job.ID)
+		store.rows[key] = table.Row{Key: key, Value: encode(jobRow{Job: &job}), Version: 1}
+		o.lock.Lock()
+		o.engine.AddJob(o.now().Add(-time.Minute), job, dispatch.Progress{}, true)
+		o.engine.Tick(o.now())
+		o.lock.Unlock()
+		o.transferTasks()
+		Eventually(func() []int {
+			tickOwner(group)
+			var tasks []int
+			if t := rowOf(owners[1]).Transferred; t != nil {
+				for _, task := range t.Tasks {
+					tasks = append(tasks, task.Index)
+				}
+			}
+			return tasks
+		}, stepLimit).Should(ConsistOf(0, 1))
+	})
+
+	It("is stored by a shard with more room, in a row that an earlier build doesn't take for a job", func() {
+		row := rowOf(owners[1])
+		Expect(row.Job).To(BeNil())
+		Expect(row.Transferred.Job.ID).To(Equal(job.ID))
+		Eventually(func() bool {
+			owners[1].lock.Lock()
+			defer owners[1].lock.Unlock()
+			return owners[1].engine.HasJob(job.ID)
+		}, stepLimit).Should(BeTrue())
+	})
+
+	It("is cancelled there before the outcome of its job is stored", func() {
+		owners[0].applyCancel(job.ID)
+		Eventually(isCancelled(owners[1]), stepLimit).Should(BeTrue())
+		Eventually(outcomeOf(owners[1]), stepLimit).Should(Equal(dispatch.Cancelled))
+		Eventually(outcomeOf(owners[0]), stepLimit).Should(Equal(dispatch.Cancelled))
+	})
+
+	It("stays while an instance is alive that doesn't know transfers", func() {
+		node.recordPeers([]peer{{Name: "earlier build"}})
+		o := owners[0]
+		other := job
+		other.ID = job.ID + "x"
+		o.lock.Lock()
+		o.engine.AddJob(o.now().Add(-time.Minute), other, dispatch.Progress{}, true)
+		o.engine.Tick(o.now())
+		Expect(o.engine.TransferCandidates(o.now(), transferBatch)).NotTo(BeEmpty())
+		o.lock.Unlock()
+		o.transferTasks()
+		o.lock.Lock()
+		defer o.lock.Unlock()
+		ids := []dispatch.JobID{}
+		for _, c := range o.engine.TransferCandidates(o.now(), transferBatch) {
+			ids = append(ids, c.Task.Job)
+		}
+		Expect(slices.Contains(ids, other.ID)).To(BeTrue())
+	})
+})
