Transfer tasks of jobs that were moved to their shard whole, too

Cause: the row of the transfer stood where the shard that moved a job keeps where it went.

Change: transfers have rows and calls of their own. The shard that moved a job can take tasks of it back; it goes on to name the other shard for questions and cancellations. A shard that runs transferred tasks is told to end them by the shard that transferred them, and answers once their end is stored.

--- a/internal/decision/dispatch/transfer.go
+++ b/internal/decision/dispatch/transfer.go
@@ -187,6 +187,18 @@
 	e.markDirty(j)
 }
 
+// CancelTransferred cancels the tasks of a job that were transferred to this shard. It reports whether
+// their end is stored, and whether the job is known at all.
+func (e *Engine) CancelTransferred(now time.Time, id JobID) (stored, known bool) {
+	j := e.jobs[id]
+	if j == nil || len(j.Transferred) == 0 {
+		_, finished := e.finishedJobs[id]
+		return finished, finished
+	}
+	e.Cancel(now, id)
+	return j.outcomeStored, true
+}
+
 // awaitsTransfers reports whether the outcome of the job can't be stored yet, because other shards may
 // run tasks of it.
 func (j *job) awaitsTransfers() bool {
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -149,8 +149,13 @@
 	if chosen := o.chooseShard(&j); chosen != o.shard.id {
 		waiting.target = &chosen
 	}
+	return o.awaitStored(ctx, waiting)
+}
+
+// awaitStored stores a submission in the next transaction unless the owner already knows the job.
+func (o *owner) awaitStored(ctx context.Context, waiting *submission) error {
 	o.lock.Lock()
-	known := o.covers(&j)
+	known := o.covers(&waiting.job)
 	full := !o.loaded || len(o.submissions) >= maxSubmissions
 	if !known && !full {
 		o.submissions = append(o.submissions, waiting)
@@ -177,10 +182,13 @@
 	return o.engine.HasJob(id) || o.moved[id] != nil
 }
 
-// covers reports whether the job or its outcome is known, with all tasks of it that were transferred to
-// this shard. The lock must be held.
+// covers reports whether the job or its outcome is known. Of a job with tasks that were transferred to
+// this shard, all of these must be known. The lock must be held.
 func (o *owner) covers(j *dispatch.Job) bool {
-	return o.moved[j.ID] != nil || o.engine.HasTasks(j)
+	if len(j.Transferred) > 0 {
+		return o.engine.HasTasks(j)
+	}
+	return o.knows(j.ID)
 }
 
 // takeSubmissions returns the jobs to store in the next transaction. A job that has
@@ -209,11 +217,11 @@
 func (o *owner) submissionWrites(list []*submission) []table.Write {
 	writes := make([]table.Write, 0, len(list))
 	for _, s := range list {
-		row := jobRow{Job: &s.job, Moved: s.target}
+		key, value := o.shard.partition.jobKey(s.job.ID), encode(jobRow{Job: &s.job, Moved: s.target})
 		if len(s.job.Transferred) > 0 {
-			row = jobRow{Transferred: &transferredJob{s.job, s.job.Transferred}}
+			key, value = o.shard.partition.transferKey(s.job.ID), encode(transferredJob{s.job, s.job.Transferred})
 		}
-		writes = append(writes, table.Write{Key: o.shard.partition.jobKey(s.job.ID), Value: encode(row)})
+		writes = append(writes, table.Write{Key: key, Value: value})
 	}
 	return writes
 }
--- a/internal/entry/dispatcher/messages.go
+++ b/internal/entry/dispatcher/messages.go
@@ -19,6 +19,7 @@
 	pendingMethod     = "Dispatch.Pending"
 	acceptMethod      = "Dispatch.Accept"
 	transferMethod    = "Dispatch.Transfer"
+	endTransferMethod = "Dispatch.EndTransfer"
 	estimatesMethod   = "Dispatch.Estimates"
 	relaySubmitMethod = "Dispatch.RelaySubmit"
 	relayCancelMethod = "Dispatch.RelayCancel"
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -65,6 +65,7 @@
 	entry.Handle(server, pendingMethod, n.handlePending)
 	entry.Handle(server, acceptMethod, n.handleAccept)
 	entry.Handle(server, transferMethod, n.handleTransfer)
+	entry.Handle(server, endTransferMethod, n.handleEndTransfer)
 	entry.Handle(server, estimatesMethod, n.handleEstimates)
 	entry.Handle(server, relaySubmitMethod, n.handleRelaySubmit)
 	entry.Handle(server, relayCancelMethod, n.handleRelayCancel)
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -20,7 +20,7 @@
 // the rows concurrently, because the store may be slow.
 func (o *owner) recoverJobs(ctx context.Context) (*table.Mirror, error) {
 	store := &o.node.store
-	var cancelRows, progressRows []table.Row
+	var cancelRows, progressRows, transferRows []table.Row
 	var stopping []dispatch.StoppingRun
 	var group errgroup.Group
 	group.Go(func() error { return o.recoverEstimates(ctx) })
@@ -37,6 +37,10 @@
 		progressRows, _, err = store.Snapshot(ctx, o.shard.partition.progressPrefix())
 		return err
 	})
+	group.Go(func() (err error) {
+		transferRows, _, err = store.Snapshot(ctx, o.shard.partition.transferPrefix())
+		return err
+	})
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
@@ -48,6 +52,9 @@
 	if err := mirror.Load(ctx); err != nil {
 		return nil, err
 	}
+	if err := o.addTransferred(transferRows, progress); err != nil {
+		return nil, err
+	}
 	o.applyCancels(rowsByKey(cancelRows))
 	o.lock.Lock()
 	defer o.lock.Unlock()
@@ -166,8 +173,6 @@
 				o.expiredJobs[id] = true
 			case content.Outcome != "":
 				e.AddFinished(now, id, content.Outcome)
-			case content.Transferred != nil:
-				o.addJob(now, content.Transferred.job(), progress[id], recovered)
 			case content.Job != nil:
 				o.addJob(now, *content.Job, progress[id], recovered)
 			}
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -165,6 +165,13 @@
 func (o *owner) batchWrites(b dispatch.Batch, now time.Time) []table.Write {
 	var writes []table.Write
 	for _, u := range b.Updates {
+		if u.Outcome != "" && u.Transferred {
+			// The job's own shard has its outcome.
+			writes = append(writes,
+				table.Write{Key: o.shard.partition.transferKey(u.ID), Delete: true},
+				table.Write{Key: o.shard.partition.progressKey(u.ID), Delete: true})
+			continue
+		}
 		if u.Outcome == "" {
 			writes = append(writes, table.Write{Key: o.shard.partition.progressKey(u.ID), Value: encodeProgress(u.Progress)})
 			continue
--- a/internal/entry/dispatcher/rows.go
+++ b/internal/entry/dispatcher/rows.go
@@ -23,11 +23,13 @@
 func (p partition) jobPrefix() table.Key      { return p.key("job", "") }
 func (p partition) cancelPrefix() table.Key   { return p.key("cancel", "") }
 func (p partition) progressPrefix() table.Key { return p.key("progress", "") }
+func (p partition) transferPrefix() table.Key { return p.key("transfer", "") }
 
 func (p partition) jobKey(id dispatch.JobID) table.Key      { return p.key("job", string(id)) }
 func (p partition) cancelKey(id dispatch.JobID) table.Key   { return p.key("cancel", string(id)) }
 func (p partition) fleetKey(page int) table.Key             { return p.key("fleet", strconv.Itoa(page)) }
 func (p partition) progressKey(id dispatch.JobID) table.Key { return p.key("progress", string(id)) }
+func (p partition) transferKey(id dispatch.JobID) table.Key { return p.key("transfer", string(id)) }
 
 // key returns the key of a row: table, part, and key within the part.
 func (p partition) key(tableName, key string) table.Key {
@@ -58,9 +60,6 @@
 type jobRow struct {
 	Job     *dispatch.Job     `json:",omitempty"`
 	Outcome dispatch.JobState `json:",omitempty"`
-	// Transferred is set in place of Job if the job belongs to another shard, which has transferred
-	// tasks to this one.
-	Transferred *transferredJob `json:",omitempty"`
 	// Moved is the shard that the job moves to, nil if it stays. Job is omitted once that
 	// shard has stored it.
 	Moved *shardID `json:",omitempty"`
--- a/internal/entry/dispatcher/transfer.go
+++ b/internal/entry/dispatcher/transfer.go
@@ -10,6 +10,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/balance"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
 )
 
 const (
@@ -28,7 +29,7 @@
 	Tasks []dispatch.TransferredTask
 }
 
-// transferredJob is a job of another shard with the tasks that this shard runs.
+// transferredJob is the row of a job of another shard with the tasks that this shard runs.
 type transferredJob struct {
 	Job   dispatch.Job
 	Tasks []dispatch.TransferredTask
@@ -56,9 +57,7 @@
 	}
 	loads := o.knownLoads()
 	for _, c := range candidates {
-		if !o.isMovedHere(c.Task.Job) {
-			o.transferTask(c, loads)
-		}
+		o.transferTask(c, loads)
 	}
 	o.requestWrite()
 }
@@ -104,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	if o := s.owned.Load(); o != nil {
-		return o.accept(ctx, j)
+		return o.acceptTransfer(ctx, j)
 	}
 	address, known := s.ownerAddress()
 	if !known || s.currentView().storeLost {
@@ -121,14 +120,36 @@
 		return emptyAnswer{}, err
 	}
 	stored := transferredJob{r.Job, r.Tasks}
-	if err := o.accept(ctx, stored.job()); err != nil {
+	if err := o.acceptTransfer(ctx, stored.job()); err != nil {
 		return emptyAnswer{}, entry.Errorf(entry.CodeUnavailable, "the transfer isn't known to be stored: %v", err)
 	}
 	return emptyAnswer{}, nil
 }
 
-// cancelTransfer forwards the cancellation of a job to a shard that runs tasks of it. The outcome of the
-// job is stored only afterwards, so that a later owner forwards the cancellation too.
+// acceptTransfer stores tasks that were transferred to this shard in the next transaction.
+func (o *owner) acceptTransfer(ctx context.Context, j dispatch.Job) error {
+	if _, lost := o.node.store.lostFor(); lost || o.releaseRequested.Load() {
+		return errNotAccepted
+	}
+	return o.awaitStored(ctx, &submission{job: j, done: make(chan error, 1)})
+}
+
+// addTransferred adds the tasks that were transferred to this shard under an earlier owner.
+func (o *owner) addTransferred(rows []table.Row, progress map[dispatch.JobID]dispatch.Progress) error {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	for _, row := range rows {
+		content, err := decode[transferredJob](row)
+		if err != nil {
+			return err
+		}
+		o.engine.AddJob(o.now(), content.job(), progress[content.Job.ID], true)
+	}
+	return nil
+}
+
+// cancelTransfer has a shard that runs tasks of a cancelled job stop them. The outcome of the job is
+// stored only afterwards, so that a later owner does the same.
 func (o *owner) cancelTransfer(id dispatch.JobID, to shardID) {
 	target, err := o.node.shardByID(to)
 	if err != nil {
@@ -136,9 +157,7 @@
 	}
 	var unknownSince time.Time
 	for {
-		ctx, cancel := context.WithTimeout(o.ctx, relayTimeout)
-		err := target.cancel(ctx, id)
-		cancel()
+		err := target.endTransfer(o.ctx, id)
 		now := o.now()
 		switch {
 		case !errors.Is(err, queue.ErrUnknownJob):
@@ -156,3 +175,52 @@
 	o.withEngine(func(_ time.Time, e *dispatch.Engine) { e.EndTransfer(id, dispatch.Shard(to)) })
 	o.requestWrite()
 }
+
+// errEndNotStored reports that the end of transferred tasks isn't stored yet.
+var errEndNotStored = errors.New("dispatcher: the end of the transferred tasks isn't stored yet")
+
+// endTransfer cancels tasks of a job that were transferred to the shard. It returns nil once that is
+// stored, and queue.ErrUnknownJob if the shard has no tasks of the job.
+func (s *shard) endTransfer(ctx context.Context, id dispatch.JobID) error {
+	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
+	defer cancel()
+	if o := s.owned.Load(); o != nil {
+		return o.endTransfer(id)
+	}
+	_, err := callOwner[jobRequest, emptyAnswer](ctx, s, endTransferMethod, jobRequest{s.id, id})
+	if entry.CodeOf(err) == entry.CodeNotFound {
+		return queue.ErrUnknownJob
+	}
+	return err
+}
+
+func (n *Node) handleEndTransfer(_ context.Context, r jobRequest) (emptyAnswer, error) {
+	o, err := n.localOwner(r.Shard)
+	if err != nil {
+		return emptyAnswer{}, err
+	}
+	err = o.endTransfer(r.ID)
+	if errors.Is(err, errEndNotStored) {
+		return emptyAnswer{}, entry.Errorf(entry.CodeUnavailable, "%v", err)
+	}
+	return emptyAnswer{}, relayError(err)
+}
+
+func (o *owner) endTransfer(id dispatch.JobID) error {
+	o.lock.Lock()
+	loaded := o.loaded
+	stored, known := false, false
+	if loaded {
+		stored, known = o.engine.CancelTransferred(o.now(), id)
+	}
+	o.lock.Unlock()
+	o.requestEngineRun()
+	o.requestWrite()
+	switch {
+	case stored:
+		return nil
+	case loaded && !known:
+		return queue.ErrUnknownJob
+	}
+	return errEndNotStored
+}
