Transfer fewer tasks at a time, and none to a shard that is nearly full

Change: at most 8 tasks in half a second, and none to a shard in which started tasks need more than 95 % of the processors. TaskDownForLong no longer says that a task yields to short tasks once it goes first.

--- a/internal/decision/balance/balance.go
+++ b/internal/decision/balance/balance.go
@@ -17,7 +17,7 @@
 	// must be in another shard for a task that is down to be transferred there, and maxRestartShare
 	// the highest share there. Less than all is usable, because the free capacity is fragmented.
 	minRestartGain  = 0.01
-	maxRestartShare = 0.97
+	maxRestartShare = 0.95
 	// minWaitSaved is how much shorter the wait must be in another shard for a batch job
 	// to leave its home shard, because a handover costs a transaction and a call.
 	minWaitSaved = 600 * time.Millisecond
--- a/internal/decision/dispatch/long_downtime.go
+++ b/internal/decision/dispatch/long_downtime.go
@@ -131,7 +131,7 @@
 	switch {
 	case !t.deferredSince.IsZero() && now.Before(t.nextSearchAt):
 		awaits, waits = AwaitsBetterWorker, fmt.Sprintf("waits for a better worker, for %s so far", now.Sub(t.deferredSince))
-	case t.step.yieldsToShortTasks(now):
+	case t.step.yieldsToShortTasks(now) && !t.isDownFor(now, urgentDowntime):
 		awaits, waits = AwaitsShortTasks, "waits for room and yields to short tasks"
 	}
 	return awaits, fmt.Sprintf("%s; of %d suitable workers %d have room, and %d of these are held for others", waits, suitable, withRoom, held)
--- a/internal/entry/dispatcher/transfer.go
+++ b/internal/entry/dispatcher/transfer.go
@@ -16,7 +16,7 @@
 const (
 	// transferBatch limits the tasks that are transferred to other shards in one check, because these
 	// report their loads only from time to time.
-	transferBatch = 16
+	transferBatch = 8
 	// transferSettleTime is how long the target of a transfer must not know the job until the transfer
 	// counts as never carried out. It covers a call whose answer was lost and the store's retries.
 	transferSettleTime = 5 * time.Second
