--- a/internal/decision/dispatch/defrag.go
+++ b/internal/decision/dispatch/defrag.go
@@ -17,8 +17,10 @@
 	// holdInterval is the time between two searches for workers to hold.
 	holdInterval = 250 * time.Millisecond
 	// workersPerHold limits the workers that are held at the same time: at most one in
-	// this many.
-	workersPerHold = 12
+	// this many. For tasks that need an urgent restart, workersPerUrgentHold applies instead:
+	// all tasks of a zone or of many draining workers may be down at once.
+	workersPerHold       = 12
+	workersPerUrgentHold = 4
 )
 
 // hold keeps the free capacity of a worker for one task.
@@ -28,16 +30,46 @@
 	// excluded is the step whose task was stopped to make room. Its tasks must not take
 	// the room again.
 	excluded *step
+	// moved reports that the task was stopped to run here. It would stay without a run if
+	// another one took the room.
+	moved bool
+}
+
+// isActive reports whether the worker is held for a task that hasn't started yet. A moved task
+// may still be stopping on its earlier worker.
+func (h *hold) isActive(now time.Time) bool {
+	if h.task == nil || now.After(h.expiresAt) {
+		return false
+	}
+	a := h.task.attempt
+	return a == nil || h.moved && a.phase == stopping
+}
+
+// isForMoved reports whether the task was stopped to run on the held worker.
+func (h *hold) isForMoved(now time.Time, t *task) bool {
+	return h.moved && h.task == t && h.isActive(now)
+}
+
+// isForOtherMoved reports whether another task was stopped to run on the held worker.
+func (h *hold) isForOtherMoved(now time.Time, t *task) bool {
+	return h.moved && h.task != t && h.isActive(now)
 }
 
 // allows reports whether the step may use the free capacity. Besides the step of the
 // held task, long-running steps other than the excluded one may, if the hold is for a
-// long-running task: one that fits now must not wait for a larger one.
+// long-running task that wasn't moved: one that fits now must not wait for a larger one. If
+// the held task needs an urgent restart, these are only steps that need one too.
 func (h *hold) allows(now time.Time, s *step) bool {
-	if h.task == nil || now.After(h.expiresAt) || h.task.attempt != nil {
+	if !h.isActive(now) || h.task.step == s {
 		return true
 	}
-	return h.task.step == s || (s != h.excluded && s.LongRunning && h.task.step.LongRunning)
+	own := h.task.step
+	return s != h.excluded && !h.moved && s.LongRunning && own.LongRunning && (s.restartsUrgently || !own.restartsUrgently)
+}
+
+// allowsBeside reports whether the step may use the free capacity that the held task doesn't need.
+func (h *hold) allowsBeside(now time.Time, s *step) bool {
+	return h.allows(now, s) || h.moved && s != h.excluded
 }
 
 // isExcludedFromHold reports whether a worker is held that the step must not use,
@@ -60,8 +92,10 @@
 	}
 	e.holdsCheckedAt = now
 	held := e.countHeld(now)
+	held += e.holdForUrgentRestarts(now, len(e.sortedWorkers)/workersPerUrgentHold+1-held)
+	limit := len(e.sortedWorkers)/workersPerHold + 1
 	for _, j := range e.jobs {
-		if j.outcome != "" || !j.Steps[0].LongRunning || held > len(e.sortedWorkers)/workersPerHold {
+		if j.outcome != "" || !j.Steps[0].LongRunning || held >= limit {
 			continue
 		}
 		for _, s := range j.occurrences[0] {
@@ -75,7 +109,7 @@
 func (e *Engine) countHeld(now time.Time) int {
 	held := 0
 	for _, w := range e.sortedWorkers {
-		if w.hold.task != nil && now.Before(w.hold.expiresAt) && w.hold.task.attempt == nil {
+		if w.hold.isActive(now) {
 			held++
 		}
 	}
@@ -99,19 +133,25 @@
 // holdFor holds a worker for a waiting task: one that shorter tasks will leave soon, or
 // else one from which a smaller long-running task can be moved.
 func (e *Engine) holdFor(now time.Time, t *task) bool {
+	return e.holdAfterShortTasks(now, t) || e.moveSmallerTask(now, t)
+}
+
+// holdAfterShortTasks holds the worker with the most free processors on which a waiting task fits
+// once the short tasks there have ended, and reports whether there is one.
+func (e *Engine) holdAfterShortTasks(now time.Time, t *task) bool {
 	var best *worker
 	for _, w := range e.sortedWorkers {
-		if e.mayHold(now, t, w) && t.step.Reserved().FitsIn(w.free().Add(w.shortTaskResources())) &&
+		if e.mayHold(now, t, w) && !w.hold.isActive(now) && t.step.Reserved().FitsIn(w.free().Add(w.shortTaskResources())) &&
 			(best == nil || best.free().Processors < w.free().Processors) {
 			best = w
 		}
 	}
-	if best != nil {
-		e.count("Worker.Held")
-		best.setHold(now, t, nil)
-		return true
+	if best == nil {
+		return false
 	}
-	return e.moveSmallerTask(now, t)
+	e.count("Worker.Held")
+	best.setHold(now, t, nil)
+	return true
 }
 
 // mayHold reports whether a worker may be held for a task. It checks everything except
@@ -121,10 +161,19 @@
 }
 
 func (w *worker) setHold(now time.Time, t *task, excluded *step) {
-	w.hold = hold{t, now.Add(holdDuration), excluded}
+	w.hold = hold{task: t, expiresAt: now.Add(holdDuration), excluded: excluded}
 	t.lastHeldAt = now
 }
 
+// move stops a run and holds the worker on which its task will run instead. Tasks of the
+// excluded step can't use that worker meanwhile.
+func (e *Engine) move(now time.Time, a *attempt, to *worker, excluded *step, reason string) {
+	a.task.movedAt = now
+	to.setHold(now, a.task, excluded)
+	to.hold.moved = true
+	e.stop(now, a, reason)
+}
+
 // moveSmallerTask moves a smaller long-running task to another worker with room, so
 // that the waiting task fits in its place.
 func (e *Engine) moveSmallerTask(now time.Time, t *task) bool {
@@ -152,10 +201,8 @@
 // destination worker is held for its own task. Tasks of the excluded step can't use the
 // place at the destination.
 func (e *Engine) displace(now time.Time, a *attempt, t *task, to *worker, excluded *step, reason string) {
-	a.task.movedAt = now
 	a.worker.setHold(now, t, a.task.step)
-	to.setHold(now, a.task, excluded)
-	e.stop(now, a, reason)
+	e.move(now, a, to, excluded, reason)
 }
 
 // findRoom returns another worker that has room for a running task, or nil.
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -127,6 +127,8 @@
 	// holdsCheckedAt is when workers were last searched for one to hold for a waiting
 	// task.
 	holdsCheckedAt time.Time
+	// urgentRestarts has the tasks that needed an urgent restart when the current tick began.
+	urgentRestarts []*task
 	// longDowntimesCheckedAt is when long-running tasks that are down for long were last
 	// looked for.
 	longDowntimesCheckedAt time.Time
@@ -149,6 +151,8 @@
 	fillerDemand map[Image]float64
 	scarcity     scarcity
 	startAnswers startAnswers
+	// stepsWithHold has the steps for whose tasks a worker is held.
+	stepsWithHold map[*step]bool
 	// unplaceable has the shapes of tasks for which no worker was found in this tick,
 	// with the smallest resources that didn't fit.
 	unplaceable map[shape]resource.Vector
@@ -177,6 +181,7 @@
 		trialRuns:            map[interference.Pair]int{},
 		unloadedTails:        map[Image]unloadedTail{},
 		unplaceable:          map[shape]resource.Vector{},
+		stepsWithHold:        map[*step]bool{},
 	}
 }
 
--- a/internal/decision/dispatch/exchange.go
+++ b/internal/decision/dispatch/exchange.go
@@ -20,8 +20,9 @@
 	// as lost if it doesn't run for 9 s after its last run while there was room for it
 	// twice over in the last 3 s.
 	maxBetterWorkerWait = 5 * time.Second
-	// minBetterWorkerWait is the minimum wait. A task that never ran waits no longer
-	// than this once the workers have room for two such tasks.
+	// minBetterWorkerWait is the minimum wait, counted from when a worker with room was first
+	// found. A task that never ran waits no longer than this once the workers have room for
+	// two such tasks.
 	minBetterWorkerWait = 1500 * time.Millisecond
 	// deferredSearchInterval is the time between two searches for a worker for a
 	// deferred task.
@@ -47,7 +48,8 @@
 // doesn't block for scarce fillers, and tries to make such a worker available. Running
 // a serving task is worth far less than the fillers that it blocks.
 func (e *Engine) deferForBetterWorker(now time.Time, t *task, w *worker) bool {
-	if t.step.Target <= 0 || e.recovering || e.isDisabled(mechanism.BetterWorkerWait) || !e.wouldBlockFillers(now, w, t.step.Image) {
+	if t.step.Target <= 0 || e.recovering || t.isDownSinceTakeover() || e.isDisabled(mechanism.BetterWorkerWait) ||
+		w.hold.isForMoved(now, t) || !e.wouldBlockFillers(now, w, t.step.Image) {
 		return false
 	}
 	if t.deferredSince.IsZero() {
@@ -70,10 +72,10 @@
 // mayDefer reports whether a task may keep waiting for a better worker.
 func (e *Engine) mayDefer(now time.Time, t *task) bool {
 	switch waited := now.Sub(t.deferredSince); {
-	case waited < minBetterWorkerWait:
-		return true
 	case t.isDownFor(now, maxBetterWorkerWait), waited >= maxBetterWorkerWait:
 		return false
+	case waited < minBetterWorkerWait:
+		return true
 	case !t.lastRunAt.IsZero():
 		return true
 	}
@@ -185,9 +187,8 @@
 }
 
 func (e *Engine) swap(now time.Time, a, b *attempt) {
-	e.displace(now, a, b.task, b.worker, b.task.step, "blocks fillers on its worker")
-	b.task.movedAt = now
-	e.stop(now, b, "swapped with a task that blocks fillers")
+	e.move(now, a, b.worker, b.task.step, "blocks fillers on its worker")
+	e.move(now, b, a.worker, a.task.step, "swapped with a task that blocks fillers")
 }
 
 // nextBlockingTask returns the next serving task that, with at most one other of its
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -24,10 +24,12 @@
 	e.updateSchedulable(now)
 	e.retryStops(now)
 	e.forgetFinishedJobs(now)
-	e.drainWorkers(now)
 	e.findStragglers(now)
 	e.updateScarcity(now)
-	e.startTasks(now)
+	clear(e.unplaceable)
+	started := e.startUrgentRestarts(now, maxStartsPerTick)
+	e.drainWorkers(now)
+	e.startTasks(now, maxStartsPerTick-started)
 	e.recordLongDowntimes(now)
 	e.recordShardRoom(now)
 	e.controlInterference(now)
@@ -78,18 +80,16 @@
 	}
 }
 
-func (e *Engine) startTasks(now time.Time) {
-	candidates := e.candidates(now)
-	remaining := maxStartsPerTick
-	clear(e.unplaceable)
+// startTasks starts up to limit of the tasks that may start, in the order of the candidates.
+func (e *Engine) startTasks(now time.Time, limit int) {
 	e.countTrialRuns(now)
 	e.countForcedFillers()
 	e.scheduleStarvationCheck(now)
-	for _, c := range candidates {
-		if remaining <= 0 {
+	for _, c := range e.candidates(now) {
+		if limit <= 0 {
 			return
 		}
-		remaining -= e.startStep(now, c.step, remaining)
+		limit -= e.startStep(now, c.step, limit)
 	}
 }
 
@@ -104,8 +104,11 @@
 }
 
 // isUnplaceable reports whether no worker was found in this tick for a task of the same
-// shape that needs no more resources.
+// shape that needs no more resources, and none is held for the step.
 func (e *Engine) isUnplaceable(s *step) bool {
+	if e.stepsWithHold[s] {
+		return false
+	}
 	smallest, failed := e.unplaceable[s.shape()]
 	return failed && smallest.FitsIn(s.Resources)
 }
