Don't count the places of moved tasks as held workers

Cause: since moves keep their places, also off draining workers, up to 64 of them at once used up the limit on held workers, so that none was held for tasks that need a restart.

Change: only workers that are held as a whole count.

--- a/internal/decision/dispatch/defrag.go
+++ b/internal/decision/dispatch/defrag.go
@@ -106,10 +106,12 @@
 	}
 }
 
+// countHeld returns the number of workers that are held as a whole. On a worker to which a task moves,
+// others may use the rest of the room.
 func (e *Engine) countHeld(now time.Time) int {
 	held := 0
 	for _, w := range e.sortedWorkers {
-		if w.hold.isActive(now) {
+		if w.hold.isActive(now) && !w.hold.moved {
 			held++
 		}
 	}
