--- a/internal/decision/balance/balance.go
+++ b/internal/decision/balance/balance.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
@@ -14,10 +15,8 @@
 	// must be in another shard for a long-running job to leave its home shard.
 	minShareGain = 0.05
 	// minRestartGain is how much lower the share of processors that started long-running tasks need
-	// must be in another shard for a task that is down to be transferred there, and maxRestartShare
-	// the highest share there. Less than all is usable, because the free capacity is fragmented.
-	minRestartGain  = 0.01
-	maxRestartShare = 0.95
+	// must be in another shard for a task that is down to be transferred there.
+	minRestartGain = 0.01
 	// minWaitSaved is how much shorter the wait must be in another shard for a batch job
 	// to leave its home shard, because a handover costs a transaction and a call.
 	minWaitSaved = 600 * time.Millisecond
@@ -33,12 +32,22 @@
 	// Started is the part of LongRunning of tasks that run or ran before. These start before tasks
 	// that never ran.
 	Started resource.MilliProcessors `json:",omitempty"`
+	// Rooms has the workers with the most room for long-running tasks that are down, those with the
+	// most free processors first. It is empty while tasks of the shard itself need that room.
+	Rooms []Room `json:",omitempty"`
 	// ReservingWork and FillerWork are the processor time that other tasks still need: tasks
 	// that reserve processors, and fillers, which use idle processors.
 	ReservingWork time.Duration `json:"Reserving"`
 	FillerWork    time.Duration `json:"Filling"`
 }
 
+// Room is what is free on a worker, or what a task needs.
+type Room struct {
+	// Service is the pool of the worker.
+	Service string
+	Free    resource.Vector
+}
+
 // Demand is what a job adds to a Load.
 type Demand struct {
 	LongRunning   resource.MilliProcessors
@@ -61,6 +70,26 @@
 	return l.Add(Demand{-d.LongRunning, -d.Started, -d.ReservingWork, -d.FillerWork})
 }
 
+// roomFor returns the index of the smallest room for a task, or -1.
+func (l Load) roomFor(need Room) int {
+	found := -1
+	for i, r := range l.Rooms {
+		if r.Service == need.Service && need.Free.FitsIn(r.Free) {
+			found = i
+		}
+	}
+	return found
+}
+
+// TakeRoom returns the load with a long-running task that is down in one of the rooms.
+func (l Load) TakeRoom(need Room) Load {
+	l = l.Add(Demand{LongRunning: need.Free.Processors, Started: need.Free.Processors})
+	if i := l.roomFor(need); i >= 0 {
+		l.Rooms = slices.Delete(slices.Clone(l.Rooms), i, i+1)
+	}
+	return l
+}
+
 // longRunningShare returns the share of the processors that long-running tasks need.
 func (l Load) longRunningShare() float64 {
 	return l.share(l.LongRunning)
@@ -125,16 +154,18 @@
 }
 
 // ChooseForRestart returns the index of the shard that should run a long-running task that is down, and
-// false if none has enough more room than its own shard.
-func ChooseForRestart(own int, d Demand, loads []Load) (int, bool) {
-	best := own
+// false if none has room for it and a lower share of started tasks than its own shard.
+func ChooseForRestart(own int, need Room, loads []Load) (int, bool) {
+	best, found := own, false
 	for i, l := range loads {
-		if i != own && l.Capacity > 0 && (best == own || l.startedShare() < loads[best].startedShare()) {
-			best = i
+		if i == own || l.Capacity <= 0 || l.roomFor(need) < 0 {
+			continue
+		}
+		if !found || l.startedShare() < loads[best].startedShare() {
+			best, found = i, true
 		}
 	}
-	share := loads[best].Add(d).startedShare()
-	return best, best != own && share <= maxRestartShare && loads[own].startedShare()-share >= minRestartGain
+	return best, found && loads[own].startedShare()-loads[best].TakeRoom(need).startedShare() >= minRestartGain
 }
 
 // isBetter reports whether the first shard suits the job better than the second.
--- a/internal/decision/balance/balance_test.go
+++ b/internal/decision/balance/balance_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/balance"
 )
 
@@ -62,30 +63,44 @@
 // Guards against long-running tasks that stay down in a full shard while another one has room, and
 // against shards that pass such tasks to each other.
 var _ = Describe("ChooseForRestart", func() {
-	overfull := balance.Load{Capacity: 100_000, LongRunning: 105_000, Started: 105_000}
-	full := balance.Load{Capacity: 100_000, LongRunning: 94_500, Started: 94_500}
-	free := balance.Load{Capacity: 100_000, LongRunning: 105_000, Started: 80_000}
-	task := balance.Demand{LongRunning: 1_000, Started: 1_000}
+	room := func(processors resource.MilliProcessors) balance.Room {
+		return balance.Room{Service: "pool", Free: resource.Vector{Processors: processors}}
+	}
+	load := func(started resource.MilliProcessors, rooms ...balance.Room) balance.Load {
+		return balance.Load{Capacity: 100_000, LongRunning: 105_000, Started: started, Rooms: rooms}
+	}
+	overfull, full := load(105_000), load(97_000, room(900))
+	need := room(1_000)
 	expectNone := func(own int, loads ...balance.Load) {
 		GinkgoHelper()
-		_, found := balance.ChooseForRestart(own, task, loads)
+		_, found := balance.ChooseForRestart(own, need, loads)
 		Expect(found).To(BeFalse())
 	}
-
-	It("chooses the shard with the lowest share of started tasks, whatever new ones wait there", func() {
-		chosen, found := balance.ChooseForRestart(0, task, []balance.Load{overfull, full, free})
+	expectChosen := func(want, own int, loads ...balance.Load) {
+		GinkgoHelper()
+		chosen, found := balance.ChooseForRestart(own, need, loads)
 		Expect(found).To(BeTrue())
-		Expect(chosen).To(Equal(2))
+		Expect(chosen).To(Equal(want))
+	}
+
+	It("chooses the shard with the lowest share of started tasks that has a worker with room", func() {
+		expectChosen(2, 0, overfull, load(90_000, room(2_000)), load(80_000, room(3_000), room(1_000)), load(70_000, room(500)))
 	})
 
-	It("chooses none if no other shard has room, or hardly more than the own one", func() {
+	It("chooses none if no worker elsewhere has room, or the share there is hardly lower", func() {
 		expectNone(0, overfull, full)
-		expectNone(0, free, free)
+		expectNone(0, load(80_000), load(79_500, room(2_000)))
 		expectNone(0, overfull)
 	})
 
-	It("never chooses a shard with an unknown load", func() {
-		expectNone(0, overfull, balance.Load{})
-		expectNone(0, overfull, balance.Load{}, overfull)
+	It("never chooses a shard with an unknown load, or room of another pool", func() {
+		expectNone(0, overfull, balance.Load{Rooms: []balance.Room{room(2_000)}})
+		expectNone(0, overfull, load(80_000, balance.Room{Service: "other", Free: need.Free}))
+	})
+
+	It("uses each room for one task", func() {
+		free := load(80_000, room(2_000), room(1_500))
+		expectChosen(1, 0, overfull, free.TakeRoom(need))
+		expectNone(0, overfull, free.TakeRoom(need).TakeRoom(need))
 	})
 })
--- a/internal/decision/dispatch/defrag.go
+++ b/internal/decision/dispatch/defrag.go
@@ -181,7 +181,7 @@
 func (e *Engine) moveSmallerTask(now time.Time, t *task) bool {
 	need := t.step.Reserved()
 	for _, w := range e.sortedWorkers {
-		if !e.mayHold(now, t, w) {
+		if !e.mayHold(now, t, w) || w.hold.isActive(now) && w.hold.task != t {
 			continue
 		}
 		for _, a := range w.runs {
--- a/internal/decision/dispatch/drain_test.go
+++ b/internal/decision/dispatch/drain_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
@@ -79,4 +80,38 @@
 		}
 		Expect(h.workersOf("watch")).To(ConsistOf(other, late, late))
 	})
+
+	// Guards against a task that is stopped to move and isn't started in the room that is held for it,
+	// because an earlier task of its step finds no room, or would need that room itself.
+	It("leave a worker with room to a task of their step that is down", func() {
+		h = newHarness(1, 2)
+		h.listWorkers()
+		h.advance(0)
+		h.submit("watch", longRunningStep(2, 4))
+		pass := func(d time.Duration) {
+			for range int(d / (100 * time.Millisecond)) {
+				for _, w := range h.workers {
+					for _, run := range w.running {
+						run.Percent = 100
+					}
+				}
+				h.advance(100 * time.Millisecond)
+			}
+		}
+		pass(time.Second)
+		expectAtWork(2)
+		for _, w := range h.workers {
+			if _, first := w.running[dispatch.TaskID{Job: "watch", Index: 0}]; first {
+				w.replaced = true
+				clear(w.running)
+			} else {
+				w.info.Draining, w.info.Remaining = true, 20*time.Second
+			}
+		}
+		h.workers[late] = newFakeWorker(late, 6)
+		h.listWorkers()
+		pass(time.Second)
+		Expect(h.stops).To(BeEmpty())
+		Expect(h.workersOf("watch")).To(HaveLen(2))
+	})
 })
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -295,8 +295,8 @@
 	Done        []TaskRange        `json:",omitempty"`
 	Failed      map[int][]Run      `json:",omitempty"`
 	Checkpoints map[int]Checkpoint `json:",omitempty"`
-	// Transferred has the tasks that other shards run.
-	Transferred map[Shard][]TransferredTask `json:",omitempty"`
+	// Elsewhere has the tasks that other shards run.
+	Elsewhere map[Shard][]TransferredTask `json:",omitempty"`
 }
 
 // Progress is the state that must outlive the owner: the ends of runs that workers may
@@ -316,7 +316,7 @@
 }
 
 func (s *step) progress() StepProgress {
-	p := StepProgress{Transferred: s.storedTransfers()}
+	p := StepProgress{Elsewhere: s.storedTransfers()}
 	for i, t := range s.tasks {
 		if t.done {
 			p.Done = appendIndex(p.Done, i)
@@ -376,8 +376,8 @@
 			s.tasks[i].checkpoint = saved
 		}
 	}
-	s.restoreTransfers(p.Transferred)
-	s.job.started = s.job.started || len(p.Done) > 0 || len(p.Failed) > 0 || len(p.Transferred) > 0
+	s.restoreTransfers(p.Elsewhere)
+	s.job.started = s.job.started || len(p.Done) > 0 || len(p.Failed) > 0 || len(p.Elsewhere) > 0
 }
 
 // succeed marks the task as done. Further calls have no effect.
--- a/internal/decision/dispatch/load.go
+++ b/internal/decision/dispatch/load.go
@@ -80,6 +80,7 @@
 			l.Capacity += w.Capacity.Processors
 		}
 	}
+	l.Rooms = e.rooms(now)
 	for _, j := range e.jobs {
 		if j.outcome == "" && j.urgency(now) != overdue {
 			l = l.Add(j.remainingDemand())
@@ -89,6 +90,27 @@
 	return l
 }
 
+// maxRooms limits the workers whose room is reported to other shards.
+const maxRooms = 8
+
+// rooms returns the workers with the most room for long-running tasks of other shards that are down.
+// Such tasks go before short ones, whose room counts as free.
+func (e *Engine) rooms(now time.Time) []balance.Room {
+	if e.recovering || len(e.urgentRestarts) > 0 {
+		return nil
+	}
+	var rooms []balance.Room
+	for _, w := range e.sortedWorkers {
+		if w.schedulable && w.untrackedRuns == 0 && !w.hold.isActive(now) {
+			rooms = append(rooms, balance.Room{Service: string(w.Service), Free: w.free().Add(w.shortTaskResources())})
+		}
+	}
+	slices.SortStableFunc(rooms, func(a, b balance.Room) int {
+		return cmp.Compare(b.Free.Processors, a.Free.Processors)
+	})
+	return slices.Clone(rooms[:min(maxRooms, len(rooms))])
+}
+
 // mayBeAvailable reports whether the worker is available, or hasn't been polled yet.
 func (w *worker) mayBeAvailable(now time.Time) bool {
 	return w.isAvailable(now) || (!w.reported && w.listed && !w.Draining && w.missedPolls == 0)
@@ -120,7 +142,7 @@
 // Withdraw removes a job of which no task was ever started, and reports whether it did.
 func (e *Engine) Withdraw(now time.Time, id JobID) bool {
 	j := e.jobs[id]
-	if j == nil || e.recovering || !j.isUnstarted() {
+	if j == nil || e.recovering || !j.isUnstarted() || len(j.transfers) > 0 || len(j.Transferred) > 0 {
 		return false
 	}
 	delete(e.jobs, id)
--- a/internal/decision/dispatch/restart.go
+++ b/internal/decision/dispatch/restart.go
@@ -86,6 +86,23 @@
 		if e.deferForBetterWorker(now, t, w) {
 			continue
 		}
+		s.blockedSince = time.Time{}
+		e.start(now, t, w, e.nextRun(t))
+		started++
+	}
+	return started
+}
+
+// startMovedTasks starts the tasks that were stopped to run on another worker, on the workers that are
+// held for them, and returns their number.
+func (e *Engine) startMovedTasks(now time.Time) int {
+	started := 0
+	for _, w := range e.sortedWorkers {
+		t := w.hold.task
+		if !w.hold.moved || !w.hold.isActive(now) || !t.isWaiting(now) || t.step.job.outcome != "" ||
+			e.mustAwaitRecovery(now, t.step.job) || !e.mayPlace(now, t, w) {
+			continue
+		}
 		e.start(now, t, w, e.nextRun(t))
 		started++
 	}
--- a/internal/decision/dispatch/store.go
+++ b/internal/decision/dispatch/store.go
@@ -14,8 +14,8 @@
 	// Outcome is set when the job is finished. Progress isn't needed then.
 	Outcome  JobState
 	Progress Progress
-	// Transferred reports that the job is one of another shard, which has transferred tasks here.
-	Transferred bool
+	// OtherShard reports that the job is one of another shard, which has transferred tasks here.
+	OtherShard bool
 }
 
 // Batch is a set of updates to store in one transaction.
@@ -74,7 +74,7 @@
 			delete(e.dirty, id)
 			continue
 		}
-		u := Update{ID: id, Outcome: j.outcome, Transferred: len(j.Transferred) > 0}
+		u := Update{ID: id, Outcome: j.outcome, OtherShard: len(j.Transferred) > 0}
 		if j.outcome == "" {
 			u.Progress = j.progress()
 		}
--- a/internal/decision/dispatch/transfer.go
+++ b/internal/decision/dispatch/transfer.go
@@ -28,9 +28,10 @@
 
 // TransferCandidate is a task that another shard may run.
 type TransferCandidate struct {
-	Task TaskID
-	// Processors is what the task reserves.
-	Processors resource.MilliProcessors
+	Task    TaskID
+	Service ServiceName
+	// Resources are what the task reserves.
+	Resources resource.Vector
 }
 
 // Transfer asks another shard to run tasks of a job. All tasks of the job that were transferred to that
@@ -53,7 +54,7 @@
 			break
 		}
 		if t.isWaiting(now) && t.isDownFor(now, transferDowntime) && t.step.isTransferable() {
-			list = append(list, TransferCandidate{t.id, t.step.Resources.Processors})
+			list = append(list, TransferCandidate{t.id, t.step.job.queue.Service, t.step.Reserved()})
 		}
 	}
 	return list
@@ -63,11 +64,11 @@
 func (s *step) isTransferable() bool {
 	j := s.job
 	return len(j.Transferred) == 0 && len(j.Steps) == 1 && j.Occurrences() == 1 &&
-		s.LongRunning && !s.Gang && !s.OneRack && !j.queue.NeedsAdvice
+		s.LongRunning && !s.Gang && !s.OneRack && s.Requires == "" && !j.queue.NeedsAdvice
 }
 
-// TransferTask gives a task up for good, so that another shard can run it. The transfer is returned by
-// TakeTransfers once it is stored.
+// TransferTask gives a task up, so that another shard can run it until the job ends. The transfer is
+// returned by TakeTransfers once it is stored.
 func (e *Engine) TransferTask(now time.Time, id TaskID, to Shard) {
 	t := e.findTask(id)
 	if t == nil || !t.isWaiting(now) || t.step.job.outcome != "" {
@@ -82,7 +83,7 @@
 	}
 	out := j.transfers[to]
 	out.tasks = append(out.tasks, TransferredTask{
-		Index: id.Index, Run: t.run, Down: now.Sub(t.downSince()), Checkpoint: t.checkpoint,
+		Index: id.Index, Run: e.nextRun(t) - 1, Down: now.Sub(t.downSince()), Checkpoint: t.checkpoint,
 	})
 	e.record(now, Decision{
 		Event: "TaskTransferred", Task: TaskRun{id, t.run}, Worker: t.down.worker, Took: now.Sub(t.downSince()),
@@ -90,6 +91,7 @@
 	})
 	e.count("Task.Transferred")
 	t.leave()
+	j.started = true
 	e.markDirty(j)
 }
 
@@ -117,7 +119,7 @@
 	if len(stored.Steps) == 0 {
 		return
 	}
-	for to, tasks := range stored.Steps[0].Transferred {
+	for to, tasks := range stored.Steps[0].Elsewhere {
 		out := j.transfers[to]
 		if out == nil || len(tasks) <= out.issued {
 			continue
@@ -170,8 +172,8 @@
 	return targets
 }
 
-// IsCancelled reports whether a job was cancelled or has ended.
-func (e *Engine) IsCancelled(id JobID) bool {
+// HasEnded reports whether a job was cancelled, has ended or isn't known.
+func (e *Engine) HasEnded(id JobID) bool {
 	j := e.jobs[id]
 	return j == nil || j.outcome != ""
 }
--- a/internal/decision/dispatch/transfer_test.go
+++ b/internal/decision/dispatch/transfer_test.go
@@ -78,7 +78,7 @@
 
 	It("are those that have been down for long without room", func() {
 		h := overfull()
-		Expect(h.engine.TransferCandidates(h.now, 8)).To(Equal([]dispatch.TransferCandidate{{Task: task(firstTask), Processors: 4000}}))
+		Expect(h.engine.TransferCandidates(h.now, 8)).To(Equal([]dispatch.TransferCandidate{{Task: task(firstTask), Service: "pool", Resources: cores(4)}}))
 	})
 
 	It("don't start again in their own shard, and are handed out only once they are stored", func() {
@@ -182,4 +182,42 @@
 		Expect(h.engine.TransferTargets("watch")).To(BeEmpty())
 		expectState(h, "watch", dispatch.Cancelled)
 	})
+
+	// recovered returns a harness at an epoch, with some workers, that took over with no task of "watch"
+	// at work.
+	recovered := func(epoch dispatch.Epoch, workers int) *harness {
+		h := newHarness(epoch, workers)
+		h.listWorkers()
+		h.engine.AddJob(h.now, dispatch.Job{
+			ID: "watch", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{longRunningStep(2, 4)},
+		}, dispatch.Progress{}, true)
+		h.engine.Recover(h.now, 0)
+		pass(h, 20*time.Second)
+		return h
+	}
+	// transferFirst transfers the task that has been down the longest.
+	transferFirst := func(h *harness) []dispatch.Transfer {
+		candidates := h.engine.TransferCandidates(h.now, 1)
+		Expect(candidates).To(HaveLen(1))
+		h.engine.TransferTask(h.now, candidates[0].Task, target)
+		pass(h, 200*time.Millisecond)
+		return h.engine.TakeTransfers()
+	}
+
+	// Guards against a run number that was used before: a new owner doesn't know those of earlier epochs.
+	It("get run numbers that no owner of an earlier epoch used, also if they were down at the takeover", func() {
+		other := receive(newHarness(1, 0), 1, transferFirst(recovered(3, 1)))
+		pass(other, time.Second)
+		Expect(other.starts).To(HaveLen(1))
+		Expect(other.starts[0].Run).To(BeNumerically(">", 2000))
+	})
+
+	// Guards against a job that is moved whole after single tasks of it were transferred: the other shard
+	// would take it for known, and the rest of its tasks would be forgotten.
+	It("keep their job in its shard, also if it has no other run", func() {
+		h := recovered(2, 0)
+		transferFirst(h)
+		Expect(h.engine.Unstarted(h.now, time.Second, 4)).To(BeEmpty())
+		Expect(h.engine.Withdraw(h.now, "watch")).To(BeFalse())
+	})
 })
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
@@ -133,8 +132,7 @@
 // isStoredOrWaiting reports whether the job is stored or waits to be stored. It returns
 // true for any job until the stored jobs are loaded. The lock must be held.
 func (o *owner) isStoredOrWaiting(id dispatch.JobID) bool {
-	return !o.loaded || o.knows(id) || o.storing[id] ||
-		slices.ContainsFunc(o.submissions, func(s *submission) bool { return s.job.ID == id })
+	return !o.loaded || o.knows(id) || o.isStoring(id)
 }
 
 // accept stores a job in the next transaction unless the owner already knows it.
--- a/internal/entry/dispatcher/cancel.go
+++ b/internal/entry/dispatcher/cancel.go
@@ -41,7 +41,7 @@
 // cancelKnownJob stops a job, also in the shards to which tasks of it were transferred. The lock must be
 // held.
 func (o *owner) cancelKnownJob(now time.Time, id dispatch.JobID) {
-	if o.engine.IsCancelled(id) {
+	if o.engine.HasEnded(id) {
 		return
 	}
 	o.engine.Cancel(now, id)
--- a/internal/entry/dispatcher/choose_shard.go
+++ b/internal/entry/dispatcher/choose_shard.go
@@ -77,13 +77,18 @@
 // addExpectedLoad adds a job to the known load of the shard until its owner reports a
 // new load.
 func (s *shard) addExpectedLoad(d balance.Demand) {
+	s.changeKnownLoad(func(l balance.Load) balance.Load { return l.Add(d) })
+}
+
+// changeKnownLoad changes the known load of the shard until its owner reports a new load.
+func (s *shard) changeKnownLoad(change func(balance.Load) balance.Load) {
 	if o := s.owned.Load(); o != nil {
 		o.lock.Lock()
 		defer o.lock.Unlock()
-		o.cachedLoad = o.cachedLoad.Add(d)
+		o.cachedLoad = change(o.cachedLoad)
 		return
 	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	s.view.load = s.view.load.Add(d)
+	s.view.load = change(s.view.load)
 }
--- a/internal/entry/dispatcher/hello.go
+++ b/internal/entry/dispatcher/hello.go
@@ -87,6 +87,9 @@
 		answer.Owner = o.currentRow()
 		answer.StoreLost = o.storeLost()
 		answer.Load = o.load()
+		if r.From.Owned == 0 {
+			answer.Load.Rooms = nil
+		}
 	}
 	return answer, nil
 }
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -83,6 +83,9 @@
 	storing map[dispatch.JobID]bool
 	// moved has the jobs that this shard has moved to other shards.
 	moved map[dispatch.JobID]*movedJob
+	// senderEpochs has the highest epoch of each other shard whose owner has transferred tasks to this
+	// one, or has ended transfers.
+	senderEpochs map[shardID]dispatch.Epoch
 	// earlyCancels has the jobs whose cancellation became known before the jobs did.
 	earlyCancels map[dispatch.JobID]bool
 	// deferredWrites are writes that aren't urgent.
@@ -112,6 +115,7 @@
 		expiredJobs:  map[dispatch.JobID]bool{},
 		storing:      map[dispatch.JobID]bool{},
 		moved:        map[dispatch.JobID]*movedJob{},
+		senderEpochs: map[shardID]dispatch.Epoch{},
 		earlyCancels: map[dispatch.JobID]bool{},
 	}
 	o.engine = dispatch.New(dispatch.Options{
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -165,7 +165,7 @@
 func (o *owner) batchWrites(b dispatch.Batch, now time.Time) []table.Write {
 	var writes []table.Write
 	for _, u := range b.Updates {
-		if u.Outcome != "" && u.Transferred {
+		if u.Outcome != "" && u.OtherShard {
 			// The job's own shard has its outcome.
 			writes = append(writes,
 				table.Write{Key: o.shard.partition.transferKey(u.ID), Delete: true},
--- a/internal/entry/dispatcher/transfer.go
+++ b/internal/entry/dispatcher/transfer.go
@@ -24,9 +24,23 @@
 
 // transferRequest asks the owner of a shard to run tasks of a job whose own shard has no room for them.
 type transferRequest struct {
+	Shard  shardID
+	Sender transferSender
+	Job    dispatch.Job
+	Tasks  []dispatch.TransferredTask
+}
+
+// endTransferRequest asks the owner of a shard to stop the tasks of a job that were transferred to it.
+type endTransferRequest struct {
+	Shard  shardID
+	Sender transferSender
+	ID     dispatch.JobID
+}
+
+// transferSender is the owner that transfers tasks.
+type transferSender struct {
 	Shard shardID
-	Job   dispatch.Job
-	Tasks []dispatch.TransferredTask
+	Epoch dispatch.Epoch
 }
 
 // transferredJob is the row of a job of another shard with the tasks that this shard runs.
@@ -46,7 +60,8 @@
 // does nothing while instances are alive that don't know transfers, since they could take this shard
 // over and run the tasks too.
 func (o *owner) transferTasks() {
-	if slices.ContainsFunc(o.node.livePeers(), func(p peer) bool { return !p.Transfers }) {
+	_, lost := o.node.store.lostFor()
+	if lost || slices.ContainsFunc(o.node.livePeers(), func(p peer) bool { return !p.Transfers }) {
 		return
 	}
 	o.lock.Lock()
@@ -62,20 +77,47 @@
 	o.requestWrite()
 }
 
-// transferTask transfers a task if a shard with more room is known, and updates the loads.
+// transferTask transfers a task if a shard with room is known, and updates the loads.
 func (o *owner) transferTask(c dispatch.TransferCandidate, loads []balance.Load) {
-	demand := balance.Demand{LongRunning: c.Processors, Started: c.Processors}
-	chosen, found := balance.ChooseForRestart(int(o.shard.id), demand, loads)
+	need := balance.Room{Service: string(c.Service), Free: c.Resources}
+	chosen, found := balance.ChooseForRestart(int(o.shard.id), need, loads)
 	if !found {
 		return
 	}
-	loads[o.shard.id], loads[chosen] = loads[o.shard.id].Sub(demand), loads[chosen].Add(demand)
-	o.node.allShards()[chosen].addExpectedLoad(demand)
+	take := func(l balance.Load) balance.Load { return l.TakeRoom(need) }
+	loads[o.shard.id] = loads[o.shard.id].Sub(balance.Demand{LongRunning: c.Resources.Processors, Started: c.Resources.Processors})
+	loads[chosen] = take(loads[chosen])
+	o.node.allShards()[chosen].changeKnownLoad(take)
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	o.engine.TransferTask(o.now(), c.Task, dispatch.Shard(chosen))
 }
 
+// sender identifies this owner to the targets of its transfers.
+func (o *owner) sender() transferSender {
+	return transferSender{o.shard.id, o.epoch}
+}
+
+// errStaleSender reports that a transfer comes from an owner that was replaced.
+var errStaleSender = errors.New("dispatcher: the sender of the transfer was replaced")
+
+// checkSender rejects an owner of another shard that is known to be replaced: the next owner may have
+// ended its transfers. The lock must not be held.
+func (o *owner) checkSender(from transferSender) error {
+	s, err := o.node.shardByID(from.Shard)
+	if err != nil {
+		return err
+	}
+	known := s.currentView().owner.Epoch
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	if from.Epoch < max(known, o.senderEpochs[from.Shard]) {
+		return errStaleSender
+	}
+	o.senderEpochs[from.Shard] = from.Epoch
+	return nil
+}
+
 // deliverTransfer has the target shard store a transfer. It retries until the target confirms or the job
 // is cancelled.
 func (o *owner) deliverTransfer(t dispatch.Transfer) {
@@ -86,9 +128,9 @@
 	}
 	for {
 		o.lock.Lock()
-		cancelled := o.engine.IsCancelled(t.Job.ID)
+		ended, mayAct := o.engine.HasEnded(t.Job.ID), !o.authorityLost
 		o.lock.Unlock()
-		if cancelled || target.submitTransfer(o.ctx, t.Job) == nil {
+		if ended || mayAct && target.submitTransfer(o.ctx, o.sender(), t.Job) == nil {
 			return
 		}
 		o.node.Counters.Add("Task.TransferRetries", 1)
@@ -99,17 +141,17 @@
 }
 
 // submitTransfer has the shard's owner store the tasks of a job that were transferred to it.
-func (s *shard) submitTransfer(ctx context.Context, j dispatch.Job) error {
+func (s *shard) submitTransfer(ctx context.Context, from transferSender, j dispatch.Job) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	if o := s.owned.Load(); o != nil {
-		return o.acceptTransfer(ctx, j)
+		return o.acceptTransfer(ctx, from, j)
 	}
 	address, known := s.ownerAddress()
 	if !known || s.currentView().storeLost {
 		return errNotAccepted
 	}
-	request := transferRequest{Shard: s.id, Job: j, Tasks: j.Transferred}
+	request := transferRequest{Shard: s.id, Sender: from, Job: j, Tasks: j.Transferred}
 	_, err := entry.Call[transferRequest, emptyAnswer](ctx, s.node.Peers, address, transferMethod, request)
 	return err
 }
@@ -120,17 +162,20 @@
 		return emptyAnswer{}, err
 	}
 	stored := transferredJob{r.Job, r.Tasks}
-	if err := o.acceptTransfer(ctx, stored.job()); err != nil {
+	if err := o.acceptTransfer(ctx, r.Sender, stored.job()); err != nil {
 		return emptyAnswer{}, entry.Errorf(entry.CodeUnavailable, "the transfer isn't known to be stored: %v", err)
 	}
 	return emptyAnswer{}, nil
 }
 
 // acceptTransfer stores tasks that were transferred to this shard in the next transaction.
-func (o *owner) acceptTransfer(ctx context.Context, j dispatch.Job) error {
+func (o *owner) acceptTransfer(ctx context.Context, from transferSender, j dispatch.Job) error {
 	if _, lost := o.node.store.lostFor(); lost || o.releaseRequested.Load() {
 		return errNotAccepted
 	}
+	if err := o.checkSender(from); err != nil {
+		return err
+	}
 	return o.awaitStored(ctx, &submission{job: j, done: make(chan error, 1)})
 }
 
@@ -157,7 +202,7 @@
 	}
 	var unknownSince time.Time
 	for {
-		err := target.endTransfer(o.ctx, id)
+		err := target.endTransfer(o.ctx, o.sender(), id)
 		now := o.now()
 		switch {
 		case !errors.Is(err, queue.ErrUnknownJob):
@@ -181,46 +226,53 @@
 
 // endTransfer cancels tasks of a job that were transferred to the shard. It returns nil once that is
 // stored, and queue.ErrUnknownJob if the shard has no tasks of the job.
-func (s *shard) endTransfer(ctx context.Context, id dispatch.JobID) error {
+func (s *shard) endTransfer(ctx context.Context, from transferSender, id dispatch.JobID) error {
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
 	if o := s.owned.Load(); o != nil {
-		return o.endTransfer(id)
+		return o.endTransfer(from, id)
 	}
-	_, err := callOwner[jobRequest, emptyAnswer](ctx, s, endTransferMethod, jobRequest{s.id, id})
+	_, err := callOwner[endTransferRequest, emptyAnswer](ctx, s, endTransferMethod, endTransferRequest{s.id, from, id})
 	if entry.CodeOf(err) == entry.CodeNotFound {
 		return queue.ErrUnknownJob
 	}
 	return err
 }
 
-func (n *Node) handleEndTransfer(_ context.Context, r jobRequest) (emptyAnswer, error) {
+func (n *Node) handleEndTransfer(_ context.Context, r endTransferRequest) (emptyAnswer, error) {
 	o, err := n.localOwner(r.Shard)
 	if err != nil {
 		return emptyAnswer{}, err
 	}
-	err = o.endTransfer(r.ID)
-	if errors.Is(err, errEndNotStored) {
+	err = o.endTransfer(r.Sender, r.ID)
+	if errors.Is(err, errEndNotStored) || errors.Is(err, errStaleSender) {
 		return emptyAnswer{}, entry.Errorf(entry.CodeUnavailable, "%v", err)
 	}
 	return emptyAnswer{}, relayError(err)
 }
 
-func (o *owner) endTransfer(id dispatch.JobID) error {
+func (o *owner) endTransfer(from transferSender, id dispatch.JobID) error {
+	if err := o.checkSender(from); err != nil {
+		return err
+	}
+	defer o.requestEngineRun()
+	defer o.requestWrite()
 	o.lock.Lock()
-	loaded := o.loaded
-	stored, known := false, false
-	if loaded {
-		stored, known = o.engine.CancelTransferred(o.now(), id)
+	defer o.lock.Unlock()
+	if !o.loaded || o.authorityLost || o.isStoring(id) {
+		return errEndNotStored
 	}
-	o.lock.Unlock()
-	o.requestEngineRun()
-	o.requestWrite()
+	stored, known := o.engine.CancelTransferred(o.now(), id)
 	switch {
 	case stored:
 		return nil
-	case loaded && !known:
-		return queue.ErrUnknownJob
+	case known:
+		return errEndNotStored
 	}
-	return errEndNotStored
+	return queue.ErrUnknownJob
+}
+
+// isStoring reports whether a job waits to be stored or is being stored. The lock must be held.
+func (o *owner) isStoring(id dispatch.JobID) bool {
+	return o.storing[id] || slices.ContainsFunc(o.submissions, func(s *submission) bool { return s.job.ID == id })
 }
--- a/internal/entry/dispatcher/transfer_test.go
+++ b/internal/entry/dispatcher/transfer_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/counter"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
@@ -78,9 +79,9 @@
 		job    dispatch.Job
 	)
 
-	// addOwner adds an owner of a shard with some workers, whose transactions are stored while the spec
-	// runs.
-	addOwner := func(ctx context.Context, group *errgroup.Group, id shardID, workers int) {
+	// addOwner adds an owner of a shard with some workers, which may have reported to it. Its transactions
+	// are stored while the spec runs.
+	addOwner := func(ctx context.Context, group *errgroup.Group, id shardID, workers int, reported bool) {
 		s := node.allShards()[id]
 		ctx, cancel := context.WithCancel(ctx)
 		o := newOwner(s, ownerRow{Node: node.Name, Epoch: 1}, 0, cancel)
@@ -93,6 +94,12 @@
 		}
 		o.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{"q": {Name: "q", Service: "pool"}})
 		o.engine.SetWorkers(o.now(), list)
+		if reported {
+			for _, w := range list {
+				o.engine.Observe(o.now(), w.ID, dispatch.Report{Incarnation: 1, Clock: time.Second})
+			}
+			o.engine.Tick(o.now())
+		}
 		s.owned.Store(o)
 		owners = append(owners, o)
 		group.Go(func() error {
@@ -152,8 +159,8 @@
 		node.group, node.groupContext = group, ctx
 		shards := []*shard{newShard(node, 0, 2), newShard(node, 1, 2)}
 		node.shards.Store(&shards)
-		addOwner(ctx, group, 0, 1)
-		addOwner(ctx, group, 1, 10)
+		addOwner(ctx, group, 0, 1, false)
+		addOwner(ctx, group, 1, 10, true)
 
 		job = dispatch.Job{Queue: "q", Steps: []dispatch.Step{{
 			Tasks: 2, Resources: resource.Vector{Processors: 1000}, LongRunning: true,
@@ -210,30 +217,75 @@
 		o.lock.Lock()
 		o.moved[other.ID] = &movedJob{target: 0, stored: true}
 		o.lock.Unlock()
-		Expect(o.acceptTransfer(o.ctx, other)).To(Succeed())
+		Expect(o.acceptTransfer(o.ctx, owners[0].sender(), other)).To(Succeed())
 		Expect(readRow[transferredJob](store, o.shard.partition.transferKey(other.ID)).Tasks).To(Equal(other.Transferred))
 		o.lock.Lock()
 		defer o.lock.Unlock()
 		Expect(o.engine.HasTasks(&other)).To(BeTrue())
 	})
 
-	It("stays while an instance is alive that doesn't know transfers", func() {
-		node.recordPeers([]peer{{Name: "earlier build"}})
+	// expectStays adds a job like the first one, with a change, and expects that its tasks aren't
+	// transferred.
+	expectStays := func(change func(*dispatch.Step)) {
+		GinkgoHelper()
 		o := owners[0]
 		other := job
-		other.ID = job.ID + "x"
+		other.ID, other.Steps = job.ID+"x", slices.Clone(job.Steps)
+		change(&other.Steps[0])
 		o.lock.Lock()
 		o.engine.AddJob(o.now().Add(-time.Minute), other, dispatch.Progress{}, true)
 		o.engine.Tick(o.now())
-		Expect(o.engine.TransferCandidates(o.now(), transferBatch)).NotTo(BeEmpty())
 		o.lock.Unlock()
 		o.transferTasks()
 		o.lock.Lock()
 		defer o.lock.Unlock()
-		ids := []dispatch.JobID{}
-		for _, c := range o.engine.TransferCandidates(o.now(), transferBatch) {
-			ids = append(ids, c.Task.Job)
+		Expect(o.engine.TransferTargets(other.ID)).To(BeEmpty())
+	}
+	unchanged := func(*dispatch.Step) {}
+
+	It("stays while an instance is alive that doesn't know transfers", func() {
+		node.recordPeers([]peer{{Name: "earlier build"}})
+		expectStays(unchanged)
+	})
+
+	// Guards against tasks that no shard starts, because the transfer can't be stored.
+	It("stays while the store is away", func() {
+		for range lostAfterFailures {
+			node.store.recordResult("Read", table.ErrUnavailable)
 		}
-		Expect(slices.Contains(ids, other.ID)).To(BeTrue())
+		expectStays(unchanged)
+	})
+
+	DescribeTable("stays if no worker of the other shard is known to be able to run it", expectStays,
+		Entry("for lack of a label", func(s *dispatch.Step) { s.Requires = "gpu" }),
+		Entry("for lack of accelerators", func(s *dispatch.Step) { s.Resources.Accelerators = 1 }),
+		Entry("for lack of a large enough worker", func(s *dispatch.Step) { s.Resources.Processors = 2000 }),
+	)
+
+	// Guards against tasks of a cancelled job that run for good: their transfer was still being stored when
+	// their end was asked for, or came from an owner that was replaced.
+	Describe("after its job was cancelled", func() {
+		late := func() dispatch.Job {
+			j := job
+			j.ID += "z"
+			j.Transferred = []dispatch.TransferredTask{{Index: 0, Run: 1, Down: time.Minute}}
+			return j
+		}
+
+		It("isn't reported as unknown while its transfer is stored", func() {
+			o, j := owners[1], late()
+			o.lock.Lock()
+			o.storing[j.ID] = true
+			o.lock.Unlock()
+			Expect(o.endTransfer(owners[0].sender(), j.ID)).To(MatchError(errEndNotStored))
+		})
+
+		It("isn't taken from an owner that was replaced", func() {
+			o, j := owners[1], late()
+			next := transferSender{Shard: 0, Epoch: owners[0].epoch + 1}
+			Expect(o.endTransfer(next, j.ID)).To(MatchError(queue.ErrUnknownJob))
+			Expect(o.acceptTransfer(o.ctx, owners[0].sender(), j)).To(MatchError(errStaleSender))
+			Expect(o.acceptTransfer(o.ctx, next, j)).To(Succeed())
+		})
 	})
 })
