--- a/internal/decision/dispatch/restart.go
+++ b/internal/decision/dispatch/restart.go
@@ -110,8 +110,9 @@
 }
 
 // holdForUrgentRestarts holds workers for tasks that need an urgent restart and found no room, up to
-// limit, and returns their number. Once no worker can be held for a task, larger tasks aren't tried, so that a check takes a few milliseconds however many
-// tasks are down. A smaller long-running task is moved for the first of them only.
+// limit, and returns their number. Once no worker can be held for a task, larger tasks aren't tried,
+// and a smaller long-running task is moved for the first of them only, so that a check takes a few
+// milliseconds however many tasks are down.
 func (e *Engine) holdForUrgentRestarts(now time.Time, limit int) int {
 	held := 0
 	failed := map[shape]resource.Vector{}
--- a/internal/decision/dispatch/transfer.go
+++ b/internal/decision/dispatch/transfer.go
@@ -43,7 +43,8 @@
 
 // TransferCandidates returns up to limit tasks that have been down for long and found no room in this
 // shard, in the order in which they went down. Left out are tasks that another shard transferred here,
-// and those whose constraints relate them to other tasks of their step.
+// those whose constraints relate them to other tasks of their step, and those that need a label or a
+// ticket, because the loads of other shards don't tell which workers have them.
 func (e *Engine) TransferCandidates(now time.Time, limit int) []TransferCandidate {
 	if e.recovering || e.suspended {
 		return nil
