--- a/internal/cmd/explainday/explainday.go
+++ b/internal/cmd/explainday/explainday.go
@@ -66,9 +66,7 @@
 		return err
 	}
 	var findings settings.Findings
-	if len(o.From) == 0 {
-		findings.Add("from", "no log file is given", "give the log file of each instance, or - for standard input")
-	}
+	logfiles.CheckNames(&findings, o.From)
 	if o.Span <= 0 {
 		findings.Add("span", fmt.Sprintf("%s is not positive", o.Span), "give a duration such as 5s")
 	}
--- a/internal/decision/balance/balance.go
+++ b/internal/decision/balance/balance.go
@@ -48,6 +48,11 @@
 	Free    resource.Vector
 }
 
+// Demand returns what a long-running task that is down and needs the room adds to a Load.
+func (r Room) Demand() Demand {
+	return Demand{LongRunning: r.Free.Processors, Started: r.Free.Processors}
+}
+
 // Demand is what a job adds to a Load.
 type Demand struct {
 	LongRunning   resource.MilliProcessors
@@ -83,7 +88,7 @@
 
 // TakeRoom returns the load with a long-running task that is down in one of the rooms.
 func (l Load) TakeRoom(need Room) Load {
-	l = l.Add(Demand{LongRunning: need.Free.Processors, Started: need.Free.Processors})
+	l = l.Add(need.Demand())
 	if i := l.roomFor(need); i >= 0 {
 		l.Rooms = slices.Delete(slices.Clone(l.Rooms), i, i+1)
 	}
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -174,6 +174,19 @@
 	}
 }
 
+// advanceStartedUp advances the time in steps of 100 ms with all running tasks reporting that they
+// have started up.
+func (h *harness) advanceStartedUp(d time.Duration) {
+	for range int(d / (100 * time.Millisecond)) {
+		for _, w := range h.workers {
+			for _, run := range w.running {
+				run.Percent = 100
+			}
+		}
+		h.advance(100 * time.Millisecond)
+	}
+}
+
 // tick ticks the engine and executes its commands.
 func (h *harness) tick() {
 	h.engine.Tick(h.now)
--- a/internal/decision/dispatch/drain.go
+++ b/internal/decision/dispatch/drain.go
@@ -53,13 +53,14 @@
 
 // moveLongRunningOff moves a long-running task off a draining worker once another worker has room that
 // isn't held for anything else, and that no task of its step waits for: until then the task is better
-// off where it is. Shortly before the
-// worker leaves, the task is stopped all the same, because a run that ends with its worker counts as
-// active until its lease has expired.
+// off where it is. Shortly before the worker leaves, the task is stopped all the same, because a run
+// that ends with its worker counts as active until its lease has expired.
 func (e *Engine) moveLongRunningOff(now time.Time, a *attempt) bool {
-	if to := e.chooseDestination(now, a); to != nil && !a.task.step.hasWaiting(now) {
-		e.move(now, a, to, nil, reasonDraining)
-		return true
+	if !a.task.step.hasWaiting(now) {
+		if to := e.chooseDestination(now, a); to != nil {
+			e.move(now, a, to, nil, reasonDraining)
+			return true
+		}
 	}
 	w := a.worker
 	if w.Remaining == 0 || now.Before(w.drainingAt.Add(w.Remaining-e.stopTimeout()-drainMargin)) {
--- a/internal/decision/dispatch/drain_test.go
+++ b/internal/decision/dispatch/drain_test.go
@@ -88,17 +88,7 @@
 		h.listWorkers()
 		h.advance(0)
 		h.submit("watch", longRunningStep(2, 4))
-		pass := func(d time.Duration) {
-			for range int(d / (100 * time.Millisecond)) {
-				for _, w := range h.workers {
-					for _, run := range w.running {
-						run.Percent = 100
-					}
-				}
-				h.advance(100 * time.Millisecond)
-			}
-		}
-		pass(time.Second)
+		h.advanceStartedUp(time.Second)
 		expectAtWork(2)
 		for _, w := range h.workers {
 			if _, first := w.running[dispatch.TaskID{Job: "watch", Index: 0}]; first {
@@ -110,7 +100,7 @@
 		}
 		h.workers[late] = newFakeWorker(late, 6)
 		h.listWorkers()
-		pass(time.Second)
+		h.advanceStartedUp(time.Second)
 		Expect(h.stops).To(BeEmpty())
 		Expect(h.workersOf("watch")).To(HaveLen(2))
 	})
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -320,6 +320,7 @@
 	added.restore(stored)
 	added.beginDowntimes(now)
 	if len(j.Transferred) > 0 {
+		added.eachTask((*task).leave)
 		added.takeTransferred(now, j.Transferred)
 	}
 	e.jobs[j.ID] = added
--- a/internal/decision/dispatch/exchange_test.go
+++ b/internal/decision/dispatch/exchange_test.go
@@ -23,16 +23,7 @@
 	serving := func(image dispatch.Image, tasks int, processors float64) dispatch.Step {
 		return dispatch.Step{Tasks: tasks, Resources: cores(processors), LongRunning: true, Image: image, Target: 20 * time.Millisecond, MaxPerWorker: 3}
 	}
-	runFor := func(d time.Duration) {
-		for range int(d / (100 * time.Millisecond)) {
-			for _, w := range h.workers {
-				for _, run := range w.running {
-					run.Percent = 100
-				}
-			}
-			h.advance(100 * time.Millisecond)
-		}
-	}
+	runFor := func(d time.Duration) { h.advanceStartedUp(d) }
 	// serves reports whether a task of a job whose ID has the given prefix runs on the worker.
 	serves := func(id membership.InstanceID, job string) bool {
 		for task := range h.workers[id].running {
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -23,10 +23,8 @@
 	occurrences   [][]*step
 	// remainingTasks counts the tasks that haven't succeeded.
 	remainingTasks int
-	// transfers has the tasks that other shards run, takenTasks those that another shard has
-	// transferred here.
-	transfers  map[Shard]*outgoingTransfer
-	takenTasks map[int]bool
+	// transfers has the tasks that other shards run.
+	transfers map[Shard]*outgoingTransfer
 	// activeAttempts counts the attempts that may be running.
 	activeAttempts int
 	// objective is the target for the duration of the job.
--- a/internal/decision/dispatch/load.go
+++ b/internal/decision/dispatch/load.go
@@ -49,7 +49,7 @@
 // tasksElsewhere returns the number of tasks that other shards run.
 func (s *step) tasksElsewhere() int {
 	count := 0
-	if len(s.job.transfers) == 0 && len(s.job.takenTasks) == 0 {
+	if len(s.job.transfers) == 0 && len(s.job.Transferred) == 0 {
 		return count
 	}
 	for _, t := range s.tasks {
--- a/internal/decision/dispatch/transfer.go
+++ b/internal/decision/dispatch/transfer.go
@@ -232,22 +232,15 @@
 	return true
 }
 
-// takeTransferred adds the tasks of a job that were transferred to this shard. All other tasks of the
-// job run elsewhere.
+// takeTransferred adds the tasks of a job that were transferred to this shard and that don't run here
+// yet.
 func (j *job) takeTransferred(now time.Time, tasks []TransferredTask) {
 	s := j.occurrences[0][0]
-	if len(j.takenTasks) == 0 {
-		for _, t := range s.tasks {
-			t.leave()
-		}
-		j.takenTasks = map[int]bool{}
-	}
 	j.Transferred, j.started = tasks, true
 	for _, moved := range tasks {
-		if moved.Index < 0 || moved.Index >= len(s.tasks) || j.takenTasks[moved.Index] {
+		if moved.Index < 0 || moved.Index >= len(s.tasks) || !s.tasks[moved.Index].elsewhere {
 			continue
 		}
-		j.takenTasks[moved.Index] = true
 		t := s.tasks[moved.Index]
 		t.elsewhere, t.run, t.firstRun = false, moved.Run, moved.Run
 		if t.checkpoint == "" {
--- a/internal/decision/dispatch/transfer_test.go
+++ b/internal/decision/dispatch/transfer_test.go
@@ -18,16 +18,6 @@
 		firstTask = 0
 	)
 	task := func(index int) dispatch.TaskID { return dispatch.TaskID{Job: "watch", Index: index} }
-	pass := func(h *harness, d time.Duration) {
-		for range int(d / (100 * time.Millisecond)) {
-			for _, w := range h.workers {
-				for _, run := range w.running {
-					run.Percent = 100
-				}
-			}
-			h.advance(100 * time.Millisecond)
-		}
-	}
 	indices := func(transfers []dispatch.Transfer) []int {
 		var list []int
 		for _, transfer := range transfers {
@@ -45,7 +35,7 @@
 		h.listWorkers()
 		h.advance(0)
 		h.submit("watch", longRunningStep(2, 4))
-		pass(h, time.Second)
+		h.advanceStartedUp(time.Second)
 		Expect(h.workersOf("watch")).To(HaveLen(2))
 		for id, w := range h.workers {
 			if _, first := w.running[task(firstTask)]; first {
@@ -53,7 +43,7 @@
 			}
 		}
 		h.listWorkers()
-		pass(h, 10*time.Second)
+		h.advanceStartedUp(10 * time.Second)
 		Expect(h.workersOf("watch")).To(HaveLen(1))
 		return h
 	}
@@ -61,7 +51,7 @@
 	transferred := func() (*harness, []dispatch.Transfer) {
 		h := overfull()
 		h.engine.TransferTask(h.now, task(firstTask), target)
-		pass(h, 200*time.Millisecond)
+		h.advanceStartedUp(200 * time.Millisecond)
 		return h, h.engine.TakeTransfers()
 	}
 	// receive adds transferred tasks to the engine of another shard.
@@ -88,7 +78,7 @@
 		starts := len(h.starts)
 		h.workers["late"] = newFakeWorker("late", 6)
 		h.listWorkers()
-		pass(h, 2*time.Second)
+		h.advanceStartedUp(2 * time.Second)
 		Expect(h.starts).To(HaveLen(starts))
 		Expect(indices(h.engine.TakeTransfers())).To(Equal([]int{firstTask}))
 		Expect(h.engine.Load(h.now).LongRunning).To(BeEquivalentTo(4000))
@@ -98,7 +88,7 @@
 		h, transfers := transferred()
 		last := h.starts[0].Run
 		other := receive(h, 1, transfers)
-		pass(other, time.Second)
+		other.advanceStartedUp(time.Second)
 		Expect(other.workersOf("watch")).To(HaveLen(1))
 		Expect(other.starts).To(HaveLen(1))
 		Expect(other.starts[0].Task).To(Equal(task(firstTask)))
@@ -109,13 +99,13 @@
 	It("are joined by further tasks of their job", func() {
 		h, transfers := transferred()
 		other := receive(h, 1, transfers)
-		pass(other, time.Second)
+		other.advanceStartedUp(time.Second)
 		more := transfers[0].Job
 		more.Transferred = append(more.Transferred, dispatch.TransferredTask{Index: 1, Run: 7, Down: 5 * time.Second})
 		Expect(other.engine.HasTasks(&more)).To(BeFalse())
 		other.engine.AddJob(other.now, more, dispatch.Progress{}, false)
 		Expect(other.engine.HasTasks(&more)).To(BeTrue())
-		pass(other, time.Second)
+		other.advanceStartedUp(time.Second)
 		Expect(other.workersOf("watch")).To(HaveLen(2))
 		Expect(other.starts).To(HaveLen(2))
 	})
@@ -131,7 +121,7 @@
 			ID: "watch", Queue: batchQueue, Accepted: next.now, Steps: []dispatch.Step{longRunningStep(2, 4)},
 		}, batch.Updates[0].Progress, true)
 		next.engine.Recover(next.now, 0)
-		pass(next, 10*time.Second)
+		next.advanceStartedUp(10 * time.Second)
 		Expect(indices(next.engine.TakeTransfers())).To(Equal([]int{firstTask}))
 		for _, start := range next.starts {
 			Expect(start.Task).NotTo(Equal(task(firstTask)))
@@ -143,9 +133,9 @@
 		h, transfers := transferred()
 		transfers[0].Job.Transferred[0].Run = 4003
 		first := receive(h, 1, transfers)
-		pass(first, time.Second)
+		first.advanceStartedUp(time.Second)
 		second := receive(h, 2, transfers)
-		pass(second, time.Second)
+		second.advanceStartedUp(time.Second)
 		Expect(first.starts[0].Run).To(Equal(dispatch.Run(4004)))
 		Expect(second.starts[0].Run).To(Equal(dispatch.Run(5004)))
 	})
@@ -156,7 +146,7 @@
 		w.running[task(firstTask)] = &dispatch.RunningTask{TaskRun: dispatch.TaskRun{Task: task(firstTask), Run: 1}}
 		h.workers["back"] = w
 		h.listWorkers()
-		pass(h, 2*time.Second)
+		h.advanceStartedUp(2 * time.Second)
 		Expect(h.workersOf("watch")).NotTo(ContainElement(membership.InstanceID("back")))
 	})
 
@@ -166,7 +156,7 @@
 		h, _ := transferred()
 		h.engine.Cancel(h.now, "watch")
 		Expect(h.engine.TransferTargets("watch")).To(Equal([]dispatch.Shard{target}))
-		pass(h, time.Second)
+		h.advanceStartedUp(time.Second)
 		Expect(h.engine.TakeBatch(10).Updates).To(BeEmpty())
 		expectState(h, "watch", dispatch.Cancelled)
 		h.engine.EndTransfer("watch", target)
@@ -177,7 +167,7 @@
 		h := overfull()
 		h.engine.TransferTask(h.now, task(firstTask), target)
 		h.engine.Cancel(h.now, "watch")
-		pass(h, time.Second)
+		h.advanceStartedUp(time.Second)
 		Expect(h.engine.TakeTransfers()).To(BeEmpty())
 		Expect(h.engine.TransferTargets("watch")).To(BeEmpty())
 		expectState(h, "watch", dispatch.Cancelled)
@@ -192,7 +182,7 @@
 			ID: "watch", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{longRunningStep(2, 4)},
 		}, dispatch.Progress{}, true)
 		h.engine.Recover(h.now, 0)
-		pass(h, 20*time.Second)
+		h.advanceStartedUp(20 * time.Second)
 		return h
 	}
 	// transferFirst transfers the task that has been down the longest.
@@ -200,14 +190,14 @@
 		candidates := h.engine.TransferCandidates(h.now, 1)
 		Expect(candidates).To(HaveLen(1))
 		h.engine.TransferTask(h.now, candidates[0].Task, target)
-		pass(h, 200*time.Millisecond)
+		h.advanceStartedUp(200 * time.Millisecond)
 		return h.engine.TakeTransfers()
 	}
 
 	// Guards against a run number that was used before: a new owner doesn't know those of earlier epochs.
 	It("get run numbers that no owner of an earlier epoch used, also if they were down at the takeover", func() {
 		other := receive(newHarness(1, 0), 1, transferFirst(recovered(3, 1)))
-		pass(other, time.Second)
+		other.advanceStartedUp(time.Second)
 		Expect(other.starts).To(HaveLen(1))
 		Expect(other.starts[0].Run).To(BeNumerically(">", 2000))
 	})
--- a/internal/entry/dispatcher/transfer.go
+++ b/internal/entry/dispatcher/transfer.go
@@ -85,7 +85,7 @@
 		return
 	}
 	take := func(l balance.Load) balance.Load { return l.TakeRoom(need) }
-	loads[o.shard.id] = loads[o.shard.id].Sub(balance.Demand{LongRunning: c.Resources.Processors, Started: c.Resources.Processors})
+	loads[o.shard.id] = loads[o.shard.id].Sub(need.Demand())
 	loads[chosen] = take(loads[chosen])
 	o.node.allShards()[chosen].changeKnownLoad(take)
 	o.lock.Lock()
