Log how old the copy of the operator's rows is, and how much of an answer arrived

The logs couldn't tell a watch that the store never answers, an answer that is cut off, and a mirror that hangs while it applies a change apart: the first two wrote the same line, the third none.

RowsOld says once a second, from another goroutine than the mirror's, that the copy is older than the bound for changes, what the mirror is doing and which version is in force. RowsReadFailed has the bytes that had arrived. JobAccepted names the version of the configuration.

--- a/internal/entry/dispatcher/client_requests.go
+++ b/internal/entry/dispatcher/client_requests.go
@@ -47,12 +47,13 @@
 		return err
 	}
 	start := n.Clock.Now()
+	version := n.configurationVersion()
 	err = s.submit(ctx, j)
 	took := n.Clock.Now().Sub(start)
 	n.Latencies.Observe("Latency.Accept", took)
 	if err == nil {
 		n.RoutineLog.Info().Str("Event", "JobAccepted").Str("Job", string(j.ID)).Str("Queue", string(j.Queue)).
-			Dur("Took", took).Send()
+			Int64("Version", int64(version)).Dur("Took", took).Send()
 	}
 	return err
 }
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -1,7 +1,9 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -19,6 +21,8 @@
 const (
 	// operatorWatchInterval is the minimum time between two reads of the operator's rows.
 	operatorWatchInterval = 50 * time.Millisecond
+	// oldRowsInterval is the time between two log lines about rows that are too old.
+	oldRowsInterval = time.Second
 	// configurationRows names the operator's rows in counters and logs.
 	configurationRows = "Configuration"
 )
@@ -78,7 +82,9 @@
 	n.lock.Lock()
 	n.group, n.groupContext = group, ctx
 	n.lock.Unlock()
-	group.Go(func() error { return n.mirrorOperator().Run(ctx) })
+	operatorRows := n.mirrorOperator()
+	group.Go(func() error { return operatorRows.Run(ctx) })
+	group.Go(func() error { return n.reportOldRows(ctx, configurationRows, operatorRows) })
 	group.Go(func() error {
 		layout, err := n.loadLayout(ctx)
 		if err != nil {
@@ -115,6 +121,14 @@
 	return n.config.Load()
 }
 
+// configurationVersion returns the version of the configuration in force, 0 if none is known.
+func (n *Node) configurationVersion() queue.Version {
+	if c := n.config.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 func (n *Node) mirrorOperator() *table.Mirror {
 	return n.mirror(configurationRows, n.Catalog.OperatorPrefix(), operatorWatchInterval, n.applyOperator)
 }
@@ -142,8 +156,28 @@
 	if c.Err == nil && !c.AfterFailure && (name != configurationRows || c.Changes == 0) {
 		return
 	}
-	n.Log.Info().Str("Event", event).Str("Rows", name).Bool("Snapshot", c.Snapshot).Int("Changes", c.Changes).
-		Int64("RowsVersion", int64(c.Version)).Dur("Took", c.Took).Dur("Age", c.Age).Err(c.Err).Send()
+	line := n.Log.Info().Str("Event", event).Str("Rows", name).Bool("Snapshot", c.Snapshot).Int("Changes", c.Changes).
+		Int64("RowsVersion", int64(c.Version)).Dur("Took", c.Took).Dur("Age", c.Age).Err(c.Err)
+	var partial *table.PartialAnswerError
+	if errors.As(c.Err, &partial) {
+		line = line.Int64("Received", partial.Received).Int64("Size", partial.Size)
+	}
+	line.Send()
+}
+
+// reportOldRows logs every oldRowsInterval that a copy of rows is older than the bound for
+// changes, and what its mirror is doing. A mirror that hangs logs nothing itself.
+func (n *Node) reportOldRows(ctx context.Context, name string, mirror *table.Mirror) error {
+	bound := cmp.Or(n.ChangeBound, table.DefaultChangeBound)
+	return n.every(ctx, oldRowsInterval, func() {
+		state := mirror.State()
+		if state.Age <= bound {
+			return
+		}
+		n.Counters.Add(name+".Old", 1)
+		n.Log.Warn().Str("Event", "RowsOld").Str("Rows", name).Dur("Age", state.Age).Str("Phase", string(state.Phase)).
+			Dur("PhaseAge", state.PhaseAge).Int64("Version", int64(n.configurationVersion())).Send()
+	})
 }
 
 // applyOperator puts a configuration in force. If it is older than the current one,
--- a/internal/platform/table/watch.go
+++ b/internal/platform/table/watch.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -13,6 +15,22 @@
 // all rows must be read again.
 var ErrCompacted = errors.New("table: the history is compacted")
 
+// PartialAnswerError reports that only the beginning of an answer arrived.
+type PartialAnswerError struct {
+	// Received is the number of bytes that arrived, and Size the size of the whole answer in
+	// bytes, -1 if the service didn't announce it.
+	Received, Size int64
+	Err            error
+}
+
+// Error returns the numbers of bytes and the cause.
+func (e *PartialAnswerError) Error() string {
+	return fmt.Sprintf("%d of %d bytes of the answer received: %v", e.Received, e.Size, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *PartialAnswerError) Unwrap() error { return e.Err }
+
 // Change is the write or the removal of a row.
 type Change struct {
 	Row
@@ -54,6 +72,28 @@
 	Err          error
 }
 
+// MirrorPhase is what a Mirror is doing.
+type MirrorPhase string
+
+// The phases of a Mirror.
+const (
+	// MirrorPausing means that the mirror pauses between two calls.
+	MirrorPausing MirrorPhase = "Pausing"
+	// MirrorReading means that the mirror waits for the service.
+	MirrorReading MirrorPhase = "Reading"
+	// MirrorApplying means that OnChange is running.
+	MirrorApplying MirrorPhase = "Applying"
+)
+
+// MirrorState describes a Mirror at a moment.
+type MirrorState struct {
+	Phase MirrorPhase
+	// PhaseAge is the time since the phase began.
+	PhaseAge time.Duration
+	// Age is the time since the last successful call ended, 0 if there was none.
+	Age time.Duration
+}
+
 // Mirror maintains a copy of the rows under a prefix.
 type Mirror struct {
 	Watcher Watcher
@@ -72,11 +112,44 @@
 
 	rows    map[Key]Row
 	version Version
-	// succeededAt is when the last successful call ended.
-	succeededAt time.Time
 	// lastCallFailed reports that the last call failed. The next call then doesn't wait
 	// for a change, so that it soon shows whether the service is available again.
 	lastCallFailed bool
+
+	// lock guards the fields below, which State reads.
+	lock       sync.Mutex
+	phase      MirrorPhase
+	phaseSince time.Time
+	// succeededAt is when the last successful call ended.
+	succeededAt time.Time
+}
+
+// State returns what the mirror is doing. It may be called while the mirror runs.
+func (m *Mirror) State() MirrorState {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	now := m.Clock.Now()
+	state := MirrorState{Phase: m.phase}
+	if !m.phaseSince.IsZero() {
+		state.PhaseAge = now.Sub(m.phaseSince)
+	}
+	if !m.succeededAt.IsZero() {
+		state.Age = now.Sub(m.succeededAt)
+	}
+	return state
+}
+
+// enter records that a phase begins.
+func (m *Mirror) enter(phase MirrorPhase) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.phase, m.phaseSince = phase, m.Clock.Now()
+}
+
+// apply passes the rows to OnChange.
+func (m *Mirror) apply() {
+	m.enter(MirrorApplying)
+	m.OnChange(m.rows)
 }
 
 // Run keeps the copy up to date until ctx ends, and returns the error of ctx.
@@ -87,6 +160,7 @@
 		if m.lastCallFailed {
 			pause = max(pause, minRetryPause)
 		}
+		m.enter(MirrorPausing)
 		select {
 		case <-ctx.Done():
 		case <-m.Clock.After(pause):
@@ -102,6 +176,7 @@
 		return
 	}
 	start := m.Clock.Now()
+	m.enter(MirrorReading)
 	changes, err := m.watch(ctx)
 	if errors.Is(err, ErrCompacted) {
 		_ = m.Load(ctx)
@@ -136,7 +211,7 @@
 			m.rows[c.Key] = c.Row
 		}
 	}
-	m.OnChange(m.rows)
+	m.apply()
 	return len(changes), nil
 }
 
@@ -144,6 +219,7 @@
 // Watch fails with ErrCompacted.
 func (m *Mirror) Load(ctx context.Context) error {
 	start := m.Clock.Now()
+	m.enter(MirrorReading)
 	rows, version, err := m.Watcher.Snapshot(ctx, m.Prefix)
 	if err == nil {
 		m.rows = make(map[Key]Row, len(rows))
@@ -151,7 +227,7 @@
 			m.rows[r.Key] = r
 		}
 		m.version = version
-		m.OnChange(m.rows)
+		m.apply()
 	}
 	m.recordCall(ctx, start, MirrorCall{Snapshot: true, Changes: len(rows), Err: err})
 	return err
@@ -162,14 +238,18 @@
 func (m *Mirror) recordCall(ctx context.Context, start time.Time, c MirrorCall) {
 	now := m.Clock.Now()
 	c.Version, c.Took, c.AfterFailure = m.version, now.Sub(start), m.lastCallFailed
-	if !m.succeededAt.IsZero() {
-		c.Age = now.Sub(m.succeededAt)
-	}
+	c.Age = m.State().Age
 	m.lastCallFailed = c.Err != nil
 	if c.Err == nil {
-		m.succeededAt = now
+		m.recordSuccess(now)
 	}
 	if m.OnCall != nil && ctx.Err() == nil {
 		m.OnCall(c)
 	}
 }
+
+func (m *Mirror) recordSuccess(at time.Time) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.succeededAt = at
+}
--- a/internal/platform/table/watch_test.go
+++ b/internal/platform/table/watch_test.go
@@ -129,4 +129,28 @@
 		Eventually(watches, 2*time.Second).Should(Receive(&second))
 		Expect(second.wait).To(BeZero())
 	})
+
+	// Guards against a mirror that hangs while it passes on a change, and that no log line tells
+	// from one whose service doesn't answer.
+	It("reports that it is passing on a change, and for how long", func() {
+		clock := clockwork.NewFakeClock()
+		applying, applied := make(chan struct{}), make(chan struct{})
+		mirror := &table.Mirror{
+			Watcher: scriptedWatcher{snapshot: func() ([]table.Row, table.Version, error) { return nil, 5, nil }},
+			Prefix:  prefix, Clock: clock,
+			OnChange: func(map[table.Key]table.Row) {
+				close(applying)
+				<-applied
+			},
+		}
+		var group errgroup.Group
+		group.Go(func() error { return mirror.Load(context.Background()) })
+		Eventually(applying, 2*time.Second).Should(BeClosed())
+		clock.Advance(time.Second)
+		Expect(mirror.State()).To(Equal(table.MirrorState{Phase: table.MirrorApplying, PhaseAge: time.Second}))
+		close(applied)
+		Expect(group.Wait()).To(Succeed())
+		clock.Advance(time.Second)
+		Expect(mirror.State().Age).To(Equal(time.Second))
+	})
 })
