Don't end a read of the store while its answer is arriving

Callers in the region without the store were served by a configuration that had been replaced 20 s before. With 2,846 routes an answer has about 800 KB, and the 19 instances of a region read it over one link of 60 Mbit/s, which takes 2 s.

--- a/internal/platform/table/watch.go
+++ b/internal/platform/table/watch.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/progress"
 )
 
 // ErrCompacted reports that the changes after a version are no longer available, so that
@@ -44,14 +46,19 @@
 	Snapshot(ctx context.Context, prefix Key) ([]Row, Version, error)
 	// Watch returns the changes after a version of rows whose keys start with prefix, in
 	// order, and the version up to which the changes are complete. If there are none, it
-	// waits for the first change for at most the given time. It fails with ErrCompacted,
-	// or with ErrUnavailable, also if ctx ends before there is an answer.
+	// waits for the first change for at most the given time. It reports the arrival of the
+	// answer to package progress. It fails with ErrCompacted, or with ErrUnavailable, also if
+	// ctx ends before there is an answer.
 	Watch(ctx context.Context, prefix Key, after Version, wait time.Duration) ([]Change, Version, error)
 }
 
 // DefaultChangeBound is the ChangeBound of a Mirror that sets none.
 const DefaultChangeBound = 2500 * time.Millisecond
 
+// maxWatchTime limits a call of Watch whose answer keeps arriving. At 0.5 Mbit/s that is enough
+// for 1.9 MB.
+const maxWatchTime = 30 * time.Second
+
 // minRetryPause is the minimum time before a Mirror repeats a failed call.
 const minRetryPause = 200 * time.Millisecond
 
@@ -187,10 +194,13 @@
 
 // watch waits for changes, applies them and returns their number. A service that was
 // interrupted may never answer a call that it received before, so the call ends after half
-// of ChangeBound. Half of that time is for the wait, half for the answer.
+// of ChangeBound, unless its answer is arriving. Half of that time is for the wait, half for
+// the answer to begin.
 func (m *Mirror) watch(ctx context.Context) (int, error) {
 	timeout := cmp.Or(m.ChangeBound, DefaultChangeBound) / 2
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancelAll := context.WithTimeout(ctx, maxWatchTime)
+	defer cancelAll()
+	ctx, cancel := progress.WithTimeout(ctx, timeout)
 	defer cancel()
 	wait := timeout / 2
 	if m.lastCallFailed {
