Read the operator's rows from the store once for each availability zone

Each instance read each change of the configuration itself. The time grows with instances times routes, so it reaches the bound of 4 s whatever the timeouts are.

One instance of each zone, the strongest, reads from the store, and the others ask it (Dispatch.OperatorRows). Without a fresh answer they read from the store as before. An instance that asks another one still calls the store every half bound, so that it finds out that the store is lost. Mechanism ZoneReader.

--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -93,7 +93,7 @@
 		policy = platform.PolicyClient{Address: s.PolicyAddress, HTTP: httpClient}
 	}
 	p.node = dispatcher.New(dispatcher.Options{
-		Name: s.Instance, PeerAddress: cmp.Or(opts.PeerAnnounceAddress, s.PeerAddress), Seeds: s.Seeds, Cores: s.Cores,
+		Name: s.Instance, Zone: s.Zone, PeerAddress: cmp.Or(opts.PeerAnnounceAddress, s.PeerAddress), Seeds: s.Seeds, Cores: s.Cores,
 		LeaseTerm: min(opts.LeaseTerm, s.MaxLease), MaxLease: s.MaxLease, StopTimeout: s.StopTimeout, ChangeBound: s.ChangeBound, RemoteDurationFactor: s.RemoteDurationFactor, Disabled: opts.Disabled,
 		Store:   platform.StoreClient{Address: s.StoreAddress, HTTP: httpClient},
 		Workers: platform.WorkerClient{HTTP: httpClient, Counters: p.counters},
--- a/internal/decision/mechanism/mechanism.go
+++ b/internal/decision/mechanism/mechanism.go
@@ -41,6 +41,7 @@
 	ShardBalance
 	EstimateExchange
 	OwnerRebalance
+	ZoneReader
 	count
 )
 
@@ -78,6 +79,7 @@
 	ShardBalance:         {"ShardBalance", "shards with unequal load"},
 	EstimateExchange:     {"EstimateExchange", "images that run in several shards"},
 	OwnerRebalance:       {"OwnerRebalance", "instances that own more shards than others"},
+	ZoneReader:           {"ZoneReader", "a large configuration that all instances of an availability zone read over one link"},
 }
 
 // Info returns the name of the mechanism and the load that it answers.
--- /dev/null
+++ b/internal/entry/dispatcher/changes_encoder.go
@@ -0,0 +1,73 @@
+package dispatcher
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
+)
+
+// maxDecodedChanges limits the size of decompressed changes in bytes. An answer of the store has
+// the same limit.
+const maxDecodedChanges = 8 << 20
+
+// changesEncoder encodes changes of one history as compressed JSON. It keeps the last result,
+// because several instances ask for the same changes. The zero value is ready to use.
+type changesEncoder struct {
+	lock sync.Mutex
+	// count and last tell the changes of the last result: those of a history that end at a
+	// version are the same if their number is.
+	count   int
+	last    table.Version
+	encoded []byte
+}
+
+// encode returns the encoded changes, which must be in the order of their versions and not empty.
+func (e *changesEncoder) encode(changes []table.Change) ([]byte, error) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	count, last := len(changes), changes[len(changes)-1].Version
+	if e.encoded != nil && e.count == count && e.last == last {
+		return e.encoded, nil
+	}
+	var buffer bytes.Buffer
+	writer, err := gzip.NewWriterLevel(&buffer, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.NewEncoder(writer).Encode(changes); err != nil {
+		return nil, fmt.Errorf("encode changes: %w", err)
+	}
+	if err := writer.Close(); err != nil {
+		return nil, fmt.Errorf("compress changes: %w", err)
+	}
+	e.count, e.last, e.encoded = count, last, buffer.Bytes()
+	return e.encoded, nil
+}
+
+// decodeChanges returns the changes that encode has encoded, none for nil.
+func decodeChanges(encoded []byte) ([]table.Change, error) {
+	if len(encoded) == 0 {
+		return nil, nil
+	}
+	reader, err := gzip.NewReader(bytes.NewReader(encoded))
+	if err != nil {
+		return nil, fmt.Errorf("decompress changes: %w", err)
+	}
+	content, err := io.ReadAll(io.LimitReader(reader, maxDecodedChanges+1))
+	if err != nil {
+		return nil, fmt.Errorf("decompress changes: %w", err)
+	}
+	if len(content) > maxDecodedChanges {
+		return nil, fmt.Errorf("decompressed changes are longer than %d bytes", maxDecodedChanges)
+	}
+	var changes []table.Change
+	if err := json.Unmarshal(content, &changes); err != nil {
+		return nil, fmt.Errorf("decode changes: %w", err)
+	}
+	return changes, nil
+}
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -79,6 +79,8 @@
 type Options struct {
 	// Name identifies the entry instance for its lifetime.
 	Name membership.InstanceID
+	// Zone is the availability zone of the entry instance.
+	Zone membership.Zone
 	// PeerAddress is the address at which other instances reach this one.
 	PeerAddress string
 	// Seeds are the peer addresses to contact first.
--- a/internal/entry/dispatcher/messages.go
+++ b/internal/entry/dispatcher/messages.go
@@ -7,6 +7,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
 )
 
 // Method names of the calls between entry instances.
@@ -23,6 +24,8 @@
 	estimatesMethod   = "Dispatch.Estimates"
 	relaySubmitMethod = "Dispatch.RelaySubmit"
 	relayCancelMethod = "Dispatch.RelayCancel"
+	// operatorRowsMethod is unknown to instances of earlier builds.
+	operatorRowsMethod = "Dispatch.OperatorRows"
 )
 
 // peer describes an entry instance to other instances.
@@ -120,3 +123,22 @@
 	// the shard.
 	CanClaim bool
 }
+
+// operatorRowsRequest asks an instance of the same availability zone for the changes of the
+// operator's rows after a version. If there are none, the instance waits for one.
+type operatorRowsRequest struct {
+	Zone  membership.Zone
+	After table.Version
+	Wait  time.Duration
+}
+
+// operatorRowsAnswer has the changes. An instance of another zone answers with its zone only.
+type operatorRowsAnswer struct {
+	Zone membership.Zone
+	// Version is the version up to which the changes are complete.
+	Version table.Version `json:",omitempty"`
+	// Age is the time since the instance read the rows from the store.
+	Age time.Duration `json:",omitempty"`
+	// Changes has the changes as JSON, compressed with gzip; nil if there are none.
+	Changes []byte `json:",omitempty"`
+}
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -38,6 +38,9 @@
 	// claimsInProgress counts the claims in progress.
 	claimsInProgress atomic.Int32
 	probe            storeProbe
+	// callingStore is set while keepCallingStore makes a call.
+	callingStore atomic.Bool
+	operatorRows *operatorRows
 
 	lock sync.Mutex
 	// group has the goroutines of Run, and groupContext ends when they must.
@@ -56,6 +59,7 @@
 		peers:   map[membership.InstanceID]knownPeer{},
 	}
 	n.store = monitoredStore{Store: options.Store, clock: options.Clock, counters: options.Counters, latencies: options.Latencies, log: options.Log}
+	n.operatorRows = newOperatorRows(n)
 	return n
 }
 
@@ -73,6 +77,7 @@
 	entry.Handle(server, estimatesMethod, n.handleEstimates)
 	entry.Handle(server, relaySubmitMethod, n.handleRelaySubmit)
 	entry.Handle(server, relayCancelMethod, n.handleRelayCancel)
+	entry.Handle(server, operatorRowsMethod, n.handleOperatorRows)
 }
 
 // Run watches the configuration and the owners of the shards until ctx ends. It claims
@@ -130,7 +135,14 @@
 }
 
 func (n *Node) mirrorOperator() *table.Mirror {
-	return n.mirror(configurationRows, n.Catalog.OperatorPrefix(), operatorWatchInterval, n.applyOperator)
+	m := n.mirror(configurationRows, n.Catalog.OperatorPrefix(), operatorWatchInterval, n.applyOperator)
+	m.Watcher = n.operatorRows
+	return m
+}
+
+// changeBound returns how soon a change in the store must take effect on this instance.
+func (n *Node) changeBound() time.Duration {
+	return cmp.Or(n.ChangeBound, table.DefaultChangeBound)
 }
 
 // mirror returns a mirror of the rows under a prefix. Failures are counted under the
@@ -168,10 +180,9 @@
 // reportOldRows logs every oldRowsInterval that a copy of rows is older than the bound for
 // changes, and what its mirror is doing. A mirror that hangs logs nothing itself.
 func (n *Node) reportOldRows(ctx context.Context, name string, mirror *table.Mirror) error {
-	bound := cmp.Or(n.ChangeBound, table.DefaultChangeBound)
 	return n.every(ctx, oldRowsInterval, func() {
 		state := mirror.State()
-		if state.Age <= bound {
+		if state.Age <= n.changeBound() {
 			return
 		}
 		n.Counters.Add(name+".Old", 1)
--- a/internal/entry/dispatcher/probe.go
+++ b/internal/entry/dispatcher/probe.go
@@ -63,3 +63,19 @@
 	}
 	return !n.probe.unreachable(n.Clock.Now())
 }
+
+// keepCallingStore calls the store in the background if this instance hasn't called it for half of
+// the bound for changes, so that an instance that reads the operator's rows from another one
+// also finds out that the store is lost.
+func (n *Node) keepCallingStore() {
+	if n.Clock.Now().Sub(n.store.lastCallAt()) <= n.changeBound()/2 || !n.callingStore.CompareAndSwap(false, true) {
+		return
+	}
+	n.background(func(ctx context.Context) error {
+		defer n.callingStore.Store(false)
+		if _, err := n.read(ctx, layoutKey); err != nil {
+			n.Counters.Add("Store.CheckFailed", 1)
+		}
+		return nil
+	})
+}
--- a/internal/entry/dispatcher/store.go
+++ b/internal/entry/dispatcher/store.go
@@ -27,6 +27,8 @@
 	failures int
 	// lostAt is when the store was found to be lost, zero while it answers.
 	lostAt time.Time
+	// calledAt is when a call last ended.
+	calledAt time.Time
 }
 
 // lostAfterFailures is the number of consecutive failures after which the store counts
@@ -77,6 +79,7 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	now := s.clock.Now()
+	s.calledAt = now
 	if unanswered {
 		s.failures++
 		if s.failures == lostAfterFailures {
@@ -91,8 +94,8 @@
 	s.failures, s.lostAt = 0, time.Time{}
 }
 
-// lostFor returns how long the store has been lost, and whether it is lost. The mirror
-// of the operator's rows keeps calling the store and so detects when it answers again.
+// lostFor returns how long the store has been lost, and whether it is lost. While it is, the
+// mirror of the operator's rows keeps calling it and so detects when it answers again.
 func (s *monitoredStore) lostFor() (time.Duration, bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -101,3 +104,10 @@
 	}
 	return s.clock.Now().Sub(s.lostAt), true
 }
+
+// lastCallAt returns when a call to the store last ended.
+func (s *monitoredStore) lastCallAt() time.Time {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.calledAt
+}
--- a/internal/platform/progress/progress.go
+++ b/internal/platform/progress/progress.go
@@ -9,8 +9,13 @@
 	"time"
 )
 
-// callKey is the key of the *call in the values of a context.
-type callKey struct{}
+// observerKey is the key of the innermost observer in the values of a context.
+type observerKey struct{}
+
+// observer is told of the progress of a call.
+type observer interface {
+	progressed()
+}
 
 // call is the context of a call that must make progress.
 type call struct {
@@ -38,13 +43,14 @@
 // Made reports that the call with this context, or with one derived from it, has made progress.
 // It does nothing for contexts without such a timeout.
 func Made(ctx context.Context) {
-	if c, ok := ctx.Value(callKey{}).(*call); ok {
-		c.extend()
+	if o, ok := ctx.Value(observerKey{}).(observer); ok {
+		o.progressed()
 	}
 }
 
-// extend restarts the timeout, unless the call has ended.
-func (c *call) extend() {
+// progressed restarts the timeout, unless the call has ended.
+func (c *call) progressed() {
+	Made(c.Context)
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	if c.Context.Err() == nil && c.timer.Stop() {
@@ -71,10 +77,35 @@
 	return context.Cause(c.Context)
 }
 
-// Value returns the call itself for callKey.
+// Value returns the call itself for observerKey.
 func (c *call) Value(key any) any {
-	if key == (callKey{}) {
+	if key == (observerKey{}) {
 		return c
 	}
 	return c.Context.Value(key)
 }
+
+// notifier is a context that passes progress on to a function.
+type notifier struct {
+	context.Context
+	notify func()
+}
+
+// WithNotify returns a context that calls a function at each Made with it or with one derived from
+// it.
+func WithNotify(parent context.Context, notify func()) context.Context {
+	return &notifier{parent, notify}
+}
+
+func (n *notifier) progressed() {
+	Made(n.Context)
+	n.notify()
+}
+
+// Value returns the notifier itself for observerKey.
+func (n *notifier) Value(key any) any {
+	if key == (observerKey{}) {
+		return n
+	}
+	return n.Context.Value(key)
+}
--- a/internal/platform/progress/progress_test.go
+++ b/internal/platform/progress/progress_test.go
@@ -69,6 +69,20 @@
 		Expect(ctx.Err()).To(MatchError(context.Canceled))
 	})
 
+	It("notifies of the progress, and passes it on to outer timeouts", func() {
+		ctx, cancel := progress.WithTimeout(context.Background(), long)
+		defer cancel()
+		notified := 0
+		notifying := progress.WithNotify(ctx, func() { notified++ })
+		first := deadline(ctx)
+		time.Sleep(time.Millisecond)
+		progress.Made(notifying)
+		Expect(notified).To(Equal(1))
+		Expect(deadline(ctx)).To(BeTemporally(">", first))
+		progress.Made(ctx)
+		Expect(notified).To(Equal(1))
+	})
+
 	It("ignores progress of other contexts", func() {
 		progress.Made(context.Background())
 	})
