--- a/internal/entry/dispatcher/zone_reader_test.go
+++ b/internal/entry/dispatcher/zone_reader_test.go
@@ -10,7 +10,7 @@
 )
 
 var _ = Describe("The zone reader", func() {
-	any := func(peer) bool { return true }
+	mayReadAll := func(peer) bool { return true }
 	instances := []peer{{Name: "a", Cores: 0.1}, {Name: "b", Cores: 0.8}, {Name: "c", Cores: 0.8}, {Name: "d", Cores: 0.1}}
 
 	// choose returns the instance that one of the instances reads from, possibly itself.
@@ -22,17 +22,17 @@
 
 	// Guards against two instances that each read from the other one.
 	It("is the same strong instance for all instances that know each other", func() {
-		first := choose(instances[0], instances, any)
+		first := choose(instances[0], instances, mayReadAll)
 		Expect(first).To(BeElementOf(membership.InstanceID("b"), membership.InstanceID("c")))
 		for _, self := range instances {
-			Expect(choose(self, instances, any)).To(Equal(first))
+			Expect(choose(self, instances, mayReadAll)).To(Equal(first))
 		}
 		_, other := zoneReader("z", peer{Name: first, Cores: 0.8}, instances, func(p peer) bool { return p.Name != first })
 		Expect(other).To(BeFalse())
 	})
 
 	It("is the next one if the strongest may not be asked, and the instance itself if none may", func() {
-		first := choose(instances[0], instances, any)
+		first := choose(instances[0], instances, mayReadAll)
 		second := choose(instances[0], instances, func(p peer) bool { return p.Name != first })
 		Expect([]membership.InstanceID{first, second}).To(ConsistOf(membership.InstanceID("b"), membership.InstanceID("c")))
 		reader, found := zoneReader("z", instances[0], instances[1:], func(peer) bool { return false })
@@ -43,7 +43,7 @@
 	It("differs between zones of equally strong instances", func() {
 		readers := map[membership.InstanceID]bool{}
 		for _, zone := range []membership.Zone{"z1", "z2", "z3", "z4", "z5", "z6", "z7", "z8"} {
-			reader, _ := zoneReader(zone, peer{Name: "self"}, []peer{{Name: "e", Cores: 1}, {Name: "f", Cores: 1}}, any)
+			reader, _ := zoneReader(zone, peer{Name: "self"}, []peer{{Name: "e", Cores: 1}, {Name: "f", Cores: 1}}, mayReadAll)
 			readers[reader.Name] = true
 		}
 		Expect(readers).To(HaveLen(2))
