Don't end calls of serve to the platform while the response is arriving

The timeout now begins anew whenever data arrives, and a call ends after 30 s in any case, which moves from the mirror to package progress.

The new spec of table.Client, a response that keeps arriving for 1.5 s with a timeout of 1 s, failed before ('no usable response: context deadline exceeded') and passes.

--- a/internal/platform/membership/client.go
+++ b/internal/platform/membership/client.go
@@ -50,7 +50,7 @@
 	Address string
 	// HTTP sends the requests; nil means http.DefaultClient.
 	HTTP *http.Client
-	// Timeout limits each call; 0 means protocol.DefaultTimeout.
+	// Timeout is how long a call may make no progress; 0 means protocol.DefaultTimeout.
 	Timeout time.Duration
 }
 
--- a/internal/platform/object/client.go
+++ b/internal/platform/object/client.go
@@ -20,14 +20,14 @@
 )
 
 // Client is a Store that calls the object store over HTTP. Each call ends when its
-// context ends or Timeout has passed, whichever is earlier.
+// context ends or it has made no progress for Timeout, whichever is earlier.
 type Client struct {
 	// Address is the host:port of the platform.
 	Address string
 	// HTTP sends the requests; nil means http.DefaultClient.
 	HTTP *http.Client
-	// Timeout limits each call; 0 means protocol.DefaultTimeout. Transferring large
-	// objects between regions takes longer than that.
+	// Timeout is how long a call may make no progress; 0 means protocol.DefaultTimeout. Sending
+	// a large object to another region takes longer than that.
 	Timeout time.Duration
 }
 
--- a/internal/platform/progress/progress.go
+++ b/internal/platform/progress/progress.go
@@ -5,10 +5,14 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 )
 
+// maxCallTime limits a call that keeps making progress. At 0.5 Mbit/s that is enough for 1.9 MB.
+const maxCallTime = 30 * time.Second
+
 // observerKey is the key of the innermost observer in the values of a context.
 type observerKey struct{}
 
@@ -28,15 +32,18 @@
 }
 
 // WithTimeout returns a context that ends with context.DeadlineExceeded when the timeout has
-// passed since the start or, if that is later, since the last Made. The caller must call the
-// returned function once the call has ended.
+// passed since the start or, if that is later, since the last Made, and in any case after 30 s
+// (or the timeout, if that is longer). The caller must call the returned function once the call
+// has ended.
 func WithTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(parent)
+	limited, cancelLimited := context.WithTimeout(parent, max(timeout, maxCallTime))
+	ctx, cancel := context.WithCancelCause(limited)
 	c := &call{Context: ctx, timeout: timeout, deadline: time.Now().Add(timeout)}
 	c.timer = time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
 	return c, func() {
 		c.timer.Stop()
 		cancel(context.Canceled)
+		cancelLimited()
 	}
 }
 
@@ -48,6 +55,25 @@
 	}
 }
 
+// Reader returns a reader of a response that reports the progress of the call with this context
+// whenever data arrives.
+func Reader(ctx context.Context, response io.Reader) io.Reader {
+	return &reader{ctx, response}
+}
+
+type reader struct {
+	ctx      context.Context
+	response io.Reader
+}
+
+func (r *reader) Read(buffer []byte) (int, error) {
+	n, err := r.response.Read(buffer)
+	if n > 0 {
+		Made(r.ctx)
+	}
+	return n, err
+}
+
 // progressed restarts the timeout, unless the call has ended.
 func (c *call) progressed() {
 	Made(c.Context)
--- a/internal/platform/progress/progress_test.go
+++ b/internal/platform/progress/progress_test.go
@@ -19,7 +19,7 @@
 var _ = Describe("The context of a call that must make progress", func() {
 	const (
 		short = 30 * time.Millisecond
-		long  = time.Minute
+		long  = 10 * time.Second
 	)
 
 	deadline := func(ctx context.Context) time.Time {
@@ -62,6 +62,17 @@
 		Expect(ctx.Err()).To(MatchError(context.DeadlineExceeded))
 	})
 
+	It("ends after 30 s even if it makes progress", func() {
+		ctx, cancel := progress.WithTimeout(context.Background(), long)
+		defer cancel()
+		inner, cancelInner := progress.WithTimeout(ctx, time.Hour)
+		defer cancelInner()
+		for _, c := range []context.Context{ctx, inner} {
+			progress.Made(c)
+			Expect(deadline(c)).To(BeTemporally("~", time.Now(), 30*time.Second))
+		}
+	})
+
 	It("isn't revived by progress after its end", func() {
 		ctx, cancel := progress.WithTimeout(context.Background(), long)
 		cancel()
--- a/internal/platform/protocol/protocol.go
+++ b/internal/platform/protocol/protocol.go
@@ -14,6 +14,8 @@
 	"net/url"
 	"sync/atomic"
 	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/progress"
 )
 
 // DefaultTimeout limits a call whose Endpoint has no Timeout.
@@ -78,7 +80,8 @@
 	Address string
 	// HTTP sends the requests; nil means http.DefaultClient.
 	HTTP *http.Client
-	// Timeout limits a call in addition to its context; 0 means DefaultTimeout.
+	// Timeout is how long a call may make no progress, in addition to its context; 0 means
+	// DefaultTimeout.
 	Timeout time.Duration
 }
 
@@ -95,7 +98,7 @@
 // Call sends a request and returns the body of a successful response. It fails with a
 // *Refusal or a *Failure.
 func (e Endpoint) Call(ctx context.Context, request Request) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, e.timeout())
+	ctx, cancel := progress.WithTimeout(ctx, e.timeout())
 	defer cancel()
 	var tracker sendTracker
 	answer, err := e.send(httptrace.WithClientTrace(ctx, tracker.trace()), request)
@@ -104,7 +107,8 @@
 		return nil, &Failure{Sent: tracker.mayHaveSent(), Err: err}
 	}
 	defer answer.Body.Close()
-	body, err := readLimited(answer.Body, request.maxAnswer())
+	progress.Made(ctx)
+	body, err := readLimited(progress.Reader(ctx, answer.Body), request.maxAnswer())
 	if err != nil {
 		e.closeIdleAfterTimeout(ctx)
 		return nil, &Failure{Sent: true, Err: err}
--- a/internal/platform/table/client.go
+++ b/internal/platform/table/client.go
@@ -61,7 +61,7 @@
 	Address string
 	// HTTP sends the requests; nil means http.DefaultClient.
 	HTTP *http.Client
-	// Timeout limits each request; 0 means protocol.DefaultTimeout.
+	// Timeout is how long a request may make no progress; 0 means protocol.DefaultTimeout.
 	Timeout time.Duration
 }
 
--- a/internal/platform/table/client_test.go
+++ b/internal/platform/table/client_test.go
@@ -64,6 +64,27 @@
 		Expect(err).NotTo(MatchError(table.ErrOutcomeUnknown))
 	})
 
+	// Guards against a large answer that never arrives over a full link, because each call for it
+	// ends after a fixed time.
+	It("receives an answer that takes longer than the timeout but keeps arriving", func(ctx SpecContext) {
+		const (
+			timeout = time.Second
+			parts   = 10
+			pause   = 150 * time.Millisecond
+		)
+		client := table.Client{Timeout: timeout, Address: serve(func(w http.ResponseWriter, _ *http.Request) {
+			for range parts {
+				_, _ = w.Write([]byte(" "))
+				w.(http.Flusher).Flush()
+				time.Sleep(pause)
+			}
+			_, _ = w.Write([]byte(`{"Versions":{"k":1}}`))
+		})}
+		result, err := client.Commit(ctx, newTransaction("a", "k", "1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Versions).To(HaveKeyWithValue(table.Key("k"), table.Version(1)))
+	})
+
 	It("stops waiting for an unresponsive service after the timeout", func(ctx SpecContext) {
 		release := make(chan struct{})
 		address := serve(func(http.ResponseWriter, *http.Request) { <-release })
--- a/internal/platform/table/watch.go
+++ b/internal/platform/table/watch.go
@@ -55,10 +55,6 @@
 // DefaultChangeBound is the ChangeBound of a Mirror that sets none.
 const DefaultChangeBound = 2500 * time.Millisecond
 
-// maxWatchTime limits a call of Watch whose answer keeps arriving. At 0.5 Mbit/s that is enough
-// for 1.9 MB.
-const maxWatchTime = 30 * time.Second
-
 // minRetryPause is the minimum time before a Mirror repeats a failed call.
 const minRetryPause = 200 * time.Millisecond
 
@@ -198,8 +194,6 @@
 // the answer to begin.
 func (m *Mirror) watch(ctx context.Context) (int, error) {
 	timeout := cmp.Or(m.ChangeBound, DefaultChangeBound) / 2
-	ctx, cancelAll := context.WithTimeout(ctx, maxWatchTime)
-	defer cancelAll()
 	ctx, cancel := progress.WithTimeout(ctx, timeout)
 	defer cancel()
 	wait := timeout / 2
