--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -69,8 +69,11 @@
 		return o.accept(ctx, j)
 	}
 	address, known := s.ownerAddress()
-	if !known || s.currentView().storeLost {
+	switch {
+	case !known:
 		return errNotAccepted
+	case s.currentView().storeLost:
+		return s.confirmStored(ctx, j.ID)
 	}
 	answer, err := entry.Call[acceptRequest, acceptAnswer](ctx, s.node.Peers, address, acceptMethod, acceptRequest{s.id, j})
 	switch {
@@ -86,6 +89,16 @@
 	}
 }
 
+// confirmStored asks an owner that can't store jobs whether it knows that a job is stored. It fails
+// with errNotAccepted.
+func (s *shard) confirmStored(ctx context.Context, id dispatch.JobID) error {
+	answer, err := s.stateFromOwner(ctx, id)
+	if err != nil || !answer.Known {
+		return errNotAccepted
+	}
+	return nil
+}
+
 func (n *Node) handleAccept(ctx context.Context, r acceptRequest) (acceptAnswer, error) {
 	o, err := n.localOwner(r.Shard)
 	if err != nil {
@@ -137,6 +150,9 @@
 
 // accept stores a job in the next transaction unless the owner already knows it.
 func (o *owner) accept(ctx context.Context, j dispatch.Job) error {
+	if o.isStored(&j) {
+		return nil
+	}
 	if _, lost := o.node.store.lostFor(); lost || o.releaseRequested.Load() {
 		return errNotAccepted
 	}
@@ -189,6 +205,13 @@
 	return o.knows(j.ID)
 }
 
+// isStored reports whether the job or its outcome is known to be stored.
+func (o *owner) isStored(j *dispatch.Job) bool {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	return o.loaded && o.covers(j)
+}
+
 // takeSubmissions returns the jobs to store in the next transaction. A job that has
 // become known since it was queued is already stored and may have finished; writing it
 // again would overwrite its outcome. A second submission of the same job waits until
