Log from where an instance reads the operator's rows

RowsSource says, when it changes, which instance the rows come from, or why they come from the store. A variable of Node.Run had the name of a field of another type. No decision changes.

--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -87,9 +87,9 @@
 	n.lock.Lock()
 	n.group, n.groupContext = group, ctx
 	n.lock.Unlock()
-	operatorRows := n.mirrorOperator()
-	group.Go(func() error { return operatorRows.Run(ctx) })
-	group.Go(func() error { return n.reportOldRows(ctx, configurationRows, operatorRows) })
+	operatorMirror := n.mirrorOperator()
+	group.Go(func() error { return operatorMirror.Run(ctx) })
+	group.Go(func() error { return n.reportOldRows(ctx, configurationRows, operatorMirror) })
 	group.Go(func() error {
 		layout, err := n.loadLayout(ctx)
 		if err != nil {
--- a/internal/entry/dispatcher/operator_rows.go
+++ b/internal/entry/dispatcher/operator_rows.go
@@ -45,6 +45,8 @@
 	zones map[membership.InstanceID]membership.Zone
 	// retryAt is when an instance that failed to answer may be asked again.
 	retryAt map[membership.InstanceID]time.Time
+	// source is the instance from which the rows were last read, empty for the store.
+	source membership.InstanceID
 	// receivedAt is when data of the answer to a read from the store last arrived.
 	receivedAt time.Time
 }
@@ -66,12 +68,14 @@
 
 // Watch returns the changes from the zone reader or, if that fails, from the store.
 func (o *operatorRows) Watch(ctx context.Context, prefix table.Key, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
-	if changes, version, err := o.watchReader(ctx, after, wait); err == nil {
+	changes, version, err := o.watchReader(ctx, after, wait)
+	if err == nil {
 		return changes, version, nil
 	}
+	o.logSource("", err)
 	// The time for the store begins now.
 	progress.Made(ctx)
-	changes, version, err := o.node.store.Watch(progress.WithNotify(ctx, o.recordReceipt), prefix, after, wait)
+	changes, version, err = o.node.store.Watch(progress.WithNotify(ctx, o.recordReceipt), prefix, after, wait)
 	if err == nil {
 		o.history.Apply(changes, version, o.node.Clock.Now())
 	}
@@ -185,9 +189,23 @@
 	}
 	o.node.Counters.Add(configurationRows+".FromReader", 1)
 	o.history.Apply(changes, a.Version, o.node.Clock.Now().Add(-a.Age))
+	o.logSource(from, nil)
 	return changes, a.Version, nil
 }
 
+// logSource logs from where the rows are read, when that changes: from an instance or, for the reason
+// given, from the store.
+func (o *operatorRows) logSource(from membership.InstanceID, reason error) {
+	o.lock.Lock()
+	changed := o.source != from
+	o.source = from
+	o.lock.Unlock()
+	if changed {
+		o.node.Log.Info().Str("Event", "RowsSource").Str("Rows", configurationRows).Str("From", string(from)).
+			AnErr("Reason", reason).Send()
+	}
+}
+
 // handleOperatorRows answers an instance of the same zone.
 func (n *Node) handleOperatorRows(ctx context.Context, r operatorRowsRequest) (operatorRowsAnswer, error) {
 	if r.Zone != n.Zone {
