--- a/review/harness2/foreignentry.go
+++ b/review/harness2/foreignentry.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -32,12 +33,8 @@
 		"service": "edge-cache", "address": address, "zone": "kzn-dbn", "version": "4.1", "slots": 1, "state": "ready",
 		"capacity": map[string]any{"cpu": 0, "memoryRequestMb": 0, "gpu": 0}, "labels": labels, "sequence": 1,
 	})
-	return unescapeAmpersands(value)
-}
-
-// unescapeAmpersands writes ampersands as themselves, as most JSON encoders do.
-func unescapeAmpersands(value []byte) []byte {
-	return replaceAll(value, `\u0026`, "&")
+	// Most JSON encoders write ampersands as themselves.
+	return bytes.ReplaceAll(value, []byte(`\u0026`), []byte("&"))
 }
 
 // playForeignEntry has another writer put an entry into the list of executors.
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -17,7 +17,7 @@
 const (
 	exitHeld     = 0
 	exitBroken   = 1
-	exitNotReady = 2
+	exitCouldNot = 2
 )
 
 // verdict is the outcome of a case.
@@ -49,12 +49,12 @@
 	play, known := cases[name]
 	if !known {
 		fmt.Fprintf(os.Stderr, "no case %q\n", name)
-		return exitNotReady
+		return exitCouldNot
 	}
 	file, err := os.Create(recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitNotReady
+		return exitCouldNot
 	}
 	defer file.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -66,14 +66,14 @@
 	if err != nil {
 		r.write("couldn't run: %v", err)
 		fmt.Println("couldn't run:", err)
-		return exitNotReady
+		return exitCouldNot
 	}
 	defer d.close()
 	v, err := play(ctx, d, trouble)
 	if err != nil {
 		r.write("couldn't run: %v", err)
 		fmt.Println("couldn't run:", err)
-		return exitNotReady
+		return exitCouldNot
 	}
 	r.write("%s", v.text)
 	fmt.Println(v.text)
--- a/review/harness2/manyoccurrences.go
+++ b/review/harness2/manyoccurrences.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"time"
@@ -21,10 +20,6 @@
 	manyTrafficTime = 75 * time.Second
 )
 
-func replaceAll(value []byte, old, replacement string) []byte {
-	return bytes.ReplaceAll(value, []byte(old), []byte(replacement))
-}
-
 // playManyOccurrences hands in a job of a few small steps that runs many times.
 func playManyOccurrences(ctx context.Context, d *deployment, trouble bool) (verdict, error) {
 	repeated := &job{
