--- a/review/harness2/fardate.go
+++ b/review/harness2/fardate.go
@@ -11,9 +11,11 @@
 	// farDateMs is the latest date that a JavaScript client can express, in milliseconds: a job
 	// that is never due.
 	farDateMs = 8_640_000_000_000_000
-	// farInterval is the time between two such jobs.
-	farInterval    = time.Second
-	farTrafficTime = 60 * time.Second
+	// farInterval is the time between two such jobs, and farOtherInterval that between two others: of
+	// all jobs 0.048 are such ones.
+	farInterval      = 1250 * time.Millisecond
+	farOtherInterval = 62500 * time.Microsecond
+	farTrafficTime   = 60 * time.Second
 	// selfEnds is how often a process may not end by itself, on minEnded instances.
 	selfEnds = 3
 	minEnded = 2
@@ -39,7 +41,7 @@
 			}
 		}
 	})
-	d.traffic(sending, asking, trafficInterval)
+	d.traffic(sending, asking, farOtherInterval)
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	ended, total := 0, 0
