Isolate a change that the store rejects instead of repeating its transaction

Accepted jobs stood still, and ends of tasks weren't acknowledged.

Cause: owner.commit repeated a transaction that the store rejects as invalid (400) for ever, as if its outcome were unknown. The owner's heartbeat is in the same transaction, so owner after owner was replaced and got stuck.

Change: a rejection ends commit. The update's parts are tried again in halves, and a part that is rejected alone is dropped if the store takes the owner's row without it. A job that can't be stored is refused with 400 (NotStorable), also by an instance that stores it without an owner, which answered 502 before.

Conclusion: one row can no longer stop the others.

--- a/internal/caller/queue/queue.go
+++ b/internal/caller/queue/queue.go
@@ -75,6 +75,8 @@
 	RetryAfter time.Duration
 	// Overload reports whether the caller's own load is the cause.
 	Overload bool
+	// Permanent reports that the same request will always be refused.
+	Permanent bool
 }
 
 // Error returns the reason and the retry delay.
--- a/internal/decision/dispatch/store.go
+++ b/internal/decision/dispatch/store.go
@@ -136,6 +136,22 @@
 	}
 }
 
+// DropRejected gives up a batch that can never be stored. Its unfinished jobs fail: a later owner would
+// run tasks again that have succeeded.
+func (e *Engine) DropRejected(now time.Time, b Batch) {
+	e.RequeueBatch(b)
+	for _, u := range b.Updates {
+		j := e.jobs[u.ID]
+		switch {
+		case j == nil:
+		case u.Outcome != "":
+			delete(e.dirty, u.ID)
+		default:
+			e.finish(now, j, Failed, "its progress can't be stored")
+		}
+	}
+}
+
 // HasUnstoredEnds reports whether a worker has reported ends that aren't stored yet.
 // Another poll would be answered immediately with the same ends.
 func (e *Engine) HasUnstoredEnds(id membership.InstanceID) bool {
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -117,9 +117,12 @@
 	return acceptAnswer{}, nil
 }
 
-// admissionRefusal returns the refusal for a job that failed admission control.
+// admissionRefusal returns the refusal for a job that the owner doesn't accept.
 func admissionRefusal(a dispatch.Admission) error {
-	return &queue.Refusal{Reason: a.Refused, RetryAfter: a.RetryAfter, Overload: a.Refused == dispatch.RefusedOverload}
+	return &queue.Refusal{
+		Reason: a.Refused, RetryAfter: a.RetryAfter,
+		Overload: a.Refused == dispatch.RefusedOverload, Permanent: a.Refused == RefusedNotStorable,
+	}
 }
 
 // admit runs admission control for a new job. Before it refuses the job, it reads the
@@ -212,18 +215,18 @@
 	return o.loaded && o.covers(j)
 }
 
-// takeSubmissions returns the jobs to store in the next transaction. A job that has
+// takeSubmissions returns up to limit jobs to store in the next transaction. A job that has
 // become known since it was queued is already stored and may have finished; writing it
 // again would overwrite its outcome. A second submission of the same job waits until
 // the first one is stored, because a different shard may have been chosen for it. The
 // lock must be held.
-func (o *owner) takeSubmissions() []*submission {
+func (o *owner) takeSubmissions(limit int) []*submission {
 	var taken, remaining []*submission
 	for _, next := range o.submissions {
 		switch {
 		case o.covers(&next.job):
 			next.done <- nil
-		case len(taken) == maxBatchSubmissions || o.storing[next.job.ID]:
+		case len(taken) >= limit || o.storing[next.job.ID]:
 			remaining = append(remaining, next)
 		default:
 			o.storing[next.job.ID] = true
--- a/internal/entry/dispatcher/accept_test.go
+++ b/internal/entry/dispatcher/accept_test.go
@@ -19,7 +19,7 @@
 		known := &submission{job: dispatch.Job{ID: "known"}, done: make(chan error, 1)}
 		fresh := &submission{job: dispatch.Job{ID: "new"}, done: make(chan error, 1)}
 		o.submissions = []*submission{known, fresh}
-		Expect(o.takeSubmissions()).To(Equal([]*submission{fresh}))
+		Expect(o.takeSubmissions(maxBatchSubmissions)).To(Equal([]*submission{fresh}))
 		Expect(known.done).To(Receive(BeNil()))
 		Expect(o.submissions).To(BeEmpty())
 	})
@@ -34,11 +34,11 @@
 		first := &submission{job: dispatch.Job{ID: "j"}, target: &to, done: make(chan error, 1)}
 		second := &submission{job: dispatch.Job{ID: "j"}, done: make(chan error, 1)}
 		o.submissions = []*submission{first, second}
-		Expect(o.takeSubmissions()).To(Equal([]*submission{first}))
-		Expect(o.takeSubmissions()).To(BeEmpty())
+		Expect(o.takeSubmissions(maxBatchSubmissions)).To(Equal([]*submission{first}))
+		Expect(o.takeSubmissions(maxBatchSubmissions)).To(BeEmpty())
 		o.moved = map[dispatch.JobID]*movedJob{"j": {target: to}}
 		delete(o.storing, "j")
-		Expect(o.takeSubmissions()).To(BeEmpty())
+		Expect(o.takeSubmissions(maxBatchSubmissions)).To(BeEmpty())
 		Expect(second.done).To(Receive(BeNil()))
 		Expect(o.submissions).To(BeEmpty())
 	})
--- a/internal/entry/dispatcher/client_requests.go
+++ b/internal/entry/dispatcher/client_requests.go
@@ -75,9 +75,10 @@
 	if errors.Is(err, errAlreadyStored) {
 		return nil
 	}
-	if errors.As(err, &refusal) {
+	switch {
+	case errors.As(err, &refusal) && !refusal.Permanent:
 		err = s.relay(ctx, relaySubmitMethod, submittedRequest{j}, err)
-	} else if err == nil {
+	case err == nil:
 		n.Counters.Add("Submit.Here", 1)
 		s.notifyOwner(submittedMethod, submittedRequest{j}, func(o *owner) { o.addStoredJob(j) })
 	}
@@ -115,7 +116,7 @@
 			n.Counters.Add("Submit.Repeated", 1)
 			return errAlreadyStored
 		case errors.Is(err, table.ErrInvalid):
-			return err
+			return notStorable()
 		case errors.Is(err, table.ErrUnavailable) && !outcomeUnknown:
 			outage, _ := n.store.lostFor()
 			return storeRefusal(outage)
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -92,6 +92,8 @@
 	deferredWrites []table.Write
 	cachedLoad     balance.Load
 	cachedLoadAt   time.Time
+	// partLimit limits the parts of the next update.
+	partLimit partLimit
 	// expiredJobs has the finished jobs whose rows can be deleted.
 	expiredJobs map[dispatch.JobID]bool
 	// estimatesWrittenAt is when the estimates were last written.
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -64,10 +64,14 @@
 	writes         []table.Write
 	batch          dispatch.Batch
 	submissions    []*submission
+	expired        []dispatch.JobID
 	deferredWrites []table.Write
 	// fleet has the rows of the workers in use at a revision of the engine.
 	fleet           [][]byte
 	workersRevision int
+	// parts is the number of changes that could be stored without each other. Each job, write of
+	// a list and deferred write is one.
+	parts int
 }
 
 // takeUpdate collects what is to be stored. Until the stored jobs are loaded, this is
@@ -87,26 +91,34 @@
 		u.writes = append(u.writes, table.Write{Key: o.shard.partition.stoppingKey(), Value: encode(stopping)})
 	}
 	now := o.now()
-	u.batch = o.engine.TakeBatch(maxBatchJobs)
-	u.submissions = o.takeSubmissions()
+	limit := o.partLimit.max()
+	u.batch = o.engine.TakeBatch(min(maxBatchJobs, limit))
+	u.parts += len(u.batch.Updates)
+	u.submissions = o.takeSubmissions(min(maxBatchSubmissions, limit-u.parts))
+	u.parts += len(u.submissions)
 	u.writes = append(u.writes, o.batchWrites(u.batch, now)...)
 	u.writes = append(u.writes, o.submissionWrites(u.submissions)...)
-	if now.Sub(o.estimatesWrittenAt) >= estimatesInterval {
+	if now.Sub(o.estimatesWrittenAt) >= estimatesInterval && u.parts < limit {
 		o.estimatesWrittenAt = now
 		u.writes = append(u.writes, table.Write{Key: o.shard.partition.estimatesKey(), Value: encode(o.engine.Estimates(now))})
+		u.parts++
 	}
 	for id := range o.expiredJobs {
-		if len(u.writes) >= maxBatchWrites {
+		if len(u.writes) >= maxBatchWrites || u.parts >= limit {
 			break
 		}
 		delete(o.expiredJobs, id)
+		u.expired = append(u.expired, id)
 		u.writes = append(u.writes, table.Write{Key: o.shard.partition.jobKey(id), Delete: true})
+		u.parts++
 	}
-	u.deferredWrites = o.takeDeferredWrites(maxBatchWrites - len(u.writes))
+	u.deferredWrites = o.takeDeferredWrites(min(maxBatchWrites-len(u.writes), limit-u.parts))
 	u.writes = append(u.writes, u.deferredWrites...)
-	if revision := o.engine.WorkersRevision(); revision != o.workersRevision {
+	u.parts += len(u.deferredWrites)
+	if revision := o.engine.WorkersRevision(); revision != o.workersRevision && u.parts < limit {
 		u.fleet, u.workersRevision = fleetPages(o.engine.UsedWorkers()), revision
 		u.writes = append(u.writes, o.shard.partition.fleetWrites(o.fleet, u.fleet)...)
+		u.parts++
 	}
 	return u
 }
@@ -123,12 +135,14 @@
 func (o *owner) writeBatch(ctx context.Context) error {
 	u := o.takeUpdate()
 	written, sent, err := o.commit(ctx, u.transaction(o.shard.partition.ownerKey()), u.next)
-	if errors.Is(err, table.ErrUnavailable) {
+	switch {
+	case errors.Is(err, table.ErrInvalid):
+		return o.handleRejected(ctx, u, err)
+	case errors.Is(err, table.ErrUnavailable):
 		o.requeue(u)
 		o.sleep(storeRetryDelay)
 		return nil
-	}
-	if err != nil {
+	case err != nil:
 		return err
 	}
 	o.released.Store(u.next.Released)
@@ -142,12 +156,21 @@
 // requeue keeps an update that was certainly not stored for a later transaction.
 func (o *owner) requeue(u update) {
 	o.lock.Lock()
-	o.engine.RequeueBatch(u.batch)
-	o.deferredWrites = append(o.deferredWrites, u.deferredWrites...)
+	o.requeueChanges(u)
 	o.lock.Unlock()
 	o.rejectSubmissions(u.submissions)
 }
 
+// requeueChanges keeps the changes of an update, other than new jobs, for a later transaction. The
+// lock must be held.
+func (o *owner) requeueChanges(u update) {
+	o.engine.RequeueBatch(u.batch)
+	o.deferredWrites = append(o.deferredWrites, u.deferredWrites...)
+	for _, id := range u.expired {
+		o.expiredJobs[id] = true
+	}
+}
+
 // applyStored applies a stored update, and reports whether there is more to store.
 func (o *owner) applyStored(u update, written table.Version, sent time.Time) bool {
 	others := o.node.livePeerNames()
@@ -155,6 +178,7 @@
 	defer o.lock.Unlock()
 	now := o.now()
 	o.row, o.version, o.fleet, o.workersRevision = u.next, written, u.fleet, u.workersRevision
+	o.partLimit.raise()
 	o.authority.recordTransaction(sent, others)
 	o.engine.MarkStored(now, u.batch)
 	o.completeSubmissions(now, u.submissions)
@@ -190,7 +214,8 @@
 // returns when the attempt that confirmed the ownership was sent. If several attempts
 // may have taken effect, that is the time of the first one: the row hasn't changed
 // since, so a successor counts the authority from then on. It fails with
-// table.ErrUnavailable if certainly nothing was written.
+// table.ErrUnavailable if certainly nothing was written, and with table.ErrInvalid if the store
+// would reject each further attempt as well.
 func (o *owner) commit(ctx context.Context, tx table.Transaction, next ownerRow) (table.Version, time.Time, error) {
 	notWritten, firstSent := true, o.now()
 	for {
@@ -209,7 +234,7 @@
 			}
 		}
 		if errors.Is(err, table.ErrInvalid) {
-			o.node.Log.Error().Err(err).Msg("the store rejected a transaction as invalid")
+			return 0, sent, err
 		}
 		o.node.Counters.Add("Store.CommitRetries", 1)
 		notWritten = notWritten && errors.Is(err, table.ErrUnavailable)
