Use only listed workers whose service is known

Cause: the catalog checked the form of an entry, and nothing compared its service with the configuration. The entry was polled as a worker and written into the owner's list of workers in use, where it took 74,191 bytes, more than the store accepts for a row.

Change: the owner uses the listed workers of services that the configuration in force, or a queue or job that it knows, names; it looks at the list again with each configuration. The number of shards is chosen by configured workers.

--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -214,6 +214,18 @@
 	}
 }
 
+// Services returns the services of all queues that were configured, and of the known jobs.
+func (e *Engine) Services() map[ServiceName]bool {
+	services := map[ServiceName]bool{}
+	for _, q := range e.queues {
+		services[q.Service] = true
+	}
+	for _, j := range e.jobs {
+		services[j.queue.Service] = true
+	}
+	return services
+}
+
 // SetZonesOutOfService sets the availability zones that are out of service. Nothing starts in
 // them.
 func (e *Engine) SetZonesOutOfService(zones map[membership.Zone]bool) {
--- a/internal/entry/dispatcher/layout.go
+++ b/internal/entry/dispatcher/layout.go
@@ -155,6 +155,9 @@
 	if err != nil {
 		n.Counters.Add("Workers.RowsLeftOut", 1)
 	}
+	if services := n.configuredServices(); len(services) > 0 {
+		workers = slices.DeleteFunc(workers, func(w dispatch.WorkerInfo) bool { return !services[w.Service] })
+	}
 	if !monitor.isStable(n.Clock.Now(), len(workers)) {
 		return layoutRow{}, nil
 	}
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -72,8 +72,8 @@
 	// engine's revision of them.
 	fleet           [][]byte
 	workersRevision int
-	// oddWorkers describes the entries of the list of workers that are left out.
-	oddWorkers string
+	// workerList is the platform's list of workers.
+	workerList workerList
 	// previousAuthorityAt is when the previous owner last confirmed its ownership, zero if
 	// unknown.
 	previousAuthorityAt time.Time
@@ -302,6 +302,7 @@
 			e.SetZonesOutOfService(c.ZonesOut)
 		}
 	})
+	o.useListedWorkers()
 	if version != 0 {
 		o.node.Log.Info().Str("Event", "ShardConfigured").Int("Shard", int(o.shard.id)).Int64("Epoch", int64(o.epoch)).
 			Int64("Version", int64(version)).Send()
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -2,20 +2,15 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
-	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
 )
 
-// maxLoggedFindings is the maximum number of bytes of a log line about odd entries.
-const maxLoggedFindings = 1000
-
 // recoverJobs loads the stored jobs and returns the mirror that watches them. It reads
 // the rows concurrently, because the store may be slow.
 func (o *owner) recoverJobs(ctx context.Context) (*table.Mirror, error) {
@@ -200,45 +195,3 @@
 func (o *owner) mirrorCancels() *table.Mirror {
 	return o.node.mirror("Cancels", o.shard.partition.cancelPrefix(), jobsWatchInterval, o.applyCancels)
 }
-
-func (o *owner) mirrorWorkers() *table.Mirror {
-	return o.node.mirror("Workers", o.node.Catalog.WorkersPrefix(), workersWatchInterval, o.applyWorkers)
-}
-
-// logOddWorkers logs which entries of the list are left out, whenever these change.
-func (o *owner) logOddWorkers(err error) {
-	findings := ""
-	if err != nil {
-		findings = err.Error()
-	}
-	o.lock.Lock()
-	changed := findings != o.oddWorkers
-	o.oddWorkers = findings
-	o.lock.Unlock()
-	if changed {
-		o.node.Log.Warn().Str("Event", "OddWorkers").Int("Shard", int(o.shard.id)).
-			Str("Findings", findings[:min(len(findings), maxLoggedFindings)]).Send()
-	}
-}
-
-func (o *owner) applyWorkers(rows map[table.Key]table.Row) {
-	workers, err := o.node.Catalog.Workers(rows)
-	if err != nil {
-		o.node.Counters.Add("Workers.RowsLeftOut", 1)
-	}
-	o.logOddWorkers(err)
-	workers = slices.DeleteFunc(workers, func(w dispatch.WorkerInfo) bool { return !o.shard.hasWorker(w.ID) })
-	var ids []membership.InstanceID
-	o.withEngine(func(now time.Time, e *dispatch.Engine) {
-		e.SetWorkers(now, workers)
-		for _, id := range e.Workers() {
-			if !o.polledWorkers[id] {
-				o.polledWorkers[id] = true
-				ids = append(ids, id)
-			}
-		}
-	})
-	for _, id := range ids {
-		o.group.Go(func() error { return o.pollWorker(id) })
-	}
-}
