Limit the numbers of callers, and encode a new job before it waits for the writer

Cause: encode panicked in the writer's goroutine, as JSON has no form for such times, and nothing limited the first run.

Change: the row of a new job is encoded where the job is handed in; one that can't be encoded or has over 48 KiB is refused with 400 (NotStorable).

--- a/internal/caller/queue/queue.go
+++ b/internal/caller/queue/queue.go
@@ -104,8 +104,20 @@
 	maxTotalTasks = 2500
 	// maxRepetitions bounds the occurrences of a job.
 	maxRepetitions = 1024
+	// MaxEstimate bounds the estimated duration of a task, so that the sum over the steps of a
+	// job is a duration.
+	MaxEstimate = 30 * 24 * time.Hour
 )
 
+// EarliestFirstRun and LatestFirstRun are the limits for the first run of a repeated job. JSON has no
+// form for times of other years.
+func EarliestFirstRun() time.Time { return time.Date(1, time.January, 1, 0, 0, 0, 0, time.UTC) }
+
+// LatestFirstRun is described with EarliestFirstRun.
+func LatestFirstRun() time.Time {
+	return time.Date(9999, time.December, 31, 23, 59, 59, 0, time.UTC)
+}
+
 // Check returns all faults of a job as one error. Each fault names its place.
 func Check(j *dispatch.Job) error {
 	var findings []error
@@ -122,6 +134,9 @@
 	if j.Repetitions > 1 && j.Interval <= 0 {
 		report("the interval of a repeated job must be positive")
 	}
+	if j.FirstRun.Before(EarliestFirstRun()) || j.FirstRun.After(LatestFirstRun()) {
+		report("the first run is on %v; a time from %v to %v is allowed", j.FirstRun, EarliestFirstRun(), LatestFirstRun())
+	}
 	total := 0
 	for i := range j.Steps {
 		checkStep(i, &j.Steps[i], report)
@@ -137,6 +152,9 @@
 	if step.Tasks < 1 || step.Tasks > maxTasks {
 		report("step %d has %d tasks; 1 to %d are allowed", index, step.Tasks, maxTasks)
 	}
+	if step.Estimate < 0 || step.Estimate > MaxEstimate {
+		report("step %d has an estimate of %v; 0 to %v are allowed", index, step.Estimate, MaxEstimate)
+	}
 	if r := step.Resources; min(int64(r.Processors), int64(r.Memory), int64(r.Accelerators)) < 0 {
 		report("step %d asks for a negative amount of a resource", index)
 	}
--- a/internal/decision/dispatch/types.go
+++ b/internal/decision/dispatch/types.go
@@ -146,7 +146,10 @@
 	if j.Repetitions == 0 {
 		return j.Accepted
 	}
-	return j.FirstRun.Add(time.Duration(occurrence) * j.Interval)
+	// The product of occurrence and interval may be longer than any duration, 292 years.
+	seconds := int64(occurrence) * int64(j.Interval/time.Second)
+	rest := time.Duration(occurrence) * (j.Interval % time.Second)
+	return time.Unix(j.FirstRun.Unix()+seconds, int64(j.FirstRun.Nanosecond())).In(j.FirstRun.Location()).Add(rest)
 }
 
 // Queue is the configuration of a queue.
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -31,13 +31,28 @@
 // submission is a job that waits for the owner to store it.
 type submission struct {
 	job dispatch.Job
+	// row is the encoded row of the job.
+	row []byte
 	// target is the shard that the job moves to, nil if it stays in its home shard.
 	target *shardID
-	// done receives nil once the job is stored, or errNotAccepted if the owner will never
-	// store it.
+	// done receives nil once the job is stored, or an error if the owner will never store it:
+	// errNotAccepted, or a *queue.Refusal.
 	done chan error
 }
 
+// newSubmission returns the submission of a job that moves to the target shard, or stays if the target
+// is nil. It fails with a *queue.Refusal if the store doesn't take such a job.
+func newSubmission(j dispatch.Job, target *shardID) (*submission, error) {
+	var row []byte
+	var err error
+	if len(j.Transferred) > 0 {
+		row, err = encodeJob(transferredJob{j, j.Transferred})
+	} else {
+		row, err = encodeJob(jobRow{Job: &j, Moved: target})
+	}
+	return &submission{job: j, row: row, target: target, done: make(chan error, 1)}, err
+}
+
 // errNotAccepted reports that the owner didn't accept a job and won't store it.
 var errNotAccepted = errors.New("dispatcher: the owner didn't accept the job")
 
@@ -162,9 +177,13 @@
 	if err := o.admit(ctx, &j); err != nil {
 		return err
 	}
-	waiting := &submission{job: j, done: make(chan error, 1)}
+	var target *shardID
 	if chosen := o.chooseShard(&j); chosen != o.shard.id {
-		waiting.target = &chosen
+		target = &chosen
+	}
+	waiting, err := newSubmission(j, target)
+	if err != nil {
+		return err
 	}
 	return o.awaitStored(ctx, waiting)
 }
@@ -241,11 +260,11 @@
 func (o *owner) submissionWrites(list []*submission) []table.Write {
 	writes := make([]table.Write, 0, len(list))
 	for _, s := range list {
-		key, value := o.shard.partition.jobKey(s.job.ID), encode(jobRow{Job: &s.job, Moved: s.target})
+		key := o.shard.partition.jobKey(s.job.ID)
 		if len(s.job.Transferred) > 0 {
-			key, value = o.shard.partition.transferKey(s.job.ID), encode(transferredJob{s.job, s.job.Transferred})
+			key = o.shard.partition.transferKey(s.job.ID)
 		}
-		writes = append(writes, table.Write{Key: key, Value: value})
+		writes = append(writes, table.Write{Key: key, Value: s.row})
 	}
 	return writes
 }
--- a/internal/entry/dispatcher/client_requests.go
+++ b/internal/entry/dispatcher/client_requests.go
@@ -46,6 +46,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := encodeJob(jobRow{Job: &j}); err != nil {
+		return err
+	}
 	start := n.Clock.Now()
 	version := n.configurationVersion()
 	err = s.submit(ctx, j)
@@ -99,9 +102,13 @@
 	if outage, lost := n.store.lostFor(); lost {
 		return storeRefusal(outage)
 	}
+	row, err := encodeJob(jobRow{Job: &j})
+	if err != nil {
+		return err
+	}
 	tx := table.Transaction{
 		Conditions: []table.Condition{{Key: s.partition.jobKey(j.ID)}},
-		Writes:     []table.Write{{Key: s.partition.jobKey(j.ID), Value: encode(jobRow{Job: &j})}},
+		Writes:     []table.Write{{Key: s.partition.jobKey(j.ID), Value: row}},
 	}
 	outcomeUnknown := false
 	for {
--- a/internal/entry/dispatcher/reassign.go
+++ b/internal/entry/dispatcher/reassign.go
@@ -56,11 +56,15 @@
 	if chosen == o.shard.id {
 		return
 	}
+	move, err := newSubmission(j, &chosen)
+	if err != nil {
+		return
+	}
 	o.node.allShards()[chosen].addExpectedLoad(demand)
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	if o.engine.Withdraw(o.now(), j.ID) {
-		o.submissions = append(o.submissions, &submission{job: j, target: &chosen, done: make(chan error, 1)})
+		o.submissions = append(o.submissions, move)
 		o.requestWrite()
 	}
 }
--- a/internal/entry/dispatcher/rejected_update_test.go
+++ b/internal/entry/dispatcher/rejected_update_test.go
@@ -64,7 +64,8 @@
 	})
 
 	submit := func(id, spec string) *submission {
-		s := &submission{job: dispatch.Job{ID: dispatch.JobID(id), Spec: spec, Steps: []dispatch.Step{{Tasks: 1}}}, done: make(chan error, 1)}
+		s, err := newSubmission(dispatch.Job{ID: dispatch.JobID(id), Spec: spec, Steps: []dispatch.Step{{Tasks: 1}}}, nil)
+		Expect(err).NotTo(HaveOccurred())
 		o.submissions = append(o.submissions, s)
 		return s
 	}
--- a/internal/entry/dispatcher/rows.go
+++ b/internal/entry/dispatcher/rows.go
@@ -72,16 +72,30 @@
 	return dispatch.JobID(key[len(prefix):])
 }
 
+// encodeJob returns the value of the row of a job that a caller hands in, which may have any content. It
+// fails with a *queue.Refusal if the store doesn't take such a row.
+func encodeJob[Row jobRow | transferredJob](row Row) ([]byte, error) {
+	value, err := json.Marshal(row)
+	if err != nil || len(value) > maxJobBytes {
+		return nil, notStorable()
+	}
+	return value, nil
+}
+
 // encode returns the value of a row.
 func encode[Content any](content Content) []byte {
 	value, err := json.Marshal(content)
 	if err != nil {
-		// All row types consist of fields that can be encoded.
+		// All rows but those of jobs consist of fields that can be encoded.
 		panic(fmt.Sprintf("dispatcher: encode %T: %v", content, err))
 	}
 	return value
 }
 
+// maxJobBytes keeps the row of a job below the limit of the store, also with the tasks that are
+// transferred to another shard.
+const maxJobBytes = 48 << 10
+
 // maxProgressBytes keeps a progress row below the limit of the store, which is 64 KiB
 // before the row is encoded for the wire.
 const maxProgressBytes = 60 << 10
--- a/internal/entry/dispatcher/transfer.go
+++ b/internal/entry/dispatcher/transfer.go
@@ -176,7 +176,11 @@
 	if err := o.checkSender(from); err != nil {
 		return err
 	}
-	return o.awaitStored(ctx, &submission{job: j, done: make(chan error, 1)})
+	waiting, err := newSubmission(j, nil)
+	if err != nil {
+		return err
+	}
+	return o.awaitStored(ctx, waiting)
 }
 
 // addTransferred adds the tasks that were transferred to this shard under an earlier owner.
