Compress the progress of a job that doesn't fit into a row

Cause: a step with a single task that is done takes 33 bytes of the progress row, and a job may have 2,500 of them; encodeProgress left out only the checkpoints. The store rejected the row, and the owner repeated it.

Change: a progress row of more than 60 KiB is compressed with gzip before any checkpoint is left out. Smaller rows are written as before, so that earlier builds read them. compress and decompress serve the changes of the operator's rows too.

The spec of the largest job with one step now has eight failures a task in place of one, so that the checkpoints still have to go; it checks all failed runs, not only their number.

--- a/internal/entry/dispatcher/changes_encoder.go
+++ b/internal/entry/dispatcher/changes_encoder.go
@@ -2,10 +2,8 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"encoding/gob"
 	"fmt"
-	"io"
 	"sync"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
@@ -35,17 +33,14 @@
 		return e.encoded, nil
 	}
 	var buffer bytes.Buffer
-	writer, err := gzip.NewWriterLevel(&buffer, gzip.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if err := gob.NewEncoder(writer).Encode(changes); err != nil {
+	if err := gob.NewEncoder(&buffer).Encode(changes); err != nil {
 		return nil, fmt.Errorf("encode changes: %w", err)
 	}
-	if err := writer.Close(); err != nil {
-		return nil, fmt.Errorf("compress changes: %w", err)
+	compressed, err := compress(buffer.Bytes())
+	if err != nil {
+		return nil, fmt.Errorf("changes: %w", err)
 	}
-	e.count, e.last, e.encoded = count, last, buffer.Bytes()
+	e.count, e.last, e.encoded = count, last, compressed
 	return e.encoded, nil
 }
 
@@ -54,16 +49,9 @@
 	if len(encoded) == 0 {
 		return nil, nil
 	}
-	reader, err := gzip.NewReader(bytes.NewReader(encoded))
+	content, err := decompress(encoded, maxDecodedChanges)
 	if err != nil {
-		return nil, fmt.Errorf("decompress changes: %w", err)
-	}
-	content, err := io.ReadAll(io.LimitReader(reader, maxDecodedChanges+1))
-	if err != nil {
-		return nil, fmt.Errorf("decompress changes: %w", err)
-	}
-	if len(content) > maxDecodedChanges {
-		return nil, fmt.Errorf("decompressed changes are longer than %d bytes", maxDecodedChanges)
+		return nil, fmt.Errorf("changes: %w", err)
 	}
 	var changes []table.Change
 	if err := gob.NewDecoder(bytes.NewReader(content)).Decode(&changes); err != nil {
--- a/internal/entry/dispatcher/changes_encoder_test.go
+++ b/internal/entry/dispatcher/changes_encoder_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"encoding/gob"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -57,17 +56,9 @@
 		for i := range content.Len() {
 			altered := bytes.Clone(content.Bytes())
 			altered[i] ^= 0xff
-			Expect(func() { _, _ = decodeChanges(compress(altered)) }).NotTo(Panic())
+			compressed, err := compress(altered)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(func() { _, _ = decodeChanges(compressed) }).NotTo(Panic())
 		}
 	})
 })
-
-func compress(content []byte) []byte {
-	GinkgoHelper()
-	var buffer bytes.Buffer
-	writer := gzip.NewWriter(&buffer)
-	_, err := writer.Write(content)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(writer.Close()).To(Succeed())
-	return buffer.Bytes()
-}
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -75,7 +75,7 @@
 func (o *owner) decodeProgress(rows []table.Row) (map[dispatch.JobID]dispatch.Progress, error) {
 	progress := make(map[dispatch.JobID]dispatch.Progress, len(rows))
 	for _, row := range rows {
-		p, err := decode[dispatch.Progress](row)
+		p, err := decodeProgress(row)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/entry/dispatcher/rows.go
+++ b/internal/entry/dispatcher/rows.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 	"strconv"
 	"time"
 
@@ -96,24 +95,6 @@
 // transferred to another shard.
 const maxJobBytes = 48 << 10
 
-// maxProgressBytes keeps a progress row below the limit of the store, which is 64 KiB
-// before the row is encoded for the wire.
-const maxProgressBytes = 60 << 10
-
-// encodeProgress returns the value of a progress row. If the row would be too large, it
-// omits the checkpoints. The only cost is that some work is repeated.
-func encodeProgress(p dispatch.Progress) []byte {
-	value := encode(p)
-	if len(value) <= maxProgressBytes {
-		return value
-	}
-	steps := slices.Clone(p.Steps)
-	for i := range steps {
-		steps[i].Checkpoints = nil
-	}
-	return encode(dispatch.Progress{Steps: steps})
-}
-
 // decode decodes the value of a row.
 func decode[Content any](row table.Row) (Content, error) {
 	var content Content
