Limit the rows of estimates and stopping runs

Change: both lists keep the first items that fit into 48 KiB. Estimates are ordered by how much they say, and those that have decayed to within 0.004 of the prior are forgotten. The same list answers other shards, whose messages have a limit too.

--- a/internal/decision/interference/probabilities.go
+++ b/internal/decision/interference/probabilities.go
@@ -1,7 +1,9 @@
 package interference
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -159,12 +161,27 @@
 	Probability float64
 }
 
-// Estimates returns the estimates of all pairs that have one.
+// minDeviation is the deviation from the log odds of the prior below which an estimate is dropped: it
+// says no more about the pair than the prior, from which it differs by at most 0.004.
+const minDeviation = 0.02
+
+// Estimates returns the estimates of all pairs that have one, those that are furthest from the prior
+// first, and drops those that have decayed to it.
 func (ps *Probabilities) Estimates(now time.Time) []Estimate {
+	prior := logOdds(priorProbability)
 	list := make([]Estimate, 0, len(ps.posteriors))
 	for pair, known := range ps.posteriors {
-		list = append(list, Estimate{pair, probability(known.decayed(now))})
+		decayed := known.decayed(now)
+		if math.Abs(decayed-prior) < minDeviation && now.Sub(known.sampledAt) > localSamplePrecedence {
+			delete(ps.posteriors, pair)
+			continue
+		}
+		list = append(list, Estimate{pair, probability(decayed)})
 	}
+	deviation := func(e Estimate) float64 { return math.Abs(logOdds(e.Probability) - prior) }
+	slices.SortFunc(list, func(a, b Estimate) int {
+		return cmp.Or(cmp.Compare(deviation(b), deviation(a)), cmp.Compare(a.Pair.Service, b.Pair.Service), cmp.Compare(a.Pair.Class, b.Pair.Class))
+	})
 	return list
 }
 
--- a/internal/decision/interference/probabilities_test.go
+++ b/internal/decision/interference/probabilities_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
+	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 )
 
 var _ = Describe("Probabilities", func() {
@@ -52,4 +53,18 @@
 		}
 		Expect(a.Probability(now.Add(2*time.Minute), pair)).To(BeNumerically("<", 0.4))
 	})
+
+	// Guards against a list that grows with each pair of images that callers have ever named.
+	It("lists the estimates furthest from the prior first, and forgets those that have decayed to it", func() {
+		var ps interference.Probabilities
+		for i, p := range []float64{0.3, 0.95, 0.25, 0.02} {
+			ps.Merge(now, []interference.Estimate{{Pair: interference.Pair{Service: "s", Class: manifest.ClassName(rune('a' + i))}, Probability: p}})
+		}
+		var listed []manifest.ClassName
+		for _, e := range ps.Estimates(now) {
+			listed = append(listed, e.Pair.Class)
+		}
+		Expect(listed).To(Equal([]manifest.ClassName{"b", "d", "a"}))
+		Expect(ps.Estimates(now.Add(time.Hour))).To(BeEmpty())
+	})
 })
--- a/internal/entry/dispatcher/estimates.go
+++ b/internal/entry/dispatcher/estimates.go
@@ -56,5 +56,5 @@
 	}
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	return estimatesAnswer{o.engine.Estimates(o.now())}, nil
+	return estimatesAnswer{fittingPrefix(o.engine.Estimates(o.now()))}, nil
 }
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -87,7 +87,7 @@
 		return u
 	}
 	if u.next.Released {
-		stopping := stoppingRow{Epoch: o.epoch, Runs: o.engine.StoppingRuns(o.now(), maxStoppingRuns)}
+		stopping := stoppingRow{Epoch: o.epoch, Runs: fittingPrefix(o.engine.StoppingRuns(o.now(), maxStoppingRuns))}
 		u.writes = append(u.writes, table.Write{Key: o.shard.partition.stoppingKey(), Value: encode(stopping)})
 	}
 	now := o.now()
@@ -100,7 +100,7 @@
 	u.writes = append(u.writes, o.submissionWrites(u.submissions)...)
 	if now.Sub(o.estimatesWrittenAt) >= estimatesInterval && u.parts < limit {
 		o.estimatesWrittenAt = now
-		u.writes = append(u.writes, table.Write{Key: o.shard.partition.estimatesKey(), Value: encode(o.engine.Estimates(now))})
+		u.writes = append(u.writes, table.Write{Key: o.shard.partition.estimatesKey(), Value: encode(fittingPrefix(o.engine.Estimates(now)))})
 		u.parts++
 	}
 	for id := range o.expiredJobs {
--- a/internal/entry/dispatcher/rows.go
+++ b/internal/entry/dispatcher/rows.go
@@ -52,8 +52,24 @@
 	Runs  []dispatch.StoppingRun
 }
 
-// maxStoppingRuns keeps a stoppingRow below the limit of the store.
-const maxStoppingRuns = 400
+const (
+	// maxStoppingRuns limits the runs in a stoppingRow.
+	maxStoppingRuns = 400
+	// maxListBytes keeps a row that has a list below the limit of the store.
+	maxListBytes = 48 << 10
+)
+
+// fittingPrefix returns the first items of a list, as many as fit in a row.
+func fittingPrefix[Item any](list []Item) []Item {
+	size := 0
+	for i, item := range list {
+		size += len(encode(item)) + len(",")
+		if size > maxListBytes {
+			return list[:i]
+		}
+	}
+	return list
+}
 
 // jobRow is an accepted job, or its outcome once it has finished.
 type jobRow struct {
