Raise the fence of a worker's commands when it restarts under its id

Cause: a command that gets no answer may be executed seconds later. A process that has started under the id of another has seen no fencing token, so it executes commands to the process before it: starts that the owner has given up, polls that acknowledge ends by the earlier numbers, and lease ends on the earlier clock, which grant the longest lease. The owner counted that lease from its first report on, and a new owner only the lease term.

Change: the epochs of successive owners differ by 1,000, and each restart that an owner notices raises the fence of its commands to that worker by one. A worker that has answered a poll with it executes nothing earlier. Until then, and at the first answer to a new owner, the longest lease counts. A refusal of an owner's own overtaken command no longer ends its ownership.

--- a/internal/decision/dispatch/command.go
+++ b/internal/decision/dispatch/command.go
@@ -31,7 +31,9 @@
 
 // issueStopCommand issues a stop command. The run need not be in the engine's records.
 func (e *Engine) issueStopCommand(w *worker, r TaskRun) {
-	e.commands = append(e.commands, Command{Worker: w.ID, Address: w.Address, TaskRun: r, Stop: true, Incarnation: w.incarnation})
+	e.commands = append(e.commands, Command{
+		Worker: w.ID, Address: w.Address, TaskRun: r, Stop: true, Fence: e.fence(w), Incarnation: w.incarnation,
+	})
 }
 
 // StopAccepted records that a worker accepted a stop command. An answer to a command that was
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -79,8 +79,11 @@
 	// sortedWorkers has the workers in the order of their IDs, so that decisions are
 	// reproducible.
 	sortedWorkers []*worker
-	jobs          map[JobID]*job
-	finishedJobs  map[JobID]finishedJob
+	// restarts counts the restarts of each worker that this owner has noticed. Workers that are
+	// forgotten keep theirs, as they may come back.
+	restarts     map[membership.InstanceID]int
+	jobs         map[JobID]*job
+	finishedJobs map[JobID]finishedJob
 	// dirty has the jobs whose state isn't stored yet.
 	dirty map[JobID]*job
 	// endsToAcknowledge has the ends that workers may forget once all jobs in awaitedUpdates are
@@ -173,6 +176,7 @@
 		queues:            map[QueueName]Queue{},
 		zonesOutOfService: map[membership.Zone]bool{},
 		workers:           map[membership.InstanceID]*worker{},
+		restarts:          map[membership.InstanceID]int{},
 		jobs:              map[JobID]*job{},
 		finishedJobs:      map[JobID]finishedJob{},
 		dirty:             map[JobID]*job{},
--- /dev/null
+++ b/internal/decision/dispatch/fence.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// fence returns the fence of the next command to a worker.
+func (e *Engine) fence(w *worker) Fence {
+	return Fence(e.options.Epoch) + Fence(e.restarts[w.ID])
+}
+
+// raiseFence gives the commands to a worker that has restarted a higher fence, while the owner has one.
+func (e *Engine) raiseFence(w *worker) {
+	if e.restarts[w.ID] == FencesPerEpoch-1 {
+		e.count("Worker.FencesExhausted")
+		return
+	}
+	e.restarts[w.ID]++
+}
+
+// IsCurrentFence reports whether commands to a worker still carry the fence. If not, a worker that has
+// seen a higher one has seen a later command of this owner.
+func (e *Engine) IsCurrentFence(id membership.InstanceID, f Fence) bool {
+	w := e.workers[id]
+	return w == nil || e.fence(w) == f
+}
+
+// observeFence updates the leases that unknown commands may have granted when a report arrives. Until the
+// worker has answered a poll with the current fence, commands of an earlier owner, or to an earlier
+// process with its clock, may have granted the longest lease.
+func (e *Engine) observeFence(w *worker, clock time.Duration) {
+	if w.fenced {
+		return
+	}
+	w.possibleLeaseEnd = max(w.possibleLeaseEnd, clock+max(e.options.MaxLease, e.options.LeaseTerm))
+	w.fenced = w.pollFence == e.fence(w)
+}
--- a/internal/decision/dispatch/filler.go
+++ b/internal/decision/dispatch/filler.go
@@ -325,7 +325,7 @@
 	a.pace.sentAt = now
 	e.count("Task.Paced")
 	e.commands = append(e.commands, Command{
-		Worker: a.worker.ID, Address: a.worker.Address, TaskRun: a.taskRun(), Pace: &percent,
+		Worker: a.worker.ID, Address: a.worker.Address, TaskRun: a.taskRun(), Pace: &percent, Fence: e.fence(a.worker),
 	})
 }
 
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -32,8 +32,8 @@
 	if w == nil {
 		return Poll{}, false
 	}
-	w.polls, w.pollSentAt = w.polls+1, now
-	p := Poll{Address: w.Address}
+	w.polls, w.pollSentAt, w.pollFence = w.polls+1, now, e.fence(w)
+	p := Poll{Address: w.Address, Fence: w.pollFence}
 	if !w.reported || w.missedPolls > 0 {
 		// The worker may have restarted. It then numbers its ends anew, and must not take
 		// new ends for stored ones.
@@ -101,10 +101,7 @@
 	if r.Incarnation != 0 {
 		w.incarnation = r.Incarnation
 	}
-	if !w.reported {
-		// An earlier owner may have renewed the leases just before.
-		w.leaseEndSent = max(w.leaseEndSent, r.Clock+e.options.LeaseTerm)
-	}
+	e.observeFence(w, r.Clock)
 	if w.missedPolls > 0 {
 		e.record(now, Decision{Event: "WorkerAnswers", Worker: id, Age: now.Sub(w.lastReportAt)})
 	}
@@ -144,9 +141,9 @@
 	ev.Incarnation, ev.Clock = r.Incarnation, r.Clock
 	e.record(now, Decision{Event: "WorkerRestarted", Worker: w.ID, Age: ev.ReportAge, Evidence: &ev})
 	w.incarnation = r.Incarnation
-	w.lastEndSeen, w.lastEndStored, w.leaseEndSent = 0, 0, 0
-	// A start with a lease end on the old process's clock grants the longest lease on the new one.
-	w.possibleLeaseEnd = r.Clock + max(e.options.MaxLease, e.options.LeaseTerm)
+	w.lastEndSeen, w.lastEndStored, w.leaseEndSent, w.possibleLeaseEnd = 0, 0, 0, 0
+	w.fenced = false
+	e.raiseFence(w)
 	clear(w.orphanStops)
 	for _, a := range w.runs {
 		switch _, unanswered := w.unansweredStarts[a.taskRun()]; {
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -263,7 +263,7 @@
 	e.commands = append(e.commands, Command{
 		Worker: w.ID, Address: w.Address, TaskRun: TaskRun{t.id, a.run},
 		Start: &Start{Spec: t.step.job.Spec, Checkpoint: t.checkpoint, Ticket: e.ticket(now, t.step, w)},
-		Lease: w.renewLease(now, e.options.LeaseTerm), AnswerTimeout: e.startAnswers.timeout(),
+		Fence: e.fence(w), Lease: w.renewLease(now, e.options.LeaseTerm), AnswerTimeout: e.startAnswers.timeout(),
 	})
 	e.count("Task.Starts")
 }
--- a/internal/decision/dispatch/types.go
+++ b/internal/decision/dispatch/types.go
@@ -40,10 +40,32 @@
 // Run numbers the runs of a task, starting at 1. It increases with each start.
 type Run int64
 
-// Epoch numbers the successive owners of a shard, starting at 1. Workers ignore
-// commands that carry a lower epoch than one they have seen.
+// Epoch numbers the successive owners of a shard, starting at 1.
 type Epoch int64
 
+// FencesPerEpoch is the number of fences that each owner may use for a worker. The epochs of successive
+// owners differ by it.
+const FencesPerEpoch = 1000
+
+// Next returns the epoch of the owner after that of this epoch, 0 if there was none.
+func (e Epoch) Next() Epoch {
+	if e == 0 {
+		return 1
+	}
+	return e + FencesPerEpoch
+}
+
+// Precedes reports whether the other epoch is that of the next owner. The epochs of owners of earlier
+// builds differ by 1.
+func (e Epoch) Precedes(other Epoch) bool {
+	return other == e.Next() || other == e+1
+}
+
+// Fence orders the commands to a worker. Workers ignore commands that carry a lower fence than one they
+// have seen since they started. It begins at the owner's epoch and increases when the worker restarts:
+// the new process has seen none, and would execute commands to the earlier process that arrive late.
+type Fence int64
+
 // TaskID identifies a task of one occurrence of a job.
 type TaskID struct {
 	Job        JobID
@@ -265,7 +287,7 @@
 	StartOldRun StartResult = "OldRun"
 	// StartLeaseExpired means that the lease in the command had expired on arrival.
 	StartLeaseExpired StartResult = "Late"
-	// StartStaleEpoch means that the worker has seen a higher epoch.
+	// StartStaleEpoch means that the worker has seen a higher fence.
 	StartStaleEpoch StartResult = "Fenced"
 	// StartNoTicket means that the ticket isn't valid.
 	StartNoTicket StartResult = "NoTicket"
@@ -287,6 +309,7 @@
 	Start *Start
 	Stop  bool
 	Pace  *int
+	Fence Fence
 	// Incarnation is the worker's incarnation, as known when a stop command was issued.
 	Incarnation int64
 	// Lease is the time on the worker's clock at which the leases of its runs expire
@@ -306,6 +329,7 @@
 // Poll is the content of the next status request to a worker.
 type Poll struct {
 	Address string
+	Fence   Fence
 	// Lease is the time on the worker's clock until which its runs may continue. 0
 	// renews no lease.
 	Lease time.Duration
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -137,8 +137,13 @@
 	// replaced reports that another worker answers at this worker's address, so nothing
 	// runs on this one.
 	replaced bool
+	// pollFence is the fence of the last poll that was sent. fenced reports that the worker has
+	// answered a poll with the current fence, so that it executes no earlier command any more.
+	pollFence Fence
+	fenced    bool
 	// leaseEndSent is the latest lease end sent to the worker, on the worker's clock.
-	// possibleLeaseEnd is the latest one that commands to an earlier process may have granted.
+	// possibleLeaseEnd is the latest one that commands of an earlier owner, or to an earlier process,
+	// may have granted.
 	leaseEndSent     time.Duration
 	possibleLeaseEnd time.Duration
 	runs             map[TaskID]*attempt
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -34,21 +34,21 @@
 	Commit(ctx context.Context, tx table.Transaction) (table.Version, error)
 }
 
-// Workers sends commands to workers under an epoch.
+// Workers sends commands to workers.
 type Workers interface {
-	Start(ctx context.Context, epoch dispatch.Epoch, c dispatch.Command) dispatch.StartResult
+	Start(ctx context.Context, c dispatch.Command) dispatch.StartResult
 	// Stop returns when the worker has accepted the command; the run may end later. It fails
 	// with ErrStaleEpoch.
-	Stop(ctx context.Context, epoch dispatch.Epoch, c dispatch.Command) error
+	Stop(ctx context.Context, c dispatch.Command) error
 	// Pace sets the speed of a run, in percent of its full speed. It fails with
 	// ErrStaleEpoch.
-	Pace(ctx context.Context, epoch dispatch.Epoch, c dispatch.Command) error
+	Pace(ctx context.Context, c dispatch.Command) error
 	// Poll renews leases and returns the worker's report. It fails with ErrStaleEpoch or
 	// ErrWorkerReplaced.
-	Poll(ctx context.Context, epoch dispatch.Epoch, id membership.InstanceID, p dispatch.Poll) (dispatch.Report, error)
+	Poll(ctx context.Context, id membership.InstanceID, p dispatch.Poll) (dispatch.Report, error)
 }
 
-// ErrStaleEpoch reports that a worker rejected a call because it has seen a higher epoch.
+// ErrStaleEpoch reports that a worker rejected a call because it has seen a higher fence.
 // The call had no effect.
 var ErrStaleEpoch = errors.New("dispatcher: the worker has seen a higher epoch")
 
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -104,17 +104,17 @@
 			return errSuperseded
 		}
 	case c.Stop:
-		err := o.node.Workers.Stop(ctx, o.epoch, c)
+		err := o.node.Workers.Stop(ctx, c)
 		if err == nil {
 			o.withEngine(func(now time.Time, e *dispatch.Engine) { e.StopAccepted(now, c.Worker, c.TaskRun, c.Incarnation) })
 		}
-		return o.checkStaleEpoch(err, "Stop")
+		return o.checkStaleEpoch(err, "Stop", c.Worker, c.Fence)
 	case c.Pace != nil:
-		err := o.node.Workers.Pace(ctx, o.epoch, c)
+		err := o.node.Workers.Pace(ctx, c)
 		if err == nil {
 			o.withEngine(func(now time.Time, e *dispatch.Engine) { e.PaceAccepted(now, c.Worker, c.TaskRun, *c.Pace) })
 		}
-		return o.checkStaleEpoch(err, "Pace")
+		return o.checkStaleEpoch(err, "Pace", c.Worker, c.Fence)
 	}
 	return nil
 }
@@ -126,8 +126,12 @@
 func (o *owner) startTask(ctx context.Context, c dispatch.Command) dispatch.StartResult {
 	for repeated := false; ; repeated = true {
 		attemptCtx, cancel := context.WithTimeout(ctx, c.AnswerTimeout)
-		result := o.node.Workers.Start(attemptCtx, o.epoch, c)
+		result := o.node.Workers.Start(attemptCtx, c)
 		cancel()
+		if result == dispatch.StartStaleEpoch && !o.isCurrentFence(c.Worker, c.Fence) {
+			// A later command of this owner has overtaken this one.
+			result = dispatch.StartRestarted
+		}
 		switch {
 		case result == dispatch.StartAccepted, result == dispatch.StartStaleEpoch, !repeated && result != dispatch.StartUnanswered:
 			return result
@@ -138,6 +142,13 @@
 	}
 }
 
+// isCurrentFence reports whether commands to a worker still carry the fence.
+func (o *owner) isCurrentFence(id membership.InstanceID, f dispatch.Fence) bool {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	return o.engine.IsCurrentFence(id, f)
+}
+
 // mayRepeatStart asks the engine whether an unanswered start command should be sent
 // again.
 func (o *owner) mayRepeatStart(c dispatch.Command) (repeat bool) {
@@ -146,14 +157,14 @@
 	return o.engine.MayRetryStart(o.now(), c.Worker, c.TaskRun)
 }
 
-// checkStaleEpoch counts a failed command and ends the ownership if the worker has seen a
-// higher epoch.
-func (o *owner) checkStaleEpoch(err error, command string) error {
+// checkStaleEpoch counts a failed command and ends the ownership if the worker has seen a higher fence
+// than the owner's.
+func (o *owner) checkStaleEpoch(err error, command string, id membership.InstanceID, f dispatch.Fence) error {
 	if err == nil || errors.Is(err, context.Canceled) {
 		return nil
 	}
 	o.node.Counters.Add("Command."+command+"Failed", 1)
-	if errors.Is(err, ErrStaleEpoch) {
+	if errors.Is(err, ErrStaleEpoch) && o.isCurrentFence(id, f) {
 		o.supersede("a worker has seen a higher epoch")
 		return errSuperseded
 	}
@@ -214,12 +225,12 @@
 func (o *owner) pollOnce(id membership.InstanceID, p dispatch.Poll) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(o.ctx, p.Wait+pollTimeout)
 	defer cancel()
-	report, err := o.node.Workers.Poll(ctx, o.epoch, id, p)
+	report, err := o.node.Workers.Poll(ctx, id, p)
 	if o.ctx.Err() != nil {
 		return 0, nil
 	}
 	if err != nil {
-		if staleEpoch := o.checkStaleEpoch(err, "Poll"); staleEpoch != nil {
+		if staleEpoch := o.checkStaleEpoch(err, "Poll", id, p.Fence); staleEpoch != nil {
 			return 0, staleEpoch
 		}
 		o.withEngine(func(now time.Time, e *dispatch.Engine) {
--- a/internal/entry/dispatcher/owner_commands_test.go
+++ b/internal/entry/dispatcher/owner_commands_test.go
@@ -20,7 +20,7 @@
 	polls chan dispatch.Poll
 }
 
-func (w *endedWorkers) Poll(_ context.Context, _ dispatch.Epoch, _ membership.InstanceID, p dispatch.Poll) (dispatch.Report, error) {
+func (w *endedWorkers) Poll(_ context.Context, _ membership.InstanceID, p dispatch.Poll) (dispatch.Report, error) {
 	w.polls <- p
 	end := dispatch.End{Number: 1, TaskRun: dispatch.TaskRun{Task: dispatch.TaskID{Job: "j"}, Run: 1}, Kind: dispatch.EndDone}
 	return dispatch.Report{Incarnation: 1, Ended: []dispatch.End{end}}, nil
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -120,7 +120,7 @@
 		o.node.Log.Error().Err(err).Msg("ignored a list of stopping runs that can't be decoded")
 		return nil, nil
 	}
-	if stopping.Epoch != o.epoch-1 {
+	if !stopping.Epoch.Precedes(o.epoch) {
 		return nil, nil
 	}
 	return stopping.Runs, nil
--- a/internal/entry/dispatcher/ownership.go
+++ b/internal/entry/dispatcher/ownership.go
@@ -243,10 +243,10 @@
 	if !s.node.sleep(ctx, delay) {
 		return
 	}
-	epoch := s.currentView().owner.Epoch + 1
+	epoch := s.currentView().owner.Epoch.Next()
 	if row.Version != 0 {
 		if stored, err := decode[ownerRow](row); err == nil {
-			epoch = stored.Epoch + 1
+			epoch = stored.Epoch.Next()
 		}
 	}
 	claimed := ownerRow{Node: s.node.Name, Address: s.node.PeerAddress, Epoch: epoch, Sequence: 1}
