Learn of a worker's restart from its answers to starts

Cause: only reports told the owner which process of a worker answers. A poll of the earlier process times out after up to 1.7 s, and until then starts go to the new process, with a lease end on the earlier clock; their answers carry its start (born) and clock, which nothing read.

Change: an answer to a start that comes from a later process counts as its restart. The owner ends the poll of the earlier process, so that the next one carries the new fence at once, and ignores a late report of the earlier one.

--- a/internal/decision/dispatch/fence.go
+++ b/internal/decision/dispatch/fence.go
@@ -37,3 +37,23 @@
 	w.possibleLeaseEnd = max(w.possibleLeaseEnd, clock+max(e.options.MaxLease, e.options.LeaseTerm))
 	w.fenced = w.pollFence == e.fence(w)
 }
+
+// ObserveIncarnation records which process of a worker answered a start, and reports whether that shows a
+// restart. A report would show it too, but only once the poll of the earlier process has timed out, and a
+// worker that falls silent before sends none.
+func (e *Engine) ObserveIncarnation(now time.Time, id membership.InstanceID, a StartAnswer) bool {
+	w := e.workers[id]
+	if w == nil || !w.reported || w.incarnation == 0 || a.Incarnation <= w.incarnation {
+		return false
+	}
+	e.handleRestart(now, w, Report{Incarnation: a.Incarnation, Clock: a.Clock})
+	w.lastReportAt, w.reportedClock = now, a.Clock
+	e.observeFence(w, a.Clock)
+	return true
+}
+
+// isOutdated reports whether a report comes from the process before a restart that an answer to a start
+// has shown meanwhile.
+func (w *worker) isOutdated(r Report) bool {
+	return !w.restartSeenAt.IsZero() && r.Incarnation != 0 && r.Incarnation == w.earlierIncarnation && w.pollSentAt.Before(w.restartSeenAt)
+}
--- a/internal/decision/dispatch/fence_test.go
+++ b/internal/decision/dispatch/fence_test.go
@@ -162,6 +162,23 @@
 		loseWorker("j")
 	})
 
+	It("is known by its answer to a start, and keeps the run until the longest lease has ended", func() {
+		runJobs("a")
+		for range 100 {
+			step()
+		}
+		process.restart()
+		process.worker.clock = interval
+		h.submit("j", batchStep(1))
+		starts := len(h.starts)
+		h.tick()
+		Expect(h.starts).To(HaveLen(starts + 1))
+		c := h.starts[starts]
+		Expect(process.accepts(c.Fence, c.Lease)).To(BeTrue())
+		Expect(process.leaseEnd).To(Equal(interval + maxLease))
+		loseWorker("j")
+	})
+
 	It("may run a task of the earlier owner for the longest lease after its first answer to this one", func() {
 		late := dispatch.Poll{Fence: 1, Lease: time.Hour}
 		h = newMaxLeaseHarness(dispatch.Epoch(1).Next(), 2)
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -95,6 +95,10 @@
 	if w == nil {
 		return
 	}
+	if w.isOutdated(r) {
+		e.PollFailed(now, id)
+		return
+	}
 	if w.hasRestarted(r) {
 		e.handleRestart(now, w, r)
 	}
@@ -140,9 +144,9 @@
 	ev.EarlierIncarnation, ev.EarlierClock = ev.Incarnation, ev.Clock
 	ev.Incarnation, ev.Clock = r.Incarnation, r.Clock
 	e.record(now, Decision{Event: "WorkerRestarted", Worker: w.ID, Age: ev.ReportAge, Evidence: &ev})
-	w.incarnation = r.Incarnation
+	w.earlierIncarnation, w.incarnation = w.incarnation, r.Incarnation
 	w.lastEndSeen, w.lastEndStored, w.leaseEndSent, w.possibleLeaseEnd = 0, 0, 0, 0
-	w.fenced = false
+	w.restartSeenAt, w.fenced = now, false
 	e.raiseFence(w)
 	clear(w.orphanStops)
 	for _, a := range w.runs {
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -137,6 +137,10 @@
 	// replaced reports that another worker answers at this worker's address, so nothing
 	// runs on this one.
 	replaced bool
+	// restartSeenAt is when this owner noticed the last restart of the worker, or zero, and
+	// earlierIncarnation is the process before that.
+	restartSeenAt      time.Time
+	earlierIncarnation int64
 	// pollFence is the fence of the last poll that was sent. fenced reports that the worker has
 	// answered a poll with the current fence, so that it executes no earlier command any more.
 	pollFence Fence
