Keep a start without an answer for the longest lease on a silent worker

Cause: on a silent worker all runs were given up when the leases on the clock that the owner knew had ended. A process that it doesn't know of has another clock, so that a lease end on the known one grants the longest lease.

Change: a run that no answer and no report has confirmed is given up only after the longest lease, counted from the last time that its start may have been sent. Confirmed runs are given up as before.

Test: "may run a start without an answer for the longest lease, though it never answers" fails with the change taken out.

--- a/internal/decision/dispatch/fence.go
+++ b/internal/decision/dispatch/fence.go
@@ -57,3 +57,17 @@
 func (w *worker) isOutdated(r Report) bool {
 	return !w.restartSeenAt.IsZero() && r.Incarnation != 0 && r.Incarnation == w.earlierIncarnation && w.pollSentAt.Before(w.restartSeenAt)
 }
+
+// maxStartSending is how long after it was first sent a start may be sent again.
+const maxStartSending = 1200 * time.Millisecond
+
+// loseExpiredRuns gives up the runs of a silent worker whose leases have expired. A start without an answer
+// may have reached a process that this owner doesn't know of, and which grants the longest lease.
+func (e *Engine) loseExpiredRuns(now time.Time, w *worker) {
+	longest := maxStartSending + maxLeaseDuration(max(e.options.MaxLease, e.options.LeaseTerm)) + leaseEndMargin
+	for _, a := range w.runs {
+		if a.confirmed || now.After(a.sentAt.Add(longest)) {
+			e.loseRun(now, a, "lease ended")
+		}
+	}
+}
--- a/internal/decision/dispatch/fence_test.go
+++ b/internal/decision/dispatch/fence_test.go
@@ -179,6 +179,21 @@
 		loseWorker("j")
 	})
 
+	It("may run a start without an answer for the longest lease, though it never answers", func() {
+		runJobs("a")
+		for range 100 {
+			step()
+		}
+		process.restart()
+		process.worker.silent = true
+		h.submit("j", batchStep(1))
+		starts := len(h.starts)
+		h.tick()
+		Expect(h.starts).To(HaveLen(starts + 1))
+		Expect(process.accepts(h.starts[starts].Fence, h.starts[starts].Lease)).To(BeTrue())
+		loseWorker("j")
+	})
+
 	It("may run a task of the earlier owner for the longest lease after its first answer to this one", func() {
 		late := dispatch.Poll{Fence: 1, Lease: time.Hour}
 		h = newMaxLeaseHarness(dispatch.Epoch(1).Next(), 2)
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -45,7 +45,7 @@
 func (e *Engine) dropSilentWorkers(now time.Time) {
 	e.sortedWorkers = slices.DeleteFunc(e.sortedWorkers, func(w *worker) bool {
 		if len(w.runs) > 0 && w.hasLostRuns(now) {
-			e.loseRuns(now, w, "lease ended")
+			e.loseExpiredRuns(now, w)
 		}
 		if w.listed || len(w.runs) > 0 || now.Sub(w.unlistedAt) < maxReportAge {
 			return false
