Count a long-running task as down since a takeover only if its turn had come

Cause: a new owner took all tasks of recovered jobs for tasks that were down since the takeover, and restarted them urgently after 3 s, on a path that doesn't check whether it is their turn.

Change: only tasks whose turn had come count so, and urgent restarts check the turn as well. Tasks for transfers to other shards are taken from them.

--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -252,7 +252,13 @@
 	return true
 }
 
-// isWaiting reports whether the task may start.
+// mayStart reports whether it is the turn of the step: its occurrence is due, and the steps before it
+// have ended.
+func (s *step) mayStart(now time.Time) bool {
+	return !now.Before(s.job.Due(s.id.Occurrence)) && s.isReady()
+}
+
+// isWaiting reports whether the task may start once it is the turn of its step.
 func (t *task) isWaiting(now time.Time) bool {
 	return !t.done && !t.elsewhere && t.attempt == nil && !now.Before(t.notBefore) && !now.Before(t.otherRunEndsBy)
 }
--- a/internal/decision/dispatch/restart.go
+++ b/internal/decision/dispatch/restart.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		j.eachTask(func(t *task) {
-			if t.needsUrgentRestart(now) && !t.step.Gang {
+			if t.needsUrgentRestart(now) && !t.step.Gang && t.step.mayStart(now) {
 				e.urgentRestarts = append(e.urgentRestarts, t)
 				t.step.restartsUrgently = true
 			}
--- a/internal/decision/dispatch/restart_test.go
+++ b/internal/decision/dispatch/restart_test.go
@@ -191,3 +191,57 @@
 		Expect(h.workersOf("watch")).To(HaveLen(3 * lost))
 	})
 })
+
+// Guards against long-running tasks that start before their turn after a change of the owner: a new owner
+// took all tasks of recovered jobs for tasks that had been down since the takeover, and restarted them.
+var _ = Describe("A long-running task of a recovered job", func() {
+	longRunning := func(after ...int) dispatch.Step {
+		s := batchStep(2)
+		s.LongRunning, s.After = true, after
+		return s
+	}
+	recoverJob := func(j dispatch.Job) *harness {
+		h := newHarness(2, 2)
+		j.ID, j.Queue, j.Accepted = "j", batchQueue, h.now
+		h.engine.AddJob(h.now, j, dispatch.Progress{}, true)
+		h.engine.Recover(h.now, 0)
+		h.listWorkers()
+		return h
+	}
+
+	It("doesn't start before it is due", func() {
+		const delay = 20 * time.Second
+		h := recoverJob(dispatch.Job{Steps: []dispatch.Step{longRunning()}, Repetitions: 1, FirstRun: startTime.Add(delay)})
+		for h.now.Add(100 * time.Millisecond).Before(startTime.Add(delay)) {
+			h.advance(100 * time.Millisecond)
+			Expect(h.starts).To(BeEmpty())
+		}
+		h.advanceStartedUp(500 * time.Millisecond)
+		Expect(h.starts).To(HaveLen(2))
+		Expect(h.eventsOf("TaskDownForLong")).To(BeZero())
+	})
+
+	It("doesn't start before the steps that come first have ended", func() {
+		h := recoverJob(dispatch.Job{Steps: []dispatch.Step{longRunning(), batchStep(1), longRunning(1)}})
+		h.advanceStartedUp(20 * time.Second)
+		Expect(h.starts).To(HaveLen(3))
+		Expect(h.starts).NotTo(ContainElement(HaveField("Task.Step", 2)))
+		for id := range h.workers {
+			h.endRun(id, dispatch.TaskID{Job: "j", Step: 1}, dispatch.EndDone)
+		}
+		h.advanceStartedUp(500 * time.Millisecond)
+		Expect(h.starts).To(HaveLen(5))
+	})
+
+	It("is restarted urgently if its turn came before the takeover", func() {
+		h := recoverJob(dispatch.Job{Steps: []dispatch.Step{longRunning()}, Repetitions: 1, FirstRun: startTime.Add(-time.Second)})
+		h.workers["w0"].info.Draining, h.workers["w1"].info.Draining = true, true
+		h.listWorkers()
+		h.advanceStartedUp(maxDowntime)
+		Expect(h.eventsOf("TaskDownForLong")).NotTo(BeZero())
+		h.workers["w0"].info.Draining = false
+		h.listWorkers()
+		h.advance(100 * time.Millisecond)
+		Expect(h.starts).To(HaveLen(2))
+	})
+})
--- a/internal/decision/dispatch/serving_loss.go
+++ b/internal/decision/dispatch/serving_loss.go
@@ -100,15 +100,16 @@
 	reasonEnded = "run ended by itself"
 )
 
-// beginDowntimes records that no task of a job that was just added is at work.
+// beginDowntimes records that no task of a job that was just added is at work. Tasks of a recovered job
+// may have run under the earlier owner, unless it isn't their turn yet.
 func (j *job) beginDowntimes(now time.Time) {
-	reason := reasonFirstStart
-	if j.recovered {
-		reason = reasonTakeover
-	}
 	j.eachTask(func(t *task) {
-		if !t.elsewhere {
-			t.down = downtime{since: now, reason: reason}
+		if t.elsewhere {
+			return
+		}
+		t.down = downtime{since: now, reason: reasonFirstStart}
+		if j.recovered && t.step.mayStart(now) {
+			t.down.reason = reasonTakeover
 		}
 	})
 }
