Wait for late starts on a worker that the list shows to have restarted

What could be seen (rule TWICE): a worker restarts under its id and is cut off before it answers anything; a start of before executes there seconds later, and the task runs elsewhere by then.

Cause: a start without an answer was given up after the longest lease, though it may be executed up to 15 s late by a process that the owner doesn't know of. The worker's entry in the list tells its process (born), which nothing read.

Change: while the list shows a later process than the one that last answered, starts without an answer are given up only after 15 s more.

Test: "may run a late start for the longest lease, if the list shows it, though it never answers" fails with the change taken out.

--- a/internal/decision/dispatch/fence.go
+++ b/internal/decision/dispatch/fence.go
@@ -61,10 +61,20 @@
 // maxStartSending is how long after it was first sent a start may be sent again.
 const maxStartSending = 1200 * time.Millisecond
 
+// hasUnseenRestart reports whether the worker's entry in the list comes from a later process than the one
+// that last answered.
+func (w *worker) hasUnseenRestart() bool {
+	return w.incarnation != 0 && w.Incarnation > w.incarnation
+}
+
 // loseExpiredRuns gives up the runs of a silent worker whose leases have expired. A start without an answer
-// may have reached a process that this owner doesn't know of, and which grants the longest lease.
+// may have reached a process that this owner doesn't know of, and which grants the longest lease. If the
+// list shows such a process, it may also execute the start late.
 func (e *Engine) loseExpiredRuns(now time.Time, w *worker) {
 	longest := maxStartSending + maxLeaseDuration(max(e.options.MaxLease, e.options.LeaseTerm)) + leaseEndMargin
+	if w.hasUnseenRestart() {
+		longest += maxStartDelay
+	}
 	for _, a := range w.runs {
 		if a.confirmed || now.After(a.sentAt.Add(longest)) {
 			e.loseRun(now, a, "lease ended")
--- a/internal/decision/dispatch/fence_test.go
+++ b/internal/decision/dispatch/fence_test.go
@@ -107,15 +107,15 @@
 			expectState(h, id, dispatch.Completed)
 		}
 	}
-	// loseReachableWorker cuts w0 off and lets w1 take its tasks, and expects that the task of the job
+	// loseWorker cuts w0 off and lets w1 take its tasks, and expects that the task of the job
 	// isn't started there while the process may run it.
 	loseWorker := func(id dispatch.JobID) {
 		GinkgoHelper()
 		process.worker.silent, h.workers["w1"].info.Draining = true, false
 		h.listWorkers()
-		for range 120 {
+		for range 300 {
 			step()
-			if started := h.workersOf(id); slices.Contains(started, "w1") {
+			if slices.Contains(h.workersOf(id), "w1") {
 				Expect(process.worker.clock).To(BeNumerically(">=", process.leaseEnd), "the run on w0 was active")
 				return
 			}
@@ -194,6 +194,26 @@
 		loseWorker("j")
 	})
 
+	It("may run a late start for the longest lease, if the list shows it, though it never answers", func() {
+		runJobs("a")
+		for range 100 {
+			step()
+		}
+		process.worker.silent = true
+		h.submit("j", batchStep(1))
+		starts := len(h.starts)
+		h.tick()
+		Expect(h.starts).To(HaveLen(starts + 1))
+		process.restart()
+		process.worker.info.Incarnation = process.worker.incarnation
+		h.listWorkers()
+		for range 100 {
+			step()
+		}
+		Expect(process.accepts(h.starts[starts].Fence, h.starts[starts].Lease)).To(BeTrue())
+		loseWorker("j")
+	})
+
 	It("may run a task of the earlier owner for the longest lease after its first answer to this one", func() {
 		late := dispatch.Poll{Fence: 1, Lease: time.Hour}
 		h = newMaxLeaseHarness(dispatch.Epoch(1).Next(), 2)
