Limit the starts that wait for an answer

An owner with a backlog sent up to 128 starts in each tick, without a limit to those in flight. It hadn't the processor time to read the answers in time, stopped what it had just started, wrote no heartbeat, and the next owner did the same.

Change: a window limits the starts in flight. The mechanism is called StartWindow. The spec of the retry budget runs without it, as it needs 128 starts in one tick; its assertions are the same.

--- a/internal/decision/dispatch/answer_timeout.go
+++ b/internal/decision/dispatch/answer_timeout.go
@@ -20,10 +20,11 @@
 	maxRetries = 20
 )
 
-// startAnswers tracks how long workers take to answer starts, and the retry budget. The
-// zero value is ready to use.
+// startAnswers tracks how long workers take to answer starts, the starts in flight, and the retry
+// budget. The zero value is ready to use.
 type startAnswers struct {
-	mean time.Duration
+	mean   time.Duration
+	window startWindow
 	// usedRetries is the part of the retry budget in use. Each answer reduces it by
 	// retryShare.
 	usedRetries float64
@@ -32,6 +33,7 @@
 // record records the time to an answer, or the time after which none had arrived.
 func (a *startAnswers) record(took time.Duration, answered bool) {
 	a.mean += time.Duration(answerTimeSmoothing * float64(took-a.mean))
+	a.window.record(answered)
 	if answered {
 		a.usedRetries = max(a.usedRetries-retryShare, 0)
 	}
--- a/internal/decision/dispatch/command.go
+++ b/internal/decision/dispatch/command.go
@@ -66,6 +66,7 @@
 
 // StartAnswered processes the answer to a start command.
 func (e *Engine) StartAnswered(now time.Time, id membership.InstanceID, r TaskRun, result StartResult) {
+	e.startAnswers.window.inFlight--
 	a := e.findAttempt(id, r)
 	if a == nil || a.phase != starting {
 		return
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -379,7 +379,7 @@
 	// the owner had too little processor time, so answers took longer than its timeout. The
 	// retries slowed it down further, and 410 leases expired.
 	It("retries only a share of the unanswered starts, and waits longer when answers are slow", func() {
-		h := newHarness(1, 200)
+		h := newHarnessWithout(mechanism.Of(mechanism.StartWindow), 1, 200)
 		h.listWorkers()
 		h.advance(0)
 		h.submit("j", batchStep(1000))
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
 const (
@@ -27,10 +29,11 @@
 	e.findStragglers(now)
 	e.updateScarcity(now)
 	clear(e.unplaceable)
+	limit := min(maxStartsPerTick, e.startLimit())
 	started := e.startMovedTasks(now)
-	started += e.startUrgentRestarts(now, maxStartsPerTick-started)
+	started += e.startUrgentRestarts(now, limit-started)
 	e.drainWorkers(now)
-	e.startTasks(now, maxStartsPerTick-started)
+	e.startTasks(now, limit-started)
 	e.recordLongDowntimes(now)
 	e.recordShardRoom(now)
 	e.controlInterference(now)
@@ -38,6 +41,14 @@
 	e.defragment(now)
 }
 
+// startLimit returns how many starts may be sent in this tick. Commands carry an answer for each start.
+func (e *Engine) startLimit() int {
+	if e.isDisabled(mechanism.StartWindow) {
+		return maxStartsPerTick
+	}
+	return e.startAnswers.window.free()
+}
+
 // dropSilentWorkers gives up runs whose leases have expired, and forgets workers that
 // are neither listed nor running anything. A worker that is missing from the platform's
 // list may be running: its entry also expires while it is only cut off. Workers are also kept while a
@@ -265,5 +276,6 @@
 		Start: &Start{Spec: t.step.job.Spec, Checkpoint: t.checkpoint, Ticket: e.ticket(now, t.step, w)},
 		Fence: e.fence(w), Lease: w.renewLease(now, e.options.LeaseTerm), AnswerTimeout: e.startAnswers.timeout(),
 	})
+	e.startAnswers.window.inFlight++
 	e.count("Task.Starts")
 }
--- a/internal/decision/mechanism/mechanism.go
+++ b/internal/decision/mechanism/mechanism.go
@@ -38,6 +38,7 @@
 	Preemption
 	OverloadRefusal
 	StartRetries
+	StartWindow
 	ShardBalance
 	EstimateExchange
 	OwnerRebalance
@@ -76,6 +77,7 @@
 	Preemption:           {"Preemption", "urgent tasks that wait while less urgent ones occupy the workers"},
 	OverloadRefusal:      {"OverloadRefusal", "jobs that could end only after they have lost their value"},
 	StartRetries:         {"StartRetries", "start commands that get no answer"},
+	StartWindow:          {"StartWindow", "an owner that hasn't the processor time to read the answers to all starts of its backlog in time"},
 	ShardBalance:         {"ShardBalance", "shards with unequal load"},
 	EstimateExchange:     {"EstimateExchange", "images that run in several shards"},
 	OwnerRebalance:       {"OwnerRebalance", "instances that own more shards than others"},
