Record each run outside an owner's records until it must have ended

Cause: the time of the last stop, the number in the last report and a time per task were kept apart, and none of them was the run.

Change: a worker has a record of each such run until its end is listed, a poll sent after the stop must have ended it doesn't list it, or its worker has restarted, was replaced or is silent beyond its leases. The worker gets no tasks and the task doesn't start until then.

--- a/internal/decision/dispatch/awaited_stop.go
+++ b/internal/decision/dispatch/awaited_stop.go
@@ -42,7 +42,7 @@
 			runs = append(runs, r)
 		}
 	}
-	for r := range w.orphanStops {
+	for r := range w.orphans {
 		runs = append(runs, r)
 	}
 	return runs
--- a/internal/decision/dispatch/fence.go
+++ b/internal/decision/dispatch/fence.go
@@ -58,9 +58,6 @@
 	return !w.restartSeenAt.IsZero() && r.Incarnation != 0 && r.Incarnation == w.earlierIncarnation && w.pollSentAt.Before(w.restartSeenAt)
 }
 
-// maxStartSending is how long after it was first sent a start may be sent again.
-const maxStartSending = 1200 * time.Millisecond
-
 // hasUnseenRestart reports whether the worker's entry in the list comes from a later process than the one
 // that last answered.
 func (w *worker) hasUnseenRestart() bool {
@@ -71,7 +68,7 @@
 // may have reached a process that this owner doesn't know of, and which grants the longest lease. If the
 // list shows such a process, it may also execute the start late.
 func (e *Engine) loseExpiredRuns(now time.Time, w *worker) {
-	longest := maxStartSending + maxLeaseDuration(max(e.options.MaxLease, e.options.LeaseTerm)) + leaseEndMargin
+	longest := MaxCommandTime + maxLeaseDuration(max(e.options.MaxLease, e.options.LeaseTerm)) + leaseEndMargin
 	if w.hasUnseenRestart() {
 		longest += maxStartDelay
 	}
--- a/internal/decision/dispatch/fence_test.go
+++ b/internal/decision/dispatch/fence_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
 // fencedProcess is a process of a worker that obeys fences, grants leases and forgets ends that polls say
@@ -214,6 +215,29 @@
 		loseWorker("j")
 	})
 
+	It("refuses a start of the earlier process that arrives late, though the stop for it was lost", func() {
+		runJobs("a")
+		process.worker.silent = true
+		h.submit("j", batchStep(1))
+		starts := len(h.starts)
+		h.tick()
+		Expect(h.starts).To(HaveLen(starts + 1))
+		late := h.starts[starts]
+		h.workers["w1"].info.Draining = false
+		h.listWorkers()
+		for len(h.starts) == starts+1 {
+			step()
+		}
+		process.restart()
+		process.worker.silent = false
+		// The answer to the first poll shows the restart. The harness passes stops to the fake worker,
+		// not to the process, which never gets the stop of the late start.
+		step()
+		step()
+		Expect(process.accepts(late.Fence, late.Lease)).To(BeFalse())
+		Expect(h.workersOf("j")).To(ConsistOf(membership.InstanceID("w1")))
+	})
+
 	It("may run a task of the earlier owner for the longest lease after its first answer to this one", func() {
 		late := dispatch.Poll{Fence: 1, Lease: time.Hour}
 		h = newMaxLeaseHarness(dispatch.Epoch(1).Next(), 2)
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -95,8 +95,10 @@
 	down downtime
 	// notBefore is the earliest time of the next start.
 	notBefore time.Time
-	// otherRun is a run of the task outside this owner's records: a worker lists it, or the earlier
-	// owner was stopping it. The task doesn't start again before otherRunEndsBy.
+	// orphans counts the orphans of the task. It doesn't start again while there are any.
+	orphans int
+	// otherRun is a run of the task that the earlier owner was stopping. The task doesn't start again
+	// before otherRunEndsBy.
 	otherRun       TaskRun
 	otherRunEndsBy time.Time
 }
@@ -260,7 +262,7 @@
 
 // isWaiting reports whether the task may start once it is the turn of its step.
 func (t *task) isWaiting(now time.Time) bool {
-	return !t.done && !t.elsewhere && t.attempt == nil && !now.Before(t.notBefore) && !now.Before(t.otherRunEndsBy)
+	return !t.done && !t.elsewhere && t.attempt == nil && t.orphans == 0 && !now.Before(t.notBefore) && !now.Before(t.otherRunEndsBy)
 }
 
 // recordFailure records a failed run and reports whether it was new.
--- a/internal/decision/dispatch/load.go
+++ b/internal/decision/dispatch/load.go
@@ -101,7 +101,7 @@
 	}
 	var rooms []balance.Room
 	for _, w := range e.sortedWorkers {
-		if w.schedulable && w.untrackedRuns == 0 && !w.hold.isActive(now) {
+		if w.schedulable && len(w.orphans) == 0 && !w.hold.isActive(now) {
 			rooms = append(rooms, balance.Room{Service: string(w.Service), Free: w.free().Add(w.shortTaskResources())})
 		}
 	}
--- a/internal/decision/dispatch/long_downtime.go
+++ b/internal/decision/dispatch/long_downtime.go
@@ -109,6 +109,8 @@
 		return AwaitsOwnRun, fmt.Sprintf("run %d on %s is %s, sent %s ago", t.attempt.run, t.attempt.worker.ID, t.attempt.phase, now.Sub(t.attempt.sentAt))
 	case e.mustAwaitRecovery(now, t.step.job):
 		return AwaitsRecovery, "recovery hasn't ended"
+	case t.orphans > 0:
+		return AwaitsOtherRun, fmt.Sprintf("%d runs that aren't in the records may be active", t.orphans)
 	case now.Before(t.otherRunEndsBy):
 		return AwaitsOtherRun, fmt.Sprintf("run %d may be active for %s more", t.otherRun.Run, t.otherRunEndsBy.Sub(now))
 	case now.Before(t.notBefore):
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -124,7 +124,7 @@
 // meetsConstraints is like isFeasible but ignores the free capacity and holds.
 func (e *Engine) meetsConstraints(s *step, w *worker) bool {
 	switch {
-	case !w.schedulable, w.Service != s.job.queue.Service, w.untrackedRuns > 0:
+	case !w.schedulable, w.Service != s.job.queue.Service, len(w.orphans) > 0:
 		return false
 	case s.Requires != "" && !w.hasLabel(s.Requires):
 		return false
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
@@ -87,6 +86,7 @@
 	ev := w.evidence(now)
 	e.record(now, Decision{Event: "WorkerReplaced", Worker: id, Reason: address, Age: ev.ReportAge, Evidence: &ev})
 	e.loseRuns(now, w, "worker replaced")
+	w.dropOrphans()
 }
 
 // Observe processes a worker's report.
@@ -148,7 +148,7 @@
 	w.lastEndSeen, w.lastEndStored, w.leaseEndSent, w.possibleLeaseEnd = 0, 0, 0, 0
 	w.restartSeenAt, w.fenced = now, false
 	e.raiseFence(w)
-	clear(w.orphanStops)
+	w.dropOrphans()
 	for _, a := range w.runs {
 		switch _, unanswered := w.unansweredStarts[a.taskRun()]; {
 		case a.phase == starting:
@@ -212,7 +212,7 @@
 		}
 		e.releaseRun(now, a)
 	}
-	delete(w.orphanStops, end.TaskRun)
+	w.dropOrphan(end.TaskRun)
 	t := e.findTask(end.Task)
 	w.endAwaitedStop(t, end.TaskRun)
 	if t == nil || t.step.job.outcome != "" {
@@ -276,7 +276,9 @@
 	for _, end := range report.Ended {
 		ended[end.TaskRun] = true
 	}
-	w.untrackedRuns = 0
+	for _, o := range w.orphans {
+		o.listed = false
+	}
 	for _, r := range report.Running {
 		if ended[r.TaskRun] {
 			continue
@@ -286,12 +288,12 @@
 			a = e.adopt(now, w, r.TaskRun)
 		}
 		if a == nil {
-			w.untrackedRuns++
 			e.stopOrphan(now, w, r.TaskRun)
 			continue
 		}
 		e.observeRun(now, a, r)
 	}
+	e.dropMissingOrphans(w)
 }
 
 func (e *Engine) observeRun(now time.Time, a *attempt, r RunningTask) {
@@ -323,6 +325,7 @@
 		return nil
 	}
 	w.endAwaitedStop(t, r)
+	w.dropOrphan(r)
 	a := newAttempt(t, r.Run, w, now)
 	a.phase, a.settledPoll, a.confirmed = running, w.polls, true
 	a.adopted = true
@@ -341,36 +344,6 @@
 	return a
 }
 
-// stopOrphan stops a run that isn't in this owner's records. Its task doesn't start again while the
-// run may be active.
-func (e *Engine) stopOrphan(now time.Time, w *worker, r TaskRun) {
-	t := e.findTask(r.Task)
-	if t != nil {
-		t.otherRun, t.otherRunEndsBy = r, w.leasesExpireAt()
-	}
-	if now.Sub(w.orphanStops[r]) < stopRetryInterval {
-		return
-	}
-	if w.orphanStops[r].IsZero() {
-		ev := w.evidence(now)
-		e.record(now, Decision{Event: "TaskOrphan", Task: r, Worker: w.ID, Reason: explainOrphan(t), Age: ev.ReportAge, Evidence: &ev})
-	}
-	w.orphanStops[r] = now
-	e.count("Task.Stray")
-	e.issueStopCommand(w, r)
-}
-
-// explainOrphan returns why a run of the task wasn't adopted. The task is nil if its job is unknown.
-func explainOrphan(t *task) string {
-	switch {
-	case t == nil:
-		return "its job is unknown or has ended"
-	case t.attempt == nil:
-		return "another shard runs the task"
-	}
-	return fmt.Sprintf("run %d of the task on %s is %s", t.attempt.run, t.attempt.worker.ID, t.attempt.phase)
-}
-
 // handleMissingRuns handles the runs that a worker should report but doesn't. It never compares
 // times on the worker's clock: the worker may read the clock after the lists, and responses on
 // different connections may overtake each other.
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -55,10 +55,11 @@
 // recovery waits for them, and while a late start may be executed on them.
 func (e *Engine) dropSilentWorkers(now time.Time) {
 	e.sortedWorkers = slices.DeleteFunc(e.sortedWorkers, func(w *worker) bool {
-		if len(w.runs) > 0 && w.hasLostRuns(now) {
+		if (len(w.runs) > 0 || len(w.orphans) > 0) && w.hasLostRuns(now) {
 			e.loseExpiredRuns(now, w)
+			w.dropOrphans()
 		}
-		if w.listed || len(w.runs) > 0 || now.Sub(w.unlistedAt) < maxReportAge {
+		if w.listed || len(w.runs) > 0 || len(w.orphans) > 0 || now.Sub(w.unlistedAt) < maxReportAge {
 			return false
 		}
 		if e.recovering && e.mayHaveUnlistedRuns(now, w) || w.mayExecuteLateStart(now) {
--- a/internal/decision/dispatch/shard_room.go
+++ b/internal/decision/dispatch/shard_room.go
@@ -101,5 +101,5 @@
 // isUnavailable reports whether the worker is in service but gets no new tasks for now: it is silent,
 // hasn't listed its runs, has refused a start, is quarantined or has runs of unknown size.
 func (e *Engine) isUnavailable(w *worker) bool {
-	return e.isInService(w) && (!w.schedulable || w.untrackedRuns > 0)
+	return e.isInService(w) && (!w.schedulable || len(w.orphans) > 0)
 }
--- a/internal/decision/dispatch/types.go
+++ b/internal/decision/dispatch/types.go
@@ -303,6 +303,9 @@
 	StartUnanswered StartResult = "Unanswered"
 )
 
+// MaxCommandTime limits the time from the first attempt to send a command to the end of the last one.
+const MaxCommandTime = 1200 * time.Millisecond
+
 // Command is a request to a worker. Exactly one of Start, Stop and Pace is set.
 type Command struct {
 	Worker  membership.InstanceID
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -175,12 +175,9 @@
 	awaitedStops map[TaskRun]time.Time
 	// unansweredStarts has the time of each start that got no answer.
 	unansweredStarts map[TaskRun]time.Time
-	// orphanStops has the time of the last stop command for each run that isn't in this
-	// owner's records.
-	orphanStops map[TaskRun]time.Time
-	// untrackedRuns counts the runs in the last report whose resources are unknown:
-	// those of unknown jobs, and of tasks that this owner runs on another worker.
-	untrackedRuns int
+	// orphans has the runs that the worker has listed, that aren't in this owner's records and that may
+	// still be active. Their resources are unknown.
+	orphans map[TaskRun]*orphan
 	// avoidUntil is when a worker that refused a start is tried again.
 	avoidUntil      time.Time
 	health          health
@@ -214,7 +211,7 @@
 		fillerReducedAt:  map[Image]time.Time{},
 		sampledAt:        map[Image]time.Time{},
 		overTargets:      map[*step]*overTarget{},
-		orphanStops:      map[TaskRun]time.Time{},
+		orphans:          map[TaskRun]*orphan{},
 		unansweredStarts: map[TaskRun]time.Time{},
 		awaitedStops:     map[TaskRun]time.Time{},
 	}
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// commandTimeout limits a start, stop or pace command, including all retries.
-	commandTimeout = 1200 * time.Millisecond
 	// pollTimeout limits a poll, in addition to the time that the worker may wait before
 	// it answers.
 	pollTimeout = 700 * time.Millisecond
@@ -93,7 +91,7 @@
 
 // sendCommand sends a command to a worker and reports the result to the engine.
 func (o *owner) sendCommand(ctx context.Context, c dispatch.Command) error {
-	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	ctx, cancel := context.WithTimeout(ctx, dispatch.MaxCommandTime)
 	defer cancel()
 	switch {
 	case c.Start != nil:
