--- a/internal/caller/queue/queue.go
+++ b/internal/caller/queue/queue.go
@@ -81,6 +81,9 @@
 
 // Error returns the reason and the retry delay.
 func (r *Refusal) Error() string {
+	if r.Permanent {
+		return fmt.Sprintf("refused: %s; the same request will always be refused", r.Reason)
+	}
 	return fmt.Sprintf("refused: %s; retry after %v", r.Reason, r.RetryAfter)
 }
 
--- a/internal/decision/dispatch/fence.go
+++ b/internal/decision/dispatch/fence.go
@@ -61,7 +61,7 @@
 // hasUnseenRestart reports whether the worker's entry in the list comes from a later process than the one
 // that last answered.
 func (w *worker) hasUnseenRestart() bool {
-	return w.incarnation != 0 && w.Incarnation > w.incarnation
+	return w.incarnation != 0 && w.RegisteredIncarnation > w.incarnation
 }
 
 // loseExpiredRuns gives up the runs of a silent worker whose leases have expired. A start without an answer
--- a/internal/decision/dispatch/fence_test.go
+++ b/internal/decision/dispatch/fence_test.go
@@ -206,7 +206,7 @@
 		h.tick()
 		Expect(h.starts).To(HaveLen(starts + 1))
 		process.restart()
-		process.worker.info.Incarnation = process.worker.incarnation
+		process.worker.info.RegisteredIncarnation = process.worker.incarnation
 		h.listWorkers()
 		for range 100 {
 			step()
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -41,7 +41,7 @@
 	e.defragment(now)
 }
 
-// startLimit returns how many starts may be sent in this tick. Commands carry an answer for each start.
+// startLimit returns how many starts may be sent in this tick.
 func (e *Engine) startLimit() int {
 	if e.isDisabled(mechanism.StartWindow) {
 		return maxStartsPerTick
--- a/internal/decision/dispatch/types.go
+++ b/internal/decision/dispatch/types.go
@@ -200,8 +200,8 @@
 	Zone     membership.Zone
 	Labels   []Label
 	Capacity resource.Vector
-	// Incarnation is the process of the worker that made the entry, 0 if it didn't tell.
-	Incarnation int64 `json:",omitempty"`
+	// RegisteredIncarnation is the process of the worker that made the entry, 0 if it didn't tell.
+	RegisteredIncarnation int64 `json:",omitempty"`
 	// Draining workers get no new tasks.
 	Draining bool
 	// Remaining is the minimum time for which a draining worker stays available.
--- a/internal/entry/dispatcher/client_requests.go
+++ b/internal/entry/dispatcher/client_requests.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return err
 	}
+	// A job that can't be stored is refused here, before it waits for the owner.
 	if _, err := encodeJob(jobRow{Job: &j}); err != nil {
 		return err
 	}
--- a/internal/entry/dispatcher/fenced_commands_test.go
+++ b/internal/entry/dispatcher/fenced_commands_test.go
@@ -106,11 +106,11 @@
 		o.engine.SetWorkers(o.now(), []dispatch.WorkerInfo{{ID: "w"}})
 		o.engine.Poll(o.now(), "w")
 		o.engine.Observe(o.now(), "w", dispatch.Report{Incarnation: 1})
-		polled := make(chan error, 1)
+		polled := make(chan time.Duration, 1)
 		o.group.Go(func() error {
-			_, err := o.pollOnce("w", dispatch.Poll{Wait: time.Hour})
-			polled <- err
-			return nil
+			interval, err := o.pollOnce("w", dispatch.Poll{Wait: time.Hour})
+			polled <- interval
+			return err
 		})
 		Eventually(func() bool {
 			o.lock.Lock()
@@ -121,6 +121,6 @@
 		o.applyStartAnswer(start, dispatch.StartAnswer{Result: dispatch.StartAccepted, Incarnation: 1})
 		Consistently(polled, 100*time.Millisecond).ShouldNot(Receive())
 		o.applyStartAnswer(start, dispatch.StartAnswer{Result: dispatch.StartAccepted, Incarnation: 2})
-		Eventually(polled, 5*time.Second).Should(Receive(BeNil()))
+		Eventually(polled, 5*time.Second).Should(Receive(Equal(pollInterval)))
 	})
 })
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -255,6 +255,10 @@
 			}
 			e.PollFailed(now, id)
 		})
+		if errors.Is(err, context.Canceled) {
+			// The worker has restarted, and the next poll brings its new process the new fence.
+			return pollInterval, nil
+		}
 		return silentPollInterval, nil
 	}
 	interval := pollInterval
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -69,9 +69,10 @@
 	// fleet has the rows of the workers in use at a revision of the engine.
 	fleet           [][]byte
 	workersRevision int
-	// parts is the number of changes that could be stored without each other. Each job, write of
-	// a list and deferred write is one.
+	// parts is the number of changes that could be stored without each other, limit at most. Each job,
+	// write of a list and deferred write is one.
 	parts int
+	limit int
 }
 
 // takeUpdate collects what is to be stored. Until the stored jobs are loaded, this is
@@ -91,36 +92,70 @@
 		u.writes = append(u.writes, table.Write{Key: o.shard.partition.stoppingKey(), Value: encode(stopping)})
 	}
 	now := o.now()
-	limit := o.partLimit.max()
-	u.batch = o.engine.TakeBatch(min(maxBatchJobs, limit))
+	u.limit = o.partLimit.max()
+	o.addJobs(&u, now)
+	o.addEstimates(&u, now)
+	o.addExpired(&u)
+	o.addDeferred(&u)
+	o.addFleet(&u)
+	return u
+}
+
+// room returns how many more parts the update may have.
+func (u *update) room() int {
+	return u.limit - u.parts
+}
+
+// addJobs adds the changes of jobs and the new jobs. The lock must be held.
+func (o *owner) addJobs(u *update, now time.Time) {
+	u.batch = o.engine.TakeBatch(min(maxBatchJobs, u.room()))
 	u.parts += len(u.batch.Updates)
-	u.submissions = o.takeSubmissions(min(maxBatchSubmissions, limit-u.parts))
+	u.submissions = o.takeSubmissions(min(maxBatchSubmissions, u.room()))
 	u.parts += len(u.submissions)
 	u.writes = append(u.writes, o.batchWrites(u.batch, now)...)
 	u.writes = append(u.writes, o.submissionWrites(u.submissions)...)
-	if now.Sub(o.estimatesWrittenAt) >= estimatesInterval && u.parts < limit {
-		o.estimatesWrittenAt = now
-		u.writes = append(u.writes, table.Write{Key: o.shard.partition.estimatesKey(), Value: encode(fittingPrefix(o.engine.Estimates(now)))})
-		u.parts++
+}
+
+// addEstimates adds the interference estimates if it is time for them. The lock must be held.
+func (o *owner) addEstimates(u *update, now time.Time) {
+	if now.Sub(o.estimatesWrittenAt) < estimatesInterval || u.room() <= 0 {
+		return
 	}
+	o.estimatesWrittenAt = now
+	value := encode(fittingPrefix(o.engine.Estimates(now)))
+	u.writes = append(u.writes, table.Write{Key: o.shard.partition.estimatesKey(), Value: value})
+	u.parts++
+}
+
+// addExpired adds the removal of finished jobs. The lock must be held.
+func (o *owner) addExpired(u *update) {
 	for id := range o.expiredJobs {
-		if len(u.writes) >= maxBatchWrites || u.parts >= limit {
-			break
+		if len(u.writes) >= maxBatchWrites || u.room() <= 0 {
+			return
 		}
 		delete(o.expiredJobs, id)
 		u.expired = append(u.expired, id)
 		u.writes = append(u.writes, table.Write{Key: o.shard.partition.jobKey(id), Delete: true})
 		u.parts++
 	}
-	u.deferredWrites = o.takeDeferredWrites(min(maxBatchWrites-len(u.writes), limit-u.parts))
+}
+
+// addDeferred adds deferred writes. The lock must be held.
+func (o *owner) addDeferred(u *update) {
+	u.deferredWrites = o.takeDeferredWrites(min(maxBatchWrites-len(u.writes), u.room()))
 	u.writes = append(u.writes, u.deferredWrites...)
 	u.parts += len(u.deferredWrites)
-	if revision := o.engine.WorkersRevision(); revision != o.workersRevision && u.parts < limit {
-		u.fleet, u.workersRevision = fleetPages(o.engine.UsedWorkers()), revision
-		u.writes = append(u.writes, o.shard.partition.fleetWrites(o.fleet, u.fleet)...)
-		u.parts++
+}
+
+// addFleet adds the list of workers in use if it has changed. The lock must be held.
+func (o *owner) addFleet(u *update) {
+	revision := o.engine.WorkersRevision()
+	if revision == o.workersRevision || u.room() <= 0 {
+		return
 	}
-	return u
+	u.fleet, u.workersRevision = fleetPages(o.engine.UsedWorkers()), revision
+	u.writes = append(u.writes, o.shard.partition.fleetWrites(o.fleet, u.fleet)...)
+	u.parts++
 }
 
 // transaction returns the transaction that stores the update. The store rejects it if
