Try each rack with room for a gang that wants a single one, then several

Cause: only the rack of the best worker for the gang's first task was tried, in each tick again. With one worker of that rack lost or in use the others didn't fit, and a gang larger than any rack couldn't start at all.

Change: the racks that have room for all tasks are tried, that of the best worker first; if none has for 2 s, the gang is spread over several. Placing a gang has a file of its own.

--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -54,8 +54,10 @@
 	restartsUrgently bool
 	// durations are the durations of the tasks that have succeeded.
 	durations []time.Duration
-	// rack is the rack on which the tasks of a OneRack step run.
-	rack Label
+	// rack is the rack on which the tasks of a OneRack step are being placed, and noRackSince is when
+	// no rack first had room for all of them, or zero.
+	rack        Label
+	noRackSince time.Time
 }
 
 // task is one task of a step.
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -209,48 +209,6 @@
 	return started
 }
 
-// startGang starts all tasks of a step together, or none.
-func (e *Engine) startGang(now time.Time, s *step) int {
-	run := Run(0)
-	for _, t := range s.tasks {
-		if !t.isWaiting(now) {
-			return 0
-		}
-		run = max(run, e.nextRun(t))
-	}
-	checkpoint := Checkpoint("")
-	for _, t := range s.tasks {
-		if t.checkpoint != "" {
-			checkpoint = t.checkpoint
-		}
-	}
-	var placed []*attempt
-	for _, t := range s.tasks {
-		w := e.chooseWorker(now, t)
-		if w == nil {
-			for _, a := range placed {
-				a.worker.remove(a, now)
-				a.task.run = a.previousRun
-			}
-			s.rack = ""
-			return 0
-		}
-		t.checkpoint = checkpoint
-		a := newAttempt(t, run, w, now)
-		a.previousRun = t.run
-		w.add(a)
-		placed = append(placed, a)
-		if s.OneRack && s.rack == "" {
-			s.rack = rackOf(w)
-		}
-	}
-	s.rack = ""
-	for _, a := range placed {
-		e.sendStart(now, a)
-	}
-	return len(placed)
-}
-
 // runsPerEpoch separates the run numbers of successive owners, so that a new owner
 // never reuses the number of a run that it doesn't know.
 const runsPerEpoch = 1000
