Keep an accepted start for the longest lease until a report shows it

Cause: a start goes to a worker that has restarted unseen, which accepts it and grants the longest lease, as the lease end is on the earlier clock. If it is cut off before it answers a poll, the owner counted the lease from the last report of the earlier process. "Learn of a worker's restart from its answers to starts" was meant to mend this, but answers to starts don't have born on the platform, only a clock that begins anywhere in each process.

Change: on a silent worker, a run that no report has listed since its start is given up only after the longest lease from its answer, or from the last time that it may have been sent.

--- a/internal/decision/dispatch/fence.go
+++ b/internal/decision/dispatch/fence.go
@@ -38,43 +38,32 @@
 	w.fenced = w.pollFence == e.fence(w)
 }
 
-// ObserveIncarnation records which process of a worker answered a start, and reports whether that shows a
-// restart. A report would show it too, but only once the poll of the earlier process has timed out, and a
-// worker that falls silent before sends none.
-func (e *Engine) ObserveIncarnation(now time.Time, id membership.InstanceID, a StartAnswer) bool {
-	w := e.workers[id]
-	if w == nil || !w.reported || w.incarnation == 0 || a.Incarnation <= w.incarnation {
-		return false
-	}
-	e.handleRestart(now, w, Report{Incarnation: a.Incarnation, Clock: a.Clock})
-	w.lastReportAt, w.reportedClock = now, a.Clock
-	e.observeFence(w, a.Clock)
-	return true
-}
-
-// isOutdated reports whether a report comes from the process before a restart that an answer to a start
-// has shown meanwhile.
-func (w *worker) isOutdated(r Report) bool {
-	return !w.restartSeenAt.IsZero() && r.Incarnation != 0 && r.Incarnation == w.earlierIncarnation && w.pollSentAt.Before(w.restartSeenAt)
-}
-
 // hasUnseenRestart reports whether the worker's entry in the list comes from a later process than the one
 // that last answered.
 func (w *worker) hasUnseenRestart() bool {
 	return w.incarnation != 0 && w.RegisteredIncarnation > w.incarnation
 }
 
-// loseExpiredRuns gives up the runs of a silent worker whose leases have expired. A start without an answer
-// may have reached a process that this owner doesn't know of, and which grants the longest lease. If the
-// list shows such a process, it may also execute the start late.
+// loseExpiredRuns gives up the runs of a silent worker whose leases have expired. A start that no report has
+// shown since may have reached a process that this owner doesn't know of, and which grants the longest lease,
+// whether the start was answered or not. If the list shows such a process, it may also execute commands
+// late.
 func (e *Engine) loseExpiredRuns(now time.Time, w *worker) {
-	longest := MaxCommandTime + maxLeaseDuration(max(e.options.MaxLease, e.options.LeaseTerm)) + leaseEndMargin
+	longest := maxLeaseDuration(max(e.options.MaxLease, e.options.LeaseTerm)) + leaseEndMargin
 	if w.hasUnseenRestart() {
 		longest += maxStartDelay
 	}
 	for _, a := range w.runs {
-		if a.confirmed || now.After(a.sentAt.Add(longest)) {
+		if a.listed || now.After(a.startedBy().Add(longest)) {
 			e.loseRun(now, a, "lease ended")
 		}
 	}
 }
+
+// startedBy returns the latest time at which the worker may have executed the start, other than late.
+func (a *attempt) startedBy() time.Time {
+	if !a.answeredAt.IsZero() {
+		return a.answeredAt
+	}
+	return a.sentAt.Add(MaxCommandTime)
+}
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -95,10 +95,6 @@
 	if w == nil {
 		return
 	}
-	if w.isOutdated(r) {
-		e.PollFailed(now, id)
-		return
-	}
 	if w.hasRestarted(r) {
 		e.handleRestart(now, w, r)
 	}
@@ -144,9 +140,9 @@
 	ev.EarlierIncarnation, ev.EarlierClock = ev.Incarnation, ev.Clock
 	ev.Incarnation, ev.Clock = r.Incarnation, r.Clock
 	e.record(now, Decision{Event: "WorkerRestarted", Worker: w.ID, Age: ev.ReportAge, Evidence: &ev})
-	w.earlierIncarnation, w.incarnation = w.incarnation, r.Incarnation
+	w.incarnation = r.Incarnation
 	w.lastEndSeen, w.lastEndStored, w.leaseEndSent, w.possibleLeaseEnd = 0, 0, 0, 0
-	w.restartSeenAt, w.fenced = now, false
+	w.fenced = false
 	e.raiseFence(w)
 	w.dropOrphans()
 	for _, a := range w.runs {
@@ -303,7 +299,7 @@
 	if a.phase == unconfirmed {
 		a.phase = running
 	}
-	a.confirmed = true
+	a.confirmed, a.listed = true, true
 	a.task.step.job.started = true
 	if r.Percent > a.percent {
 		if a.percent == 0 && (a.adopted || a.task.checkpoint != "") {
@@ -330,7 +326,7 @@
 	w.endAwaitedStop(t, r)
 	w.dropOrphan(r)
 	a := newAttempt(t, r.Run, w, now)
-	a.phase, a.settledPoll, a.confirmed = running, w.polls, true
+	a.phase, a.settledPoll, a.confirmed, a.listed = running, w.polls, true, true
 	a.adopted = true
 	t.down = downtime{}
 	a.pace.percent = unknownPace
--- a/internal/decision/dispatch/types.go
+++ b/internal/decision/dispatch/types.go
@@ -331,14 +331,6 @@
 	Ticket     Ticket
 }
 
-// StartAnswer is a worker's answer to a start command. Incarnation and Clock are those of the process that
-// answered, zero if it didn't tell.
-type StartAnswer struct {
-	Result      StartResult
-	Incarnation int64
-	Clock       time.Duration
-}
-
 // Poll is the content of the next status request to a worker.
 type Poll struct {
 	Address string
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -73,8 +73,9 @@
 	answeredAt time.Time
 	// missingSince is when a report first should have listed the run and didn't, or zero.
 	missingSince time.Time
-	// confirmed reports that the worker accepted the run or listed it.
+	// confirmed reports that the worker accepted the run or listed it, listed that it listed it.
 	confirmed bool
+	listed    bool
 	// previousRun is the task's run number before the placement of its gang, to restore
 	// if the gang doesn't fit.
 	previousRun Run
@@ -137,10 +138,6 @@
 	// replaced reports that another worker answers at this worker's address, so nothing
 	// runs on this one.
 	replaced bool
-	// restartSeenAt is when this owner noticed the last restart of the worker, or zero, and
-	// earlierIncarnation is the process before that.
-	restartSeenAt      time.Time
-	earlierIncarnation int64
 	// pollFence is the fence of the last poll that was sent. fenced reports that the worker has
 	// answered a poll with the current fence, so that it executes no earlier command any more.
 	pollFence Fence
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -36,7 +36,7 @@
 
 // Workers sends commands to workers.
 type Workers interface {
-	Start(ctx context.Context, c dispatch.Command) dispatch.StartAnswer
+	Start(ctx context.Context, c dispatch.Command) dispatch.StartResult
 	// Stop returns when the worker has accepted the command; the run may end later. It fails
 	// with ErrStaleEpoch.
 	Stop(ctx context.Context, c dispatch.Command) error
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -60,8 +60,6 @@
 	loaded bool
 	// polledWorkers has the workers for which pollWorker is running.
 	polledWorkers map[membership.InstanceID]bool
-	// pollEnds has a function for each poll in progress that ends it.
-	pollEnds map[membership.InstanceID]context.CancelFunc
 	// row is the owner's row as last written, and version its version.
 	row        ownerRow
 	version    table.Version
@@ -115,7 +113,6 @@
 		engineDue:     make(chan struct{}, 1),
 		writeDue:      make(chan struct{}, 1),
 		polledWorkers: map[membership.InstanceID]bool{},
-		pollEnds:      map[membership.InstanceID]context.CancelFunc{},
 
 		expiredJobs:  map[dispatch.JobID]bool{},
 		storing:      map[dispatch.JobID]bool{},
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -95,9 +95,9 @@
 	defer cancel()
 	switch {
 	case c.Start != nil:
-		answer := o.startTask(ctx, c)
-		o.applyStartAnswer(c, answer)
-		if answer.Result == dispatch.StartStaleEpoch {
+		result := o.startTask(ctx, c)
+		o.withEngine(func(now time.Time, e *dispatch.Engine) { e.StartAnswered(now, c.Worker, c.TaskRun, result) })
+		if result == dispatch.StartStaleEpoch {
 			o.supersede("a worker has seen a higher epoch")
 			return errSuperseded
 		}
@@ -117,39 +117,24 @@
 	return nil
 }
 
-// applyStartAnswer passes the answer to a start command to the engine. If it comes from a process of the
-// worker that the engine didn't know, the worker is polled at once, so that it gets the new fence.
-func (o *owner) applyStartAnswer(c dispatch.Command, answer dispatch.StartAnswer) {
-	restarted := false
-	o.withEngine(func(now time.Time, e *dispatch.Engine) {
-		restarted = e.ObserveIncarnation(now, c.Worker, answer)
-		e.StartAnswered(now, c.Worker, c.TaskRun, answer.Result)
-	})
-	if restarted {
-		o.endPoll(c.Worker)
-	}
-}
-
 // startTask sends a start command, and repeats it if no answer arrives. A worker
 // executes each run once, however often it receives the command. After a repetition,
 // only an acceptance shows the outcome of the earlier attempts, so any refusal counts
 // as no answer.
-func (o *owner) startTask(ctx context.Context, c dispatch.Command) dispatch.StartAnswer {
+func (o *owner) startTask(ctx context.Context, c dispatch.Command) dispatch.StartResult {
 	for repeated := false; ; repeated = true {
 		attemptCtx, cancel := context.WithTimeout(ctx, c.AnswerTimeout)
-		answer := o.node.Workers.Start(attemptCtx, c)
+		result := o.node.Workers.Start(attemptCtx, c)
 		cancel()
-		if answer.Result == dispatch.StartStaleEpoch && !o.isCurrentFence(c.Worker, c.Fence) {
+		if result == dispatch.StartStaleEpoch && !o.isCurrentFence(c.Worker, c.Fence) {
 			// A later command of this owner has overtaken this one.
-			answer.Result = dispatch.StartRestarted
+			result = dispatch.StartRestarted
 		}
 		switch {
-		case answer.Result == dispatch.StartAccepted, answer.Result == dispatch.StartStaleEpoch,
-			!repeated && answer.Result != dispatch.StartUnanswered:
-			return answer
-		case answer.Result != dispatch.StartUnanswered, ctx.Err() != nil, !o.mayRepeatStart(c):
-			answer.Result = dispatch.StartUnanswered
-			return answer
+		case result == dispatch.StartAccepted, result == dispatch.StartStaleEpoch, !repeated && result != dispatch.StartUnanswered:
+			return result
+		case result != dispatch.StartUnanswered, ctx.Err() != nil, !o.mayRepeatStart(c):
+			return dispatch.StartUnanswered
 		}
 		o.node.Counters.Add("Start.Repeated", 1)
 	}
@@ -238,9 +223,7 @@
 func (o *owner) pollOnce(id membership.InstanceID, p dispatch.Poll) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(o.ctx, p.Wait+pollTimeout)
 	defer cancel()
-	o.setPollEnd(id, cancel)
 	report, err := o.node.Workers.Poll(ctx, id, p)
-	o.setPollEnd(id, nil)
 	if o.ctx.Err() != nil {
 		return 0, nil
 	}
@@ -255,10 +238,6 @@
 			}
 			e.PollFailed(now, id)
 		})
-		if errors.Is(err, context.Canceled) {
-			// The worker has restarted, and the next poll brings its new process the new fence.
-			return pollInterval, nil
-		}
 		return silentPollInterval, nil
 	}
 	interval := pollInterval
@@ -274,26 +253,6 @@
 	return interval, nil
 }
 
-// setPollEnd records how to end the current poll of a worker, nil if there is none.
-func (o *owner) setPollEnd(id membership.InstanceID, end context.CancelFunc) {
-	o.lock.Lock()
-	defer o.lock.Unlock()
-	if end == nil {
-		delete(o.pollEnds, id)
-		return
-	}
-	o.pollEnds[id] = end
-}
-
-// endPoll ends the current poll of a worker, if there is one, so that it is polled again soon.
-func (o *owner) endPoll(id membership.InstanceID) {
-	o.lock.Lock()
-	defer o.lock.Unlock()
-	if end := o.pollEnds[id]; end != nil {
-		end()
-	}
-}
-
 // sleep waits and reports whether the owner is still running.
 func (o *owner) sleep(d time.Duration) bool {
 	return o.node.sleep(o.ctx, d)
