Forecast when runs end and room becomes free

Cause: reservations for large tasks, second copies and the replacement of many workers all need to know when the room of a worker becomes free, and nothing in the engine tells.

--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/forecast"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
@@ -117,7 +118,9 @@
 	tickets        map[StepID]*stepTickets
 	adviceRequests []AdviceRequest
 	// meanWork is the mean work of the jobs of each queue, in processor seconds.
-	meanWork            map[QueueName]float64
+	meanWork map[QueueName]float64
+	// durations has the run times that this owner has learned.
+	durations           forecast.Durations
 	stragglersCheckedAt time.Time
 	// forcedFillers counts the running fillers that were started although no worker was
 	// feasible.
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -205,6 +205,7 @@
 		a.task.beginDowntime(now, w, reasonEnded)
 		if end.Kind == EndDone && a.firstProgress.percent == 0 {
 			a.recordDuration(now)
+			e.observeDuration(now, a)
 		}
 		e.releaseRun(now, a)
 	}
--- /dev/null
+++ b/internal/decision/forecast/forecast.go
@@ -0,0 +1,129 @@
+// Package forecast predicts when runs end and when room becomes free on workers.
+//
+// It keeps only what it has learned of run times. Its callers tell it what they know of runs and workers, so
+// the same code serves an owner of the product's own deployment, one on the users' platform, a replay and a
+// test.
+package forecast
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxSamples limits the run times that are kept of a class. Older ones are replaced.
+	maxSamples = 64
+	// minSamples is the number of run times from which a class is known.
+	minSamples = 5
+)
+
+// Class identifies tasks that take similarly long: those of one queue that run the same image.
+type Class struct {
+	Queue string
+	Image string
+}
+
+// Run is what is known of a run.
+type Run struct {
+	Class Class
+	// Estimate is the caller's estimate of the run time. It is 0 if there is none.
+	Estimate time.Duration
+	// Elapsed is the time since the run began.
+	Elapsed time.Duration
+	// Projected is the whole run time at the run's present speed. It is 0 if that isn't known.
+	Projected time.Duration
+}
+
+// Durations learns how long the runs of each class take relative to their callers' estimates. The zero value
+// has learned nothing.
+type Durations struct {
+	classes map[Class]*samples
+}
+
+// Observe records the run time of a run that succeeded.
+func (d *Durations) Observe(c Class, estimate, took time.Duration) {
+	if estimate <= 0 || took <= 0 {
+		return
+	}
+	if d.classes == nil {
+		d.classes = map[Class]*samples{}
+	}
+	s := d.classes[c]
+	if s == nil {
+		s = &samples{}
+		d.classes[c] = s
+	}
+	s.add(float64(took) / float64(estimate))
+}
+
+// Expected returns the median run time of a class for an estimate. A class that isn't known yet takes as long
+// as its callers estimate.
+func (d *Durations) Expected(c Class, estimate time.Duration) time.Duration {
+	return d.Quantile(c, estimate, 0.5)
+}
+
+// Quantile returns the run time that a share of the runs of a class don't exceed, for an estimate.
+func (d *Durations) Quantile(c Class, estimate time.Duration, share float64) time.Duration {
+	s := d.classes[c]
+	if s == nil || len(s.sorted) < minSamples {
+		return estimate
+	}
+	return time.Duration(s.quantile(0, share) * float64(estimate))
+}
+
+// Remaining returns the time that a run is expected to go on, at least 0. A run that has outlasted all known
+// ones of its class is expected to take twice as long as it has taken so far.
+func (d *Durations) Remaining(r Run) time.Duration {
+	if r.Projected > 0 {
+		return max(r.Projected-r.Elapsed, 0)
+	}
+	return max(d.expectedAfter(r)-r.Elapsed, 0)
+}
+
+// expectedAfter returns the expected whole run time of a run that has gone on for its elapsed time.
+func (d *Durations) expectedAfter(r Run) time.Duration {
+	if r.Elapsed < r.Estimate/2 {
+		return d.Expected(r.Class, r.Estimate)
+	}
+	s := d.classes[r.Class]
+	if s == nil || len(s.sorted) < minSamples || r.Estimate <= 0 {
+		return max(r.Estimate, 2*r.Elapsed)
+	}
+	elapsed := float64(r.Elapsed) / float64(r.Estimate)
+	if s.sorted[len(s.sorted)-1] <= elapsed {
+		return 2 * r.Elapsed
+	}
+	return time.Duration(s.quantile(elapsed, 0.5) * float64(r.Estimate))
+}
+
+// samples has the latest ratios of run time to estimate of a class.
+type samples struct {
+	// latest is a ring buffer in the order of arrival, next its oldest entry once it is full.
+	latest []float64
+	next   int
+	sorted []float64
+}
+
+func (s *samples) add(ratio float64) {
+	if len(s.latest) < maxSamples {
+		s.latest = append(s.latest, ratio)
+	} else {
+		at, _ := slices.BinarySearch(s.sorted, s.latest[s.next])
+		s.sorted = slices.Delete(s.sorted, at, at+1)
+		s.latest[s.next] = ratio
+		s.next = (s.next + 1) % maxSamples
+	}
+	at, _ := slices.BinarySearchFunc(s.sorted, ratio, cmp.Compare[float64])
+	s.sorted = slices.Insert(s.sorted, at, ratio)
+}
+
+// quantile returns the quantile of the ratios above a bound.
+func (s *samples) quantile(above, share float64) float64 {
+	first, _ := slices.BinarySearch(s.sorted, above)
+	rest := s.sorted[first:]
+	if len(rest) == 0 {
+		return above
+	}
+	return rest[min(int(share*float64(len(rest))), len(rest)-1)]
+}
