Run second copies of tasks on workers that hang or are slow

Cause: a step that allows copies waits for its slowest run; the engine ran one of each, whatever that run's worker did.

Change: internal/decision/dispatch/copy.go starts a copy on another worker where the forecast expects the run to go on for more than twice as long as a copy would take and the worker may be the cause, or copies have been useful, within a budget and only in room that no first run waits for. The first end as done counts and stops the other run. A running task of such a step no longer shows that the next step hasn't begun: an earlier owner may have seen another copy end. Mechanism SecondCopies; docs/design/second-copies.md.

The specs in copy_test.go fail without the check of waiting first runs, the budget, the give-up of useless copies, the stop of copies for first runs and the rule for next steps, each tried by taking it out.

--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -122,6 +122,9 @@
 	// durations has the run times that this owner has learned.
 	durations           forecast.Durations
 	stragglersCheckedAt time.Time
+	// copiesCheckedAt is when runs to copy were last searched for, and copies how useful copies have been.
+	copiesCheckedAt time.Time
+	copies          copyRecord
 	// forcedFillers counts the running fillers that were started although no worker was
 	// feasible.
 	forcedFillers int
@@ -425,9 +428,7 @@
 	})
 	e.count("Job." + string(state))
 	j.eachTask(func(t *task) {
-		if t.attempt != nil {
-			e.stop(now, t.attempt, "job ended")
-		}
+		e.stopAttempts(now, t, "job ended")
 	})
 }
 
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -67,8 +67,9 @@
 	done bool
 	// elsewhere reports that another shard runs the task.
 	elsewhere bool
-	// attempt is the run that may be active, or nil.
+	// attempt is the run that may be active, or nil. second is another one, a copy on another worker.
 	attempt *attempt
+	second  *attempt
 	// run is the highest run number used so far, and firstRun the highest one that was used before the
 	// task was transferred to this shard.
 	run      Run
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -77,9 +77,13 @@
 	return best
 }
 
-// isVictim reports whether the run may be stopped in favor of the step.
+// isVictim reports whether the run may be stopped in favor of the step. Copies make room for first runs of their
+// own priority, too.
 func (a *attempt) isVictim(s *step) bool {
 	own := a.task.step
+	if a.isCopy() && a.phase == running {
+		return own.job.queue.Priority >= s.job.queue.Priority
+	}
 	return a.phase == running && !own.Filler && !own.LongRunning && !own.Gang &&
 		own.job.queue.Priority > s.job.queue.Priority
 }
@@ -87,6 +91,9 @@
 // lostWork returns the work that is repeated if the run is stopped, in percent of the
 // task.
 func (a *attempt) lostWork() int {
+	if a.isCopy() {
+		return 0
+	}
 	if a.task.step.Checkpointing {
 		return 0
 	}
--- a/internal/decision/dispatch/recovery.go
+++ b/internal/decision/dispatch/recovery.go
@@ -89,9 +89,10 @@
 // the steps that depend on it, directly or not, as not started by any earlier owner:
 // from now on the worker reports the end of the task only to this owner. Gangs are
 // excluded, because a gang ends on all its workers, and the others may still report
-// that to an earlier owner.
+// that to an earlier owner, and so are steps that allow copies, because an earlier owner may
+// have seen the end of another copy.
 func (s *step) markDependentsUnstarted() {
-	if s.seenRunning || s.Gang || s.LongRunning {
+	if s.seenRunning || s.Gang || s.LongRunning || s.allowsCopies() {
 		return
 	}
 	s.seenRunning = true
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -207,6 +207,9 @@
 			a.recordDuration(now)
 			e.observeDuration(now, a)
 		}
+		if end.Kind == EndDone {
+			e.recordCopyResult(a)
+		}
 		e.releaseRun(now, a)
 	}
 	w.dropOrphan(end.TaskRun)
@@ -249,8 +252,8 @@
 	}
 	for _, member := range members {
 		member.succeed()
-		if member.attempt != nil && !t.step.Gang {
-			e.stop(now, member.attempt, "another run of the task succeeded")
+		if !t.step.Gang {
+			e.stopAttempts(now, member, "another run of the task succeeded")
 		}
 	}
 	e.markDirty(t.step.job)
@@ -321,7 +324,7 @@
 // stopped, and occupies its capacity until it has ended.
 func (e *Engine) adopt(now time.Time, w *worker, r TaskRun) *attempt {
 	t := e.findTask(r.Task)
-	if t == nil || t.attempt != nil || t.elsewhere {
+	if t == nil || t.elsewhere || t.attempt != nil && !e.mayAdoptCopy(t, w) {
 		return nil
 	}
 	w.endAwaitedStop(t, r)
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -33,7 +33,8 @@
 	started := e.startMovedTasks(now)
 	started += e.startUrgentRestarts(now, limit-started)
 	e.drainWorkers(now)
-	e.startTasks(now, limit-started)
+	started += e.startTasks(now, limit-started)
+	e.startCopies(now, limit-started)
 	e.recordLongDowntimes(now)
 	e.recordShardRoom(now)
 	e.controlInterference(now)
@@ -94,17 +95,20 @@
 	}
 }
 
-// startTasks starts up to limit of the tasks that may start, in the order of the candidates.
-func (e *Engine) startTasks(now time.Time, limit int) {
+// startTasks starts up to limit of the tasks that may start, in the order of the candidates, and returns their
+// number.
+func (e *Engine) startTasks(now time.Time, limit int) int {
 	e.countTrialRuns(now)
 	e.countForcedFillers()
 	e.scheduleStarvationCheck(now)
+	started := 0
 	for _, c := range e.candidates(now) {
-		if limit <= 0 {
-			return
+		if started >= limit {
+			break
 		}
-		limit -= e.startStep(now, c.step, limit)
+		started += e.startStep(now, c.step, limit-started)
 	}
+	return started
 }
 
 // shape is the set of properties that decide whether any worker is feasible for a task.
--- a/internal/decision/dispatch/straggler_test.go
+++ b/internal/decision/dispatch/straggler_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
@@ -20,8 +21,13 @@
 }
 
 func newStragglerHarness(workers int) *stragglerHarness {
+	return newStragglerHarnessWithout(0, workers)
+}
+
+// newStragglerHarnessWithout is like newStragglerHarness for an engine with some mechanisms disabled.
+func newStragglerHarnessWithout(disabled mechanism.Set, workers int) *stragglerHarness {
 	h := &stragglerHarness{
-		harness: newHarness(1, workers), durations: map[dispatch.TaskID]time.Duration{},
+		harness: newHarnessWithout(disabled, 1, workers), durations: map[dispatch.TaskID]time.Duration{},
 		slowFactors: map[membership.InstanceID]float64{}, workDone: map[dispatch.TaskRun]time.Duration{},
 	}
 	h.listWorkers()
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -286,7 +286,7 @@
 	}
 	a.task.step.perWorker[w]++
 	a.task.step.job.activeAttempts++
-	a.task.attempt = a
+	a.task.addAttempt(a)
 	a.task.run = max(a.task.run, a.run)
 }
 
@@ -314,12 +314,10 @@
 		delete(s.perWorker, w)
 	}
 	s.job.activeAttempts--
-	if a.task.attempt == a {
-		a.task.attempt = nil
-		if a.confirmed {
-			a.task.lastRunAt, a.task.deferredSince = w.lastReportAt, time.Time{}
-		}
+	if a.task.attempt == a && a.confirmed {
+		a.task.lastRunAt, a.task.deferredSince = w.lastReportAt, time.Time{}
 	}
+	a.task.removeAttempt(a)
 }
 
 // taskRun returns the ID of the run.
--- a/internal/decision/mechanism/mechanism.go
+++ b/internal/decision/mechanism/mechanism.go
@@ -32,6 +32,7 @@
 	SlowWorkers
 	Quarantine
 	Stragglers
+	SecondCopies
 	ValueDensity
 	UrgencyClasses
 	YieldToShortTasks
@@ -71,6 +72,7 @@
 	SlowWorkers:          {"SlowWorkers", "workers on which tasks take longer than elsewhere"},
 	Quarantine:           {"Quarantine", "workers that fail everything that they start"},
 	Stragglers:           {"Stragglers", "single tasks that hang or take far longer than others of their step"},
+	SecondCopies:         {"SecondCopies", "single runs that take far longer than a copy on another worker would, of steps that allow copies"},
 	ValueDensity:         {"ValueDensity", "more work than capacity within a queue"},
 	UrgencyClasses:       {"UrgencyClasses", "a backlog in which some jobs can no longer end in time"},
 	YieldToShortTasks:    {"YieldToShortTasks", "long-running tasks that compete with short ones for the same room"},
