Keep copies from failing jobs, and bound their searches

Cause: found in review. The end of a copy after the success of its task counted as a failed attempt, a copy could use up the last attempt, two runs replaced each other's checkpoint, a copy whose first run was stopped wasn't counted as useful, and each candidate searched all workers.

Change: ends after the success count no more; no copy where another failure fails the job; the run that is ahead gives the checkpoint; at most eight searches a pass.

Four specs more; those on the late end and on the last attempt failed before.

--- a/internal/decision/dispatch/copy.go
+++ b/internal/decision/dispatch/copy.go
@@ -21,6 +21,8 @@
 	runsPerCopy = 20
 	// minCopies is the number of copies that may run however few other runs there are.
 	minCopies = 2
+	// maxCopySearches limits the searches for workers in one pass.
+	maxCopySearches = 8
 	// minJudgedCopies is the number of ended copies from which their success counts, and minCopySuccess the
 	// share of them that must have been the first to succeed.
 	minJudgedCopies = 10
@@ -65,15 +67,21 @@
 		return 0
 	}
 	e.copiesCheckedAt = now
-	started := 0
+	started, searches := 0, 0
 	budget := min(limit, e.copyBudget())
+	awaited := map[pool]bool{}
 	for _, c := range e.copyCandidates(now) {
-		if started >= budget {
+		if started >= budget || searches >= maxCopySearches {
 			break
 		}
-		if e.isRoomAwaited(now, c.attempt.task.step) {
+		p := pool{c.attempt.task.step.job.queue.Service, c.attempt.task.step.job.queue.Priority}
+		if _, known := awaited[p]; !known {
+			awaited[p] = e.isRoomAwaited(now, p)
+		}
+		if awaited[p] {
 			continue
 		}
+		searches++
 		if e.startCopy(now, c) {
 			started++
 		}
@@ -81,6 +89,12 @@
 	return started
 }
 
+// pool is the tasks that compete for the same workers with the same priority.
+type pool struct {
+	service  ServiceName
+	priority int
+}
+
 // copyBudget returns how many more copies may run.
 func (e *Engine) copyBudget() int {
 	runs, copies := 0, 0
@@ -98,11 +112,11 @@
 	return max(minCopies, runs/runsPerCopy) - copies
 }
 
-// isRoomAwaited reports whether a task of the same or a more urgent priority found no room in this tick, so that a
-// copy of the step would take it.
-func (e *Engine) isRoomAwaited(now time.Time, s *step) bool {
+// isRoomAwaited reports whether a task of the pool, or of one with a more urgent priority, found no room in this tick,
+// so that a copy would take it.
+func (e *Engine) isRoomAwaited(now time.Time, p pool) bool {
 	for _, j := range e.jobs {
-		if j.outcome != "" || j.cancelled || j.queue.Service != s.job.queue.Service || j.queue.Priority > s.job.queue.Priority {
+		if j.outcome != "" || j.cancelled || j.queue.Service != p.service || j.queue.Priority > p.priority {
 			continue
 		}
 		for _, steps := range j.occurrences {
@@ -146,7 +160,7 @@
 	duration := e.copyDuration(s)
 	for _, t := range s.tasks {
 		a := t.attempt
-		if a == nil || a.phase != running || t.second != nil || t.done || now.Before(t.notBefore) {
+		if a == nil || a.phase != running || t.second != nil || t.done || now.Before(t.notBefore) || t.nextFailureIsLast() {
 			continue
 		}
 		end, _ := e.expectedEnd(now, a)
@@ -159,6 +173,13 @@
 	return list
 }
 
+// nextFailureIsLast reports whether another failed run fails the job. A copy must not do that while the first run
+// might succeed.
+func (t *task) nextFailureIsLast() bool {
+	limit := t.step.job.queue.MaxAttempts
+	return limit > 0 && t.failures()+1 >= limit
+}
+
 // allowsCopies reports whether two runs of a task of the step may be active at the same time.
 func (s *step) allowsCopies() bool {
 	return s.Speculative && !s.Gang && !s.LongRunning && !s.Filler
@@ -189,6 +210,7 @@
 		return false
 	}
 	a := e.start(now, t, w, e.nextRun(t))
+	a.startedAsCopy = true
 	e.count("Task.Copies")
 	e.record(now, Decision{
 		Event: "TaskCopied", Task: a.taskRun(), Worker: w.ID,
@@ -230,17 +252,29 @@
 	}
 }
 
-// recordCopyResult records whether the copy of a task with two runs was the first to succeed.
+// recordCopyResult records whether the copy of a task was the first to succeed. The first run may have been stopped
+// meanwhile.
 func (e *Engine) recordCopyResult(a *attempt) {
-	if a.task.second == nil || a.task.done {
+	if a.task.done || a.task.second == nil && !a.startedAsCopy {
 		return
 	}
-	e.copies.add(a.isCopy())
-	if a.isCopy() {
+	e.copies.add(a.startedAsCopy)
+	if a.startedAsCopy {
 		e.count("Task.CopiesWon")
 	}
 }
 
+// isAhead reports whether no other run of the task has made more progress. Only such a run gives the task's
+// checkpoint.
+func (a *attempt) isAhead() bool {
+	for _, other := range []*attempt{a.task.attempt, a.task.second} {
+		if other != nil && other.percent > a.percent {
+			return false
+		}
+	}
+	return true
+}
+
 // mayAdoptCopy reports whether a run that an earlier owner started as a copy is kept beside the other one.
 func (e *Engine) mayAdoptCopy(t *task, w *worker) bool {
 	return t.step.allowsCopies() && t.second == nil && t.attempt.worker != w && !t.done && !e.isDisabled(mechanism.SecondCopies)
--- a/internal/decision/dispatch/copy_test.go
+++ b/internal/decision/dispatch/copy_test.go
@@ -72,6 +72,14 @@
 		Expect(h.counts["Task.CopiesWon"]).To(BeEquivalentTo(1))
 	})
 
+	It("counts as useful also if the first run is stopped as hung meanwhile", func() {
+		h := withHangingWorker(0, 5)
+		h.submit("j", copyableStep(5))
+		h.runFor(6 * time.Second)
+		expectOneSuccess(h.harness, "j")
+		Expect(h.counts["Task.CopiesWon"]).To(Equal(h.counts["Task.Copies"]))
+	})
+
 	DescribeTable("isn't started", func(disabled mechanism.Mechanism, change func(*dispatch.Step)) {
 		h := withHangingWorker(mechanism.Of(mechanism.Stragglers, disabled), 5)
 		s := copyableStep(5)
@@ -179,6 +187,61 @@
 		Expect(h.startsOf(dispatch.TaskID{Job: "j", Step: 1})).To(Equal(1))
 	})
 
+	attempts := func(h *stragglerHarness, limit int) {
+		h.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{
+			batchQueue: {Name: batchQueue, Service: "pool", MaxAttempts: limit, SlackFactor: 2, TargetLatency: time.Minute},
+		})
+	}
+
+	// Guards against a job that fails although its task has succeeded.
+	It("don't fail a job by an end after the success of its task", func() {
+		h := withHangingWorker(mechanism.Of(mechanism.Stragglers), 2)
+		attempts(h, 2)
+		h.submit("j", dispatch.Step{Tasks: 1, Resources: cores(1), Estimate: time.Second, Speculative: true}, dispatch.Step{
+			Tasks: 1, Resources: cores(1), Estimate: 5 * time.Second, After: []int{0},
+		})
+		h.slowFactors["w1"] = hangs
+		h.runFor(4 * time.Second)
+		task := dispatch.TaskID{Job: "j"}
+		Expect(h.runsOf(task)).To(HaveLen(2))
+		attempts(h, 1)
+		h.endRun("w0", task, dispatch.EndDone)
+		h.endRun("w1", task, dispatch.EndFailed)
+		h.runFor(300 * time.Millisecond)
+		expectState(h.harness, "j", dispatch.Running)
+	})
+
+	// Guards against a job that fails by its copy while the first run might succeed.
+	It("aren't started where another failed run would fail the job", func() {
+		h := withHangingWorker(mechanism.Of(mechanism.Stragglers), 2)
+		attempts(h, 1)
+		h.submit("j", dispatch.Step{Tasks: 1, Resources: cores(1), Estimate: time.Second, Speculative: true})
+		h.slowFactors["w1"] = hangs
+		h.runFor(4 * time.Second)
+		Expect(h.counts["Task.Copies"]).To(BeZero())
+	})
+
+	// Guards against a resumed task that repeats work: the two runs report checkpoints in turn.
+	It("don't replace the checkpoint of a run that has made more progress", func() {
+		h := withHangingWorker(mechanism.Of(mechanism.Stragglers), 2)
+		h.submit("j", dispatch.Step{Tasks: 1, Resources: cores(1), Estimate: time.Second, Speculative: true, Checkpointing: true})
+		h.slowFactors["w1"] = hangs
+		h.runFor(4 * time.Second)
+		task := dispatch.TaskID{Job: "j"}
+		first, copied := h.starts[0].Worker, h.starts[1].Worker
+		h.workers[first].running[task].Percent, h.workers[first].running[task].Checkpoint = 10, "behind"
+		h.workers[copied].running[task].Percent, h.workers[copied].running[task].Checkpoint = 60, "ahead"
+		h.advance(50 * time.Millisecond)
+		h.workers[first].running[task].Percent = 12
+		h.advance(50 * time.Millisecond)
+		h.endRun(first, task, dispatch.EndFailed)
+		h.endRun(copied, task, dispatch.EndStopped)
+		h.advance(50 * time.Millisecond)
+		h.advance(50 * time.Millisecond)
+		Expect(h.starts).To(HaveLen(3))
+		Expect(h.starts[2].Start.Checkpoint).To(Equal(dispatch.Checkpoint("ahead")))
+	})
+
 	It("go on when the first run fails, and the failure counts", func() {
 		h := withHangingWorker(mechanism.Of(mechanism.Stragglers), 2)
 		h.submit("j", dispatch.Step{Tasks: 1, Resources: cores(1), Estimate: time.Second, Speculative: true})
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -198,9 +198,9 @@
 }
 
 func (e *Engine) observeEnd(now time.Time, w *worker, end End) {
-	startedUp := false
+	startedUp, ahead := false, true
 	if a := w.runs[end.Task]; a != nil && a.run == end.Run {
-		startedUp = a.percent >= startedUpPercent
+		startedUp, ahead = a.percent >= startedUpPercent, a.isAhead()
 		a.confirmed = true
 		a.task.beginDowntime(now, w, reasonEnded)
 		if end.Kind == EndDone && a.firstProgress.percent == 0 {
@@ -224,7 +224,7 @@
 	t.run = max(t.run, end.Run)
 	e.record(now, Decision{Event: "TaskEnded", Task: end.TaskRun, Worker: w.ID, Reason: string(end.Kind)})
 	e.count("End." + string(end.Kind))
-	if end.Checkpoint != "" && t.checkpoint != end.Checkpoint {
+	if end.Checkpoint != "" && ahead && t.checkpoint != end.Checkpoint {
 		t.checkpoint = end.Checkpoint
 		e.markDirty(t.step.job)
 	}
@@ -240,7 +240,9 @@
 		e.succeed(now, t)
 	case end.Kind == EndFailed:
 		w.health.recordEnd(now, t.step.job.ID, true)
-		e.fail(now, t, end.Run, w)
+		if !t.done {
+			e.fail(now, t, end.Run, w)
+		}
 	}
 }
 
@@ -315,7 +317,7 @@
 		}
 	}
 	a.measurement = r.Measurement
-	if r.Checkpoint != "" {
+	if r.Checkpoint != "" && a.isAhead() {
 		a.task.checkpoint = r.Checkpoint
 	}
 }
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -83,6 +83,8 @@
 	adopted bool
 	// restarted reports that the worker restarted before it answered the start.
 	restarted bool
+	// startedAsCopy reports that another run of the task was active when this one was started.
+	startedAsCopy bool
 	// forced reports that a filler was started because it had waited too long.
 	// interfering reports that it was started beside serving tasks with which it is
 	// expected to interfere, at a pace that keeps them within their targets.
