--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -83,6 +83,8 @@
 	adopted bool
 	// restarted reports that the worker restarted before it answered the start.
 	restarted bool
+	// startedAsCopy reports that another run of the task was active when this one was started.
+	startedAsCopy bool
 	// forced reports that a filler was started because it had waited too long.
 	// interfering reports that it was started beside serving tasks with which it is
 	// expected to interfere, at a pace that keeps them within their targets.
@@ -286,7 +288,7 @@
 	}
 	a.task.step.perWorker[w]++
 	a.task.step.job.activeAttempts++
-	a.task.attempt = a
+	a.task.addAttempt(a)
 	a.task.run = max(a.task.run, a.run)
 }
 
@@ -314,12 +316,10 @@
 		delete(s.perWorker, w)
 	}
 	s.job.activeAttempts--
-	if a.task.attempt == a {
-		a.task.attempt = nil
-		if a.confirmed {
-			a.task.lastRunAt, a.task.deferredSince = w.lastReportAt, time.Time{}
-		}
+	if a.task.attempt == a && a.confirmed {
+		a.task.lastRunAt, a.task.deferredSince = w.lastReportAt, time.Time{}
 	}
+	a.task.removeAttempt(a)
 }
 
 // taskRun returns the ID of the run.
