Record the possible runs of a released shard for the next owner

After a takeover nothing of a recovered job started while any worker hadn't listed its runs; among workers that leave, some never do. An owner that releases its shard now stores the runs that may be active, by worker, and decides nothing more. Its successor lets only the tasks of recorded runs wait, and only for the workers of these. Without a record, a task of which this owner has seen the only run doesn't wait.

--- a/internal/decision/dispatch/command.go
+++ b/internal/decision/dispatch/command.go
@@ -105,7 +105,7 @@
 	}
 	a.worker.recordUnansweredStart(now, r)
 	e.startAnswers.record(e.startAnswers.timeout(), false)
-	return !e.suspended && !e.isDisabled(mechanism.StartRetries) && !a.stopPending && !a.restarted && a.worker.missedPolls == 0 && e.startAnswers.takeRetry()
+	return !e.suspended && !e.released && !e.isDisabled(mechanism.StartRetries) && !a.stopPending && !a.restarted && a.worker.missedPolls == 0 && e.startAnswers.takeRetry()
 }
 
 const (
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -106,6 +106,17 @@
 	// recoveryEnds is when all leases that an earlier owner granted have expired.
 	recoveryEnds time.Time
 	recovering   bool
+	// earlierOwnerActsUntil is when the earlier owner can no longer act.
+	earlierOwnerActsUntil time.Time
+	// hasRecord reports that the earlier owner recorded where there may be runs, and recorded has the
+	// workers in that record, and recordedRuns its runs by job.
+	hasRecord    bool
+	recorded     map[membership.InstanceID]recordedWorker
+	recordedRuns map[JobID][]recordedRun
+	// awaitsAnyRun reports that a worker may have unknown runs of any recovered task, as of the last tick.
+	awaitsAnyRun bool
+	// released is true once the record for the next owner was made.
+	released bool
 	// suspended is true while another owner may have taken over.
 	suspended bool
 	// newJobsStartAt is when jobs that were accepted after the takeover may start.
@@ -344,6 +355,7 @@
 		added.takeTransferred(now, j.Transferred)
 	}
 	e.jobs[j.ID] = added
+	e.addRecordedRuns(added)
 	e.issueTransfers(added, stored)
 	e.record(now, Decision{
 		Event: "JobAdded", Job: j.ID, Reason: string(j.Queue), Objective: added.objective,
@@ -441,8 +453,12 @@
 	e.dirty[j.ID] = j
 }
 
-// TakeCommands returns the commands that were issued since the last call.
+// TakeCommands returns the commands that were issued since the last call, none once the engine is
+// released: the next owner couldn't know of them.
 func (e *Engine) TakeCommands() []Command {
+	if e.released {
+		return nil
+	}
 	commands := e.commands
 	e.commands = nil
 	return commands
--- a/internal/decision/dispatch/fence.go
+++ b/internal/decision/dispatch/fence.go
@@ -49,10 +49,7 @@
 // whether the start was answered or not. If the list shows such a process, it may also execute commands
 // late.
 func (e *Engine) loseExpiredRuns(now time.Time, w *worker) {
-	longest := maxLeaseDuration(max(e.options.MaxLease, e.options.LeaseTerm)) + leaseEndMargin
-	if w.hasUnseenRestart() {
-		longest += maxStartDelay
-	}
+	longest := e.longestRunWithoutRenewal(w)
 	for _, a := range w.runs {
 		if a.listed || now.After(a.startedBy().Add(longest)) {
 			e.loseRun(now, a, "lease ended")
@@ -60,6 +57,16 @@
 	}
 }
 
+// longestRunWithoutRenewal returns how long after it was sent a start may keep a run active on the worker,
+// if no report has shown the process that executes it.
+func (e *Engine) longestRunWithoutRenewal(w *worker) time.Duration {
+	longest := maxLeaseDuration(max(e.options.MaxLease, e.options.LeaseTerm)) + leaseEndMargin
+	if w.hasUnseenRestart() {
+		longest += maxStartDelay
+	}
+	return longest
+}
+
 // startedBy returns the latest time at which the worker may have executed the start, other than late.
 func (a *attempt) startedBy() time.Time {
 	if !a.answeredAt.IsZero() {
--- a/internal/decision/dispatch/gang.go
+++ b/internal/decision/dispatch/gang.go
@@ -14,7 +14,7 @@
 func (e *Engine) startGang(now time.Time, s *step) int {
 	run := Run(0)
 	for _, t := range s.tasks {
-		if !t.isWaiting(now) {
+		if !e.mayStart(now, t) {
 			return 0
 		}
 		run = max(run, e.nextRun(t))
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
 // job is a job that isn't finished, or some of whose runs haven't ended.
@@ -103,6 +105,10 @@
 	// before otherRunEndsBy.
 	otherRun       TaskRun
 	otherRunEndsBy time.Time
+	// recordedOn has the workers on which the earlier owner recorded a run of the task, and seenRunning
+	// reports that this owner has seen the only one.
+	recordedOn  []membership.InstanceID
+	seenRunning bool
 }
 
 func newJob(j Job, q Queue, recovered bool) *job {
--- a/internal/decision/dispatch/long_downtime.go
+++ b/internal/decision/dispatch/long_downtime.go
@@ -107,7 +107,7 @@
 	switch {
 	case t.attempt != nil:
 		return AwaitsOwnRun, fmt.Sprintf("run %d on %s is %s, sent %s ago", t.attempt.run, t.attempt.worker.ID, t.attempt.phase, now.Sub(t.attempt.sentAt))
-	case e.mustAwaitRecovery(now, t.step.job):
+	case e.mustAwaitRecovery(now, t):
 		return AwaitsRecovery, "recovery hasn't ended"
 	case t.orphans > 0:
 		return AwaitsOtherRun, fmt.Sprintf("%d runs that aren't in the records may be active", t.orphans)
--- a/internal/decision/dispatch/order.go
+++ b/internal/decision/dispatch/order.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		first := len(list)
-		list = j.appendWaiting(now, list, e.mustAwaitRecovery(now, j))
+		list = e.appendWaiting(now, list, j)
 		if len(list) == first {
 			continue
 		}
@@ -59,19 +59,14 @@
 	return list
 }
 
-// appendWaiting appends the steps of the job that have tasks to start. While runs of an
-// earlier owner may be active but not yet reported, these are only the steps that no
-// earlier owner can have started.
-func (j *job) appendWaiting(now time.Time, list []candidate, mustWait bool) []candidate {
+// appendWaiting appends the steps of the job that have tasks to start.
+func (e *Engine) appendWaiting(now time.Time, list []candidate, j *job) []candidate {
 	for k, steps := range j.occurrences {
 		if now.Before(j.Due(k)) {
 			continue
 		}
 		for _, s := range steps {
-			if mustWait && !s.unstarted {
-				continue
-			}
-			if s.remainingTasks > 0 && s.hasWaiting(now) && s.isReady() {
+			if s.remainingTasks > 0 && e.hasStartable(now, s) && s.isReady() {
 				list = append(list, candidate{step: s, yieldsToShortTasks: s.yieldsToShortTasks(now)})
 			}
 		}
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -28,7 +28,7 @@
 		return
 	}
 	s.preemptedAt = now
-	for range min(s.waitingTasks(now), maxVictims) {
+	for range min(e.startableTasks(now, s), maxVictims) {
 		victim := e.findVictim(t)
 		if victim == nil {
 			return
@@ -42,14 +42,25 @@
 // no worker was found for a task of the same shape.
 func (e *Engine) handleBlockedStep(now time.Time, s *step) {
 	for _, t := range s.tasks {
-		if t.isWaiting(now) {
+		if e.mayStart(now, t) {
 			e.handleBlocked(now, t)
 			return
 		}
 	}
 }
 
-// waitingTasks returns the number of tasks that may start.
+// startableTasks returns the number of tasks that may start.
+func (e *Engine) startableTasks(now time.Time, s *step) int {
+	count := 0
+	for _, t := range s.tasks {
+		if e.mayStart(now, t) {
+			count++
+		}
+	}
+	return count
+}
+
+// waitingTasks returns the number of tasks that wait, also if an unknown run of them may be active.
 func (s *step) waitingTasks(now time.Time) int {
 	count := 0
 	for _, t := range s.tasks {
--- a/internal/decision/dispatch/recovery.go
+++ b/internal/decision/dispatch/recovery.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
 // newJobDelay is how long new jobs are delayed after a takeover. By then, an earlier
@@ -15,15 +17,16 @@
 // too, but for a shorter time. The earlier owner may keep acting for up to term before
 // it suspends itself.
 func (e *Engine) Recover(now time.Time, term time.Duration) {
-	e.recovering = true
+	e.recovering, e.awaitsAnyRun = true, true
 	e.recoveryEnds = now.Add(maxLeaseDuration(e.options.LeaseTerm) + leaseEndMargin + term)
+	e.earlierOwnerActsUntil = now.Add(max(term, 0))
 	e.newJobsStartAt = now.Add(newJobDelay)
 }
 
 // endRecovery ends the recovery once no run of a recovered job can be active without
 // being known.
 func (e *Engine) endRecovery(now time.Time) {
-	if !e.recovering || slices.ContainsFunc(e.sortedWorkers, func(w *worker) bool { return e.mayHaveUnlistedRuns(now, w) }) {
+	if !e.recovering || e.awaitsEarlierRuns(now) {
 		return
 	}
 	reason := "the leases of the earlier owner have expired"
@@ -34,23 +37,65 @@
 		reason = "all workers have listed their runs"
 	}
 	e.recovering = false
+	e.forgetRecord()
 	e.record(now, Decision{Event: "RecoveryEnded", Reason: reason})
 }
 
+// awaitsEarlierRuns reports whether any worker may have runs of the earlier owner that this owner doesn't
+// know, and notes whether these may be of any task.
+func (e *Engine) awaitsEarlierRuns(now time.Time) bool {
+	e.awaitsAnyRun = false
+	if !e.hasRecord {
+		e.awaitsAnyRun = slices.ContainsFunc(e.sortedWorkers, func(w *worker) bool { return e.mayHaveUnlistedRuns(now, w) })
+		return e.awaitsAnyRun
+	}
+	awaits := false
+	for id, r := range e.recorded {
+		if (!awaits || r.anyRun) && e.mayHaveEarlierRuns(now, id) {
+			awaits, e.awaitsAnyRun = true, e.awaitsAnyRun || r.anyRun
+		}
+	}
+	return awaits
+}
+
+// mayHaveEarlierRuns is like mayHaveUnlistedRuns for a worker that needn't be known.
+func (e *Engine) mayHaveEarlierRuns(now time.Time, id membership.InstanceID) bool {
+	if w := e.workers[id]; w != nil {
+		return e.mayHaveUnlistedRuns(now, w)
+	}
+	return now.Before(e.recorded[id].until)
+}
+
 // mayHaveUnlistedRuns reports whether a worker may have runs, or ends of runs, of the earlier owner
 // that this owner doesn't know. An unknown end may be that of a task which would run again. Those of a
-// silent worker no longer count once its leases have expired.
+// silent worker no longer count once its leases have expired. A worker that the earlier owner recorded
+// without any run has none.
 func (e *Engine) mayHaveUnlistedRuns(now time.Time, w *worker) bool {
-	switch {
-	case w.replaced:
+	if _, recorded := e.recorded[w.ID]; e.hasRecord && !recorded || w.replaced {
+		return false
+	}
+	expireAt := e.earlierRunsExpireAt(w.ID)
+	if !w.reported {
+		return now.Before(expireAt)
+	}
+	// A worker that first answers once the earlier owner's leases have expired has no run of it.
+	mayBeHidden := !w.hasListedRuns && w.firstReportAt.Before(expireAt)
+	if !w.hasMoreEnds && !mayBeHidden {
 		return false
-	case !w.reported:
-		return now.Before(e.recoveryEnds)
-	default:
-		// A worker that first answers once the earlier owner's leases have expired has no run of it.
-		mayBeHidden := !w.hasListedRuns && w.firstReportAt.Before(e.recoveryEnds)
-		return (w.hasMoreEnds || mayBeHidden) && (w.missedPolls == 0 || now.Before(w.leasesExpireAt()))
 	}
+	if e.hasRecord && !w.hasMoreEnds {
+		return w.missedPolls == 0 || now.Before(latest(expireAt, w.grantedLeasesExpireAt()))
+	}
+	return w.missedPolls == 0 || now.Before(w.leasesExpireAt())
+}
+
+// earlierRunsExpireAt returns when no run of the earlier owner can be active on a worker that hasn't
+// answered.
+func (e *Engine) earlierRunsExpireAt(id membership.InstanceID) time.Time {
+	if e.hasRecord {
+		return e.recorded[id].until
+	}
+	return e.recoveryEnds
 }
 
 // stopTimeout returns the time after which a run that was told to stop must have been listed as
@@ -79,10 +124,28 @@
 	return max(w.firstReportAt.Add(listDelay).Sub(now), 0)
 }
 
-// mustAwaitRecovery reports whether a job may have runs on a worker that hasn't
-// reported to this owner yet.
-func (e *Engine) mustAwaitRecovery(now time.Time, j *job) bool {
-	return e.recovering && (j.recovered || now.Before(e.newJobsStartAt))
+// mustAwaitRecovery reports whether a run of the task may be active, or have succeeded, on a worker that
+// hasn't listed its runs to this owner yet.
+func (e *Engine) mustAwaitRecovery(now time.Time, t *task) bool {
+	switch {
+	case !e.recovering || t.step.unstarted || t.seenRunning:
+		return false
+	case slices.ContainsFunc(t.recordedOn, func(id membership.InstanceID) bool { return e.mayHaveEarlierRuns(now, id) }):
+		return true
+	case t.step.job.recovered:
+		return e.awaitsAnyRun
+	}
+	return now.Before(e.newJobsStartAt)
+}
+
+// noteSeenRunning is called when a report shows a run of an earlier owner. The task has no other run,
+// because an owner starts one only when all earlier ones have ended, and ends of this one are reported
+// only to this owner from now on. That isn't certain while the earlier owner may still act: a worker that
+// is silent to it isn't so to this owner, and it may take the run for lost.
+func (e *Engine) noteSeenRunning(a *attempt) {
+	if e.recovering && a.adopted && !a.worker.pollSentAt.Before(e.earlierOwnerActsUntil) {
+		a.task.seenRunning = true
+	}
 }
 
 // markDependentsUnstarted is called when a task of the step is found running. It marks
--- /dev/null
+++ b/internal/decision/dispatch/recovery_record.go
@@ -0,0 +1,196 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// RecoveryRecord tells the next owner where runs may be that it can't know otherwise. An owner makes it
+// when it releases its shard, and starts nothing from then on. Workers that aren't in it have no run.
+type RecoveryRecord struct {
+	Workers []RecordedWorker
+	// EarlierOwnerActsFor is how much longer the owner before may act, and NewJobsDelay how much longer
+	// new jobs must wait for that. Both are 0 unless the shard is released soon after a takeover.
+	EarlierOwnerActsFor time.Duration `json:",omitempty"`
+	NewJobsDelay        time.Duration `json:",omitempty"`
+}
+
+// RecordedWorker is a worker on which runs may be active, or with ends that aren't stored.
+type RecordedWorker struct {
+	ID   membership.InstanceID
+	Runs []TaskRun `json:",omitempty"`
+	// AnyRun reports that the worker hasn't listed its runs to the owner, which doesn't know them.
+	AnyRun bool `json:",omitempty"`
+	// ExpireIn is the time after which no run can be active if the worker stays silent.
+	ExpireIn time.Duration
+}
+
+// recordedWorker is what the record of the earlier owner tells of a worker.
+type recordedWorker struct {
+	runs   []TaskRun
+	anyRun bool
+	// until is when no recorded run can be active any more if the worker doesn't answer.
+	until time.Time
+}
+
+// recordedRun is a task with a run that the earlier owner recorded on a worker.
+type recordedRun struct {
+	task   TaskID
+	worker membership.InstanceID
+}
+
+// Release makes the engine start nothing and renew no leases, and returns the record for the next owner.
+// The result is false if this owner itself doesn't know yet on which workers there may be runs.
+func (e *Engine) Release(now time.Time) (RecoveryRecord, bool) {
+	e.released = true
+	if e.recovering && !e.workersListed {
+		return RecoveryRecord{}, false
+	}
+	var record RecoveryRecord
+	if e.recovering {
+		record.EarlierOwnerActsFor = max(e.earlierOwnerActsUntil.Sub(now), 0)
+		record.NewJobsDelay = max(e.newJobsStartAt.Sub(now), 0)
+	}
+	for _, id := range e.recordableWorkers() {
+		if r := e.recordWorker(now, id); r.AnyRun || len(r.Runs) > 0 {
+			record.Workers = append(record.Workers, r)
+		}
+	}
+	return record, true
+}
+
+// Resume revokes a release that wasn't stored.
+func (e *Engine) Resume() {
+	e.released = false
+}
+
+// recordableWorkers returns the known workers and those in the record of the earlier owner.
+func (e *Engine) recordableWorkers() []membership.InstanceID {
+	ids := e.Workers()
+	for _, id := range slices.Sorted(maps.Keys(e.recorded)) {
+		if e.workers[id] == nil {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// recordWorker returns what the next owner must know of a worker.
+func (e *Engine) recordWorker(now time.Time, id membership.InstanceID) RecordedWorker {
+	r := RecordedWorker{ID: id}
+	runs := map[TaskRun]bool{}
+	until := now
+	if w := e.workers[id]; w != nil {
+		w.addPossibleRuns(now, runs)
+		until = e.possibleRunsExpireAt(now, w)
+	}
+	if e.recovering && e.mayHaveEarlierRuns(now, id) {
+		earlier := e.recorded[id]
+		r.AnyRun = !e.hasRecord || earlier.anyRun
+		if e.hasRecord {
+			for _, run := range earlier.runs {
+				runs[run] = true
+			}
+		}
+		until = latest(until, e.earlierRunsExpireAt(id))
+	}
+	r.Runs = slices.SortedFunc(maps.Keys(runs), compareTaskRuns)
+	r.ExpireIn = max(until.Sub(now), 0)
+	return r
+}
+
+// addPossibleRuns adds the runs that may be active on the worker as far as this owner knows, and those
+// whose success isn't stored yet.
+func (w *worker) addPossibleRuns(now time.Time, runs map[TaskRun]bool) {
+	for _, a := range w.runs {
+		runs[a.taskRun()] = true
+	}
+	for _, r := range w.stoppingRuns(now) {
+		runs[r] = true
+	}
+	for r, at := range w.unansweredStarts {
+		if now.Sub(at) <= maxStartDelay {
+			runs[r] = true
+		}
+	}
+	for _, end := range w.unstoredSuccesses {
+		runs[end.TaskRun] = true
+	}
+}
+
+// possibleRunsExpireAt returns when none of the possible runs of a worker can be active any more, and the
+// next owner needn't wait longer for an end, if the worker is silent from now on.
+func (e *Engine) possibleRunsExpireAt(now time.Time, w *worker) time.Time {
+	until := w.leasesExpireAt()
+	if len(w.unstoredSuccesses) > 0 || len(w.unansweredStarts) > 0 || len(w.orphans) > 0 || len(w.awaitedStops) > 0 {
+		until = latest(until, now.Add(e.longestRunWithoutRenewal(w)))
+	}
+	for _, a := range w.runs {
+		if !a.listed {
+			until = latest(until, a.startedBy().Add(e.longestRunWithoutRenewal(w)))
+		}
+	}
+	return until
+}
+
+// RecoverFrom applies the record that the earlier owner made when it released the shard. The jobs and
+// workers must have been added, and Recover must have been called.
+func (e *Engine) RecoverFrom(now time.Time, record RecoveryRecord) {
+	e.hasRecord = true
+	e.recorded = make(map[membership.InstanceID]recordedWorker, len(record.Workers))
+	e.recordedRuns = map[JobID][]recordedRun{}
+	e.earlierOwnerActsUntil = now.Add(record.EarlierOwnerActsFor)
+	e.newJobsStartAt = now.Add(record.NewJobsDelay)
+	runs := 0
+	for _, r := range record.Workers {
+		until := now.Add(r.ExpireIn)
+		if e.recoveryEnds.Before(until) {
+			until = e.recoveryEnds
+		}
+		e.recorded[r.ID] = recordedWorker{r.Runs, r.AnyRun, until}
+		runs += len(r.Runs)
+		for _, run := range r.Runs {
+			e.recordedRuns[run.Task.Job] = append(e.recordedRuns[run.Task.Job], recordedRun{run.Task, r.ID})
+		}
+	}
+	for _, j := range e.jobs {
+		e.addRecordedRuns(j)
+	}
+	e.count("Recovery.FromRecord")
+	e.record(now, Decision{Event: "RecoveryRecordUsed", Evidence: &Evidence{Runs: runs}})
+}
+
+// addRecordedRuns notes the recorded runs of a job's tasks.
+func (e *Engine) addRecordedRuns(j *job) {
+	for _, run := range e.recordedRuns[j.ID] {
+		if t := j.task(run.task); t != nil {
+			t.recordedOn = append(t.recordedOn, run.worker)
+		}
+	}
+}
+
+// forgetRecord drops the record of the earlier owner at the end of the recovery.
+func (e *Engine) forgetRecord() {
+	e.hasRecord, e.recorded, e.recordedRuns = false, nil, nil
+	for _, j := range e.jobs {
+		j.eachTask(func(t *task) { t.recordedOn = nil })
+	}
+}
+
+func compareTaskRuns(a, b TaskRun) int {
+	return cmp.Or(
+		cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
+		cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Run, b.Run),
+	)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -39,7 +39,7 @@
 		return p, true
 	}
 	p.LastStoredEnd = w.lastEndStored
-	if e.suspended {
+	if e.suspended || e.released {
 		return p, true
 	}
 	p.Lease = w.renewLease(now, e.options.LeaseTerm)
@@ -142,7 +142,7 @@
 	e.record(now, Decision{Event: "WorkerRestarted", Worker: w.ID, Age: ev.ReportAge, Evidence: &ev})
 	w.incarnation = r.Incarnation
 	w.lastEndSeen, w.lastEndStored, w.leaseEndSent, w.possibleLeaseEnd = 0, 0, 0, 0
-	w.fenced = false
+	w.fenced, w.unstoredSuccesses = false, nil
 	e.raiseFence(w)
 	w.dropOrphans()
 	for _, a := range w.runs {
@@ -193,6 +193,9 @@
 			continue
 		}
 		w.lastEndSeen = end.Number
+		if end.Kind == EndDone {
+			w.unstoredSuccesses = append(w.unstoredSuccesses, end)
+		}
 		e.observeEnd(now, w, end)
 	}
 }
@@ -301,6 +304,7 @@
 		a.phase = running
 	}
 	a.confirmed, a.listed = true, true
+	e.noteSeenRunning(a)
 	a.task.step.job.started = true
 	if r.Percent > a.percent {
 		if a.percent == 0 && (a.adopted || a.task.checkpoint != "") {
--- a/internal/decision/dispatch/restart.go
+++ b/internal/decision/dispatch/restart.go
@@ -43,11 +43,11 @@
 	}
 	e.urgentRestarts = e.urgentRestarts[:0]
 	for _, j := range e.jobs {
-		if j.outcome != "" || j.cancelled || !j.Steps[0].LongRunning || e.mustAwaitRecovery(now, j) {
+		if j.outcome != "" || j.cancelled || !j.Steps[0].LongRunning {
 			continue
 		}
 		j.eachTask(func(t *task) {
-			if t.needsUrgentRestart(now) && !t.step.Gang && t.step.mayStart(now) {
+			if t.needsUrgentRestart(now) && !t.step.Gang && t.step.mayStart(now) && !e.mustAwaitRecovery(now, t) {
 				e.urgentRestarts = append(e.urgentRestarts, t)
 				t.step.restartsUrgently = true
 			}
@@ -100,7 +100,7 @@
 	for _, w := range e.sortedWorkers {
 		t := w.hold.task
 		if !w.hold.moved || !w.hold.isActive(now) || !t.isWaiting(now) || t.step.job.outcome != "" ||
-			e.mustAwaitRecovery(now, t.step.job) || !e.mayPlace(now, t, w) {
+			e.mustAwaitRecovery(now, t) || !e.mayPlace(now, t, w) {
 			continue
 		}
 		e.start(now, t, w, e.nextRun(t))
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -18,7 +18,7 @@
 
 // Tick advances the engine to the given time and starts the tasks that can start.
 func (e *Engine) Tick(now time.Time) {
-	if e.suspended {
+	if e.suspended || e.released {
 		return
 	}
 	e.endRecovery(now)
@@ -156,6 +156,16 @@
 	return false
 }
 
+// mayStart reports whether the task waits, and no unknown run of it may be active.
+func (e *Engine) mayStart(now time.Time, t *task) bool {
+	return t.isWaiting(now) && !e.mustAwaitRecovery(now, t)
+}
+
+// hasStartable reports whether a task of the step may start.
+func (e *Engine) hasStartable(now time.Time, s *step) bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return e.mayStart(now, t) })
+}
+
 // startStep starts up to limit waiting tasks of a step and returns their number.
 func (e *Engine) startStep(now time.Time, s *step, limit int) int {
 	started := 0
@@ -183,7 +193,7 @@
 		if started >= limit {
 			break
 		}
-		if !t.isWaiting(now) || now.Before(t.nextSearchAt) {
+		if !e.mayStart(now, t) || now.Before(t.nextSearchAt) {
 			continue
 		}
 		var w *worker
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -167,6 +167,8 @@
 	// of the last one that is stored.
 	lastEndSeen   int64
 	lastEndStored int64
+	// unstoredSuccesses has the ends with success among those between the two.
+	unstoredSuccesses []End
 	// awaitedStops has the runs that the earlier owner was stopping when it released the shard, with
 	// the time at which they must have ended.
 	awaitedStops map[TaskRun]time.Time
@@ -233,8 +235,17 @@
 
 // leasesExpireAt returns when no run can be active any more if the worker stays silent.
 func (w *worker) leasesExpireAt() time.Time {
-	leaseEnd := max(w.leaseEndSent, w.possibleLeaseEnd)
-	return w.lastReportAt.Add(maxLeaseDuration(max(leaseEnd-w.reportedClock, 0)) + leaseEndMargin)
+	return w.leaseExpiresAt(max(w.leaseEndSent, w.possibleLeaseEnd))
+}
+
+// grantedLeasesExpireAt is like leasesExpireAt for the leases that this owner has granted.
+func (w *worker) grantedLeasesExpireAt() time.Time {
+	return w.leaseExpiresAt(w.leaseEndSent)
+}
+
+// leaseExpiresAt returns when a lease that ends at a time on the worker's clock must have expired.
+func (w *worker) leaseExpiresAt(end time.Duration) time.Time {
+	return w.lastReportAt.Add(maxLeaseDuration(max(end-w.reportedClock, 0)) + leaseEndMargin)
 }
 
 // hasLostRuns reports whether all runs of the worker have ended because it is silent. After a pause
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -72,6 +72,10 @@
 	// engine's revision of them.
 	fleet           [][]byte
 	workersRevision int
+	// recordRows is the number of rows that have recovery records of earlier owners. recordRejected
+	// reports that the store rejected a transaction with the record of this one.
+	recordRows     int
+	recordRejected bool
 	// workerList is the platform's list of workers.
 	workerList workerList
 	// previousAuthorityAt is when the previous owner last confirmed its ownership, zero if
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -17,6 +17,8 @@
 	store := &o.node.store
 	var cancelRows, progressRows, transferRows []table.Row
 	var stopping []dispatch.StoppingRun
+	var record dispatch.RecoveryRecord
+	var hasRecord bool
 	var group errgroup.Group
 	group.Go(func() error { return o.recoverEstimates(ctx) })
 	group.Go(func() error { return o.recoverFleet(ctx) })
@@ -24,6 +26,10 @@
 		stopping, err = o.readStopping(ctx)
 		return err
 	})
+	group.Go(func() (err error) {
+		record, hasRecord, err = o.readRecord(ctx)
+		return err
+	})
 	group.Go(func() (err error) {
 		cancelRows, _, err = store.Snapshot(ctx, o.shard.partition.cancelPrefix())
 		return err
@@ -58,6 +64,9 @@
 		now := o.now()
 		o.engine.Recover(now, remainingAuthority(now, o.previousAuthorityAt))
 		o.engine.AwaitStops(now, stopping)
+		if hasRecord {
+			o.engine.RecoverFrom(now, record)
+		}
 	}
 	return mirror, nil
 }
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -87,12 +87,11 @@
 	if !o.loaded {
 		return u
 	}
-	if u.next.Released {
-		stopping := stoppingRow{Epoch: o.epoch, Runs: fittingPrefix(o.engine.StoppingRuns(o.now(), maxStoppingRuns))}
-		u.writes = append(u.writes, table.Write{Key: o.shard.partition.stoppingKey(), Value: encode(stopping)})
-	}
 	now := o.now()
 	u.limit = o.partLimit.max()
+	if u.next.Released {
+		o.addRelease(&u, now)
+	}
 	o.addJobs(&u, now)
 	o.addEstimates(&u, now)
 	o.addExpired(&u)
@@ -196,9 +195,10 @@
 	o.rejectSubmissions(u.submissions)
 }
 
-// requeueChanges keeps the changes of an update, other than new jobs, for a later transaction. The
-// lock must be held.
+// requeueChanges keeps the changes of an update, other than new jobs, for a later transaction. If it was
+// to release the shard, the engine goes on until then. The lock must be held.
 func (o *owner) requeueChanges(u update) {
+	o.engine.Resume()
 	o.engine.RequeueBatch(u.batch)
 	o.deferredWrites = append(o.deferredWrites, u.deferredWrites...)
 	for _, id := range u.expired {
--- a/internal/entry/dispatcher/rejected_update.go
+++ b/internal/entry/dispatcher/rejected_update.go
@@ -51,6 +51,9 @@
 	o.node.Counters.Add("Store.Rejected", 1)
 	o.node.Log.Error().Str("Event", "UpdateRejected").Int("Shard", int(o.shard.id)).Int64("Epoch", int64(o.epoch)).
 		Int("Parts", u.parts).Int("Writes", len(u.writes)).Err(cause).Send()
+	if o.dropRecord(u) {
+		return nil
+	}
 	switch u.parts {
 	case 0:
 		o.requeue(u)
@@ -67,6 +70,20 @@
 	return nil
 }
 
+// dropRecord omits the recovery record from now on if the rejected update may have had it, and reports
+// whether it did. The rest of the update is kept.
+func (o *owner) dropRecord(u update) bool {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	if !u.next.Released || o.recordRejected {
+		return false
+	}
+	o.recordRejected = true
+	o.requeueWithSubmissions(u)
+	o.requestWrite()
+	return true
+}
+
 // requeueWithSubmissions keeps all changes of an update that the store has rejected for a later one.
 // The lock must be held.
 func (o *owner) requeueWithSubmissions(u update) {
--- a/internal/entry/dispatcher/rows.go
+++ b/internal/entry/dispatcher/rows.go
@@ -18,14 +18,17 @@
 func (p partition) ownerKey() table.Key       { return p.key("owner", "owner") }
 func (p partition) estimatesKey() table.Key   { return p.key("owner", "estimates") }
 func (p partition) stoppingKey() table.Key    { return p.key("owner", "stopping") }
+func (p partition) recordPrefix() table.Key   { return p.key("recovery", "") }
 func (p partition) fleetPrefix() table.Key    { return p.key("fleet", "") }
 func (p partition) jobPrefix() table.Key      { return p.key("job", "") }
 func (p partition) cancelPrefix() table.Key   { return p.key("cancel", "") }
 func (p partition) progressPrefix() table.Key { return p.key("progress", "") }
 func (p partition) transferPrefix() table.Key { return p.key("transfer", "") }
 
-func (p partition) jobKey(id dispatch.JobID) table.Key      { return p.key("job", string(id)) }
-func (p partition) cancelKey(id dispatch.JobID) table.Key   { return p.key("cancel", string(id)) }
+func (p partition) jobKey(id dispatch.JobID) table.Key    { return p.key("job", string(id)) }
+func (p partition) cancelKey(id dispatch.JobID) table.Key { return p.key("cancel", string(id)) }
+func (p partition) recordKey(page int) table.Key { return p.key("recovery", strconv.Itoa(page)) }
+
 func (p partition) fleetKey(page int) table.Key             { return p.key("fleet", strconv.Itoa(page)) }
 func (p partition) progressKey(id dispatch.JobID) table.Key { return p.key("progress", string(id)) }
 func (p partition) transferKey(id dispatch.JobID) table.Key { return p.key("transfer", string(id)) }
