--- a/internal/decision/dispatch/fence.go
+++ b/internal/decision/dispatch/fence.go
@@ -29,12 +29,16 @@
 
 // observeFence updates the leases that unknown commands may have granted when a report arrives. Until the
 // worker has answered a poll with the current fence, commands of an earlier owner, or to an earlier
-// process with its clock, may have granted the longest lease.
-func (e *Engine) observeFence(w *worker, clock time.Duration) {
+// process with its clock, may have granted the longest lease, unless the earlier owner recorded its leases.
+func (e *Engine) observeFence(now time.Time, w *worker, clock time.Duration) {
 	if w.fenced {
 		return
 	}
-	w.possibleLeaseEnd = max(w.possibleLeaseEnd, clock+max(e.options.MaxLease, e.options.LeaseTerm))
+	lease := max(e.options.MaxLease, e.options.LeaseTerm)
+	if r := e.recorded[w.ID]; e.hasRecord && !w.reported && !r.anyRun {
+		lease = max(r.leasesExpireAt.Sub(now), 0)
+	}
+	w.possibleLeaseEnd = max(w.possibleLeaseEnd, clock+lease)
 	w.fenced = w.pollFence == e.fence(w)
 }
 
--- a/internal/decision/dispatch/recovery_record.go
+++ b/internal/decision/dispatch/recovery_record.go
@@ -33,8 +33,10 @@
 type recordedWorker struct {
 	runs   []TaskRun
 	anyRun bool
-	// until is when no recorded run can be active any more if the worker doesn't answer.
-	until time.Time
+	// leasesExpireAt is when no recorded run can be active any more if the worker doesn't answer, and until
+	// is how long its runs are awaited.
+	leasesExpireAt time.Time
+	until          time.Time
 }
 
 // recordedRun is a task with a run that the earlier owner recorded on a worker.
@@ -91,12 +93,10 @@
 	if e.recovering && e.mayHaveEarlierRuns(now, id) {
 		earlier := e.recorded[id]
 		r.AnyRun = !e.hasRecord || earlier.anyRun
-		if e.hasRecord {
-			for _, run := range earlier.runs {
-				runs[run] = true
-			}
+		for _, run := range earlier.runs {
+			runs[run] = true
 		}
-		until = latest(until, e.earlierRunsExpireAt(id))
+		until = latest(latest(until, e.earlierRunsExpireAt(id)), earlier.leasesExpireAt)
 	}
 	r.Runs = slices.SortedFunc(maps.Keys(runs), compareTaskRuns)
 	r.ExpireIn = max(until.Sub(now), 0)
@@ -147,11 +147,12 @@
 	e.newJobsStartAt = now.Add(record.NewJobsDelay)
 	runs := 0
 	for _, r := range record.Workers {
-		until := now.Add(r.ExpireIn)
+		expireAt := now.Add(r.ExpireIn)
+		until := expireAt
 		if e.recoveryEnds.Before(until) {
 			until = e.recoveryEnds
 		}
-		e.recorded[r.ID] = recordedWorker{r.Runs, r.AnyRun, until}
+		e.recorded[r.ID] = recordedWorker{r.Runs, r.AnyRun, expireAt, until}
 		runs += len(r.Runs)
 		for _, run := range r.Runs {
 			e.recordedRuns[run.Task.Job] = append(e.recordedRuns[run.Task.Job], recordedRun{run.Task, r.ID})
--- /dev/null
+++ b/internal/decision/dispatch/recovery_record_test.go
@@ -0,0 +1,330 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+// takeOver replaces the engine of the harness by one of the next owner, which recovers the jobs.
+func (h *harness) takeOver(epoch dispatch.Epoch, jobs ...dispatch.Job) {
+	next := newHarness(epoch, 0)
+	h.engine, h.starts = next.engine, nil
+	h.engine = dispatch.New(dispatch.Options{
+		Epoch: epoch, LeaseTerm: leaseTerm, MaxLease: 10 * time.Second, StopTimeout: stopTimeout, Counters: h, Recorder: h,
+	})
+	h.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{
+		batchQueue: {Name: batchQueue, Service: "pool", MaxAttempts: 2, SlackFactor: 2},
+	})
+	for _, j := range jobs {
+		h.engine.AddJob(h.now, j, dispatch.Progress{}, true)
+	}
+	h.engine.Recover(h.now, 0)
+	h.listWorkers()
+}
+
+// takeOverReleased is like takeOver after the earlier owner has released the shard.
+func (h *harness) takeOverReleased(epoch dispatch.Epoch, jobs ...dispatch.Job) {
+	GinkgoHelper()
+	record, complete := h.engine.Release(h.now)
+	Expect(complete).To(BeTrue())
+	h.takeOver(epoch, jobs...)
+	h.engine.RecoverFrom(h.now, record)
+}
+
+// startCount returns the number of starts of a job's tasks.
+func (h *harness) startCount(id dispatch.JobID) int {
+	count := 0
+	for _, c := range h.starts {
+		if c.Task.Job == id {
+			count++
+		}
+	}
+	return count
+}
+
+func jobOf(id dispatch.JobID, at time.Time, steps ...dispatch.Step) dispatch.Job {
+	return dispatch.Job{ID: id, Queue: batchQueue, Accepted: at, Steps: steps}
+}
+
+func lastingStep(tasks int) dispatch.Step {
+	return dispatch.Step{Tasks: tasks, Resources: cores(1), LongRunning: true}
+}
+
+// Guards against long-running tasks that are without a run for over 9 s: half of the workers were replaced
+// while the shard changed hands. Those that had left never listed their runs, and until their leases had
+// expired no recovered task started, though the new owner had seen the ends of most of them.
+var _ = Describe("A takeover while half of the workers leave", func() {
+	const (
+		workers  = 350
+		leaving  = workers / 2
+		tasks    = 150
+		interval = 100 * time.Millisecond
+	)
+	id := func(i int) membership.InstanceID { return membership.InstanceID(fmt.Sprintf("w%d", i)) }
+
+	// leave makes a worker end with all its runs.
+	leave := func(w *fakeWorker) {
+		w.silent = true
+		clear(w.running)
+	}
+
+	// longestDowntime advances the time and returns the longest time for which a task of the job is without a
+	// run. No task may have two. Another worker leaves in each step.
+	longestDowntime := func(h *harness, d time.Duration) time.Duration {
+		down := map[dispatch.TaskID]time.Duration{}
+		longest := time.Duration(0)
+		for tick := range int(d / interval) {
+			if tick > 0 && tick <= leaving {
+				leave(h.workers[id(tick-1)])
+			}
+			h.advanceStartedUp(interval)
+			running := map[dispatch.TaskID]bool{}
+			for _, w := range h.workers {
+				for task := range w.running {
+					Expect(running).NotTo(HaveKey(task))
+					running[task] = true
+				}
+			}
+			for i := range tasks {
+				task := dispatch.TaskID{Job: "long", Index: i}
+				down[task] += interval
+				if running[task] {
+					down[task] = 0
+				}
+				longest = max(longest, down[task])
+			}
+		}
+		return longest
+	}
+
+	// replace replaces the owner while it moves tasks off the workers that will leave, and returns the longest
+	// downtime.
+	replace := func(takeOver func(h *harness, jobs ...dispatch.Job)) time.Duration {
+		h := newHarness(1, workers)
+		h.listWorkers()
+		h.advance(interval)
+		step := lastingStep(tasks)
+		step.MaxPerWorker = 1
+		job := jobOf("long", h.now, step)
+		h.engine.AddJob(h.now, job, dispatch.Progress{}, false)
+		h.advanceStartedUp(2 * time.Second)
+		for i := range leaving {
+			h.workers[id(i)].info.Draining, h.workers[id(i)].info.Remaining = true, 20*time.Second
+		}
+		h.listWorkers()
+		h.advanceStartedUp(2 * interval)
+		takeOver(h, job)
+		return longestDowntime(h, 12*time.Second)
+	}
+
+	It("leaves no task without a run for long if the earlier owner has released the shard", func() {
+		Expect(replace(func(h *harness, jobs ...dispatch.Job) { h.takeOverReleased(1001, jobs...) })).To(BeNumerically("<", 6*time.Second))
+	})
+
+	// Without a record the workers that have reported once and then left count for as long as the longest lease.
+	It("leaves some without one for longer than that if it hasn't, which shows that the load is the right one", func() {
+		Expect(replace(func(h *harness, jobs ...dispatch.Job) { h.takeOver(1001, jobs...) })).To(BeNumerically(">", 9*time.Second))
+	})
+
+	It("lets only tasks that nothing has been seen of wait if the earlier owner was killed", func() {
+		h := newHarness(1, 3)
+		h.listWorkers()
+		h.advance(interval)
+		step := lastingStep(2)
+		step.MaxPerWorker = 1
+		job := jobOf("long", h.now, step)
+		h.engine.AddJob(h.now, job, dispatch.Progress{}, false)
+		h.advanceStartedUp(time.Second)
+		seen := h.starts[0]
+		h.workers[h.starts[1].Worker].silent = true
+		Expect(h.starts[1].Worker).NotTo(Equal(seen.Worker))
+		h.takeOver(1001, job)
+		h.advanceStartedUp(300 * time.Millisecond)
+		h.endRun(seen.Worker, seen.Task, dispatch.EndFailed)
+		h.advanceStartedUp(500 * time.Millisecond)
+		Expect(h.starts).To(ConsistOf(HaveField("Task", seen.Task)))
+	})
+})
+
+var _ = Describe("The record of an owner that releases its shard", func() {
+	const interval = 100 * time.Millisecond
+
+	// beside returns a harness whose job "j" has a run on w1, which is silent from now on, and whose job "k"
+	// has none.
+	beside := func() (h *harness, j, k dispatch.Job) {
+		h = newHarness(1, 2)
+		h.workers["w0"].info.Draining = true
+		h.listWorkers()
+		h.advance(interval)
+		j, k = jobOf("j", h.now, batchStep(1)), jobOf("k", h.now, batchStep(1))
+		h.engine.AddJob(h.now, j, dispatch.Progress{}, false)
+		h.advance(interval)
+		h.advance(interval)
+		Expect(h.starts).To(HaveLen(1))
+		h.workers["w1"].silent = true
+		h.workers["w0"].info.Draining = false
+		return h, j, k
+	}
+	advance := func(h *harness, d time.Duration) {
+		for range int(d / interval) {
+			h.advance(interval)
+		}
+	}
+
+	It("lets a task wait for the silent worker on which a run of it is recorded, and no other task", func() {
+		h, j, k := beside()
+		h.takeOverReleased(1001, j, k)
+		advance(h, time.Second)
+		Expect(h.startCount("k")).To(Equal(1))
+		advance(h, 3*time.Second)
+		Expect(h.startCount("j")).To(BeZero())
+		advance(h, 2*time.Second)
+		Expect(h.startCount("j")).To(BeNumerically(">=", 1))
+	})
+
+	It("lets new jobs start at once", func() {
+		h, j, _ := beside()
+		h.takeOverReleased(1001, j)
+		h.submit("new", batchStep(1))
+		advance(h, 500*time.Millisecond)
+		Expect(h.startCount("new")).To(Equal(1))
+	})
+
+	It("keeps a task from running again that succeeded before the end was stored", func() {
+		h, j, _ := beside()
+		h.workers["w1"].silent = false
+		h.endRun("w1", h.starts[0].Task, dispatch.EndDone)
+		h.now = h.now.Add(interval)
+		h.pollWorkers()
+		h.workers["w1"].silent = true
+		h.takeOverReleased(1001, j)
+		advance(h, 3*time.Second)
+		Expect(h.starts).To(BeEmpty())
+		h.workers["w1"].silent = false
+		advance(h, 500*time.Millisecond)
+		expectState(h, "j", dispatch.Completed)
+		Expect(h.starts).To(BeEmpty())
+	})
+
+	It("has no runs whose ends are stored", func() {
+		h, _, _ := beside()
+		h.workers["w1"].silent = false
+		h.endRun("w1", h.starts[0].Task, dispatch.EndDone)
+		advance(h, 500*time.Millisecond)
+		record, complete := h.engine.Release(h.now)
+		Expect(complete).To(BeTrue())
+		Expect(record.Workers).To(BeEmpty())
+	})
+
+	It("has starts without an answer, which may be executed late", func() {
+		h, j, k := beside()
+		h.workers["w1"].silent = false
+		h.workers["w0"].info.Draining = true
+		h.listWorkers()
+		h.engine.AddJob(h.now, k, dispatch.Progress{}, false)
+		h.engine.Tick(h.now)
+		late := h.engine.TakeCommands()
+		Expect(late).To(HaveLen(1))
+		h.workers["w1"].silent = true
+		h.workers["w0"].info.Draining = false
+		h.takeOverReleased(1001, j, k)
+		advance(h, 3*time.Second)
+		Expect(h.starts).To(BeEmpty())
+	})
+
+	It("is handed on by an owner that is replaced before the workers have listed their runs", func() {
+		h, j, k := beside()
+		h.takeOverReleased(1001, j, k)
+		advance(h, 500*time.Millisecond)
+		Expect(h.startCount("k")).To(Equal(1))
+		h.takeOverReleased(2001, j, k)
+		advance(h, 2*time.Second)
+		Expect(h.starts).To(BeEmpty())
+		h.workers["w1"].silent = false
+		advance(h, 500*time.Millisecond)
+		Expect(h.starts).To(BeEmpty())
+		Expect(h.eventsOf("RecoveryEnded")).To(Equal(1))
+	})
+
+	It("lets each task wait if the releasing owner had no record and hadn't heard of all workers itself", func() {
+		h, j, k := beside()
+		h.takeOver(1001, j, k)
+		advance(h, 500*time.Millisecond)
+		h.takeOverReleased(2001, j, k)
+		advance(h, 2*time.Second)
+		Expect(h.starts).To(BeEmpty())
+	})
+
+	It("isn't made by an owner that doesn't know the workers yet", func() {
+		h := newHarness(2, 1)
+		h.engine.Recover(h.now, 0)
+		_, complete := h.engine.Release(h.now)
+		Expect(complete).To(BeFalse())
+	})
+
+	It("counts for a job that is added later", func() {
+		h, j, _ := beside()
+		h.takeOverReleased(1001)
+		h.engine.AddJob(h.now, j, dispatch.Progress{}, false)
+		advance(h, 2*time.Second)
+		Expect(h.starts).To(BeEmpty())
+	})
+
+	It("counts for a worker that isn't known", func() {
+		h, j, _ := beside()
+		record, _ := h.engine.Release(h.now)
+		delete(h.workers, "w1")
+		h.takeOver(1001, j)
+		h.engine.RecoverFrom(h.now, record)
+		advance(h, 2*time.Second)
+		Expect(h.starts).To(BeEmpty())
+		advance(h, 4*time.Second)
+		Expect(h.startCount("j")).To(BeNumerically(">=", 1))
+	})
+
+	It("is the last decision of the owner", func() {
+		h, _, k := beside()
+		h.engine.Release(h.now)
+		h.engine.AddJob(h.now, k, dispatch.Progress{}, false)
+		advance(h, time.Second)
+		Expect(h.startCount("k")).To(BeZero())
+		p, _ := h.engine.Poll(h.now, "w0")
+		Expect(p.Lease).To(BeZero())
+		h.engine.Resume()
+		h.listWorkers()
+		advance(h, time.Second)
+		Expect(h.startCount("k")).To(Equal(1))
+	})
+})
+
+// Guards against two runs of a task at once: an owner that is cut off from a worker takes its runs for lost,
+// and may start them elsewhere until it notices that it was replaced.
+var _ = Describe("A run that is seen while the earlier owner may still act", func() {
+	It("may not be the last one", func() {
+		h := newHarness(1, 3)
+		h.listWorkers()
+		h.advance(100 * time.Millisecond)
+		job := jobOf("j", h.now, batchStep(1))
+		h.engine.AddJob(h.now, job, dispatch.Progress{}, false)
+		h.advance(100 * time.Millisecond)
+		h.advance(100 * time.Millisecond)
+		first := h.starts[0]
+		for _, w := range h.workers {
+			w.silent = w.info.ID != first.Worker
+		}
+		h.takeOver(1001, job)
+		h.engine.Recover(h.now, 2*time.Second)
+		h.advance(100 * time.Millisecond)
+		h.endRun(first.Worker, first.Task, dispatch.EndFailed)
+		for range 30 {
+			h.advance(100 * time.Millisecond)
+		}
+		Expect(h.starts).To(BeEmpty())
+	})
+})
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -101,7 +101,7 @@
 	if r.Incarnation != 0 {
 		w.incarnation = r.Incarnation
 	}
-	e.observeFence(w, r.Clock)
+	e.observeFence(now, w, r.Clock)
 	if w.missedPolls > 0 {
 		e.record(now, Decision{Event: "WorkerAnswers", Worker: id, Age: now.Sub(w.lastReportAt)})
 	}
--- a/internal/entry/dispatcher/rows.go
+++ b/internal/entry/dispatcher/rows.go
@@ -27,7 +27,7 @@
 
 func (p partition) jobKey(id dispatch.JobID) table.Key    { return p.key("job", string(id)) }
 func (p partition) cancelKey(id dispatch.JobID) table.Key { return p.key("cancel", string(id)) }
-func (p partition) recordKey(page int) table.Key { return p.key("recovery", strconv.Itoa(page)) }
+func (p partition) recordKey(page int) table.Key          { return p.key("recovery", strconv.Itoa(page)) }
 
 func (p partition) fleetKey(page int) table.Key             { return p.key("fleet", strconv.Itoa(page)) }
 func (p partition) progressKey(id dispatch.JobID) table.Key { return p.key("progress", string(id)) }
