Count recorded leases only for the process that the earlier owner knew

A worker that has restarted may execute commands to the process before it, which grant the longest lease (docs/incidents/2026-12-06-commands-to-an-earlier-process.md). Test the rows of a record through a release and a takeover, with a lost answer, a kill, a rejected record and owners of other builds in between.

--- a/internal/decision/dispatch/fence.go
+++ b/internal/decision/dispatch/fence.go
@@ -29,13 +29,14 @@
 
 // observeFence updates the leases that unknown commands may have granted when a report arrives. Until the
 // worker has answered a poll with the current fence, commands of an earlier owner, or to an earlier
-// process with its clock, may have granted the longest lease, unless the earlier owner recorded its leases.
+// process with its clock, may have granted the longest lease. An earlier owner may have recorded the leases
+// of the process.
 func (e *Engine) observeFence(now time.Time, w *worker, clock time.Duration) {
 	if w.fenced {
 		return
 	}
 	lease := max(e.options.MaxLease, e.options.LeaseTerm)
-	if r := e.recorded[w.ID]; e.hasRecord && !w.reported && !r.anyRun {
+	if r := e.recorded[w.ID]; r.incarnation != 0 && r.incarnation == w.incarnation {
 		lease = max(r.leasesExpireAt.Sub(now), 0)
 	}
 	w.possibleLeaseEnd = max(w.possibleLeaseEnd, clock+lease)
--- a/internal/decision/dispatch/recovery.go
+++ b/internal/decision/dispatch/recovery.go
@@ -80,13 +80,7 @@
 	}
 	// A worker that first answers once the earlier owner's leases have expired has no run of it.
 	mayBeHidden := !w.hasListedRuns && w.firstReportAt.Before(expireAt)
-	if !w.hasMoreEnds && !mayBeHidden {
-		return false
-	}
-	if e.hasRecord && !w.hasMoreEnds {
-		return w.missedPolls == 0 || now.Before(latest(expireAt, w.grantedLeasesExpireAt()))
-	}
-	return w.missedPolls == 0 || now.Before(w.leasesExpireAt())
+	return (w.hasMoreEnds || mayBeHidden) && (w.missedPolls == 0 || now.Before(w.leasesExpireAt()))
 }
 
 // earlierRunsExpireAt returns when no run of the earlier owner can be active on a worker that hasn't
--- a/internal/decision/dispatch/recovery_record.go
+++ b/internal/decision/dispatch/recovery_record.go
@@ -27,6 +27,8 @@
 	AnyRun bool `json:",omitempty"`
 	// ExpireIn is the time after which no run can be active if the worker stays silent.
 	ExpireIn time.Duration
+	// Incarnation is the process of the worker for which that holds also if it answers, 0 if it isn't known.
+	Incarnation int64 `json:",omitempty"`
 }
 
 // recordedWorker is what the record of the earlier owner tells of a worker.
@@ -37,6 +39,8 @@
 	// is how long its runs are awaited.
 	leasesExpireAt time.Time
 	until          time.Time
+	// incarnation is the process of the worker to which leasesExpireAt applies, 0 if none.
+	incarnation int64
 }
 
 // recordedRun is a task with a run that the earlier owner recorded on a worker.
@@ -89,6 +93,9 @@
 	if w := e.workers[id]; w != nil {
 		w.addPossibleRuns(now, runs)
 		until = e.possibleRunsExpireAt(now, w)
+		if w.fenced {
+			r.Incarnation = w.incarnation
+		}
 	}
 	if e.recovering && e.mayHaveEarlierRuns(now, id) {
 		earlier := e.recorded[id]
@@ -96,6 +103,7 @@
 		for _, run := range earlier.runs {
 			runs[run] = true
 		}
+		r.Incarnation = cmp.Or(r.Incarnation, earlier.incarnation)
 		until = latest(latest(until, e.earlierRunsExpireAt(id)), earlier.leasesExpireAt)
 	}
 	r.Runs = slices.SortedFunc(maps.Keys(runs), compareTaskRuns)
@@ -152,7 +160,7 @@
 		if e.recoveryEnds.Before(until) {
 			until = e.recoveryEnds
 		}
-		e.recorded[r.ID] = recordedWorker{r.Runs, r.AnyRun, expireAt, until}
+		e.recorded[r.ID] = recordedWorker{r.Runs, r.AnyRun, expireAt, until, r.Incarnation}
 		runs += len(r.Runs)
 		for _, run := range r.Runs {
 			e.recordedRuns[run.Task.Job] = append(e.recordedRuns[run.Task.Job], recordedRun{run.Task, r.ID})
--- a/internal/decision/dispatch/recovery_record_test.go
+++ b/internal/decision/dispatch/recovery_record_test.go
@@ -303,6 +303,35 @@
 	})
 })
 
+// Guards against two runs of a task at once: commands to the process before it may have granted the longest
+// lease to a worker that has restarted.
+var _ = Describe("A worker that answers once after a release and then goes silent", func() {
+	DescribeTable("keeps its run", func(incarnation int64, want time.Duration) {
+		const interval = 100 * time.Millisecond
+		h := newHarness(1, 2)
+		h.listWorkers()
+		h.advance(interval)
+		job := jobOf("j", h.now, lastingStep(1))
+		h.engine.AddJob(h.now, job, dispatch.Progress{}, false)
+		h.advanceStartedUp(time.Second)
+		w := h.workers[h.starts[0].Worker]
+		record, _ := h.engine.Release(h.now)
+		w.incarnation = incarnation
+		h.takeOver(1001, job)
+		h.engine.RecoverFrom(h.now, record)
+		h.advance(interval)
+		w.silent = true
+		waited := time.Duration(0)
+		for ; len(h.starts) == 0 && waited < time.Minute; waited += interval {
+			h.advance(interval)
+		}
+		Expect(waited).To(BeNumerically("~", want, time.Second))
+	},
+		Entry("for the recorded lease if it is the process that the earlier owner knew", int64(1), 5*time.Second),
+		Entry("for the longest lease if it is another one", int64(2), 10500*time.Millisecond),
+	)
+})
+
 // Guards against two runs of a task at once: an owner that is cut off from a worker takes its runs for lost,
 // and may start them elsewhere until it notices that it was replaced.
 var _ = Describe("A run that is seen while the earlier owner may still act", func() {
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -235,17 +235,8 @@
 
 // leasesExpireAt returns when no run can be active any more if the worker stays silent.
 func (w *worker) leasesExpireAt() time.Time {
-	return w.leaseExpiresAt(max(w.leaseEndSent, w.possibleLeaseEnd))
-}
-
-// grantedLeasesExpireAt is like leasesExpireAt for the leases that this owner has granted.
-func (w *worker) grantedLeasesExpireAt() time.Time {
-	return w.leaseExpiresAt(w.leaseEndSent)
-}
-
-// leaseExpiresAt returns when a lease that ends at a time on the worker's clock must have expired.
-func (w *worker) leaseExpiresAt(end time.Duration) time.Time {
-	return w.lastReportAt.Add(maxLeaseDuration(max(end-w.reportedClock, 0)) + leaseEndMargin)
+	leaseEnd := max(w.leaseEndSent, w.possibleLeaseEnd)
+	return w.lastReportAt.Add(maxLeaseDuration(max(leaseEnd-w.reportedClock, 0)) + leaseEndMargin)
 }
 
 // hasLostRuns reports whether all runs of the worker have ended because it is silent. After a pause
