--- a/internal/decision/dispatch/recovery_property_test.go
+++ b/internal/decision/dispatch/recovery_property_test.go
@@ -41,6 +41,11 @@
 			}
 		}
 	}
+	for _, x := range w.sortedWorkers() {
+		if w.chance(0.15) {
+			x.hiddenFrom, x.hiddenUntil = epoch, w.now.Add(time.Duration(w.random.IntN(8000))*time.Millisecond)
+		}
+	}
 	w.owners = append(w.owners, o)
 }
 
@@ -72,14 +77,14 @@
 	for _, c := range o.engine.TakeCommands() {
 		w.send(o, c)
 	}
-	if o == w.owner() && !o.cut && w.chance(0.3) {
+	if o == w.owner() && !o.cut && w.chance(0.15) {
 		w.store(o)
 	}
 }
 
 // store stores the changes of the owner.
 func (w *world) store(o *worldOwner) {
-	batch := o.engine.TakeBatch(4)
+	batch := o.engine.TakeBatch(1)
 	for _, u := range batch.Updates {
 		w.progress[u.ID] = u.Progress
 		w.outcomes[u.ID] = u.Outcome != ""
@@ -93,7 +98,7 @@
 func (w *world) listedWorkers() []dispatch.WorkerInfo {
 	var list []dispatch.WorkerInfo
 	for _, x := range w.sortedWorkers() {
-		if !x.gone && (w.reaches(x) || w.now.Sub(x.cutAt) < entryTerm) {
+		if !x.gone && (!w.now.Before(x.cutUntil) || w.now.Sub(x.cutAt) < entryTerm) {
 			list = append(list, x.info)
 		}
 	}
@@ -113,7 +118,7 @@
 	}
 	w.after(w.delay(), func() {
 		x := w.workers[id]
-		if !w.reaches(x) {
+		if !w.reaches(o, x) {
 			answer(func() { o.engine.PollFailed(w.now, id) })
 			return
 		}
@@ -151,7 +156,7 @@
 		unanswered()
 	}
 	w.after(delay, func() {
-		if !w.reaches(x) && !late || x.gone {
+		if !w.reaches(o, x) && !late || x.gone {
 			if c.Start != nil && !late {
 				unanswered()
 			}
@@ -253,7 +258,7 @@
 		}
 		w.claim()
 		for i := range 1200 {
-			if w.chance(0.1) {
+			if w.chance(0.15) {
 				w.disturb(i)
 			}
 			w.step()
--- a/internal/decision/dispatch/recovery_world_test.go
+++ b/internal/decision/dispatch/recovery_world_test.go
@@ -40,6 +40,9 @@
 	cutAt    time.Time
 	cutUntil time.Time
 	gone     bool
+	// hiddenUntil is when owners from an epoch on reach the worker. Earlier ones reach it.
+	hiddenUntil time.Time
+	hiddenFrom  dispatch.Epoch
 }
 
 type worldRun struct {
@@ -241,8 +244,9 @@
 	return true
 }
 
-func (w *world) reaches(x *worldWorker) bool {
-	return x != nil && !x.gone && !w.now.Before(x.cutUntil)
+// reaches reports whether a message of an owner reaches a worker.
+func (w *world) reaches(o *worldOwner, x *worldWorker) bool {
+	return x != nil && !x.gone && !w.now.Before(x.cutUntil) && (o.epoch < x.hiddenFrom || !w.now.Before(x.hiddenUntil))
 }
 
 // start executes a start command on a worker.
