--- a/internal/decision/dispatch/recovery_record_test.go
+++ b/internal/decision/dispatch/recovery_record_test.go
@@ -261,6 +261,19 @@
 		Expect(h.starts).To(BeEmpty())
 	})
 
+	It("lets new jobs wait if the releasing owner itself had just taken over from one that may still act", func() {
+		h, j, _ := beside()
+		h.takeOver(1001, j)
+		h.engine.Recover(h.now, 2*time.Second)
+		advance(h, 500*time.Millisecond)
+		h.takeOverReleased(2001, j)
+		h.submit("new", batchStep(1))
+		advance(h, 1400*time.Millisecond)
+		Expect(h.startCount("new")).To(BeZero())
+		advance(h, 300*time.Millisecond)
+		Expect(h.startCount("new")).To(Equal(1))
+	})
+
 	It("isn't made by an owner that doesn't know the workers yet", func() {
 		h := newHarness(2, 1)
 		h.engine.Recover(h.now, 0)
