Record the runs that are being stopped apart

A successor starts again sooner now, so the bounded list of stopping runs isn't enough any more. Tasks also wait for the list of workers, as before, if there is no record.

--- a/internal/decision/dispatch/recovery.go
+++ b/internal/decision/dispatch/recovery.go
@@ -31,9 +31,6 @@
 	}
 	reason := "the leases of the earlier owner have expired"
 	if now.Before(e.recoveryEnds) {
-		if !e.workersListed {
-			return
-		}
 		reason = "all workers have listed their runs"
 	}
 	e.recovering = false
@@ -46,7 +43,8 @@
 func (e *Engine) awaitsEarlierRuns(now time.Time) bool {
 	e.awaitsAnyRun = false
 	if !e.hasRecord {
-		e.awaitsAnyRun = slices.ContainsFunc(e.sortedWorkers, func(w *worker) bool { return e.mayHaveUnlistedRuns(now, w) })
+		e.awaitsAnyRun = !e.workersListed && now.Before(e.recoveryEnds) ||
+			slices.ContainsFunc(e.sortedWorkers, func(w *worker) bool { return e.mayHaveUnlistedRuns(now, w) })
 		return e.awaitsAnyRun
 	}
 	awaits := false
--- a/internal/decision/dispatch/recovery_record.go
+++ b/internal/decision/dispatch/recovery_record.go
@@ -23,6 +23,9 @@
 type RecordedWorker struct {
 	ID   membership.InstanceID
 	Runs []TaskRun `json:",omitempty"`
+	// Stopping has further runs, those that are being stopped. The worker needn't list them until they have
+	// ended.
+	Stopping []TaskRun `json:",omitempty"`
 	// AnyRun reports that the worker hasn't listed its runs to the owner, which doesn't know them.
 	AnyRun bool `json:",omitempty"`
 	// ExpireIn is the time after which no run can be active if the worker stays silent.
@@ -62,7 +65,7 @@
 		record.NewJobsDelay = max(e.newJobsStartAt.Sub(now), 0)
 	}
 	for _, id := range e.recordableWorkers() {
-		if r := e.recordWorker(now, id); r.AnyRun || len(r.Runs) > 0 {
+		if r := e.recordWorker(now, id); r.AnyRun || len(r.Runs)+len(r.Stopping) > 0 {
 			record.Workers = append(record.Workers, r)
 		}
 	}
@@ -92,6 +95,8 @@
 	until := now
 	if w := e.workers[id]; w != nil {
 		w.addPossibleRuns(now, runs)
+		r.Stopping = w.stoppingRuns(now)
+		slices.SortFunc(r.Stopping, compareTaskRuns)
 		until = e.possibleRunsExpireAt(now, w)
 		if w.fenced {
 			r.Incarnation = w.incarnation
@@ -106,20 +111,20 @@
 		r.Incarnation = cmp.Or(r.Incarnation, earlier.incarnation)
 		until = latest(latest(until, e.earlierRunsExpireAt(id)), earlier.leasesExpireAt)
 	}
+	for _, run := range r.Stopping {
+		delete(runs, run)
+	}
 	r.Runs = slices.SortedFunc(maps.Keys(runs), compareTaskRuns)
 	r.ExpireIn = max(until.Sub(now), 0)
 	return r
 }
 
-// addPossibleRuns adds the runs that may be active on the worker as far as this owner knows, and those
-// whose success isn't stored yet.
+// addPossibleRuns adds the runs of the owner that may be active on the worker, and those whose success isn't
+// stored yet.
 func (w *worker) addPossibleRuns(now time.Time, runs map[TaskRun]bool) {
 	for _, a := range w.runs {
 		runs[a.taskRun()] = true
 	}
-	for _, r := range w.stoppingRuns(now) {
-		runs[r] = true
-	}
 	for r, at := range w.unansweredStarts {
 		if now.Sub(at) <= maxStartDelay {
 			runs[r] = true
@@ -154,18 +159,24 @@
 	e.earlierOwnerActsUntil = now.Add(record.EarlierOwnerActsFor)
 	e.newJobsStartAt = now.Add(record.NewJobsDelay)
 	runs := 0
+	var stopping []StoppingRun
 	for _, r := range record.Workers {
 		expireAt := now.Add(r.ExpireIn)
 		until := expireAt
 		if e.recoveryEnds.Before(until) {
 			until = e.recoveryEnds
 		}
-		e.recorded[r.ID] = recordedWorker{r.Runs, r.AnyRun, expireAt, until, r.Incarnation}
-		runs += len(r.Runs)
-		for _, run := range r.Runs {
+		possible := slices.Concat(r.Runs, r.Stopping)
+		e.recorded[r.ID] = recordedWorker{possible, r.AnyRun, expireAt, until, r.Incarnation}
+		for _, run := range possible {
 			e.recordedRuns[run.Task.Job] = append(e.recordedRuns[run.Task.Job], recordedRun{run.Task, r.ID})
 		}
+		for _, run := range r.Stopping {
+			stopping = append(stopping, StoppingRun{run, r.ID})
+		}
+		runs += len(possible)
 	}
+	e.AwaitStops(now, stopping)
 	for _, j := range e.jobs {
 		e.addRecordedRuns(j)
 	}
--- a/internal/decision/dispatch/recovery_record_test.go
+++ b/internal/decision/dispatch/recovery_record_test.go
@@ -222,6 +222,26 @@
 		Expect(record.Workers).To(BeEmpty())
 	})
 
+	// A worker needn't list a run that it is stopping.
+	It("lets the task of a run that is being stopped wait for the time of a stop", func() {
+		h, j, _ := beside()
+		w := h.workers["w1"]
+		w.silent, w.slowStops = false, true
+		h.workers["w0"].info.Draining = true
+		h.listWorkers()
+		h.engine.Cancel(h.now, "j")
+		h.tick()
+		Expect(h.stops).To(HaveLen(1))
+		h.workers["w0"].info.Draining = false
+		h.takeOverReleased(1001, j)
+		for elapsed := time.Duration(0); elapsed < stopTimeout; elapsed += interval / 2 {
+			h.advance(interval / 2)
+			Expect(h.starts).To(BeEmpty())
+		}
+		advance(h, 500*time.Millisecond)
+		Expect(h.startCount("j")).To(Equal(1))
+	})
+
 	It("has starts without an answer, which may be executed late", func() {
 		h, j, k := beside()
 		h.workers["w1"].silent = false
