--- a/internal/decision/dispatch/recovery_record.go
+++ b/internal/decision/dispatch/recovery_record.go
@@ -167,7 +167,9 @@
 			until = e.recoveryEnds
 		}
 		possible := slices.Concat(r.Runs, r.Stopping)
-		e.recorded[r.ID] = recordedWorker{possible, r.AnyRun, expireAt, until, r.Incarnation}
+		e.recorded[r.ID] = recordedWorker{
+			runs: possible, anyRun: r.AnyRun, leasesExpireAt: expireAt, until: until, incarnation: r.Incarnation,
+		}
 		for _, run := range possible {
 			e.recordedRuns[run.Task.Job] = append(e.recordedRuns[run.Task.Job], recordedRun{run.Task, r.ID})
 		}
