--- a/internal/decision/dispatch/fence.go
+++ b/internal/decision/dispatch/fence.go
@@ -29,12 +29,17 @@
 
 // observeFence updates the leases that unknown commands may have granted when a report arrives. Until the
 // worker has answered a poll with the current fence, commands of an earlier owner, or to an earlier
-// process with its clock, may have granted the longest lease.
-func (e *Engine) observeFence(w *worker, clock time.Duration) {
+// process with its clock, may have granted the longest lease. An earlier owner may have recorded the leases
+// of the process.
+func (e *Engine) observeFence(now time.Time, w *worker, clock time.Duration) {
 	if w.fenced {
 		return
 	}
-	w.possibleLeaseEnd = max(w.possibleLeaseEnd, clock+max(e.options.MaxLease, e.options.LeaseTerm))
+	lease := max(e.options.MaxLease, e.options.LeaseTerm)
+	if r := e.recorded[w.ID]; r.incarnation != 0 && r.incarnation == w.incarnation {
+		lease = max(r.leasesExpireAt.Sub(now), 0)
+	}
+	w.possibleLeaseEnd = max(w.possibleLeaseEnd, clock+lease)
 	w.fenced = w.pollFence == e.fence(w)
 }
 
@@ -49,10 +54,7 @@
 // whether the start was answered or not. If the list shows such a process, it may also execute commands
 // late.
 func (e *Engine) loseExpiredRuns(now time.Time, w *worker) {
-	longest := maxLeaseDuration(max(e.options.MaxLease, e.options.LeaseTerm)) + leaseEndMargin
-	if w.hasUnseenRestart() {
-		longest += maxStartDelay
-	}
+	longest := e.longestRunWithoutRenewal(w)
 	for _, a := range w.runs {
 		if a.listed || now.After(a.startedBy().Add(longest)) {
 			e.loseRun(now, a, "lease ended")
@@ -60,6 +62,16 @@
 	}
 }
 
+// longestRunWithoutRenewal returns how long after it was sent a start may keep a run active on the worker,
+// if no report has shown the process that executes it.
+func (e *Engine) longestRunWithoutRenewal(w *worker) time.Duration {
+	longest := maxLeaseDuration(max(e.options.MaxLease, e.options.LeaseTerm)) + leaseEndMargin
+	if w.hasUnseenRestart() {
+		longest += maxStartDelay
+	}
+	return longest
+}
+
 // startedBy returns the latest time at which the worker may have executed the start, other than late.
 func (a *attempt) startedBy() time.Time {
 	if !a.answeredAt.IsZero() {
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -169,6 +169,8 @@
 	// of the last one that is stored.
 	lastEndSeen   int64
 	lastEndStored int64
+	// unstoredSuccesses has the ends with success among those between the two.
+	unstoredSuccesses []End
 	// awaitedStops has the runs that the earlier owner was stopping when it released the shard, with
 	// the time at which they must have ended.
 	awaitedStops map[TaskRun]time.Time
