Refuse submissions that no transaction has taken instead of calling their outcome unknown

While the store reset all connections for 3 s, 78 submissions got 504, after which callers can't try again. Nearly all of them waited behind the transaction that the owner repeated, and were in none themselves. Instances that then stored the job on their own sent a transaction to the same store, whose outcome was unknown too. (The 504s don't come from instances that are cut off: the log has all of them from 32.5 to 35.5 s, after the store went down at 31 s, and from 39 instances.)

The owner now withdraws a submission that no transaction has taken when its time is over, when the owner stops, and when the store is found lost while a transaction is repeated. It keeps one whose job a transaction under way may store for an earlier request. Its answer to a peer now arrives before the peer's call times out. An instance that stores a job itself reads the row first.

--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
@@ -15,6 +16,9 @@
 	// acceptTimeout limits how long a submission waits for the owner to store the job. The
 	// owner's previous transaction may have to finish first.
 	acceptTimeout = 1500 * time.Millisecond
+	// peerAcceptTimeout limits the same for the submission of a peer, so that the answer reaches it within
+	// acceptTimeout.
+	peerAcceptTimeout = 1200 * time.Millisecond
 	// ownerWaitTimeout is how long a submission waits for the shard to get an owner before
 	// the job is stored without one. Without an owner the job can't start anyway, and many
 	// concurrent transactions would delay the claim of the shard while the store is slow.
@@ -119,6 +123,8 @@
 	if err != nil {
 		return acceptAnswer{}, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, peerAcceptTimeout)
+	defer cancel()
 	err = o.accept(ctx, r.Job)
 	var refusal *queue.Refusal
 	switch {
@@ -188,7 +194,9 @@
 	return o.awaitStored(ctx, waiting)
 }
 
-// awaitStored stores a submission in the next transaction unless the owner already knows the job.
+// awaitStored stores a submission in the next transaction unless the owner already knows the job. It fails
+// with errNotAccepted if no transaction has taken the submission in time, and with queue.ErrOutcomeUnknown if
+// the outcome of one that has isn't known yet.
 func (o *owner) awaitStored(ctx context.Context, waiting *submission) error {
 	o.lock.Lock()
 	known := o.covers(&waiting.job)
@@ -210,7 +218,28 @@
 	case <-ctx.Done():
 	case <-o.ctx.Done():
 	}
-	return queue.ErrOutcomeUnknown
+	o.withdraw(func(s *submission) bool { return s == waiting })
+	select {
+	case err := <-waiting.done:
+		return err
+	default:
+		return queue.ErrOutcomeUnknown
+	}
+}
+
+// withdraw rejects the matching submissions that no transaction has taken. Of a job that a transaction
+// under way may store, the submission stays.
+func (o *owner) withdraw(matches func(*submission) bool) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.submissions = slices.DeleteFunc(o.submissions, func(s *submission) bool {
+		if !matches(s) || o.storing[s.job.ID] {
+			return false
+		}
+		o.node.Counters.Add("Submit.Withdrawn", 1)
+		s.done <- errNotAccepted
+		return true
+	})
 }
 
 // knows reports whether the job or its outcome is known. The lock must be held.
--- a/internal/entry/dispatcher/client_requests.go
+++ b/internal/entry/dispatcher/client_requests.go
@@ -97,7 +97,8 @@
 var errAlreadyStored = errors.New("dispatcher: the job is already stored")
 
 // storeJob stores a job from this instance. It fails with errAlreadyStored if the job
-// was stored before.
+// was stored before. The row is read first: if the store doesn't answer that, the job can be refused,
+// while the outcome of a transaction without an answer would be unknown.
 func (s *shard) storeJob(ctx context.Context, j dispatch.Job) error {
 	n := s.node
 	if outage, lost := n.store.lostFor(); lost {
@@ -107,6 +108,14 @@
 	if err != nil {
 		return err
 	}
+	switch stored, err := n.read(ctx, s.partition.jobKey(j.ID)); {
+	case err != nil:
+		outage, _ := n.store.lostFor()
+		return storeRefusal(outage)
+	case stored.Version != 0:
+		n.Counters.Add("Submit.Repeated", 1)
+		return errAlreadyStored
+	}
 	tx := table.Transaction{
 		Conditions: []table.Condition{{Key: s.partition.jobKey(j.ID)}},
 		Writes:     []table.Write{{Key: s.partition.jobKey(j.ID), Value: row}},
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -276,6 +276,9 @@
 		if notWritten {
 			return 0, sent, err
 		}
+		if _, lost := o.node.store.lostFor(); lost {
+			o.withdraw(func(*submission) bool { return true })
+		}
 		if !o.sleep(storeRetryDelay) {
 			return 0, sent, ctx.Err()
 		}
