Read the version of each worker's software from the list

Nothing read it, and the replacement of a pool's workers by those of another version can't be seen without it. WorkerJoined has the version.

--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -44,6 +44,8 @@
 	// follows from them and the client's estimates.
 	SlackFactor   float64
 	TargetLatency time.Duration
+	// WorkerVersion is that of a worker that joined.
+	WorkerVersion WorkerVersion
 	// Evidence is set if the decision is about runs that may be active.
 	Evidence *Evidence
 	// LongDowntime is set if the decision is about a task that is down for long.
@@ -282,7 +284,7 @@
 			w = newWorker(info, now)
 			e.workers[info.ID] = w
 			e.insertWorker(w)
-			e.record(now, Decision{Event: "WorkerJoined", Worker: info.ID})
+			e.record(now, Decision{Event: "WorkerJoined", Worker: info.ID, WorkerVersion: info.Version})
 		}
 		if info.Draining && !w.Draining {
 			w.drainingAt = now
--- a/internal/decision/dispatch/types.go
+++ b/internal/decision/dispatch/types.go
@@ -28,6 +28,9 @@
 // Image identifies the program that the tasks of a step run.
 type Image string
 
+// WorkerVersion is the version of a worker's software. It is empty if the worker didn't tell.
+type WorkerVersion string
+
 // Label is a property of a worker that a step can require.
 type Label string
 
@@ -201,7 +204,8 @@
 	Labels   []Label
 	Capacity resource.Vector
 	// RegisteredIncarnation is the process of the worker that made the entry, 0 if it didn't tell.
-	RegisteredIncarnation int64 `json:",omitempty"`
+	RegisteredIncarnation int64         `json:",omitempty"`
+	Version               WorkerVersion `json:",omitempty"`
 	// Draining workers get no new tasks.
 	Draining bool
 	// Remaining is the minimum time for which a draining worker stays available.
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -177,6 +177,9 @@
 	if d.Worker != "" {
 		line = line.Str("Worker", string(d.Worker))
 	}
+	if d.WorkerVersion != "" {
+		line = line.Str("WorkerVersion", string(d.WorkerVersion))
+	}
 	if d.Reason != "" {
 		line = line.Str("Reason", d.Reason)
 	}
