Count the remaining time of a draining worker from its latest entry

A draining worker's entry is renewed every 1.5 s with the time that is left then: 11.0, 9.5, 8.0 s and so on. The engine added it to the time at which the worker began to drain, so that its deadline passed when half of the time was over: long-running tasks without room elsewhere were stopped 5.5 s too early, and short ones that would have ended in time were stopped. An owner that took over while a worker drained didn't know when that had begun, and stopped its long-running tasks at once.

The worker's record now has the time at which it leaves, which each entry with another remaining time sets.

--- a/internal/decision/dispatch/drain.go
+++ b/internal/decision/dispatch/drain.go
@@ -8,11 +8,22 @@
 	// maxDrainStopsPerTick limits the runs that are moved off draining workers in one
 	// tick.
 	maxDrainStopsPerTick = 16
-	// drainMargin is subtracted from the time for which a draining worker stays
-	// available.
+	// drainMargin is subtracted from the time for which a draining worker stays available. It covers the age
+	// of the list.
 	drainMargin = 500 * time.Millisecond
 )
 
+// updateLeaveTime applies what an entry of the list tells of when the worker leaves. While it drains, its
+// entry is renewed with the time that is left then.
+func (w *worker) updateLeaveTime(now time.Time, info *WorkerInfo) {
+	switch {
+	case !info.Draining:
+		w.leavesAt = time.Time{}
+	case info.Remaining > 0 && (w.leavesAt.IsZero() || info.Remaining != w.Remaining):
+		w.leavesAt = now.Add(info.Remaining)
+	}
+}
+
 // drainWorkers moves runs off draining workers that will leave before the runs end.
 func (e *Engine) drainWorkers(now time.Time) {
 	moved := 0
@@ -62,14 +73,19 @@
 			return true
 		}
 	}
-	w := a.worker
-	if w.Remaining == 0 || now.Before(w.drainingAt.Add(w.Remaining-e.stopTimeout()-drainMargin)) {
+	if !e.isAboutToLeave(now, a.worker) {
 		return false
 	}
 	e.stop(now, a, reasonDraining)
 	return true
 }
 
+// isAboutToLeave reports whether a run on a draining worker must be stopped now for its end to be known before
+// the worker leaves.
+func (e *Engine) isAboutToLeave(now time.Time, w *worker) bool {
+	return !w.leavesAt.IsZero() && !now.Before(w.leavesAt.Add(-e.stopTimeout()-drainMargin))
+}
+
 // outlastsWorker reports whether a run on a draining worker won't end in time.
 func (a *attempt) outlastsWorker(now time.Time) bool {
 	total := a.projectedDuration()
@@ -77,5 +93,8 @@
 		total = a.task.step.Estimate
 	}
 	remaining := total - now.Sub(a.firstProgress.at)
-	return remaining > a.worker.Remaining-now.Sub(a.worker.drainingAt)-drainMargin
+	if a.worker.leavesAt.IsZero() {
+		return remaining > -drainMargin
+	}
+	return remaining > a.worker.leavesAt.Sub(now)-drainMargin
 }
--- a/internal/decision/dispatch/drain_test.go
+++ b/internal/decision/dispatch/drain_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
@@ -105,3 +106,61 @@
 		Expect(h.workersOf("watch")).To(HaveLen(2))
 	})
 })
+
+// Guards against tasks that are stopped or moved when half of the time that their worker stays is over: its
+// entry is renewed with the time that is left then, which was counted from when it began to drain.
+var _ = Describe("A draining worker whose entry counts down", func() {
+	const stays = 10 * time.Second
+
+	// drainFor lets the only worker drain, renews its entry every second, and returns for how long the task
+	// was left at work.
+	drainFor := func(h *harness, id dispatch.JobID) time.Duration {
+		began := h.now
+		w := h.workers["w0"]
+		w.info.Draining = true
+		for h.now.Sub(began) < stays && len(h.workersOf(id)) > 0 {
+			if left := stays - h.now.Sub(began); left%time.Second == 0 {
+				w.info.Remaining = left
+				h.listWorkers()
+			}
+			h.advance(100 * time.Millisecond)
+		}
+		return h.now.Sub(began)
+	}
+	expectLateStop := func(after time.Duration) {
+		GinkgoHelper()
+		Expect(after).To(And(BeNumerically(">", stays-2*time.Second), BeNumerically("<", stays)))
+	}
+
+	It("keeps a long-running task without room elsewhere until it is about to leave", func() {
+		h := newHarness(1, 1)
+		h.listWorkers()
+		h.advance(0)
+		h.submit("watch", longRunningStep(1, 2))
+		h.advance(100 * time.Millisecond)
+		expectLateStop(drainFor(h, "watch"))
+	})
+
+	It("keeps it as long under an owner that took over while it drained", func() {
+		h := newHarness(1, 1)
+		h.workers["w0"].info.Draining, h.workers["w0"].info.Remaining = true, stays
+		run := dispatch.TaskRun{Task: dispatch.TaskID{Job: "watch"}, Run: 1}
+		h.workers["w0"].running[run.Task] = &dispatch.RunningTask{TaskRun: run, Percent: 100}
+		job := dispatch.Job{ID: "watch", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{longRunningStep(1, 2)}}
+		h.engine.AddJob(h.now, job, dispatch.Progress{}, true)
+		expectLateStop(drainFor(h, "watch"))
+	})
+
+	It("keeps a short task that ends in time", func() {
+		h := newHarnessWithout(mechanism.Of(mechanism.Stragglers), 1, 1)
+		h.listWorkers()
+		h.advance(0)
+		step := batchStep(1)
+		step.Estimate = stays - 2*time.Second
+		h.submit("short", step)
+		h.advance(100 * time.Millisecond)
+		h.workers["w1"] = newFakeWorker("w1", 6)
+		Expect(drainFor(h, "short")).To(BeNumerically(">=", stays))
+		Expect(h.stops).To(BeEmpty())
+	})
+})
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -287,9 +287,9 @@
 			e.record(now, Decision{Event: "WorkerJoined", Worker: info.ID, WorkerVersion: info.Version})
 		}
 		if info.Draining && !w.Draining {
-			w.drainingAt = now
 			e.record(now, Decision{Event: "WorkerDraining", Worker: info.ID})
 		}
+		w.updateLeaveTime(now, &info)
 		// An answer from the previous address says nothing about the worker at the new
 		// one.
 		w.replaced = w.replaced && w.Address == info.Address
--- a/internal/decision/dispatch/types.go
+++ b/internal/decision/dispatch/types.go
@@ -208,7 +208,8 @@
 	Version               WorkerVersion `json:",omitempty"`
 	// Draining workers get no new tasks.
 	Draining bool
-	// Remaining is the minimum time for which a draining worker stays available.
+	// Remaining is the minimum time for which a draining worker stays available, counted from when its entry
+	// was written. It is 0 if the worker didn't tell.
 	Remaining time.Duration
 }
 
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -112,8 +112,8 @@
 	// quarantined and in an availability zone that is in service.
 	schedulable bool
 	unlistedAt  time.Time
-	// drainingAt is when the worker was first listed as draining.
-	drainingAt  time.Time
+	// leavesAt is the earliest time at which a draining worker leaves, or zero if it didn't tell.
+	leavesAt    time.Time
 	incarnation int64
 	// reported is true once the worker has answered this owner.
 	reported bool
