Place and move tasks with regard to workers that are being replaced

While many workers are replaced one after the other, each departure was handled by itself. Tasks were moved onto workers that drained next, short tasks that would have ended were moved, and those that save their work were stopped at once instead of shortly before their worker leaves.

While that is under way, tasks that last go to arriving workers if these have room, long-running ones move to them until 4 s before their worker leaves, no more at once than can start and within MaxUnavailable; short ones stay if they are expected to end, and save their work late if they can; consolidation pauses. The mechanism is Replacement.

--- a/internal/decision/dispatch/defrag.go
+++ b/internal/decision/dispatch/defrag.go
@@ -135,7 +135,7 @@
 // holdFor holds a worker for a waiting task: one that shorter tasks will leave soon, or
 // else one from which a smaller long-running task can be moved.
 func (e *Engine) holdFor(now time.Time, t *task) bool {
-	return e.holdAfterShortTasks(now, t) || e.moveSmallerTask(now, t)
+	return e.holdAfterShortTasks(now, t) || !e.replacements.underWay && e.moveSmallerTask(now, t)
 }
 
 // holdAfterShortTasks holds the worker with the most free processors on which a waiting task fits
--- a/internal/decision/dispatch/drain.go
+++ b/internal/decision/dispatch/drain.go
@@ -51,6 +51,8 @@
 func (e *Engine) moveOff(now time.Time, a *attempt) bool {
 	s := a.task.step
 	switch {
+	case e.isBeingReplaced(a.worker) && !a.worker.leavesAt.IsZero():
+		return e.moveOffReplaced(now, a)
 	case s.Gang:
 		return false
 	case s.LongRunning:
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -162,6 +162,7 @@
 	fillerDemand map[Image]float64
 	scarcity     scarcity
 	startAnswers startAnswers
+	replacements replacements
 	// stepsWithHold has the steps for whose tasks a worker is held.
 	stepsWithHold map[*step]bool
 	// unplaceable has the shapes of tasks for which no worker was found in this tick,
@@ -303,6 +304,7 @@
 			e.record(now, Decision{Event: "WorkerUnlisted", Worker: id})
 		}
 	}
+	e.observeReplacements(now, list)
 }
 
 func (e *Engine) insertWorker(w *worker) {
--- a/internal/decision/dispatch/exchange.go
+++ b/internal/decision/dispatch/exchange.go
@@ -60,7 +60,7 @@
 		return false
 	}
 	t.nextSearchAt = now.Add(deferredSearchInterval)
-	if now.Sub(t.lastHeldAt) > holdDuration && now.Sub(e.exchangeCheckedAt) >= exchangeInterval {
+	if !e.replacements.underWay && now.Sub(t.lastHeldAt) > holdDuration && now.Sub(e.exchangeCheckedAt) >= exchangeInterval {
 		e.exchangeCheckedAt = now
 		if e.exchange(now, t, w) {
 			e.count("Task.Exchanged")
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -81,6 +81,8 @@
 	// restartedAsSlow reports that the task was restarted because its worker seemed
 	// slow.
 	restartedAsSlow bool
+	// replacementMoves counts the moves of a long-running task off workers that were replaced.
+	replacementMoves int
 	// movedAt is when the task was last moved to another worker.
 	movedAt time.Time
 	// lastHeldAt is when a worker was last held for the task.
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -62,6 +62,7 @@
 func (e *Engine) chooseWorkerAmong(now time.Time, t *task, isEligible func(*worker) bool) *worker {
 	var best *worker
 	bestCost := 0.0
+	leaving := e.leavingCost(t.step)
 	for _, w := range e.sortedWorkers {
 		if !isEligible(w) || !e.mayPlace(now, t, w) {
 			continue
@@ -70,6 +71,9 @@
 			return w
 		}
 		cost, ok := e.cost(now, t, w)
+		if w.leavesSoon {
+			cost += leaving
+		}
 		if ok && (best == nil || cost < bestCost) {
 			best, bestCost = w, cost
 		}
--- /dev/null
+++ b/internal/decision/dispatch/replacement.go
@@ -0,0 +1,239 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/replacement"
+)
+
+const (
+	// leavingSoonCost applies to workers that will be replaced, for tasks that would be stopped then.
+	// leavingSoonCheckpointCost applies to tasks that save their work.
+	leavingSoonCost           = 2.0
+	leavingSoonCheckpointCost = 0.5
+	// anyDestinationTime is the time before a worker leaves from which its long-running tasks move to any
+	// worker with room. Until then only arriving workers are considered, from which they needn't move again.
+	anyDestinationTime = 4 * time.Second
+	// workersPerMove limits the long-running tasks that move at the same time: at most one in this many
+	// workers.
+	workersPerMove = 12
+)
+
+// reasonSaved is the reason of late stops on workers that leave while they are being replaced.
+const reasonSaved = "its worker leaves; its work is saved and goes on elsewhere"
+
+// replacements is what the engine knows of replacements of many workers.
+type replacements struct {
+	detector replacement.Detector
+	// underWay reports that one is under way, as of the current tick.
+	underWay bool
+	// moves counts the long-running tasks that are moving, and moveLimit limits them.
+	moves     int
+	moveLimit int
+	// notices has the longest time for which draining workers of each service said that they remain.
+	notices map[ServiceName]time.Duration
+}
+
+// observeReplacements applies a list of workers.
+func (e *Engine) observeReplacements(now time.Time, list []WorkerInfo) {
+	if e.isDisabled(mechanism.Replacement) {
+		return
+	}
+	entries := make([]replacement.Worker, 0, len(list))
+	for i := range list {
+		entries = append(entries, replacementEntry(&list[i]))
+		e.replacements.recordNotice(&list[i])
+	}
+	e.recordReplacements(now, e.replacements.detector.Observe(now, entries))
+}
+
+func replacementEntry(info *WorkerInfo) replacement.Worker {
+	entry := replacement.Worker{
+		ID: string(info.ID), Pool: replacement.Pool(info.Service), Version: replacement.Version(info.Version), Draining: info.Draining,
+	}
+	if info.RegisteredIncarnation > 0 {
+		entry.Born = time.UnixMilli(info.RegisteredIncarnation)
+	}
+	return entry
+}
+
+func (r *replacements) recordNotice(info *WorkerInfo) {
+	if !info.Draining {
+		return
+	}
+	if r.notices == nil {
+		r.notices = map[ServiceName]time.Duration{}
+	}
+	r.notices[info.Service] = max(r.notices[info.Service], info.Remaining)
+}
+
+func (e *Engine) recordReplacements(now time.Time, events []replacement.Event) {
+	for _, event := range events {
+		d := Decision{Event: "ReplacementBegan", Reason: describeReplacement(event), Took: event.Took}
+		if event.Ended {
+			d.Event = "ReplacementEnded"
+		} else {
+			e.count("Replacement.Detected")
+		}
+		e.record(now, d)
+	}
+}
+
+func describeReplacement(event replacement.Event) string {
+	if event.From == event.To {
+		return fmt.Sprintf("workers of %s are replaced under version %q", event.Pool, event.To)
+	}
+	return fmt.Sprintf("workers of %s with version %q are replaced by ones with %q", event.Pool, event.From, event.To)
+}
+
+// updateReplacements marks the workers that will be replaced, once a tick because each search for a worker
+// checks all of them.
+func (e *Engine) updateReplacements(now time.Time) {
+	r := &e.replacements
+	e.recordReplacements(now, r.detector.Expire(now))
+	before := r.underWay
+	r.underWay = r.detector.IsAnyUnderWay()
+	if !before && !r.underWay {
+		return
+	}
+	r.moves, r.moveLimit = 0, min(e.startLimit(), len(e.sortedWorkers)/workersPerMove+1)
+	for _, w := range e.sortedWorkers {
+		w.leavesSoon = e.isBeingReplaced(w) && !r.detector.IsArriving(replacement.Pool(w.Service), string(w.ID))
+		if w.hold.moved && w.hold.isActive(now) {
+			r.moves++
+		}
+	}
+}
+
+// isBeingReplaced reports whether workers like this one are being replaced.
+func (e *Engine) isBeingReplaced(w *worker) bool {
+	return e.replacements.underWay && e.replacements.detector.IsUnderWay(replacement.Pool(w.Service))
+}
+
+// leavingCost returns the cost for a task of the step of a worker that will be replaced: tasks that are
+// expected to end within the notice of such a worker have none.
+func (e *Engine) leavingCost(s *step) float64 {
+	switch {
+	case !e.replacements.underWay:
+		return 0
+	case s.LongRunning:
+		return leavingSoonCost
+	case e.expectedDuration(s) <= e.replacements.notices[s.job.queue.Service]:
+		return 0
+	case s.Checkpointing:
+		return leavingSoonCheckpointCost
+	}
+	return leavingSoonCost
+}
+
+// moveOffReplaced is like moveOff for a worker that is being replaced and said when it leaves.
+func (e *Engine) moveOffReplaced(now time.Time, a *attempt) bool {
+	s := a.task.step
+	switch {
+	case s.Gang:
+		return false
+	case s.LongRunning:
+		return e.moveLongRunningOffReplaced(now, a)
+	case !now.Add(e.remainingTime(now, a)).After(a.worker.leavesAt.Add(-drainMargin)):
+		a.spared = a.spared || a.outlastsWorker(now)
+		return false
+	case s.Checkpointing:
+		return e.saveBeforeLeaving(now, a)
+	case e.chooseWorker(now, a.task) == nil:
+		return false
+	}
+	e.stop(now, a, reasonDraining)
+	return true
+}
+
+// remainingTime returns the time after which a run is expected to have ended. A run that went on from a
+// checkpoint has only the rest of the work to do.
+func (e *Engine) remainingTime(now time.Time, a *attempt) time.Duration {
+	if projected := a.projectedDuration(); projected > 0 {
+		return max(projected*time.Duration(100-a.percent)/100-now.Sub(a.progressAt), 0)
+	}
+	end, _ := e.expectedEnd(now, a)
+	return end.Sub(now)
+}
+
+// saveBeforeLeaving stops a run whose work is saved by that when its worker is about to leave. Until then the
+// run goes on, and may end.
+func (e *Engine) saveBeforeLeaving(now time.Time, a *attempt) bool {
+	if !e.isAboutToLeave(now, a.worker) {
+		a.spared = true
+		return false
+	}
+	e.count("Replacement.Saved")
+	e.stop(now, a, reasonSaved)
+	return true
+}
+
+// moveLongRunningOffReplaced moves a long-running task to an arriving worker with room that isn't held for
+// anything else and, shortly before its own worker leaves, to any. No more tasks move at once than can start
+// at once, and none while too many of its step are unavailable. When the worker is about to leave, the task is
+// stopped all the same.
+func (e *Engine) moveLongRunningOffReplaced(now time.Time, a *attempt) bool {
+	s := a.task.step
+	if e.replacements.moves < e.replacements.moveLimit && !s.hasWaiting(now) && s.mayBecomeUnavailable(a) {
+		if to := e.chooseReplacement(now, a); to != nil {
+			e.replacements.moves++
+			e.countMove(a.task)
+			e.move(now, a, to, nil, reasonDraining)
+			return true
+		}
+	}
+	if !e.isAboutToLeave(now, a.worker) {
+		return false
+	}
+	e.countMove(a.task)
+	e.stop(now, a, reasonDraining)
+	return true
+}
+
+// chooseReplacement returns the worker to which a task of a leaving worker can move, or nil.
+func (e *Engine) chooseReplacement(now time.Time, a *attempt) *worker {
+	mayLeaveSoon := !now.Before(a.worker.leavesAt.Add(-anyDestinationTime))
+	return e.chooseWorkerAmong(now, a.task, func(w *worker) bool {
+		return w != a.worker && !w.hold.isActive(now) && (mayLeaveSoon || !w.leavesSoon)
+	})
+}
+
+// mayBecomeUnavailable reports whether the limit of the step allows a run that is at work to be taken down.
+func (s *step) mayBecomeUnavailable(a *attempt) bool {
+	return s.MaxUnavailable == 0 || !a.isAtWork() || s.unavailable() < s.MaxUnavailable
+}
+
+// unavailable returns the number of tasks of this shard that aren't at work.
+func (s *step) unavailable() int {
+	count := 0
+	for _, t := range s.tasks {
+		if !t.done && !t.elsewhere && (t.attempt == nil || !t.attempt.isAtWork()) {
+			count++
+		}
+	}
+	return count
+}
+
+// isAtWork reports whether the run of a long-running task has started up and wasn't told to stop.
+func (a *attempt) isAtWork() bool {
+	return a.phase == running && a.percent >= startedUpPercent
+}
+
+// countMove counts the move of a long-running task off a worker that leaves.
+func (e *Engine) countMove(t *task) {
+	t.replacementMoves++
+	if t.replacementMoves > 1 {
+		e.count("Replacement.MovedAgain")
+		return
+	}
+	e.count("Replacement.MovedOnce")
+}
+
+// countSpared counts a run that ended on a worker off which it would have been moved.
+func (e *Engine) countSpared(a *attempt) {
+	if a.spared {
+		e.count("Replacement.MovesAvoided")
+	}
+}
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -207,6 +207,9 @@
 			a.recordDuration(now)
 			e.observeDuration(now, a)
 		}
+		if end.Kind == EndDone {
+			e.countSpared(a)
+		}
 		e.releaseRun(now, a)
 	}
 	w.dropOrphan(end.TaskRun)
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -24,6 +24,7 @@
 	e.endRecovery(now)
 	e.dropSilentWorkers(now)
 	e.updateSchedulable(now)
+	e.updateReplacements(now)
 	e.retryStops(now)
 	e.forgetFinishedJobs(now)
 	e.findStragglers(now)
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -102,6 +102,9 @@
 	// progressAt is when percent last increased.
 	progressAt time.Time
 	pace       pace
+	// spared reports that the run would have been moved off its draining worker if no replacement were under
+	// way.
+	spared bool
 }
 
 // worker is the engine's record of a worker and of the runs that occupy its capacity.
@@ -111,7 +114,9 @@
 	// schedulable workers may get tasks in this tick: they are available, not
 	// quarantined and in an availability zone that is in service.
 	schedulable bool
-	unlistedAt  time.Time
+	// leavesSoon reports that the workers of its service are being replaced and this one hasn't been.
+	leavesSoon bool
+	unlistedAt time.Time
 	// leavesAt is the earliest time at which a draining worker leaves, or zero if it didn't tell.
 	leavesAt    time.Time
 	incarnation int64
--- a/internal/decision/mechanism/mechanism.go
+++ b/internal/decision/mechanism/mechanism.go
@@ -43,6 +43,7 @@
 	EstimateExchange
 	OwnerRebalance
 	ZoneReader
+	Replacement
 	count
 )
 
@@ -82,6 +83,7 @@
 	EstimateExchange:     {"EstimateExchange", "images that run in several shards"},
 	OwnerRebalance:       {"OwnerRebalance", "instances that own more shards than others"},
 	ZoneReader:           {"ZoneReader", "a large configuration that all instances of an availability zone read over one link"},
+	Replacement:          {"Replacement", "many workers that are replaced one after the other"},
 }
 
 // Info returns the name of the mechanism and the load that it answers.
