--- a/internal/decision/dispatch/bench_test.go
+++ b/internal/decision/dispatch/bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
 const benchSeed = 7
@@ -85,3 +86,35 @@
 		h.engine.Observe(h.now, "w0", r)
 	}
 }
+
+// BenchmarkTickReplacing measures a tick like BenchmarkTick while the workers are being replaced, and
+// SetWorkers then: a tenth of the workers drain, and as many have arrived.
+func BenchmarkTickReplacing(b *testing.B) {
+	for _, workers := range []int{48, 400} {
+		h := newLoadedHarness(workers, 3*workers)
+		for i := range workers / 10 {
+			arriving := newFakeWorker(membership.InstanceID(fmt.Sprintf("x%d", i)), 16)
+			h.workers[arriving.info.ID] = arriving
+			w := h.workers[membership.InstanceID(fmt.Sprintf("w%d", i))]
+			h.listWorkers()
+			w.info.Draining, w.info.Remaining = true, time.Hour
+			h.listWorkers()
+		}
+		h.advance(200 * time.Millisecond)
+		if h.counts["Replacement.Detected"] != 1 {
+			b.Fatal("no replacement is under way")
+		}
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				h.now = h.now.Add(time.Millisecond)
+				h.engine.Tick(h.now)
+				h.engine.TakeCommands()
+			}
+		})
+		b.Run(fmt.Sprintf("list/workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				h.listWorkers()
+			}
+		})
+	}
+}
