Know workers again that are back in the list with the same process

While the store is down entries expire, and are back within seconds. All workers would count as arriving then for a replacement under one version.

--- a/internal/decision/replacement/detector.go
+++ b/internal/decision/replacement/detector.go
@@ -132,13 +132,27 @@
 	drained bool
 }
 
-// member is a worker of a pool that is listed.
+// member is a worker of a pool that is listed, or was within the window.
 type member struct {
 	version Version
 	// joinedAt is when the worker joined, or zero if it was there before the first list.
 	joinedAt time.Time
+	born     time.Time
 	draining bool
 	mark     int
+	// goneAt is when the worker was no longer listed, or zero.
+	goneAt time.Time
+}
+
+// isOf reports whether the member is the process of an entry.
+func (m *member) isOf(w Worker) bool {
+	switch {
+	case m.version != w.Version, m.draining && !w.Draining:
+		return false
+	case m.goneAt.IsZero():
+		return true
+	}
+	return !w.Born.IsZero() && m.born.Equal(w.Born)
 }
 
 // current is a replacement that is under way.
@@ -161,13 +175,14 @@
 }
 
 // observe applies the entry of a worker. The first list doesn't tell when its workers began to drain. A worker
-// that is back under its id after it drained, or with another version, has arrived anew.
+// that is back under its id after it drained, or with another version, has arrived anew. One that is back with
+// the same process hasn't: entries expire while the store is down.
 func (p *pool) observe(now time.Time, w Worker, first bool) {
 	m := p.members[w.ID]
-	if m != nil && m.version != w.Version && !m.draining {
+	if m != nil && m.version != w.Version && !m.draining && m.goneAt.IsZero() {
 		p.addDeparture(now, change{version: m.version, at: now, earliest: now, drained: true})
 	}
-	if m == nil || m.version != w.Version || m.draining && !w.Draining {
+	if m == nil || !m.isOf(w) {
 		m = &member{version: w.Version}
 		p.members[w.ID] = m
 		if !w.Draining {
@@ -181,7 +196,7 @@
 		}
 		p.addDeparture(now, c)
 	}
-	m.draining, m.mark = w.Draining, p.mark
+	m.draining, m.mark, m.born, m.goneAt = w.Draining, p.mark, w.Born, time.Time{}
 }
 
 func (p *pool) addDeparture(now time.Time, c change) {
@@ -208,13 +223,19 @@
 	return !born.IsZero() && now.Sub(born) < window
 }
 
-// removeUnlisted removes the members that the last list doesn't have.
+// removeUnlisted marks the members that the last list doesn't have, and removes them after a while.
 func (p *pool) removeUnlisted(now time.Time) {
 	for id, m := range p.members {
-		if m.mark == p.mark {
+		switch {
+		case m.mark == p.mark:
+			continue
+		case !m.goneAt.IsZero():
+			if now.Sub(m.goneAt) >= window {
+				delete(p.members, id)
+			}
 			continue
 		}
-		delete(p.members, id)
+		m.goneAt = now
 		if !m.draining {
 			p.addDeparture(now, change{version: m.version, at: now, earliest: now})
 		}
@@ -323,12 +344,17 @@
 	return !m.joinedAt.IsZero() && !m.joinedAt.Before(c.since)
 }
 
-// isComplete reports whether no worker is listed that the replacement replaces.
+// isComplete reports whether workers are listed, and none that the replacement replaces.
 func (p *pool) isComplete(c *current) bool {
+	listed := false
 	for _, m := range p.members {
+		if !m.goneAt.IsZero() {
+			continue
+		}
 		if m.draining || !c.isArriving(m) {
 			return false
 		}
+		listed = true
 	}
-	return true
+	return listed
 }
--- a/internal/decision/replacement/detector_test.go
+++ b/internal/decision/replacement/detector_test.go
@@ -194,4 +194,15 @@
 		}
 		Expect(f.events).To(BeEmpty())
 	})
+
+	It("goes on, with the same arriving workers, after the entries of all have expired for a moment", func() {
+		f := newFleet(20, "v1")
+		f.replace(8, "v1")
+		f.expectPreferred(20)
+		f.events = append(f.events, f.detector.Observe(f.now, nil)...)
+		f.now = f.now.Add(2 * time.Second)
+		f.list()
+		f.expectPreferred(20)
+		Expect(f.events).To(HaveLen(1))
+	})
 })
