Keep tasks on draining workers while a recovery doesn't let them start again

A new owner moved long-running tasks off draining workers as soon as another worker had room, but may not start a recovered task before its recovery has ended. They stay until the recovery has ended or their worker is about to leave.

The new test failed before.

--- a/internal/decision/dispatch/drain.go
+++ b/internal/decision/dispatch/drain.go
@@ -47,10 +47,13 @@
 const reasonDraining = "its worker is draining"
 
 // moveOff stops a run on a draining worker if its task can run on another worker, or if the worker is
-// about to leave, and reports whether it did.
+// about to leave, and reports whether it did. While the task couldn't start again because of a recovery, it
+// stays.
 func (e *Engine) moveOff(now time.Time, a *attempt) bool {
 	s := a.task.step
 	switch {
+	case e.mustAwaitRecovery(now, s.job) && !e.isAboutToLeave(now, a.worker):
+		return false
 	case e.isBeingReplaced(a.worker) && !a.worker.leavesAt.IsZero():
 		return e.moveOffReplaced(now, a)
 	case s.Gang:
--- a/internal/decision/dispatch/drain_test.go
+++ b/internal/decision/dispatch/drain_test.go
@@ -164,3 +164,36 @@
 		Expect(h.stops).To(BeEmpty())
 	})
 })
+
+// Guards against long-running tasks that a new owner takes down although it may not start them again before
+// its recovery has ended (vdk-preorder-grown scale-1: down for 10 s, while their workers stayed for as long).
+var _ = Describe("A draining worker during a recovery", func() {
+	const (
+		stays = 30 * time.Second
+		// recoveryTime is less than the time after which the leases of the earlier owner have expired.
+		recoveryTime = leaseTerm
+	)
+	var h *harness
+
+	// takeOver begins a recovery that a silent worker of the earlier owner holds up.
+	takeOver := func() {
+		h = newHarness(2, 3)
+		run := dispatch.TaskRun{Task: dispatch.TaskID{Job: "watch"}, Run: 1}
+		h.workers["w0"].running[run.Task] = &dispatch.RunningTask{TaskRun: run, Percent: 100}
+		h.workers["w0"].info.Draining, h.workers["w0"].info.Remaining = true, stays
+		h.workers["w2"].silent = true
+		job := dispatch.Job{ID: "watch", Queue: batchQueue, Accepted: h.now, Steps: []dispatch.Step{longRunningStep(1, 2)}}
+		h.engine.AddJob(h.now, job, dispatch.Progress{}, true)
+		h.engine.Recover(h.now, 0)
+		h.listWorkers()
+	}
+
+	It("keeps a task that couldn't start elsewhere yet, and moves it afterwards", func() {
+		takeOver()
+		h.advanceStartedUp(recoveryTime)
+		Expect(h.stops).To(BeEmpty())
+		Expect(h.workersOf("watch")).To(ConsistOf(membership.InstanceID("w0")))
+		h.advanceStartedUp(3 * time.Second)
+		Expect(h.workersOf("watch")).To(ConsistOf(membership.InstanceID("w1")))
+	})
+})
