--- a/internal/decision/dispatch/defrag_test.go
+++ b/internal/decision/dispatch/defrag_test.go
@@ -95,6 +95,30 @@
 		Expect(h.workersOf("small")).To(HaveLen(4))
 	})
 
+	It("moves none for a new task while many workers are being replaced", func() {
+		h := newHarness(1, 2)
+		h.listWorkers()
+		h.advance(0)
+		small := longRunningStep(4, 2)
+		small.MaxPerWorker = 2
+		h.submit("small", small)
+		runFor(h, time.Second, nil)
+		Expect(h.workersOf("small")).To(HaveLen(4))
+		h.submit("large", longRunningStep(1, 4))
+		runFor(h, 4*time.Second, nil)
+		Expect(h.workersOf("large")).To(BeEmpty())
+		for _, w := range h.workers {
+			w.info.Capacity = cores(7)
+		}
+		h.workers["w2"] = newFakeWorker("w2", 2)
+		h.beginReplacement()
+		runFor(h, 4*time.Second, nil)
+		Expect(h.workersOf("large")).To(BeEmpty())
+		Expect(h.stops).To(BeEmpty())
+		runFor(h, 12*time.Second, nil)
+		Expect(h.workersOf("large")).To(HaveLen(1))
+	})
+
 	// Guards against a hold that blocks tasks which fit. In run leaving-workers of a site with
 	// seed 504392780792, workers were held for tasks that didn't fit yet while smaller ones that
 	// did fit waited and were counted as lost.
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -1144,6 +1144,20 @@
 		Expect(h.workersOf("touchy")).To(Equal([]membership.InstanceID{other}))
 	})
 
+	It("leaves it there while many workers are being replaced", func() {
+		h := blockFillers()
+		h.beginReplacement()
+		for range 8 {
+			startUp(h, 300*time.Millisecond)
+		}
+		Expect(h.workersOf("touchy")).To(Equal([]membership.InstanceID{calm}))
+		for range 40 {
+			startUp(h, 300*time.Millisecond)
+		}
+		h.expectDetected(1, 1)
+		Expect(h.workersOf("touchy")).To(Equal([]membership.InstanceID{other}))
+	})
+
 	// Guards against a task that is without a run for long because it was moved: while it stopped,
 	// other tasks took the room for which it was stopped (bogkreds-jt-grown, trouble-2: 5 s).
 	DescribeTable("starts a serving task where it was moved to, whatever else waits", func(competitor dispatch.Step) {
--- a/internal/decision/dispatch/replacement_test.go
+++ b/internal/decision/dispatch/replacement_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -147,17 +148,10 @@
 	for task := range w.running {
 		tasks = append(tasks, task)
 	}
-	slices.SortFunc(tasks, func(a, b dispatch.TaskID) int { return compareText(a.String(), b.String()) })
+	slices.SortFunc(tasks, func(a, b dispatch.TaskID) int { return strings.Compare(a.String(), b.String()) })
 	return tasks
 }
 
-func compareText(a, b string) int {
-	if a < b {
-		return -1
-	}
-	return 1
-}
-
 // leave removes the workers whose time is over, with what runs on them, and renews the entries of those that
 // drain.
 func (r *replay) leave() {
@@ -307,6 +301,25 @@
 	Expect(count["ReplacementEnded"]).To(Equal(ended))
 }
 
+// beginReplacement lets three workers of the pool be replaced, none of which has room for a task.
+func (h *harness) beginReplacement() {
+	GinkgoHelper()
+	for i := range 3 {
+		old := newFakeWorker(membership.InstanceID(fmt.Sprintf("old-%d", i)), 0)
+		old.info.Version = "v1"
+		h.workers[old.info.ID] = old
+	}
+	h.listWorkers()
+	for i := range 3 {
+		next := newFakeWorker(membership.InstanceID(fmt.Sprintf("new-%d", i)), 0)
+		next.info.Version = "v2"
+		h.workers[next.info.ID] = next
+		h.workers[membership.InstanceID(fmt.Sprintf("old-%d", i))].info.Draining = true
+	}
+	h.listWorkers()
+	h.expectDetected(1, 0)
+}
+
 // expectOn expects that the tasks of a job run on workers of one kind only: "x" for arriving workers, "w" for
 // the earlier ones.
 func (h *harness) expectOn(id dispatch.JobID, tasks int, kind string) {
