Withdraw a peer's submission early enough for the answer, but wait on for a transaction

A submission that a transaction has taken is waited for as long as the call lasts; only one that none has taken is withdrawn after 1.2 s, so that the peer hears of it before its call ends.

--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -16,9 +16,9 @@
 	// acceptTimeout limits how long a submission waits for the owner to store the job. The
 	// owner's previous transaction may have to finish first.
 	acceptTimeout = 1500 * time.Millisecond
-	// peerAcceptTimeout limits the same for the submission of a peer, so that the answer reaches it within
-	// acceptTimeout.
-	peerAcceptTimeout = 1200 * time.Millisecond
+	// withdrawTimeout is how long a submission waits for a transaction to take it, so that a peer hears within
+	// acceptTimeout that none did.
+	withdrawTimeout = 1200 * time.Millisecond
 	// ownerWaitTimeout is how long a submission waits for the shard to get an owner before
 	// the job is stored without one. Without an owner the job can't start anyway, and many
 	// concurrent transactions would delay the claim of the shard while the store is slow.
@@ -123,8 +123,6 @@
 	if err != nil {
 		return acceptAnswer{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerAcceptTimeout)
-	defer cancel()
 	err = o.accept(ctx, r.Job)
 	var refusal *queue.Refusal
 	switch {
@@ -212,18 +210,31 @@
 		return errNotAccepted
 	}
 	o.requestWrite()
-	select {
-	case err := <-waiting.done:
+	if decided, err := o.awaitOutcome(ctx, waiting, o.node.Clock.After(withdrawTimeout)); decided {
+		return err
+	}
+	o.withdraw(func(s *submission) bool { return s == waiting })
+	if decided, err := o.awaitOutcome(ctx, waiting, nil); decided {
 		return err
+	}
+	return queue.ErrOutcomeUnknown
+}
+
+// awaitOutcome waits until the outcome of a submission is known, ctx or the owner ends, or the timeout is over.
+// It reports whether the outcome is known, and the error of the submission.
+func (o *owner) awaitOutcome(ctx context.Context, s *submission, timeout <-chan time.Time) (decided bool, err error) {
+	select {
+	case err := <-s.done:
+		return true, err
 	case <-ctx.Done():
 	case <-o.ctx.Done():
+	case <-timeout:
 	}
-	o.withdraw(func(s *submission) bool { return s == waiting })
 	select {
-	case err := <-waiting.done:
-		return err
+	case err := <-s.done:
+		return true, err
 	default:
-		return queue.ErrOutcomeUnknown
+		return false, nil
 	}
 }
 
