--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -212,6 +212,7 @@
 		}
 		if end.Kind == EndDone {
 			e.recordCopyResult(a)
+			e.countSpared(a)
 		}
 		e.releaseRun(now, a)
 	}
