Mend what the review of recovery and replacement found

Cause: a withdrawn submission dropped a job that was to move to another shard, and refused one that had become known; the record of a release lacked failed attempts and saved work that weren't stored, counted for less than the owner itself would wait, and took the leases of an owner that had been paused for expired; a task that was seen ended counted before its other recorded runs, also where a step allows copies; a checkpointing run without progress wasn't stopped before its worker left; a late list postponed the time at which a worker leaves.

Change: the engine gets such jobs back, known ones are accepted; all ends that matter are recorded; recorded workers count until their leases end by this owner's rules; recorded runs go first; the run is stopped in time; the earlier time stays.

--- a/internal/decision/dispatch/drain.go
+++ b/internal/decision/dispatch/drain.go
@@ -14,13 +14,18 @@
 )
 
 // updateLeaveTime applies what an entry of the list tells of when the worker leaves. While it drains, its
-// entry is renewed with the time that is left then.
+// entry is renewed with the time that is left then. A list that arrives late doesn't postpone the time.
 func (w *worker) updateLeaveTime(now time.Time, info *WorkerInfo) {
-	switch {
-	case !info.Draining:
+	if !info.Draining {
 		w.leavesAt = time.Time{}
-	case info.Remaining > 0 && (w.leavesAt.IsZero() || info.Remaining != w.Remaining):
-		w.leavesAt = now.Add(info.Remaining)
+		return
+	}
+	if info.Remaining == 0 || !w.leavesAt.IsZero() && info.Remaining == w.Remaining {
+		return
+	}
+	leavesAt := now.Add(info.Remaining)
+	if w.leavesAt.IsZero() || leavesAt.Before(w.leavesAt) || leavesAt.Sub(w.leavesAt) > drainMargin {
+		w.leavesAt = leavesAt
 	}
 }
 
@@ -52,7 +57,7 @@
 func (e *Engine) moveOff(now time.Time, a *attempt) bool {
 	s := a.task.step
 	switch {
-	case e.mustAwaitRecovery(now, a.task) && !e.isAboutToLeave(now, a.worker):
+	case !a.worker.leavesAt.IsZero() && e.mustAwaitRecovery(now, a.task) && !e.isAboutToLeave(now, a.worker):
 		return false
 	case e.isBeingReplaced(a.worker) && !a.worker.leavesAt.IsZero():
 		return e.moveOffReplaced(now, a)
@@ -99,7 +104,7 @@
 	}
 	remaining := total - now.Sub(a.firstProgress.at)
 	if a.worker.leavesAt.IsZero() {
-		return remaining > -drainMargin
+		return true
 	}
 	return remaining > a.worker.leavesAt.Sub(now)-drainMargin
 }
--- a/internal/decision/dispatch/recovery.go
+++ b/internal/decision/dispatch/recovery.go
@@ -61,7 +61,7 @@
 	if w := e.workers[id]; w != nil {
 		return e.mayHaveUnlistedRuns(now, w)
 	}
-	return now.Before(e.recorded[id].until)
+	return now.Before(e.recorded[id].leasesExpireAt)
 }
 
 // mayHaveUnlistedRuns reports whether a worker may have runs, or ends of runs, of the earlier owner
@@ -85,7 +85,7 @@
 // answered.
 func (e *Engine) earlierRunsExpireAt(id membership.InstanceID) time.Time {
 	if e.hasRecord {
-		return e.recorded[id].until
+		return e.recorded[id].leasesExpireAt
 	}
 	return e.recoveryEnds
 }
@@ -120,10 +120,12 @@
 // hasn't listed its runs to this owner yet.
 func (e *Engine) mustAwaitRecovery(now time.Time, t *task) bool {
 	switch {
-	case !e.recovering || t.step.unstarted || t.seenRunning:
+	case !e.recovering || t.step.unstarted:
 		return false
 	case slices.ContainsFunc(t.recordedOn, func(id membership.InstanceID) bool { return e.mayHaveEarlierRuns(now, id) }):
 		return true
+	case t.seenRunning:
+		return false
 	case t.step.job.recovered:
 		return e.awaitsAnyRun
 	}
@@ -133,10 +135,16 @@
 // noteSeenRunning is called when a report shows a run of an earlier owner. The task has no other run,
 // because an owner starts one only when all earlier ones have ended, and ends of this one are reported
 // only to this owner from now on. That isn't certain while the earlier owner may still act: a worker that
-// is silent to it isn't so to this owner, and it may take the run for lost.
+// is silent to it isn't so to this owner, and it may take the run for lost. A task of a step that allows copies may
+// have another run.
 func (e *Engine) noteSeenRunning(a *attempt) {
-	if e.recovering && a.adopted && !a.worker.pollSentAt.Before(e.earlierOwnerActsUntil) {
-		a.task.seenRunning = true
+	if !e.recovering || !a.adopted {
+		return
+	}
+	t := a.task
+	t.recordedOn = slices.DeleteFunc(t.recordedOn, func(id membership.InstanceID) bool { return id == a.worker.ID })
+	if !t.step.allowsCopies() && !a.worker.pollSentAt.Before(e.earlierOwnerActsUntil) {
+		t.seenRunning = true
 	}
 }
 
--- a/internal/decision/dispatch/recovery_record.go
+++ b/internal/decision/dispatch/recovery_record.go
@@ -38,10 +38,8 @@
 type recordedWorker struct {
 	runs   []TaskRun
 	anyRun bool
-	// leasesExpireAt is when no recorded run can be active any more if the worker doesn't answer, and until
-	// is how long its runs are awaited.
+	// leasesExpireAt is when no recorded run can be active any more if the worker doesn't answer.
 	leasesExpireAt time.Time
-	until          time.Time
 	// incarnation is the process of the worker to which leasesExpireAt applies, 0 if none.
 	incarnation int64
 }
@@ -119,7 +117,16 @@
 	return r
 }
 
-// addPossibleRuns adds the runs of the owner that may be active on the worker, and those whose success isn't
+// matters reports whether a next owner must know of an end before it starts the task again: of a success, a failed
+// attempt or saved work.
+func (e *Engine) matters(end End) bool {
+	if t := e.findTask(end.Task); t != nil && t.step.LongRunning {
+		return false
+	}
+	return end.Kind == EndDone || end.Kind == EndFailed || end.Checkpoint != ""
+}
+
+// addPossibleRuns adds the runs of the owner that may be active on the worker, and those whose end matters and isn't
 // stored yet.
 func (w *worker) addPossibleRuns(now time.Time, runs map[TaskRun]bool) {
 	for _, a := range w.runs {
@@ -130,7 +137,7 @@
 			runs[r] = true
 		}
 	}
-	for _, end := range w.unstoredSuccesses {
+	for _, end := range w.unstoredEnds {
 		runs[end.TaskRun] = true
 	}
 }
@@ -139,7 +146,7 @@
 // next owner needn't wait longer for an end, if the worker is silent from now on.
 func (e *Engine) possibleRunsExpireAt(now time.Time, w *worker) time.Time {
 	until := w.leasesExpireAt()
-	if len(w.unstoredSuccesses) > 0 || len(w.unansweredStarts) > 0 || len(w.orphans) > 0 || len(w.awaitedStops) > 0 {
+	if len(w.unstoredEnds) > 0 || len(w.unansweredStarts) > 0 || len(w.orphans) > 0 || len(w.awaitedStops) > 0 {
 		until = latest(until, now.Add(e.longestRunWithoutRenewal(w)))
 	}
 	for _, a := range w.runs {
@@ -147,6 +154,10 @@
 			until = latest(until, a.startedBy().Add(e.longestRunWithoutRenewal(w)))
 		}
 	}
+	if !until.After(now) && !w.hasLostRuns(now) {
+		// After a pause of this owner the worker may still list the ends of its runs.
+		until = now.Add(maxLeaseDuration(e.options.LeaseTerm) + leaseEndMargin)
+	}
 	return until
 }
 
@@ -162,13 +173,9 @@
 	var stopping []StoppingRun
 	for _, r := range record.Workers {
 		expireAt := now.Add(r.ExpireIn)
-		until := expireAt
-		if e.recoveryEnds.Before(until) {
-			until = e.recoveryEnds
-		}
 		possible := slices.Concat(r.Runs, r.Stopping)
 		e.recorded[r.ID] = recordedWorker{
-			runs: possible, anyRun: r.AnyRun, leasesExpireAt: expireAt, until: until, incarnation: r.Incarnation,
+			runs: possible, anyRun: r.AnyRun, leasesExpireAt: expireAt, incarnation: r.Incarnation,
 		}
 		for _, run := range possible {
 			e.recordedRuns[run.Task.Job] = append(e.recordedRuns[run.Task.Job], recordedRun{run.Task, r.ID})
--- a/internal/decision/dispatch/replacement.go
+++ b/internal/decision/dispatch/replacement.go
@@ -136,6 +136,8 @@
 		return false
 	case s.LongRunning:
 		return e.moveLongRunningOffReplaced(now, a)
+	case s.Checkpointing && e.isAboutToLeave(now, a.worker):
+		return e.saveBeforeLeaving(now, a)
 	case !now.Add(e.remainingTime(now, a)).After(a.worker.leavesAt.Add(-drainMargin)):
 		a.spared = a.spared || a.outlastsWorker(now)
 		return false
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -142,7 +142,7 @@
 	e.record(now, Decision{Event: "WorkerRestarted", Worker: w.ID, Age: ev.ReportAge, Evidence: &ev})
 	w.incarnation = r.Incarnation
 	w.lastEndSeen, w.lastEndStored, w.leaseEndSent, w.possibleLeaseEnd = 0, 0, 0, 0
-	w.fenced, w.unstoredSuccesses = false, nil
+	w.fenced, w.unstoredEnds = false, nil
 	e.raiseFence(w)
 	w.dropOrphans()
 	for _, a := range w.runs {
@@ -193,8 +193,8 @@
 			continue
 		}
 		w.lastEndSeen = end.Number
-		if end.Kind == EndDone {
-			w.unstoredSuccesses = append(w.unstoredSuccesses, end)
+		if e.matters(end) {
+			w.unstoredEnds = append(w.unstoredEnds, end)
 		}
 		e.observeEnd(now, w, end)
 	}
--- a/internal/decision/dispatch/store.go
+++ b/internal/decision/dispatch/store.go
@@ -122,7 +122,7 @@
 	for id, o := range b.reportedEnds {
 		if w := e.workers[id]; w != nil && w.incarnation == o.incarnation {
 			w.lastEndStored = max(w.lastEndStored, o.lastEnd)
-			w.unstoredSuccesses = slices.DeleteFunc(w.unstoredSuccesses, func(end End) bool { return end.Number <= w.lastEndStored })
+			w.unstoredEnds = slices.DeleteFunc(w.unstoredEnds, func(end End) bool { return end.Number <= w.lastEndStored })
 		}
 	}
 }
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -174,8 +174,8 @@
 	// of the last one that is stored.
 	lastEndSeen   int64
 	lastEndStored int64
-	// unstoredSuccesses has the ends with success among those between the two.
-	unstoredSuccesses []End
+	// unstoredEnds has the ends between the two that a next owner must know before it starts their tasks.
+	unstoredEnds []End
 	// awaitedStops has the runs that the earlier owner was stopping when it released the shard, with
 	// the time at which they must have ended.
 	awaitedStops map[TaskRun]time.Time
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -239,18 +239,36 @@
 }
 
 // withdraw rejects the matching submissions that no transaction has taken. Of a job that a transaction
-// under way may store, the submission stays.
+// under way may store, the submission stays. A job that was to move to another shard is stored already, and the
+// engine gets it back.
 func (o *owner) withdraw(matches func(*submission) bool) {
+	for _, id := range o.withdrawMatching(matches) {
+		o.node.background(func(context.Context) error {
+			o.addIfStored(id)
+			return nil
+		})
+	}
+}
+
+// withdrawMatching is like withdraw, and returns the jobs that the watch may have passed over.
+func (o *owner) withdrawMatching(matches func(*submission) bool) []dispatch.JobID {
 	o.lock.Lock()
 	defer o.lock.Unlock()
+	var withdrawn []dispatch.JobID
 	o.submissions = slices.DeleteFunc(o.submissions, func(s *submission) bool {
 		if !matches(s) || o.storing[s.job.ID] {
 			return false
 		}
+		if o.covers(&s.job) {
+			s.done <- nil
+			return true
+		}
 		o.node.Counters.Add("Submit.Withdrawn", 1)
 		s.done <- errNotAccepted
+		withdrawn = append(withdrawn, s.job.ID)
 		return true
 	})
+	return withdrawn
 }
 
 // knows reports whether the job or its outcome is known. The lock must be held.
--- a/internal/entry/dispatcher/withdraw_test.go
+++ b/internal/entry/dispatcher/withdraw_test.go
@@ -7,6 +7,7 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
@@ -19,9 +20,14 @@
 	Store
 	readErr, commitErr error
 	commits            int
+	// stored is the value of each row, if there is any.
+	stored []byte
 }
 
 func (s *failingStore) Read(_ context.Context, key table.Key) (table.Row, error) {
+	if s.stored != nil {
+		return table.Row{Key: key, Value: s.stored, Version: 1}, s.readErr
+	}
 	return table.Row{Key: key}, s.readErr
 }
 
@@ -71,6 +77,34 @@
 		Expect(o.awaitStored(context.Background(), newWaiting("j"))).To(MatchError(errNotAccepted))
 	})
 
+	It("is accepted if the owner has learned of its job meanwhile", func() {
+		waiting := newWaiting("j")
+		o.submissions = append(o.submissions, waiting)
+		o.engine.AddJob(o.now(), dispatch.Job{ID: "j", Steps: []dispatch.Step{{Tasks: 1}}}, dispatch.Progress{}, false)
+		o.withdraw(func(*submission) bool { return true })
+		Expect(waiting.done).To(Receive(BeNil()))
+	})
+
+	// Guards against a job that never runs: it was to move to another shard, so that the engine had given it up, and
+	// its row is stored.
+	It("gives the engine back a job that was to move to another shard", func() {
+		job := dispatch.Job{ID: "j", Steps: []dispatch.Step{{Tasks: 1}}}
+		o = newOwnerWithStore(&failingStore{stored: encode(jobRow{Job: &job})})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		o.node.group, o.node.groupContext = errgroup.WithContext(ctx)
+		other := shardID(0)
+		move, err := newSubmission(job, &other)
+		Expect(err).NotTo(HaveOccurred())
+		o.submissions = append(o.submissions, move)
+		o.withdraw(func(*submission) bool { return true })
+		Eventually(func() bool {
+			o.lock.Lock()
+			defer o.lock.Unlock()
+			return o.engine.HasJob("j")
+		}).Should(BeTrue())
+	})
+
 	It("has an unknown outcome once a transaction has taken it", func() {
 		taken := newWaiting("j")
 		o.submissions = append(o.submissions, taken)
