Bound what a process holds for unfinished requests

A port bounds its connections, closes idle and stalled ones first, and limits headers, pauses and unread answers.

--- /dev/null
+++ b/internal/caller/intake/listener.go
@@ -0,0 +1,223 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// kernelBufferBytes is the size of the kernel's buffers for each direction of a connection.
+	// What waits in them counts as the machine's memory.
+	kernelBufferBytes = 32 << 10
+	// writeStepBytes is the largest part of an answer that is written with one time limit.
+	writeStepBytes = 32 << 10
+	// deadlineStep is how long a deadline isn't set again, which costs some time.
+	deadlineStep = time.Second
+	// headerMemoryFactor is the memory that a header needs for each of its bytes.
+	headerMemoryFactor = 2
+)
+
+// Listen opens an address with small buffers in the kernel.
+func Listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			// A system that keeps its own size of buffers serves as well.
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, kernelBufferBytes)
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, kernelBufferBytes)
+		})
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+// listener accepts the connections of a port.
+type listener struct {
+	net.Listener
+	port *Port
+}
+
+// Accept returns the next connection. If the port has no place for it, another connection is
+// closed, or else the new one.
+func (l listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := accepted.(*net.TCPConn)
+		if !ok {
+			return accepted, nil
+		}
+		if c := l.port.admit(tcp); c != nil {
+			return c, nil
+		}
+		_ = tcp.Close()
+	}
+}
+
+// connection is an accepted connection of a port.
+type connection struct {
+	net.Conn
+	port  *Port
+	lease *Lease
+
+	// phase and since are the connection's activity; since is in nanoseconds since 1970.
+	phase atomic.Int32
+	since atomic.Int64
+	// headerBytes counts what was read since the last request.
+	headerBytes atomic.Int64
+	// awaitsRequest is set while the server is about to wait for a request.
+	awaitsRequest atomic.Bool
+	closeOnce     sync.Once
+
+	// deadlineLock guards writeDeadline, the deadline that the server has set for writes.
+	deadlineLock  sync.Mutex
+	writeDeadline time.Time
+	// writeExtendedAt is when the deadline of writes was last set.
+	writeExtendedAt time.Time
+}
+
+func newConnection(tcp *net.TCPConn, p *Port) *connection {
+	c := &connection{Conn: tcp, port: p}
+	c.lease = p.Budget.NewLease(c.interruptRead)
+	c.enter(phaseIdle)
+	return c
+}
+
+func (c *connection) enter(ph phase) {
+	c.since.Store(c.port.Clock.Now().UnixNano())
+	c.phase.Store(int32(ph))
+}
+
+func (c *connection) activity() activity {
+	return activity{phase(c.phase.Load()), time.Unix(0, c.since.Load())}
+}
+
+// interruptRead makes a read fail that is under way.
+func (c *connection) interruptRead() {
+	c.port.count("Ended." + phaseNames[c.activity().phase])
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// awaitBody says that a body arrives from now on. If the handler doesn't read it, the server reads
+// and discards the rest.
+func (c *connection) awaitBody() {
+	c.enter(phaseBody)
+	c.lease.Reading(c.port.Clock.Now())
+	_ = c.Conn.SetReadDeadline(time.Now().Add(maxBodyPause))
+}
+
+// Read reads from the connection. The bytes of a header are taken from the budget.
+func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	switch phase(c.phase.Load()) {
+	case phaseIdle:
+		c.enter(phaseHeader)
+		c.lease.Reading(c.port.Clock.Now())
+	case phaseHeader:
+	default:
+		return n, err
+	}
+	c.headerBytes.Add(int64(n))
+	if takeErr := c.lease.Take(c.port.Clock.Now(), Bytes(n)*headerMemoryFactor); takeErr != nil {
+		c.port.refused("Header", takeErr)
+		return 0, takeErr
+	}
+	return n, err
+}
+
+// Write writes to the connection. It fails if the caller doesn't read for maxWritePause.
+func (c *connection) Write(p []byte) (int, error) {
+	before := c.activity()
+	c.enter(phaseWriting)
+	defer func() {
+		c.since.Store(before.since.UnixNano())
+		c.phase.Store(int32(before.phase))
+	}()
+	written := 0
+	for len(p) > 0 {
+		if err := c.extendWriteDeadline(); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[:min(len(p), writeStepBytes)])
+		written += n
+		p = p[n:]
+		if err != nil {
+			if isTimeout(err) {
+				c.port.closed("Unread")
+			}
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// extendWriteDeadline sets the deadline of the next write.
+func (c *connection) extendWriteDeadline() error {
+	c.deadlineLock.Lock()
+	defer c.deadlineLock.Unlock()
+	now := time.Now()
+	if c.writeDeadline.IsZero() && now.Sub(c.writeExtendedAt) < deadlineStep {
+		return nil
+	}
+	c.writeExtendedAt = now
+	deadline := now.Add(maxWritePause)
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
+		deadline = c.writeDeadline
+	}
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// SetWriteDeadline sets a deadline for writes beside the one that the port sets.
+func (c *connection) SetWriteDeadline(t time.Time) error {
+	c.deadlineLock.Lock()
+	defer c.deadlineLock.Unlock()
+	c.writeDeadline, c.writeExtendedAt = t, time.Time{}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetReadDeadline sets the deadline for reads. While a request is awaited or its header arrives,
+// the limits of the port replace those that the server was started with.
+func (c *connection) SetReadDeadline(t time.Time) error {
+	now := time.Now()
+	if t.After(now) {
+		ph := phase(c.phase.Load())
+		limits := c.port.limits()
+		switch {
+		case c.awaitsRequest.CompareAndSwap(true, false):
+			t = now.Add(limits.IdleTimeout)
+		case ph == phaseIdle || ph == phaseHeader:
+			t = now.Add(limits.HeaderTimeout)
+		}
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite ends the sending direction, so that the caller can read the rest of the answer.
+func (c *connection) CloseWrite() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.CloseWrite()
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// Close closes the connection and gives its place and its bytes back.
+func (c *connection) Close() error {
+	c.closeOnce.Do(func() { c.port.remove(c) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/caller/intake/port.go
@@ -0,0 +1,198 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+)
+
+// Counters counts events by name.
+type Counters interface {
+	Add(name string, delta int64)
+}
+
+// Port is a port with an HTTP server whose connections and requests are bounded. Counters and
+// Clock must be set.
+type Port struct {
+	// Name is a part of the names of the counters.
+	Name string
+	// MaxConnections bounds the open connections; 0 means no bound.
+	MaxConnections int
+	// Budget is for the headers and bodies of requests.
+	Budget *Budget
+	// Limits returns the bounds of requests that are configured now. It may be nil.
+	Limits   func() RequestLimits
+	Counters Counters
+	Clock    clockwork.Clock
+	Log      zerolog.Logger
+
+	lock        sync.Mutex
+	connections map[*connection]struct{}
+	logOnce     sync.Once
+	sampledLog  zerolog.Logger
+}
+
+const (
+	// logBurst lines a logPeriod are logged for each port.
+	logBurst  = 5
+	logPeriod = time.Second
+)
+
+// connectionKey is the key of the connection in the context of a request.
+type connectionKey struct{}
+
+// NewServer returns an HTTP server for the port.
+func (p *Port) NewServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           p.bound(handler),
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:       defaultIdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         p.trackState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, c)
+		},
+	}
+}
+
+// Listener returns a listener for the port's server.
+func (p *Port) Listener(l net.Listener) net.Listener { return listener{l, p} }
+
+func (p *Port) limits() RequestLimits {
+	var l RequestLimits
+	if p.Limits != nil {
+		l = p.Limits()
+	}
+	return l.withDefaults()
+}
+
+// admit returns the connection if the port has a place for it, otherwise nil.
+func (p *Port) admit(tcp *net.TCPConn) *connection {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.MaxConnections > 0 && len(p.connections) >= p.MaxConnections && !p.closeOne() {
+		p.closed("New")
+		return nil
+	}
+	c := newConnection(tcp, p)
+	if p.connections == nil {
+		p.connections = map[*connection]struct{}{}
+	}
+	p.connections[c] = struct{}{}
+	return c
+}
+
+// closeOne closes the connection that is least useful, if one may be closed. The lock must be held.
+func (p *Port) closeOne() bool {
+	open := make([]*connection, 0, len(p.connections))
+	activities := make([]activity, 0, len(p.connections))
+	for c := range p.connections {
+		open = append(open, c)
+		activities = append(activities, c.activity())
+	}
+	selected := selectConnection(p.Clock.Now(), activities)
+	if selected < 0 {
+		return false
+	}
+	p.closed(phaseNames[activities[selected].phase])
+	delete(p.connections, open[selected])
+	// The server notices by the error of its next read or write, and gives the bytes back.
+	_ = open[selected].Conn.Close()
+	return true
+}
+
+// remove is called when a connection is closed.
+func (p *Port) remove(c *connection) {
+	c.lease.Release()
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	delete(p.connections, c)
+}
+
+// trackState follows the states of the server's connections.
+func (p *Port) trackState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*connection)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.lease.Received()
+		c.enter(phaseHandling)
+	case http.StateIdle:
+		c.lease.Release()
+		c.headerBytes.Store(0)
+		c.awaitsRequest.Store(true)
+		c.enter(phaseIdle)
+	}
+}
+
+// bound refuses requests whose header is over the limit and bounds the time for bodies that the
+// handler doesn't read.
+func (p *Port) bound(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connectionOf(r)
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if r.ContentLength == 0 {
+			c.enter(phaseHandling)
+		} else {
+			c.awaitBody()
+		}
+		// The last read may have brought bytes that come after the header.
+		const readAhead = 4 << 10
+		if c.headerBytes.Load() > int64(p.limits().HeaderBytes)+readAhead {
+			p.refused("Header", nil)
+			CloseAfterAnswer(w, r)
+			http.Error(w, "the header is too large", http.StatusRequestHeaderFieldsTooLarge)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func connectionOf(r *http.Request) *connection {
+	c, _ := r.Context().Value(connectionKey{}).(*connection)
+	return c
+}
+
+func (p *Port) count(event string) {
+	p.Counters.Add("Intake."+p.Name+"."+event, 1)
+}
+
+// closed counts and logs a connection that the port has closed.
+func (p *Port) closed(reason string) {
+	p.count("Closed." + reason)
+	p.log().Warn().Str("Event", "ConnectionClosed").Str("Port", p.Name).Str("Reason", reason).Send()
+}
+
+// refused counts and logs a request that was refused while its part arrived.
+func (p *Port) refused(part string, err error) {
+	reason := "TooLarge"
+	switch {
+	case errors.Is(err, ErrExhausted):
+		reason = "Memory"
+	case errors.Is(err, ErrEnded):
+		reason = "Ended"
+	case errors.Is(err, ErrStalled):
+		reason = "Stalled"
+	}
+	p.count("Refused." + part + reason)
+	p.log().Warn().Str("Event", "RequestRefused").Str("Port", p.Name).Str("Reason", part+reason).Send()
+}
+
+// log returns a logger whose lines are bounded in rate.
+func (p *Port) log() *zerolog.Logger {
+	p.logOnce.Do(func() {
+		p.sampledLog = p.Log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: logPeriod})
+	})
+	return &p.sampledLog
+}
