Bound callers, peers and operators by the memory and descriptors of the machine

Bodies are read from the budget of their port; a body without room or that stalls gets 503 with Retry-After, as nothing of it has run. Messages between instances are read in steps from a budget of their own.

--- a/internal/caller/job/handler.go
+++ b/internal/caller/job/handler.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -15,6 +16,7 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/intake"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
@@ -28,6 +30,9 @@
 	MaxWait = 60 * time.Second
 	// maxSubmissionOverhead bounds the bytes of a submission besides its payload.
 	maxSubmissionOverhead = 4 << 10
+	// decodingFactor is the memory that decoding needs for each byte of a submission: the
+	// decoder and the job have copies of the payload.
+	decodingFactor = 4
 	// storeTimeout bounds the table accesses of a request.
 	storeTimeout = 5 * time.Second
 	// pollInterval is the time between reads of a job while a caller waits for its end.
@@ -108,7 +113,11 @@
 
 func (h *Handler) submit(w http.ResponseWriter, r *http.Request) {
 	current := h.Configuration.Current()
-	spec, findings := decodeSpec(w, r, current.Manifest.Limits)
+	spec, findings, err := decodeSpec(w, r, current.Manifest.Limits)
+	if err != nil {
+		h.writeRefusal(w, http.StatusServiceUnavailable, Refusal{Outcome: "NotRun", Reason: "RequestMemory", RetryAfter: intake.RetryAfter})
+		return
+	}
 	team, key := manifest.TeamName(r.PathValue("team")), CallerKey(r.PathValue("key"))
 	findings = append(findings, h.checkSubmission(current.Manifest, team, key, spec)...)
 	if len(findings) > 0 {
@@ -268,21 +277,32 @@
 	return manifest.Class{}, false
 }
 
-func decodeSpec(w http.ResponseWriter, r *http.Request, limits manifest.Limits) (Spec, []Finding) {
+// decodeSpec reads and decodes a submission. Its error satisfies intake.IsRefusal.
+func decodeSpec(w http.ResponseWriter, r *http.Request, limits manifest.Limits) (Spec, []Finding, error) {
 	var spec Spec
 	limit := int64(limits.MaxPayload) + maxSubmissionOverhead
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	content, err := intake.ReadBody(r.Context(), w, r, limit)
+	if err == nil {
+		err = intake.TakeForDecoding(r, len(content), decodingFactor)
+	}
+	if intake.IsRefusal(err) {
+		return spec, nil, err
+	}
+	if err != nil {
+		return spec, []Finding{bodyFinding(err, limit)}, nil
+	}
+	decoder := json.NewDecoder(bytes.NewReader(content))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&spec); err != nil {
-		return spec, []Finding{bodyFinding(err, limit)}
+		return spec, []Finding{bodyFinding(err, limit)}, nil
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return spec, []Finding{{Place: "Body", Problem: "data after the JSON object", Fix: "send one JSON object"}}
+		return spec, []Finding{{Place: "Body", Problem: "data after the JSON object", Fix: "send one JSON object"}}, nil
 	}
 	if spec.Priority == "" {
 		spec.Priority = Normal
 	}
-	return spec, nil
+	return spec, nil, nil
 }
 
 func bodyFinding(err error, limit int64) Finding {
--- a/internal/caller/queue/queue.go
+++ b/internal/caller/queue/queue.go
@@ -98,8 +98,8 @@
 const (
 	// maxSpecBytes bounds the size of a job's specification.
 	maxSpecBytes = 4000
-	// maxSteps bounds the steps of a job.
-	maxSteps = 64
+	// MaxSteps bounds the steps of a job.
+	MaxSteps = 64
 	// maxTasks bounds the tasks of a step.
 	maxTasks = 2500
 	// maxTotalTasks bounds the tasks of all steps and repetitions together, because
@@ -107,6 +107,8 @@
 	maxTotalTasks = 2500
 	// maxRepetitions bounds the occurrences of a job.
 	maxRepetitions = 1024
+	// maxFindings bounds the faults that are listed of a job, because a job can have very many.
+	maxFindings = 100
 	// MaxEstimate bounds the estimated duration of a task, so that the sum over the steps of a
 	// job is a duration.
 	MaxEstimate = 30 * 24 * time.Hour
@@ -121,15 +123,23 @@
 	return time.Date(9999, time.December, 31, 23, 59, 59, 0, time.UTC)
 }
 
-// Check returns all faults of a job as one error. Each fault names its place.
+// Check returns the faults of a job as one error. Each fault names its place. After maxFindings
+// faults, the others are only counted.
 func Check(j *dispatch.Job) error {
 	var findings []error
-	report := func(format string, args ...any) { findings = append(findings, fmt.Errorf(format, args...)) }
+	others := 0
+	report := func(format string, args ...any) {
+		if len(findings) == maxFindings {
+			others++
+			return
+		}
+		findings = append(findings, fmt.Errorf(format, args...))
+	}
 	if len(j.Spec) > maxSpecBytes {
 		report("spec has %d bytes; at most %d are allowed", len(j.Spec), maxSpecBytes)
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		report("there are %d steps; 1 to %d are allowed", len(j.Steps), maxSteps)
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		report("there are %d steps; 1 to %d are allowed", len(j.Steps), MaxSteps)
 	}
 	if j.Repetitions < 0 || j.Repetitions > maxRepetitions {
 		report("there are %d repetitions; 0 to %d are allowed", j.Repetitions, maxRepetitions)
@@ -148,6 +158,9 @@
 	if total > maxTotalTasks {
 		report("there are %d tasks in all steps and repetitions; at most %d are allowed", total, maxTotalTasks)
 	}
+	if others > 0 {
+		findings = append(findings, fmt.Errorf("there are %d other faults", others))
+	}
 	return errors.Join(findings...)
 }
 
--- a/internal/caller/queue/queue_test.go
+++ b/internal/caller/queue/queue_test.go
@@ -33,6 +33,12 @@
 			ContainSubstring("step 1 comes after step 1"), ContainSubstring("interval"))))
 	})
 
+	It("lists a bounded number of faults, however many a job has", func() {
+		err := queue.Check(&dispatch.Job{Steps: []dispatch.Step{{Tasks: 1, After: make([]int, 100_000)}}})
+		Expect(err).To(MatchError(And(ContainSubstring("step 0 comes after step 0"), ContainSubstring("99900 other faults"))))
+		Expect(len(err.Error())).To(BeNumerically("<", 10_000))
+	})
+
 	It("limits the total number of tasks of all repetitions", func() {
 		j := dispatch.Job{Steps: []dispatch.Step{{Tasks: 2000}}, Repetitions: 1000, Interval: time.Second}
 		Expect(queue.Check(&j)).To(MatchError(ContainSubstring("2000000 tasks")))
--- a/internal/caller/service/handler.go
+++ b/internal/caller/service/handler.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/intake"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
@@ -158,7 +159,7 @@
 		_ = control.SetReadDeadline(time.Unix(1, 0))
 	})
 	defer stop()
-	body, reason := readBody(w, r, int64(c.service.MaxBody))
+	body, reason := readBody(ctx, w, r, int64(c.service.MaxBody))
 	c.body = body
 	switch reason {
 	case ReasonBodyTooLarge:
@@ -167,6 +168,8 @@
 			Problem: "is larger than the service allows",
 			Fix:     fmt.Sprintf("send at most %d bytes", c.service.MaxBody),
 		}}}
+	case ReasonRequestMemory:
+		return &failure{outcome: NotRun, reason: reason, status: http.StatusServiceUnavailable, retryAfter: intake.RetryAfter}
 	case ReasonBodyUnreadable:
 		return &failure{outcome: NotRun, reason: reason, status: http.StatusBadRequest}
 	}
--- a/internal/caller/service/ports.go
+++ b/internal/caller/service/ports.go
@@ -31,6 +31,7 @@
 	ReasonUnknownService Reason = "UnknownService"
 	ReasonBodyTooLarge   Reason = "BodyTooLarge"
 	ReasonBodyUnreadable Reason = "BodyUnreadable"
+	ReasonRequestMemory  Reason = "RequestMemory"
 	ReasonDeadline       Reason = "Deadline"
 	ReasonCallerGone     Reason = "CallerGone"
 	ReasonTruncated      Reason = "Truncated"
--- a/internal/caller/service/request.go
+++ b/internal/caller/service/request.go
@@ -1,15 +1,16 @@
 package service
 
 import (
+	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"sort"
 	"strings"
 	"time"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/intake"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 )
 
@@ -226,13 +227,15 @@
 }
 
 // readBody reads the whole body, so that it can be sent again in a retry.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, Reason) {
+func readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, Reason) {
 	if limit <= 0 {
 		limit = DefaultMaxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := intake.ReadBody(ctx, w, r, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case intake.IsRefusal(err):
+		return nil, ReasonRequestMemory
 	case errors.As(err, &tooLarge):
 		return nil, ReasonBodyTooLarge
 	case err != nil:
--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/intake"
 	"github.com/jacinthtrail/jacinthtrail/internal/entry/dispatcher"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/counter"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/logging"
@@ -30,6 +31,8 @@
 	// memoryLimitPercent of the instance's memory is the soft memory limit of the
 	// process.
 	memoryLimitPercent = 70
+	// defaultMemoryBytes is the memory of a machine whose settings don't say it.
+	defaultMemoryBytes = 256 << 20
 	// gcPercent is the garbage collector's target. It is above the default of 100,
 	// because processor time is scarcer than memory.
 	gcPercent = 300
@@ -39,11 +42,6 @@
 	unreadyDelay = 3200 * time.Millisecond
 	// shutdownTimeout limits the wait for the requests in flight after unreadyDelay.
 	shutdownTimeout = 2200 * time.Millisecond
-	// readHeaderTimeout limits the time to read the headers of a request. The settings
-	// have no limit for it yet.
-	readHeaderTimeout = 3 * time.Second
-	// idleTimeout is how long a connection without requests stays open.
-	idleTimeout = 15 * time.Second
 )
 
 // reloadInterval is how often the settings file is read again, because it may change
@@ -66,6 +64,7 @@
 	log           zerolog.Logger
 	stopping      atomic.Bool
 
+	limits        intake.Limits
 	callerServer  *http.Server
 	readyServer   *http.Server
 	metricsServer *http.Server
@@ -81,13 +80,14 @@
 	if err := p.openLog(opts); err != nil {
 		return nil, err
 	}
+	p.limits = intake.NewLimits(p.machine())
 	httpClient := platform.NewHTTPClient()
 	clock := opts.Factory.Clock
 	p.peerClient = entry.NewClient(entry.ClientOptions{
 		Clock: clock, Counter: p.counters, Dial: dialPeer,
 		DialTimeout: peerDialTimeout, BackoffLimit: peerBackoffLimit,
 	})
-	p.peerServer = entry.NewServer(entry.ServerOptions{Clock: clock, Counter: p.counters, MaxConnections: maxPeerConnections})
+	p.peerServer = entry.NewServer(entry.ServerOptions{Clock: clock, Counter: p.counters, MaxConnections: maxPeerConnections, Budget: intake.NewBudget(p.limits.Messages)})
 	var policy dispatcher.Policy
 	if s.PolicyAddress != "" {
 		policy = platform.PolicyClient{Address: s.PolicyAddress, HTTP: httpClient}
@@ -102,14 +102,6 @@
 		Clock:         clock, Log: p.log, RoutineLog: p.logs.Routine,
 	})
 	p.node.Register(p.peerServer)
-	p.callerServer = &http.Server{
-		Handler: &platform.CallerHandler{
-			Jobs: p.node, Clock: clock, Counters: p.counters, Log: p.log, Draining: p.stopping.Load,
-		},
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-	}
-	p.readyServer = &http.Server{Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	p.metricsServer = &http.Server{Handler: counter.TextHandler{Counters: p.counters, Histograms: p.latencies}, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	return p, p.bind(opts)
 }
 
@@ -150,22 +142,58 @@
 // bind opens all addresses. Its error has every address that can't be opened.
 func (p *process) bind(opts *Options) error {
 	var errs []error
-	open := func(address string) net.Listener {
-		listener, err := net.Listen("tcp", address)
+	open := func(listen func(string) (net.Listener, error), address string) net.Listener {
+		listener, err := listen(address)
 		if err != nil {
 			errs = append(errs, fmt.Errorf("listen on %s: %w", address, err))
 		}
 		return listener
 	}
-	p.listeners[p.callerServer] = open(p.settings.CallerAddress)
-	p.listeners[p.readyServer] = open(p.settings.ReadinessAddress)
-	p.peerListener = open(p.settings.PeerAddress)
+	callers := p.newPort("Callers", p.limits.CallerConnections, intake.NewBudget(p.limits.Requests))
+	callers.Limits = p.requestLimits
+	p.callerServer = callers.NewServer(&platform.CallerHandler{
+		Jobs: p.node, Clock: opts.Factory.Clock, Counters: p.counters, Log: p.log, Draining: p.stopping.Load,
+	})
+	p.listeners[p.callerServer] = callers.Listener(open(intake.Listen, p.settings.CallerAddress))
+	internal := intake.NewBudget(p.limits.Internal)
+	readiness := p.newPort("Readiness", p.limits.InternalConnections, internal)
+	p.readyServer = readiness.NewServer(http.HandlerFunc(p.serveReady))
+	p.listeners[p.readyServer] = readiness.Listener(open(intake.Listen, p.settings.ReadinessAddress))
+	p.peerListener = open(listenTCP, p.settings.PeerAddress)
+	metrics := p.newPort("Metrics", p.limits.InternalConnections, internal)
+	p.metricsServer = metrics.NewServer(counter.TextHandler{Counters: p.counters, Histograms: p.latencies})
 	if opts.MetricsPort != 0 {
-		p.listeners[p.metricsServer] = open(net.JoinHostPort(p.settings.IP, strconv.Itoa(opts.MetricsPort)))
+		p.listeners[p.metricsServer] = metrics.Listener(open(intake.Listen, net.JoinHostPort(p.settings.IP, strconv.Itoa(opts.MetricsPort))))
 	}
 	return errors.Join(errs...)
 }
 
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+func (p *process) newPort(name string, maxConnections int, budget *intake.Budget) *intake.Port {
+	return &intake.Port{
+		Name: name, MaxConnections: maxConnections, Budget: budget,
+		Counters: p.counters, Clock: p.options.Factory.Clock, Log: p.log,
+	}
+}
+
+// requestLimits returns the limits of the operator's configuration in force.
+func (p *process) requestLimits() intake.RequestLimits {
+	c := p.node.Configuration()
+	if c == nil {
+		return intake.RequestLimits{}
+	}
+	return intake.RequestLimits{HeaderBytes: c.Limits.HeaderBytes, HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout}
+}
+
+// machine returns what the machine allows the process.
+func (p *process) machine() intake.Machine {
+	return intake.Machine{
+		Memory:      intake.Bytes(cmp.Or(p.settings.MemoryBytes, defaultMemoryBytes)),
+		Descriptors: cmp.Or(p.settings.Descriptors, intake.MaxDescriptors()),
+	}
+}
+
 // serveReady answers the readiness check of the load balancer.
 func (p *process) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !p.node.Ready() {
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -17,6 +17,7 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/claim"
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/intake"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/service"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/ticket"
 	"github.com/jacinthtrail/jacinthtrail/internal/entry/configuration"
@@ -44,8 +45,12 @@
 	// firstGrantWait is how long a started instance waits for its first slots before it
 	// becomes ready without any. There may be no executors, or no owner for a long time.
 	firstGrantWait = 5 * time.Second
-	// readHeaderTimeout limits the time that a connection may take to send its headers.
-	readHeaderTimeout = 10 * time.Second
+	// headerTimeout limits the time that a connection may take to send its headers, idleTimeout
+	// the time between two requests.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// headerBytes limits the header of a request.
+	headerBytes = 32 << 10
 )
 
 // Addresses has the addresses on which an instance listens.
@@ -80,6 +85,7 @@
 	tickets            *ticket.Home
 	claims             *claim.Claims
 
+	limits           intake.Limits
 	peers            heartbeat.PeerTable
 	peerServer       *entry.Server
 	peerClient       *entry.Client
@@ -105,16 +111,16 @@
 		counters:         &counter.Set{},
 	}
 	var errs []error
-	listen := func(address string) net.Listener {
-		listener, err := net.Listen("tcp", address)
+	listen := func(open func(string) (net.Listener, error), address string) net.Listener {
+		listener, err := open(address)
 		if err != nil {
 			errs = append(errs, fmt.Errorf("listen on %s: %w", address, err))
 		}
 		return listener
 	}
-	i.callerListener = listen(settings.CallerAddress)
-	i.operatorListener = listen(settings.OperatorAddress)
-	i.peerListener = listen(settings.PeerAddress)
+	i.callerListener = listen(intake.Listen, settings.CallerAddress)
+	i.operatorListener = listen(intake.Listen, settings.OperatorAddress)
+	i.peerListener = listen(listenTCP, settings.PeerAddress)
 	if len(errs) > 0 {
 		i.closeListeners()
 		return nil, errors.Join(errs...)
@@ -140,7 +146,8 @@
 	}
 	i.workerSyncer = &worker.Client{}
 	i.peerClient = entry.NewClient(entry.ClientOptions{Clock: i.clock, Counter: i.counters})
-	i.peerServer = entry.NewServer(entry.ServerOptions{Clock: i.clock, Counter: i.counters})
+	i.limits = intake.NewLimits(i.settings.machine())
+	i.peerServer = entry.NewServer(entry.ServerOptions{Clock: i.clock, Counter: i.counters, Budget: intake.NewBudget(i.limits.Messages)})
 	i.initTicketsAndClaims()
 	i.slotManager = newSlotManager(i)
 	i.services = i.serviceHandler()
@@ -181,13 +188,12 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	callers := &http.Server{Handler: i.callerRoutes(), ReadHeaderTimeout: readHeaderTimeout}
-	operators := &http.Server{
-		Handler:           (&control.Server{Backend: operatorBackend{i}, Counters: i.counters}).Handler(),
-		ReadHeaderTimeout: readHeaderTimeout,
-	}
-	group.Go(func() error { return serveHTTP(callers, i.callerListener) })
-	group.Go(func() error { return serveHTTP(operators, i.operatorListener) })
+	callerPort := i.newPort("Callers", i.limits.CallerConnections, i.limits.Requests)
+	callers := callerPort.NewServer(i.callerRoutes())
+	operatorPort := i.newPort("Operators", i.limits.InternalConnections, i.limits.Internal)
+	operators := operatorPort.NewServer((&control.Server{Backend: operatorBackend{i}, Counters: i.counters}).Handler())
+	group.Go(func() error { return serveHTTP(callers, callerPort.Listener(i.callerListener)) })
+	group.Go(func() error { return serveHTTP(operators, operatorPort.Listener(i.operatorListener)) })
 	group.Go(func() error { return i.peerServer.Serve(background, i.peerListener) })
 	i.startLoops(background, group)
 	group.Go(func() error {
@@ -203,6 +209,18 @@
 	return err
 }
 
+func (i *Instance) newPort(name string, maxConnections int, budget intake.Bytes) *intake.Port {
+	return &intake.Port{
+		Name: name, MaxConnections: maxConnections, Budget: intake.NewBudget(budget),
+		Limits: func() intake.RequestLimits {
+			return intake.RequestLimits{HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		},
+		Counters: i.counters, Clock: i.clock, Log: i.log,
+	}
+}
+
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
 func (i *Instance) closePeerClient() {
 	if err := i.peerClient.Close(); err != nil {
 		i.log.Warn().Err(err).Msg("failed to close the peer connections")
--- a/internal/entry/instance/settings.go
+++ b/internal/entry/instance/settings.go
@@ -4,11 +4,14 @@
 package instance
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
 	"time"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/intake"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
@@ -31,6 +34,10 @@
 	// the membership list, so that the instance finds its peers when the platform can't be
 	// reached.
 	Peers []string
+	// Memory is the memory that the process may use, Descriptors the number of its file
+	// descriptors; 0 selects the defaults.
+	Memory      resource.Bytes
+	Descriptors int
 	// UnreadyDelay is how long a draining instance keeps serving new requests after it
 	// becomes unready. It must exceed the time that the load balancer takes to notice.
 	UnreadyDelay time.Duration
@@ -40,6 +47,17 @@
 	DrainTimeout time.Duration
 }
 
+// DefaultMemory is enough for thousands of callers and for requests of usual size.
+const DefaultMemory resource.Bytes = 512 << 20
+
+// machine returns what the machine allows the process.
+func (s Settings) machine() intake.Machine {
+	return intake.Machine{
+		Memory:      intake.Bytes(cmp.Or(s.Memory, DefaultMemory)),
+		Descriptors: cmp.Or(s.Descriptors, intake.MaxDescriptors()),
+	}
+}
+
 // DefaultUnreadyDelay covers a load balancer that checks health every second and misses one
 // check.
 const DefaultUnreadyDelay = 3 * time.Second
@@ -75,6 +93,12 @@
 			report("peers", err.Error(), "give IP numbers with ports, separated by commas")
 		}
 	}
+	if s.Memory < 0 {
+		report("memory-mb", "it is negative", "give the memory of the process in MB, or 0 for the default")
+	}
+	if s.Descriptors < 0 {
+		report("file-descriptors", "it is negative", "give the number of descriptors, or 0 for what the system allows")
+	}
 	if s.UnreadyDelay < 0 {
 		report("unready-delay", "it is negative", "give a duration such as 3s")
 	}
--- a/internal/operator/control/server.go
+++ b/internal/operator/control/server.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/intake"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/zone"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
@@ -94,7 +96,20 @@
 		s.writeError(w, http.StatusBadRequest, "Invalid", err)
 		return
 	}
-	m, err := manifest.Load(r.Body)
+	content, err := intake.ReadBody(r.Context(), w, r, manifest.MaxSize)
+	if intake.IsRefusal(err) {
+		s.writeError(w, http.StatusServiceUnavailable, "RequestMemory", err)
+		return
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		err = manifest.Findings{{Problem: fmt.Sprintf("the manifest is larger than %d bytes", tooLarge.Limit), Fix: "split or shorten it"}}
+	}
+	if err != nil {
+		s.writeError(w, http.StatusUnprocessableEntity, "InvalidManifest", err)
+		return
+	}
+	m, err := manifest.Load(bytes.NewReader(content))
 	if err != nil {
 		s.writeError(w, http.StatusUnprocessableEntity, "InvalidManifest", err)
 		return
--- a/internal/peer/entry/entry.go
+++ b/internal/peer/entry/entry.go
@@ -42,6 +42,8 @@
 	CountCallsNotSent       = "Peer.CallsNotSent"
 	CountCallsServed        = "Peer.CallsServed"
 	CountRefusedBusy        = "Peer.RefusedBusy"
+	CountRefusedMemory      = "Peer.RefusedMemory"
+	CountClosedUnused       = "Peer.ClosedUnused"
 	CountRefusedConnection  = "Peer.RefusedConnection"
 	CountRefusedMalformed   = "Peer.RefusedMalformed"
 	CountRefusedMethod      = "Peer.RefusedMethod"
--- a/internal/peer/entry/server.go
+++ b/internal/peer/entry/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/intake"
 )
 
 // ServerOptions configures a Server. Zero values select the defaults given below.
@@ -24,6 +26,9 @@
 	// IdleTimeout is how long a connection stays open without input, where pings count
 	// as input; 10 s by default.
 	IdleTimeout time.Duration
+	// Budget is for the bytes of calls that arrive or are handled, and of answers that wait to be
+	// sent. Nil means no bound beyond those above.
+	Budget *intake.Budget
 	// Clock is the system clock by default.
 	Clock clockwork.Clock
 	// Counter may be nil.
@@ -41,7 +46,7 @@
 
 	lock        sync.Mutex
 	methods     map[string]handler
-	connections int
+	connections map[*stream]struct{}
 }
 
 // NewServer returns a Server without methods. Use Handle to register them.
@@ -57,6 +62,8 @@
 		options: options,
 		calls:   make(chan struct{}, options.MaxCalls),
 		methods: map[string]handler{},
+
+		connections: map[*stream]struct{}{},
 	}
 }
 
@@ -115,14 +122,16 @@
 }
 
 // ServeConnection serves a connection in the background until it is closed or ctx
-// ends. A connection that exceeds MaxConnections is closed immediately.
+// ends. If it exceeds MaxConnections, the oldest connection that hasn't sent a message is closed
+// immediately, or else the new one.
 func (s *Server) ServeConnection(ctx context.Context, connection net.Conn) {
-	if !s.reserveConnection() {
+	stream := newStream(connection, s.options.Counter, s.options.IdleTimeout)
+	stream.limitMemory(s.options.Budget, s.options.Clock)
+	if !s.reserveConnection(stream) {
 		count(s.options.Counter, CountRefusedConnection)
 		_ = connection.Close()
 		return
 	}
-	stream := newStream(connection, s.options.Counter, s.options.IdleTimeout)
 	s.group.Go(stream.writeLoop)
 	s.group.Go(func() {
 		// jsonrpc2's DisconnectNotify would be too early: its reader may still be
@@ -130,23 +139,41 @@
 		<-stream.readEnded
 		s.lock.Lock()
 		defer s.lock.Unlock()
-		s.connections--
+		delete(s.connections, stream)
 	})
 	logger := jsonrpc2.SetLogger(countingLogger{s.options.Counter})
 	jsonrpc2.NewConn(ctx, stream, (*connectionHandler)(s), logger)
 }
 
-// reserveConnection counts a new connection. It reports false if the limit is reached.
-func (s *Server) reserveConnection() bool {
+// reserveConnection adds a new connection. It reports false if the limit is reached and each
+// connection has sent a message.
+func (s *Server) reserveConnection(added *stream) bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if s.connections >= s.options.MaxConnections {
-		return false
+	if len(s.connections) >= s.options.MaxConnections {
+		oldest := s.oldestUnused()
+		if oldest == nil {
+			return false
+		}
+		count(s.options.Counter, CountClosedUnused)
+		delete(s.connections, oldest)
+		_ = oldest.Close()
 	}
-	s.connections++
+	s.connections[added] = struct{}{}
 	return true
 }
 
+// oldestUnused returns the oldest connection that hasn't sent a message. The lock must be held.
+func (s *Server) oldestUnused() *stream {
+	var oldest *stream
+	for c := range s.connections {
+		if !c.used.Load() && (oldest == nil || c.openedAt.Before(oldest.openedAt)) {
+			oldest = c
+		}
+	}
+	return oldest
+}
+
 // connectionHandler implements jsonrpc2.Handler for a Server without adding a method
 // to the Server's API.
 type connectionHandler Server
@@ -178,12 +205,27 @@
 		s.replyError(ctx, rpc, request, Errorf(CodeBusy, "%d calls are in progress", cap(s.calls)))
 		return
 	}
+	lease := s.options.Budget.NewLease(func() {})
+	if err := lease.Take(s.options.Clock.Now(), paramsBytes(request)); err != nil {
+		<-s.calls
+		count(s.options.Counter, CountRefusedMemory)
+		s.replyError(ctx, rpc, request, Errorf(CodeBusy, "%v", err))
+		return
+	}
 	s.group.Go(func() {
 		defer func() { <-s.calls }()
+		defer lease.Release()
 		s.runCall(ctx, rpc, request, method)
 	})
 }
 
+func paramsBytes(request *jsonrpc2.Request) intake.Bytes {
+	if request.Params == nil {
+		return 0
+	}
+	return intake.Bytes(len(*request.Params))
+}
+
 // runCall runs the handler of a call and sends the response.
 func (s *Server) runCall(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request, method handler) {
 	count(s.options.Counter, CountCallsServed)
--- a/internal/peer/entry/stream.go
+++ b/internal/peer/entry/stream.go
@@ -9,7 +9,12 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/intake"
 )
 
 // errWriteQueueFull reports that maxQueuedBytes is reached.
@@ -26,6 +31,15 @@
 	// idleTimeout limits the time without input; 0 means no limit.
 	idleTimeout time.Duration
 
+	openedAt time.Time
+	// used is set once a message has been read.
+	used atomic.Bool
+	// clock tells the budget how long messages have been arriving; incoming and outgoing are what
+	// the message that arrives and the queued messages hold of it.
+	clock    clockwork.Clock
+	incoming *intake.Lease
+	outgoing *intake.Lease
+
 	lock        sync.Mutex
 	queue       net.Buffers
 	queuedBytes int
@@ -43,11 +57,21 @@
 		reader:      bufio.NewReader(connection),
 		counter:     counter,
 		idleTimeout: idleTimeout,
+		openedAt:    time.Now(),
+		clock:       clockwork.NewRealClock(),
 		wake:        make(chan struct{}, 1),
 		readEnded:   make(chan struct{}),
 	}
 }
 
+// limitMemory makes the stream take memory from a budget. It must be called before the stream is
+// used.
+func (s *stream) limitMemory(budget *intake.Budget, clock clockwork.Clock) {
+	s.clock = clock
+	s.incoming = budget.NewLease(func() { _ = s.connection.SetReadDeadline(time.Unix(1, 0)) })
+	s.outgoing = budget.NewLease(func() {})
+}
+
 // WriteObject encodes obj and queues it for sending.
 func (s *stream) WriteObject(obj any) error {
 	body, err := json.Marshal(obj)
@@ -72,6 +96,10 @@
 	if s.queuedBytes+len(message) > maxQueuedBytes {
 		return errWriteQueueFull
 	}
+	if err := s.outgoing.Take(s.clock.Now(), intake.Bytes(len(message))); err != nil {
+		count(s.counter, CountRefusedMemory)
+		return err
+	}
 	s.queue = append(s.queue, message)
 	s.queuedBytes += len(message)
 	s.wakeWriter()
@@ -113,16 +141,53 @@
 		_, _ = io.CopyN(io.Discard, s.reader, int64(min(size, maxDiscardedBytes)))
 		return s.rejectMessage(CountRefusedTooLarge, Errorf(CodeTooLarge, "message of %d bytes is over the limit of %d", size, MaxMessageBytes))
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(s.reader, body); err != nil {
+	defer s.incoming.Release()
+	body, err := s.readBody(int(size))
+	if err != nil {
 		return err
 	}
+	s.used.Store(true)
 	if err := json.Unmarshal(body, v); err != nil {
 		return s.rejectMessage(CountRefusedMalformed, Errorf(CodeParse, "message is not JSON-RPC 2.0: %v", err))
 	}
 	return nil
 }
 
+// firstReadBytes is what a message is read into at first.
+const firstReadBytes = 4 << 10
+
+// readBody reads the body of a message into a buffer that grows as the body arrives.
+func (s *stream) readBody(size int) ([]byte, error) {
+	s.incoming.Reading(s.clock.Now())
+	defer s.incoming.Received()
+	body := make([]byte, 0, min(size, firstReadBytes))
+	if err := s.takeIncoming(cap(body)); err != nil {
+		return nil, err
+	}
+	for {
+		n, err := io.ReadFull(s.reader, body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err != nil || len(body) == size {
+			return body, err
+		}
+		grown := min(2*cap(body), size)
+		if err := s.takeIncoming(grown); err != nil {
+			return nil, err
+		}
+		previous := cap(body)
+		body = append(make([]byte, 0, grown), body...)
+		s.incoming.Give(intake.Bytes(previous))
+	}
+}
+
+func (s *stream) takeIncoming(bytes int) error {
+	err := s.incoming.Take(s.clock.Now(), intake.Bytes(bytes))
+	if err != nil {
+		count(s.counter, CountRefusedMemory)
+	}
+	return err
+}
+
 func (s *stream) isClosed() bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -163,13 +228,15 @@
 // writeLoop sends queued messages until the stream is closed or a write fails, and
 // then closes the connection.
 func (s *stream) writeLoop() {
+	defer s.outgoing.Release()
 	defer s.connection.Close()
 	for range s.wake {
-		batch, closed := s.takeQueue()
+		batch, batchBytes, closed := s.takeQueue()
 		if _, err := batch.WriteTo(s.connection); err != nil {
 			_ = s.Close()
 			return
 		}
+		s.outgoing.Give(intake.Bytes(batchBytes))
 		if closed {
 			return
 		}
@@ -178,13 +245,13 @@
 
 // takeQueue empties the queue and reports whether the stream is closed, which makes
 // this the last batch.
-func (s *stream) takeQueue() (net.Buffers, bool) {
+func (s *stream) takeQueue() (batch net.Buffers, batchBytes int, closed bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	batch := s.queue
+	batch, batchBytes = s.queue, s.queuedBytes
 	s.queue, s.queuedBytes = nil, 0
 	if !s.closed {
 		_ = s.connection.SetWriteDeadline(time.Now().Add(writeTimeout))
 	}
-	return batch, s.closed
+	return batch, batchBytes, s.closed
 }
