Close a connection whose header finds no memory, and test the bounds of peers

An unfinished header that was ended was answered with 400, which says that the request is malformed. Buffers of 16 KiB in the kernel for each direction bound what waits there for a thousand connections.

--- a/internal/caller/intake/connections.go
+++ b/internal/caller/intake/connections.go
@@ -19,7 +19,7 @@
 // An idle connection may be closed at once.
 const minPhaseTime = time.Second
 
-var phaseNames = map[phase]string{phaseIdle: "Idle", phaseHeader: "Header", phaseBody: "Body", phaseWriting: "Writing"}
+var phaseNames = map[phase]string{phaseIdle: "Idle", phaseHeader: "Header", phaseBody: "Body", phaseWriting: "Writing", phaseHandling: "Handling"}
 
 // activity is what a connection has been doing since when.
 type activity struct {
--- a/internal/caller/intake/listener.go
+++ b/internal/caller/intake/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,7 +16,7 @@
 const (
 	// kernelBufferBytes is the size of the kernel's buffers for each direction of a connection.
 	// What waits in them counts as the machine's memory.
-	kernelBufferBytes = 32 << 10
+	kernelBufferBytes = 16 << 10
 	// writeStepBytes is the largest part of an answer that is written with one time limit.
 	writeStepBytes = 32 << 10
 	// deadlineStep is how long a deadline isn't set again, which costs some time.
@@ -130,7 +131,9 @@
 	c.headerBytes.Add(int64(n))
 	if takeErr := c.lease.Take(c.port.Clock.Now(), Bytes(n)*headerMemoryFactor); takeErr != nil {
 		c.port.refused("Header", takeErr)
-		return 0, takeErr
+		// After this error the server closes the connection without an answer. To another one it
+		// answers that the request is malformed.
+		return 0, os.ErrDeadlineExceeded
 	}
 	return n, err
 }
--- a/internal/peer/entry/entry_test.go
+++ b/internal/peer/entry/entry_test.go
@@ -15,6 +15,8 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/intake"
 )
 
 const testTimeout = 5 * time.Second
@@ -229,6 +231,45 @@
 		Expect(counter.value(CountRefusedConnection)).To(BeEquivalentTo(1))
 	})
 
+	// Guards against peers that send messages and never finish them.
+	It("takes memory as a message arrives, and ends a message that doesn't when another needs its memory", func() {
+		counter, clock, budget := &recordingCounter{}, clockwork.NewFakeClock(), intake.NewBudget(64<<10)
+		server, _ := newTestServer(ServerOptions{Counter: counter, Budget: budget, Clock: clock, IdleTimeout: time.Minute})
+		address := listen(server)
+		open := func(arrived int) net.Conn {
+			connection, err := net.Dial("tcp", address)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(func() { _ = connection.Close() })
+			Expect(connection.SetDeadline(time.Now().Add(testTimeout))).To(Succeed())
+			_, err = connection.Write(append(binary.AppendUvarint(nil, MaxMessageBytes), make([]byte, arrived)...))
+			Expect(err).NotTo(HaveOccurred())
+			return connection
+		}
+		first := open(9 << 10)
+		Eventually(budget.Used, testTimeout).Should(Equal(intake.Bytes(16 << 10)))
+		clock.Advance(time.Second)
+		second := open(17 << 10)
+		_, err := first.Read(make([]byte, 1))
+		Expect(err).To(HaveOccurred(), "the first connection is closed")
+		Eventually(budget.Used, testTimeout).Should(Equal(intake.Bytes(32 << 10)))
+		Expect(second.Close()).To(Succeed())
+		Eventually(budget.Used, testTimeout).Should(BeZero())
+	})
+
+	// Guards against connections without messages that keep other instances out.
+	It("closes the oldest connection that hasn't sent a message when there are too many", func() {
+		counter := &recordingCounter{}
+		server, _ := newTestServer(ServerOptions{MaxConnections: 2, Counter: counter})
+		address := listen(server)
+		for range 2 {
+			connection, err := net.Dial("tcp", address)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(func() { _ = connection.Close() })
+		}
+		Expect(Call[echoMessage, echoMessage](context.Background(), newTestClient(ClientOptions{}), address, "Test.Echo", echoMessage{1})).To(Equal(echoMessage{1}))
+		Expect(counter.value(CountClosedUnused)).To(BeEquivalentTo(1))
+	})
+
 	// Guards against writes that block because the peer does not read.
 	It("fails a write when the peer does not read and the queue is full", func() {
 		unread, _ := net.Pipe()
--- a/internal/peer/entry/stream.go
+++ b/internal/peer/entry/stream.go
@@ -153,14 +153,18 @@
 	return nil
 }
 
-// firstReadBytes is what a message is read into at first.
+// firstReadBytes is what a message is read into at first if its memory is limited.
 const firstReadBytes = 4 << 10
 
 // readBody reads the body of a message into a buffer that grows as the body arrives.
 func (s *stream) readBody(size int) ([]byte, error) {
 	s.incoming.Reading(s.clock.Now())
 	defer s.incoming.Received()
-	body := make([]byte, 0, min(size, firstReadBytes))
+	first := size
+	if s.incoming != nil {
+		first = min(size, firstReadBytes)
+	}
+	body := make([]byte, 0, first)
 	if err := s.takeIncoming(cap(body)); err != nil {
 		return nil, err
 	}
