Bound the reads of the store for state queries

A crowd of 800 connections that query an unknown job, with the real limits of a machine of 184 MB, brought an instance to 134 MB and 2,218 descriptors: each query opens a connection to the store while the few idle ones are in use. At most 128 such reads run at the same time; queries that the shard's owner answers aren't concerned.

--- a/internal/entry/dispatcher/client_requests.go
+++ b/internal/entry/dispatcher/client_requests.go
@@ -36,6 +36,8 @@
 	RefusedStarting = "Starting"
 	// RefusedOwnerUnreachable is the reason when the shard's owner doesn't answer.
 	RefusedOwnerUnreachable = "OwnerUnreachable"
+	// RefusedTooManyQueries is the reason when a state query has to wait for others for too long.
+	RefusedTooManyQueries = "TooManyQueries"
 )
 
 // Submit stores a job and returns once it is stored. It returns a *queue.Refusal if the
@@ -258,8 +260,12 @@
 		}
 		return answer.State, nil
 	}
+	if err := s.node.stateReads.Acquire(ctx, 1); err != nil {
+		return "", &queue.Refusal{Reason: RefusedTooManyQueries, RetryAfter: shortRetryAfter}
+	}
 	s.node.Counters.Add("State.FromStore", 1)
 	row, err := s.node.read(ctx, s.partition.jobKey(id))
+	s.node.stateReads.Release(1)
 	if err != nil {
 		outage, _ := s.node.store.lostFor()
 		return "", storeRefusal(outage)
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
@@ -41,6 +42,8 @@
 	// callingStore is set while keepCallingStore makes a call.
 	callingStore atomic.Bool
 	operatorRows *operatorRows
+	// stateReads bounds the reads of the store for state queries that run at the same time.
+	stateReads *semaphore.Weighted
 
 	lock sync.Mutex
 	// group has the goroutines of Run, and groupContext ends when they must.
@@ -52,11 +55,16 @@
 	peersRequestedAt time.Time
 }
 
+// maxStateReads is more than the queries need that an instance has the processor time for.
+const maxStateReads = 128
+
 // New returns a Node. Call Register and Run to start it.
 func New(options Options) *Node {
 	n := &Node{
 		Options: options,
 		peers:   map[membership.InstanceID]knownPeer{},
+
+		stateReads: semaphore.NewWeighted(maxStateReads),
 	}
 	n.store = monitoredStore{Store: options.Store, clock: options.Clock, counters: options.Counters, latencies: options.Latencies, log: options.Log}
 	n.operatorRows = newOperatorRows(n)
