Serve a single large request in calm, and end unread answers after 5 s

A request that is the only one may take four times the budget, so that bodies of up to the 64 MiB that a manifest can allow are served by default. A body that paused for too long got 400 on the callers' port of serve, as the server cancels the context of a request whose read fails; it gets 503.

--- a/internal/caller/intake/body.go
+++ b/internal/caller/intake/body.go
@@ -55,7 +55,7 @@
 		switch {
 		case c.lease.wasEnded():
 			err = ErrEnded
-		case ctx.Err() != nil || limited && !time.Now().Before(requestDeadline):
+		case errors.Is(ctx.Err(), context.DeadlineExceeded) || limited && !time.Now().Before(requestDeadline):
 			err = context.DeadlineExceeded
 		default:
 			err = ErrStalled
--- a/internal/caller/intake/budget.go
+++ b/internal/caller/intake/budget.go
@@ -21,6 +21,9 @@
 	smallRequestBytes Bytes = 8 << 10
 	// reserveShare of the budget is kept for the first bytes of requests.
 	reserveShare = 4
+	// loneShare times the budget is for a request that is the only one, so that a request of the
+	// largest configured size is served in calm.
+	loneShare = budgetShare / 2
 	// minReadingTime is the time that a request has to arrive even if others need its bytes.
 	minReadingTime = time.Second
 )
@@ -125,7 +128,10 @@
 		return nil, ErrEnded
 	}
 	limit := b.total
-	if l.bytes+n > smallRequestBytes {
+	switch {
+	case b.used == l.bytes:
+		limit *= loneShare
+	case l.bytes+n > smallRequestBytes:
 		limit -= b.reserve
 	}
 	for b.used+n > limit {
--- a/internal/caller/intake/limits.go
+++ b/internal/caller/intake/limits.go
@@ -86,20 +86,21 @@
 	// requests on a connection.
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
+	// WriteTimeout is the time after which an answer that isn't read ends its connection.
+	WriteTimeout time.Duration
 }
 
 const (
 	defaultHeaderBytes   = 16 << 10
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
+	defaultWriteTimeout  = 5 * time.Second
 	// maxHeaderBytes is the largest header that is read, whatever the limit of the port is.
 	maxHeaderBytes = 64 << 10
 	// maxBodyTime bounds the time in which a body arrives, maxBodyPause the time without any
 	// byte of it.
 	maxBodyTime  = 30 * time.Second
 	maxBodyPause = 5 * time.Second
-	// maxWritePause is the time after which an answer that isn't read ends its connection.
-	maxWritePause = 10 * time.Second
 	// lingerTime is how long a connection whose body was refused is still read, so that the
 	// answer isn't lost by a reset.
 	lingerTime = time.Second
@@ -115,5 +116,8 @@
 	if l.IdleTimeout <= 0 {
 		l.IdleTimeout = defaultIdleTimeout
 	}
+	if l.WriteTimeout <= 0 {
+		l.WriteTimeout = defaultWriteTimeout
+	}
 	return l
 }
--- a/internal/caller/intake/listener.go
+++ b/internal/caller/intake/listener.go
@@ -138,7 +138,7 @@
 	return n, err
 }
 
-// Write writes to the connection. It fails if the caller doesn't read for maxWritePause.
+// Write writes to the connection. It fails if the caller doesn't read for the port's WriteTimeout.
 func (c *connection) Write(p []byte) (int, error) {
 	before := c.activity()
 	c.enter(phaseWriting)
@@ -173,7 +173,7 @@
 		return nil
 	}
 	c.writeExtendedAt = now
-	deadline := now.Add(maxWritePause)
+	deadline := now.Add(c.port.limits().WriteTimeout)
 	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
 		deadline = c.writeDeadline
 	}
--- a/internal/caller/intake/port_test.go
+++ b/internal/caller/intake/port_test.go
@@ -115,18 +115,25 @@
 	})
 	It("answers 503 to a body for which there is no room, although the rest doesn't arrive", func() {
 		f := startPort(GinkgoTB(), &Port{Budget: NewBudget(16 << 10)})
+		Expect(f.Budget.NewLease(func() {}).Take(time.Now(), 1)).To(Succeed())
 		c := f.open(unfinished + strings.Repeat("x", 20000))
 		answer := expectStatus(c, http.StatusServiceUnavailable)
 		Expect(answer.Close).To(BeTrue())
 		Expect(f.counters.Value("Intake.Test.Refused.BodyMemory")).To(Equal(int64(1)))
 		expectClosed(c)
 	})
+	It("answers 503 to a body that pauses for too long", func() {
+		f := startPort(GinkgoTB(), &Port{Budget: NewBudget(1 << 20)})
+		expectStatus(f.open(unfinished+"x"), http.StatusServiceUnavailable)
+		Expect(f.counters.Value("Intake.Test.Refused.BodyStalled")).To(Equal(int64(1)))
+	})
 	It("refuses a body that is too large without reading it", func() {
 		f := startPort(GinkgoTB(), &Port{})
 		expectStatus(f.open(post+"Content-Length: 99999999\r\n\r\n"), http.StatusRequestEntityTooLarge)
 	})
 	It("answers 503 to an unfinished request when another one needs its bytes", func() {
 		f := startPort(GinkgoTB(), &Port{Budget: NewBudget(80 << 10)})
+		Expect(f.Budget.NewLease(func() {}).Take(time.Now(), 1)).To(Succeed())
 		first := f.open(unfinished + strings.Repeat("x", 20000))
 		Eventually(f.Budget.Used, specTimeout).Should(BeNumerically(">", 30000))
 		body := strings.Repeat("x", 20000)
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -49,6 +49,8 @@
 	// the time between two requests.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// writeTimeout limits the time for which a caller doesn't read, for example of a feed.
+	writeTimeout = 10 * time.Second
 	// headerBytes limits the header of a request.
 	headerBytes = 32 << 10
 )
@@ -213,7 +215,7 @@
 	return &intake.Port{
 		Name: name, MaxConnections: maxConnections, Budget: intake.NewBudget(budget),
 		Limits: func() intake.RequestLimits {
-			return intake.RequestLimits{HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+			return intake.RequestLimits{HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout}
 		},
 		Counters: i.counters, Clock: i.clock, Log: i.log,
 	}
