--- a/internal/caller/job/handler.go
+++ b/internal/caller/job/handler.go
@@ -32,7 +32,7 @@
 	maxSubmissionOverhead = 4 << 10
 	// decodingFactor is the memory that decoding needs for each byte of a submission: the
 	// decoder and the job have copies of the payload.
-	decodingFactor = 4
+	decodingFactor = 2
 	// storeTimeout bounds the table accesses of a request.
 	storeTimeout = 5 * time.Second
 	// pollInterval is the time between reads of a job while a caller waits for its end.
