--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -93,7 +93,9 @@
 	log := zerolog.New(opts.Factory.IO.ErrOut).Level(level).With().
 		Timestamp().Str("Instance", string(opts.Settings.ID)).Str("Zone", string(opts.Settings.Zone)).Logger()
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	debug.SetMemoryLimit(int64(opts.Settings.Memory) / 100 * memoryLimitPercent)
+	if opts.Settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(opts.Settings.Memory) / 100 * memoryLimitPercent)
+	}
 	entry, err := instance.Listen(opts.Settings, opts.Factory.Clock, log)
 	if err != nil {
 		return err
