Leave the list of workers to the seeds at the first start

Cause: until the number of shards was stored, each instance read the whole list of workers every 300 ms and asked each seed for all instances as often. With 324 instances and 3,000 workers that filled the link between the regions for 12 s: calls to the store from the other region timed out, and workers there expired.

Change: the seeds read the list; another instance does so only if no seed reports that it reads it for 3 to 11 s. Instances tell of each other in a call of its own, Dispatch.Peers, compressed; in a large deployment they ask one of two directories. Peers accept 1,024 connections: with 128, an owner closed those of the other instances.

--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -93,7 +93,7 @@
 		policy = platform.PolicyClient{Address: s.PolicyAddress, HTTP: httpClient}
 	}
 	p.node = dispatcher.New(dispatcher.Options{
-		Name: s.Instance, Zone: s.Zone, PeerAddress: cmp.Or(opts.PeerAnnounceAddress, s.PeerAddress), Seeds: s.Seeds, Cores: s.Cores,
+		Name: s.Instance, Zone: s.Zone, PeerAddress: cmp.Or(opts.PeerAnnounceAddress, s.PeerAddress), Seeds: s.Seeds, IsSeed: s.IsSeed, Cores: s.Cores,
 		LeaseTerm: min(opts.LeaseTerm, s.MaxLease), MaxLease: s.MaxLease, StopTimeout: s.StopTimeout, ChangeBound: s.ChangeBound, RemoteDurationFactor: s.RemoteDurationFactor, Disabled: opts.Disabled,
 		Store:   platform.StoreClient{Address: s.StoreAddress, HTTP: httpClient},
 		Workers: platform.WorkerClient{HTTP: httpClient, Counters: p.counters},
@@ -119,9 +119,8 @@
 	// peerBackoffLimit is the longest delay between attempts to reach another instance.
 	// It is short so that restarted instances soon connect again.
 	peerBackoffLimit = 500 * time.Millisecond
-	// maxPeerConnections is enough for two connections from each instance of the largest
-	// deployment.
-	maxPeerConnections = 128
+	// maxPeerConnections is enough for two connections from each of 512 instances.
+	maxPeerConnections = 1024
 )
 
 func dialPeer(ctx context.Context, address string) (net.Conn, error) {
--- /dev/null
+++ b/internal/decision/fanin/fanin.go
@@ -0,0 +1,101 @@
+// Package fanin decides which instances of a large deployment read what and call whom, so that
+// the load of the store, the owners and the links between regions grows with the number of
+// instances and not with its square. In a small deployment every instance does so itself, which
+// is faster.
+package fanin
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
+)
+
+const (
+	// maxSmallInstances and maxSmallShards limit a small deployment.
+	maxSmallInstances = 64
+	maxSmallShards    = 8
+	// seedPatience is how long an instance that isn't a seed leaves the list of workers to the
+	// seeds, which need it to choose the number of shards.
+	seedPatience = 3 * time.Second
+	// seedSpread is the time over which the other instances begin to read the list if the seeds
+	// haven't chosen the number of shards by then.
+	seedSpread = 8 * time.Second
+	// claimantCount is the number of instances that claim a shard without an owner at once, and
+	// claimStep is how much later each further group of as many instances does.
+	claimantCount = 5
+	claimStep     = 750 * time.Millisecond
+	// maxClaimWait limits how much later an instance claims a shard than the first ones.
+	maxClaimWait = 4 * time.Second
+)
+
+// IsLarge reports whether a deployment is large, given the number of its shards and the instances
+// that are known, 0 if unknown.
+func IsLarge(instances, shards int) bool {
+	return instances > maxSmallInstances || shards > maxSmallShards
+}
+
+// ListReaderDelay returns how long an instance that isn't a seed leaves the list of workers to the
+// seeds while none of them reports that it reads the list.
+func ListReaderDelay(self membership.InstanceID) time.Duration {
+	return seedPatience + fraction(seedSpread, string(self))
+}
+
+// fraction returns a fixed part of a duration for a name, evenly distributed over the names.
+func fraction(d time.Duration, name string) time.Duration {
+	const steps = 1 << 10
+	return d * time.Duration(xxhash.Sum64String(name)%steps) / steps
+}
+
+// FirstSeed returns which of the configured seeds an instance calls in a round. The instances
+// begin with different ones, and each calls them in turn.
+func FirstSeed(self membership.InstanceID, round, seeds int) int {
+	return int((xxhash.Sum64String(string(self)) + uint64(round)) % uint64(seeds))
+}
+
+// Instance is what the decisions need to know of an instance.
+type Instance struct {
+	Name  membership.InstanceID
+	Cores float64
+}
+
+// compareFor returns a negative number if a goes before b for a purpose: the stronger one and,
+// with equal strength, the one with the lower hash, so that different instances are first for
+// different purposes.
+func compareFor(purpose string, a, b Instance) int {
+	return cmp.Or(
+		cmp.Compare(b.Cores, a.Cores),
+		cmp.Compare(rank(purpose, a.Name), rank(purpose, b.Name)),
+		cmp.Compare(a.Name, b.Name),
+	)
+}
+
+func rank(purpose string, name membership.InstanceID) uint64 {
+	return xxhash.Sum64String(purpose + "/" + string(name))
+}
+
+// position returns how many of the others go before self for a purpose.
+func position(purpose string, self Instance, others []Instance) int {
+	before := 0
+	for _, other := range others {
+		if compareFor(purpose, other, self) < 0 {
+			before++
+		}
+	}
+	return before
+}
+
+// IsClaimant reports whether an instance is among the first that watch a shard and claim it when
+// it has no owner.
+func IsClaimant(shard string, self Instance, others []Instance) bool {
+	return position(shard, self, others) < claimantCount
+}
+
+// ClaimWait returns how long an instance leaves a shard without an owner to those that go before
+// it, so that not all read the owner's row and try to claim the shard at the same time.
+func ClaimWait(shard string, self Instance, others []Instance) time.Duration {
+	group := position(shard, self, others) / claimantCount
+	return min(time.Duration(group)*claimStep, maxClaimWait)
+}
--- a/internal/decision/mechanism/mechanism.go
+++ b/internal/decision/mechanism/mechanism.go
@@ -43,6 +43,7 @@
 	EstimateExchange
 	OwnerRebalance
 	ZoneReader
+	FanIn
 	count
 )
 
@@ -82,6 +83,7 @@
 	EstimateExchange:     {"EstimateExchange", "images that run in several shards"},
 	OwnerRebalance:       {"OwnerRebalance", "instances that own more shards than others"},
 	ZoneReader:           {"ZoneReader", "a large configuration that all instances of an availability zone read over one link"},
+	FanIn:                {"FanIn", "hundreds of instances that read the same rows and call the same owners"},
 }
 
 // Info returns the name of the mechanism and the load that it answers.
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -85,6 +85,8 @@
 	PeerAddress string
 	// Seeds are the peer addresses to contact first.
 	Seeds []string
+	// IsSeed reports that other instances contact this one first.
+	IsSeed bool
 	// Cores is the instance's share of processors. Stronger instances own more shards. 0
 	// means unknown.
 	Cores float64
--- a/internal/entry/dispatcher/layout.go
+++ b/internal/entry/dispatcher/layout.go
@@ -10,6 +10,8 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/fanin"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
 )
@@ -31,6 +33,12 @@
 	// number of shards is chosen: at the first start, workers register one after the
 	// other.
 	layoutStablePeriod = 900 * time.Millisecond
+	// workersReadMaxAge is how long after a read of the list of workers an instance counts as one
+	// that is about to choose the layout.
+	workersReadMaxAge = 2500 * time.Millisecond
+	// announceRounds is the number of reads of the layout between two announcements of an
+	// instance that doesn't choose it.
+	announceRounds = 3
 )
 
 // layoutRow is the number of shards of the deployment. It is written once.
@@ -97,8 +105,13 @@
 // no other instance does.
 func (n *Node) loadLayout(ctx context.Context) (layoutRow, error) {
 	var monitor workerCountMonitor
-	for {
-		layout, err := n.tryLoadLayout(ctx, &monitor)
+	startedAt := n.Clock.Now()
+	for round := 0; ; round++ {
+		layout, err := n.readLayout(ctx)
+		readsList := n.readsList(startedAt)
+		if err == nil && layout.Shards == 0 && readsList {
+			layout, err = n.chooseLayout(ctx, &monitor)
+		}
 		if err == nil && layout.Shards > 0 {
 			n.Log.Info().Int("Shards", layout.Shards).Msg("layout loaded")
 			return layout, nil
@@ -106,7 +119,10 @@
 		if err != nil {
 			n.Counters.Add("Layout.ReadFailed", 1)
 		}
-		if !n.canManageAll(monitor.workers) {
+		switch {
+		case !readsList:
+			n.announceToSeed(ctx, round)
+		case !n.canManageAll(monitor.workers):
 			n.announceToSeeds(ctx)
 		}
 		if !n.sleep(ctx, layoutPollInterval) {
@@ -115,6 +131,46 @@
 	}
 }
 
+// readsList reports whether this instance reads the list of workers to choose the number of shards.
+// It leaves that to the seeds as long as one of them does so.
+func (n *Node) readsList(startedAt time.Time) bool {
+	if n.Disabled.Has(mechanism.FanIn) || n.IsSeed || len(n.configuredSeeds()) == 0 {
+		return true
+	}
+	n.lock.Lock()
+	choosersSince := n.layoutChooserAt
+	n.lock.Unlock()
+	if choosersSince.Before(startedAt) {
+		choosersSince = startedAt
+	}
+	return n.Clock.Now().Sub(choosersSince) >= fanin.ListReaderDelay(n.Name)
+}
+
+// recordLayoutChooser records that another instance knows or is about to choose the layout.
+func (n *Node) recordLayoutChooser() {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.layoutChooserAt = n.Clock.Now()
+}
+
+// recordWorkersRead records that this instance has read the list of workers.
+func (n *Node) recordWorkersRead() {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.workersReadAt = n.Clock.Now()
+}
+
+// choosesLayout reports whether this instance knows the layout, or has lately read the list of
+// workers to choose it.
+func (n *Node) choosesLayout() bool {
+	if len(n.allShards()) > 0 {
+		return true
+	}
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	return !n.workersReadAt.IsZero() && n.Clock.Now().Sub(n.workersReadAt) <= workersReadMaxAge
+}
+
 // canManageAll reports whether this instance can manage all workers alone. If so, it
 // needn't know the other instances before it claims its first shard.
 func (n *Node) canManageAll(workers int) bool {
@@ -126,31 +182,45 @@
 // capacity.
 func (n *Node) announceToSeeds(ctx context.Context) {
 	for _, address := range n.configuredSeeds() {
-		n.background(func(context.Context) error {
-			answer, err := n.callHello(ctx, address, helloRequest{From: n.self(), WantPeers: true})
-			if err != nil {
-				n.Counters.Add("Owner.PeerSilent", 1)
-				return nil
-			}
-			n.recordPeers(answer.Peers)
-			return nil
-		})
+		n.announceTo(ctx, address)
 	}
 }
 
-// tryLoadLayout returns the layout, or the zero value if there is none yet.
-func (n *Node) tryLoadLayout(ctx context.Context, monitor *workerCountMonitor) (layoutRow, error) {
+// announceToSeed announces this instance to one of the seeds at a time, every few rounds.
+func (n *Node) announceToSeed(ctx context.Context, round int) {
+	seeds := n.configuredSeeds()
+	if len(seeds) > 0 && round%announceRounds == 0 {
+		n.announceTo(ctx, seeds[fanin.FirstSeed(n.Name, round/announceRounds, len(seeds))])
+	}
+}
+
+// announceTo exchanges the known instances with one in the background.
+func (n *Node) announceTo(ctx context.Context, address string) {
+	n.background(func(context.Context) error {
+		if err := n.exchangePeers(ctx, address); err != nil {
+			n.Counters.Add("Layout.AnnounceFailed", 1)
+		}
+		return nil
+	})
+}
+
+// readLayout returns the stored layout, or the zero value if there is none yet.
+func (n *Node) readLayout(ctx context.Context) (layoutRow, error) {
 	row, err := n.read(ctx, layoutKey)
-	if err != nil {
+	if err != nil || row.Version == 0 {
 		return layoutRow{}, err
 	}
-	if row.Version != 0 {
-		return decode[layoutRow](row)
-	}
+	return decode[layoutRow](row)
+}
+
+// chooseLayout chooses the layout and stores it. It returns the zero value while the number of
+// workers isn't stable, or if another instance has stored a layout.
+func (n *Node) chooseLayout(ctx context.Context, monitor *workerCountMonitor) (layoutRow, error) {
 	rows, _, err := n.store.Snapshot(ctx, n.Catalog.WorkersPrefix())
 	if err != nil {
 		return layoutRow{}, err
 	}
+	n.recordWorkersRead()
 	workers, err := n.Catalog.Workers(rowsByKey(rows))
 	if err != nil {
 		n.Counters.Add("Workers.RowsLeftOut", 1)
@@ -158,6 +228,9 @@
 	if services := n.configuredServices(); len(services) > 0 {
 		workers = slices.DeleteFunc(workers, func(w dispatch.WorkerInfo) bool { return !services[w.Service] })
 	}
+	if len(workers) != monitor.workers {
+		n.Log.Info().Str("Event", "LayoutWorkers").Int("Workers", len(workers)).Send()
+	}
 	if !monitor.isStable(n.Clock.Now(), len(workers)) {
 		return layoutRow{}, nil
 	}
--- a/internal/entry/dispatcher/messages.go
+++ b/internal/entry/dispatcher/messages.go
@@ -26,6 +26,8 @@
 	relayCancelMethod = "Dispatch.RelayCancel"
 	// operatorRowsMethod is unknown to instances of earlier builds.
 	operatorRowsMethod = "Dispatch.OperatorRows"
+	// peersMethod is unknown to instances of earlier builds.
+	peersMethod = "Dispatch.Peers"
 )
 
 // peer describes an entry instance to other instances.
@@ -124,6 +126,17 @@
 	CanClaim bool
 }
 
+// peersRequest tells which instance calls, and asks for the instances that are alive.
+type peersRequest struct{ From peer }
+
+// peersAnswer has the instances as encodedPeers encodes them, and the age of that list.
+type peersAnswer struct {
+	Peers []byte
+	Age   time.Duration
+	// ChoosesLayout reports that the instance knows the layout or is about to choose it.
+	ChoosesLayout bool `json:",omitempty"`
+}
+
 // operatorRowsRequest asks an instance of the same availability zone for the changes of the
 // operator's rows after a version. If there are none, the instance waits for one.
 type operatorRowsRequest struct {
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -41,12 +41,16 @@
 	// callingStore is set while keepCallingStore makes a call.
 	callingStore atomic.Bool
 	operatorRows *operatorRows
+	encodedPeers encodedPeers
 
 	lock sync.Mutex
 	// group has the goroutines of Run, and groupContext ends when they must.
 	group        *errgroup.Group
 	groupContext context.Context
 	peers        map[membership.InstanceID]knownPeer
+	// workersReadAt is when this instance last read the list of workers to choose the layout, and
+	// layoutChooserAt when another one last reported that it does so.
+	workersReadAt, layoutChooserAt time.Time
 	// peersRequestedAt is when this instance last asked a peer for the instances that it
 	// knows.
 	peersRequestedAt time.Time
@@ -78,6 +82,7 @@
 	entry.Handle(server, relaySubmitMethod, n.handleRelaySubmit)
 	entry.Handle(server, relayCancelMethod, n.handleRelayCancel)
 	entry.Handle(server, operatorRowsMethod, n.handleOperatorRows)
+	entry.Handle(server, peersMethod, n.handlePeers)
 }
 
 // Run watches the configuration and the owners of the shards until ctx ends. It claims
@@ -96,6 +101,8 @@
 			return err
 		}
 		shards := n.setLayout(layout)
+		n.meetPeers(ctx)
+		group.Go(func() error { return n.runDirectory(ctx) })
 		for _, s := range shards {
 			group.Go(func() error { return s.monitorOwner(ctx) })
 		}
--- a/internal/entry/dispatcher/peers.go
+++ b/internal/entry/dispatcher/peers.go
@@ -21,12 +21,14 @@
 	seenAt time.Time
 }
 
-// wantsPeers reports whether it is time to request the known instances.
+// wantsPeers reports whether it is time to request the known instances in a hello call. In a large
+// deployment they come from the directories.
 func (n *Node) wantsPeers() bool {
+	large := n.isLarge()
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	now := n.Clock.Now()
-	if len(n.peers) > 0 && now.Sub(n.peersRequestedAt) < peersRequestInterval {
+	if len(n.peers) > 0 && (large || now.Sub(n.peersRequestedAt) < peersRequestInterval) {
 		return false
 	}
 	n.peersRequestedAt = now
