Let only a few instances of a large deployment read an owner's row

Cause: an instance that doesn't hear from an owner for half a second reads the owner's row from the store. All instances but five call an owner once a second only, so each of them read the rows of all owners once a second even in calm, and four times a second while the shards had no owner: more than the store's rate of reads (429), so that hundreds of instances counted the store as lost and refused their callers.

Change: in a large deployment the five strongest instances, by hash among equals, watch a shard, read the row and claim it; the next five begin 0.75 s later, and so on.

--- /dev/null
+++ b/internal/entry/dispatcher/claimants.go
@@ -0,0 +1,47 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/fanin"
+)
+
+// isClaimant reports whether this instance is among the first to claim the shard.
+func (s *shard) isClaimant() bool {
+	return fanin.IsClaimant(string(s.partition), s.node.faninInstance(), s.node.faninInstances())
+}
+
+// mayClaim reports whether this instance may read the owner's row to claim the shard. In a
+// large deployment only a few instances do so at once, and others when these haven't claimed it
+// for a while.
+func (s *shard) mayClaim() bool {
+	if !s.node.isLarge() {
+		return true
+	}
+	wait := fanin.ClaimWait(string(s.partition), s.node.faninInstance(), s.node.faninInstances())
+	return wait == 0 || s.vacantFor() >= wait
+}
+
+// vacantFor returns for how long the shard has seemed to need another owner.
+func (s *shard) vacantFor() time.Duration {
+	needsOwner := s.isLongSilent()
+	now := s.node.Clock.Now()
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	switch {
+	case !needsOwner:
+		s.vacantSince = time.Time{}
+		return 0
+	case s.vacantSince.IsZero():
+		s.vacantSince = now
+	}
+	return now.Sub(s.vacantSince)
+}
+
+// isLongSilent reports whether the shard may need another owner, as seen by an instance that
+// calls the owner only every few ticks.
+func (s *shard) isLongSilent() bool {
+	current := s.currentView()
+	silentFor := s.node.Clock.Now().Sub(current.answeredAt)
+	return current.storeLost || current.owner.Released || silentFor > nonWatcherTicks*helloInterval+ownerSilentAfter
+}
--- a/internal/entry/dispatcher/ownership.go
+++ b/internal/entry/dispatcher/ownership.go
@@ -114,7 +114,7 @@
 // claim the shard if the owner is silent, has released the shard or can't reach the
 // store.
 func (s *shard) checkOwner(ctx context.Context) {
-	if s.isSilent(s.currentView()) && s.claimIfVacant(ctx) {
+	if s.isSilent(s.currentView()) && s.mayClaim() && s.claimIfVacant(ctx) {
 		return
 	}
 	current := s.currentView()
@@ -122,12 +122,17 @@
 	if !current.owner.Released && (!reachable || !s.helloOwner(ctx, current.owner)) {
 		s.askPeers(ctx)
 	}
-	current = s.currentView()
-	if s.isSilent(current) || current.storeLost || current.owner.Released {
+	if s.needsOwner() && s.mayClaim() {
 		s.claimIfVacant(ctx)
 	}
 }
 
+// needsOwner reports whether the shard may need another owner.
+func (s *shard) needsOwner() bool {
+	current := s.currentView()
+	return s.isSilent(current) || current.storeLost || current.owner.Released
+}
+
 // isSilent reports whether the owner hasn't answered for ownerSilentAfter.
 func (s *shard) isSilent(v ownerView) bool {
 	return s.node.Clock.Now().Sub(v.answeredAt) > ownerSilentAfter
--- a/internal/entry/dispatcher/shard.go
+++ b/internal/entry/dispatcher/shard.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -28,6 +29,9 @@
 
 	lock sync.Mutex
 	view ownerView
+	// vacantSince is since when the shard has seemed to need another owner, zero while it
+	// doesn't.
+	vacantSince time.Time
 	// pending has the last known numbers of jobs without a started task.
 	pending map[dispatch.QueueName]pendingCount
 }
--- a/internal/entry/dispatcher/watchers.go
+++ b/internal/entry/dispatcher/watchers.go
@@ -10,6 +10,9 @@
 // so if it is one of the watchers of the shard, if it owns another shard and so needs
 // to know the load, or if it has to find the owner first.
 func (s *shard) checksEveryTick() bool {
+	if s.node.isLarge() {
+		return len(s.node.ownedShards()) > 0 || s.isClaimant()
+	}
 	current := s.currentView()
 	if current.owner.Address == "" || current.owner.Released || len(s.node.ownedShards()) > 0 {
 		return true
