--- a/internal/decision/fanin/fanin.go
+++ b/internal/decision/fanin/fanin.go
@@ -76,26 +76,15 @@
 	return xxhash.Sum64String(purpose + "/" + string(name))
 }
 
-// position returns how many of the others go before self for a purpose.
-func position(purpose string, self Instance, others []Instance) int {
+// ClaimWait returns how long an instance leaves a shard without an owner to those that go before
+// it, so that not all read the owner's row and try to claim the shard at the same time. It is 0
+// for the first ones, which watch the shard.
+func ClaimWait(shard string, self Instance, others []Instance) time.Duration {
 	before := 0
 	for _, other := range others {
-		if compareFor(purpose, other, self) < 0 {
+		if compareFor(shard, other, self) < 0 {
 			before++
 		}
 	}
-	return before
-}
-
-// IsClaimant reports whether an instance is among the first that watch a shard and claim it when
-// it has no owner.
-func IsClaimant(shard string, self Instance, others []Instance) bool {
-	return position(shard, self, others) < claimantCount
-}
-
-// ClaimWait returns how long an instance leaves a shard without an owner to those that go before
-// it, so that not all read the owner's row and try to claim the shard at the same time.
-func ClaimWait(shard string, self Instance, others []Instance) time.Duration {
-	group := position(shard, self, others) / claimantCount
-	return min(time.Duration(group)*claimStep, maxClaimWait)
+	return min(time.Duration(before/claimantCount)*claimStep, maxClaimWait)
 }
--- a/internal/decision/fanin/fanin_test.go
+++ b/internal/decision/fanin/fanin_test.go
@@ -39,7 +39,7 @@
 func claimants(shard string, list []fanin.Instance) []fanin.Instance {
 	var chosen []fanin.Instance
 	for i, instance := range list {
-		if fanin.IsClaimant(shard, instance, others(list, i)) {
+		if fanin.ClaimWait(shard, instance, others(list, i)) == 0 {
 			chosen = append(chosen, instance)
 		}
 	}
@@ -121,7 +121,6 @@
 	})
 
 	It("are made at once by an instance that knows no other", func() {
-		Expect(fanin.IsClaimant("s", list[1], nil)).To(BeTrue())
 		Expect(fanin.ClaimWait("s", list[1], nil)).To(BeZero())
 	})
 })
--- a/internal/entry/dispatcher/claimants.go
+++ b/internal/entry/dispatcher/claimants.go
@@ -6,9 +6,29 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/fanin"
 )
 
+// claimWaitMaxAge is how long the place of this instance among those that may claim a shard is
+// kept. It changes only with the known instances.
+const claimWaitMaxAge = 500 * time.Millisecond
+
 // isClaimant reports whether this instance is among the first to claim the shard.
 func (s *shard) isClaimant() bool {
-	return fanin.IsClaimant(string(s.partition), s.node.faninInstance(), s.node.faninInstances())
+	return s.currentClaimWait() == 0
+}
+
+// currentClaimWait returns how long this instance leaves the shard to others when it has no owner.
+func (s *shard) currentClaimWait() time.Duration {
+	now := s.node.Clock.Now()
+	s.lock.Lock()
+	wait, fresh := s.claimWait, !s.claimWaitAt.IsZero() && now.Sub(s.claimWaitAt) < claimWaitMaxAge
+	s.lock.Unlock()
+	if fresh {
+		return wait
+	}
+	wait = fanin.ClaimWait(string(s.partition), s.node.faninInstance(), s.node.faninInstances())
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.claimWait, s.claimWaitAt = wait, now
+	return wait
 }
 
 // mayClaim reports whether this instance may read the owner's row to claim the shard. In a
@@ -18,7 +38,7 @@
 	if !s.node.isLarge() {
 		return true
 	}
-	wait := fanin.ClaimWait(string(s.partition), s.node.faninInstance(), s.node.faninInstances())
+	wait := s.currentClaimWait()
 	return wait == 0 || s.vacantFor() >= wait
 }
 
--- a/internal/entry/dispatcher/shard.go
+++ b/internal/entry/dispatcher/shard.go
@@ -32,6 +32,10 @@
 	// vacantSince is since when the shard has seemed to need another owner, zero while it
 	// doesn't.
 	vacantSince time.Time
+	// claimWait is how long this instance leaves the shard to others when it has no owner, as found
+	// at claimWaitAt.
+	claimWait   time.Duration
+	claimWaitAt time.Time
 	// pending has the last known numbers of jobs without a started task.
 	pending map[dispatch.QueueName]pendingCount
 }
