--- a/internal/entry/dispatcher/worker_list.go
+++ b/internal/entry/dispatcher/worker_list.go
@@ -47,8 +47,7 @@
 
 // applyWorkers applies the platform's list of workers.
 func (o *owner) applyWorkers(rows map[table.Key]table.Row) {
-	workers, err := o.node.Catalog.Workers(rows)
-	workers = slices.DeleteFunc(workers, func(w dispatch.WorkerInfo) bool { return !o.shard.hasWorker(w.ID) })
+	workers, err := o.node.Catalog.Workers(o.shardRows(rows))
 	slices.SortFunc(workers, func(a, b dispatch.WorkerInfo) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	o.lock.Lock()
 	o.workerList.received, o.workerList.workers, o.workerList.err = true, workers, err
@@ -56,6 +55,18 @@
 	o.useListedWorkers()
 }
 
+// shardRows returns the rows of the list that belong to the shard.
+func (o *owner) shardRows(rows map[table.Key]table.Row) map[table.Key]table.Row {
+	prefix := len(o.node.Catalog.WorkersPrefix())
+	own := make(map[table.Key]table.Row, len(rows)/o.shard.count)
+	for key, row := range rows {
+		if o.shard.hasWorker(membership.InstanceID(key[prefix:])) {
+			own[key] = row
+		}
+	}
+	return own
+}
+
 // useListedWorkers passes the listed workers of known services to the engine, and starts to poll the
 // new ones. An entry of another service comes from another writer and names no worker.
 func (o *owner) useListedWorkers() {
