Follow the list of workers once for all owners of a large deployment

Cause: the feed of the workers' table has a row for each heartbeat, so with 12 shards of 250 workers each owner read 2,000 rows a second of which it needed a few.

Change: one instance follows the list and answers the owners (Dispatch.WorkerRows) with the changes of their shards' workers that say something new. An owner without an answer that is new enough reads from the store.

--- a/internal/decision/fanin/directories.go
+++ b/internal/decision/fanin/directories.go
@@ -19,11 +19,16 @@
 // Directories returns the instances that collect which instances are alive: the first of those
 // known for that purpose, in order.
 func Directories(self Instance, others []Instance) []membership.InstanceID {
+	return first(directoryPurpose, directoryCount, self, others)
+}
+
+// first returns the first instances for a purpose, in order.
+func first(purpose string, count int, self Instance, others []Instance) []membership.InstanceID {
 	all := append(slices.Clone(others), self)
-	slices.SortFunc(all, func(a, b Instance) int { return compareFor(directoryPurpose, a, b) })
+	slices.SortFunc(all, func(a, b Instance) int { return compareFor(purpose, a, b) })
 	var names []membership.InstanceID
-	for _, directory := range all[:min(directoryCount, len(all))] {
-		names = append(names, directory.Name)
+	for _, instance := range all[:min(count, len(all))] {
+		names = append(names, instance.Name)
 	}
 	return names
 }
--- a/internal/decision/fanin/fanin_test.go
+++ b/internal/decision/fanin/fanin_test.go
@@ -137,6 +137,11 @@
 		}
 	})
 
+	It("don't follow the list of workers as well", func() {
+		Expect(fanin.ListReaders(list[0], list[1:])).To(HaveLen(2))
+		Expect(fanin.ListReaders(list[0], list[1:])).NotTo(Equal(fanin.Directories(list[0], list[1:])))
+	})
+
 	It("are others when one is gone, and the instance itself when it knows no other", func() {
 		first := fanin.Directories(list[0], list[1:])
 		left := slices.DeleteFunc(slices.Clone(list), func(i fanin.Instance) bool { return i.Name == first[0] })
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -73,6 +73,9 @@
 	Operator(rows map[table.Key]table.Row) (queue.Configuration, error)
 	// Workers returns the workers, and an error that describes rows that were skipped.
 	Workers(rows map[table.Key]table.Row) ([]dispatch.WorkerInfo, error)
+	// SameWorker reports whether two values of a worker's row say the same of the worker, so that
+	// the later one is only a heartbeat.
+	SameWorker(earlier, later []byte) bool
 }
 
 // Options are the settings and dependencies of a Node.
--- a/internal/entry/dispatcher/messages.go
+++ b/internal/entry/dispatcher/messages.go
@@ -28,6 +28,8 @@
 	operatorRowsMethod = "Dispatch.OperatorRows"
 	// peersMethod is unknown to instances of earlier builds.
 	peersMethod = "Dispatch.Peers"
+	// workerRowsMethod is unknown to instances of earlier builds.
+	workerRowsMethod = "Dispatch.WorkerRows"
 )
 
 // peer describes an entry instance to other instances.
@@ -137,6 +139,24 @@
 	ChoosesLayout bool `json:",omitempty"`
 }
 
+// workerRowsRequest asks an instance that follows the list of workers for the changes of a shard's
+// workers after a version. If there are none, the instance waits for one.
+type workerRowsRequest struct {
+	Shard shardID
+	After table.Version
+	Wait  time.Duration
+}
+
+// workerRowsAnswer has the changes, without those that are only heartbeats.
+type workerRowsAnswer struct {
+	// Version is the version up to which the changes are complete.
+	Version table.Version
+	// Age is the time since the instance read the list from the store.
+	Age time.Duration
+	// Changes has the changes as a changesEncoder encodes them, nil if there are none.
+	Changes []byte `json:",omitempty"`
+}
+
 // operatorRowsRequest asks an instance of the same availability zone for the changes of the
 // operator's rows after a version. If there are none, the instance waits for one.
 type operatorRowsRequest struct {
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -42,6 +42,7 @@
 	callingStore atomic.Bool
 	operatorRows *operatorRows
 	encodedPeers encodedPeers
+	workerReader *workerReader
 
 	lock sync.Mutex
 	// group has the goroutines of Run, and groupContext ends when they must.
@@ -64,6 +65,7 @@
 	}
 	n.store = monitoredStore{Store: options.Store, clock: options.Clock, counters: options.Counters, latencies: options.Latencies, log: options.Log}
 	n.operatorRows = newOperatorRows(n)
+	n.workerReader = &workerReader{node: n}
 	return n
 }
 
@@ -83,6 +85,7 @@
 	entry.Handle(server, relayCancelMethod, n.handleRelayCancel)
 	entry.Handle(server, operatorRowsMethod, n.handleOperatorRows)
 	entry.Handle(server, peersMethod, n.handlePeers)
+	entry.Handle(server, workerRowsMethod, n.workerReader.answer)
 }
 
 // Run watches the configuration and the owners of the shards until ctx ends. It claims
--- a/internal/entry/dispatcher/worker_list.go
+++ b/internal/entry/dispatcher/worker_list.go
@@ -42,7 +42,9 @@
 }
 
 func (o *owner) mirrorWorkers() *table.Mirror {
-	return o.node.mirror("Workers", o.node.Catalog.WorkersPrefix(), workersWatchInterval, o.applyWorkers)
+	m := o.node.mirror("Workers", o.node.Catalog.WorkersPrefix(), workersWatchInterval, o.applyWorkers)
+	m.Watcher = &workerRows{Watcher: m.Watcher, node: o.node, shard: o.shard.id, retryAt: map[membership.InstanceID]time.Time{}}
+	return m
 }
 
 // applyWorkers applies the platform's list of workers.
