--- a/internal/decision/mechanism/mechanism.go
+++ b/internal/decision/mechanism/mechanism.go
@@ -45,6 +45,7 @@
 	OwnerRebalance
 	ZoneReader
 	Replacement
+	FanIn
 	count
 )
 
@@ -86,6 +87,7 @@
 	OwnerRebalance:       {"OwnerRebalance", "instances that own more shards than others"},
 	ZoneReader:           {"ZoneReader", "a large configuration that all instances of an availability zone read over one link"},
 	Replacement:          {"Replacement", "many workers that are replaced one after the other"},
+	FanIn:                {"FanIn", "hundreds of instances that read the same rows and call the same owners"},
 }
 
 // Info returns the name of the mechanism and the load that it answers.
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -43,13 +43,18 @@
 	callingStore atomic.Bool
 	operatorRows *operatorRows
 	// stateReads bounds the reads of the store for state queries that run at the same time.
-	stateReads *semaphore.Weighted
+	stateReads   *semaphore.Weighted
+	encodedPeers encodedPeers
+	workerReader *workerReader
 
 	lock sync.Mutex
 	// group has the goroutines of Run, and groupContext ends when they must.
 	group        *errgroup.Group
 	groupContext context.Context
 	peers        map[membership.InstanceID]knownPeer
+	// workersReadAt is when this instance last read the list of workers to choose the layout, and
+	// layoutChooserAt when another one last reported that it does so.
+	workersReadAt, layoutChooserAt time.Time
 	// peersRequestedAt is when this instance last asked a peer for the instances that it
 	// knows.
 	peersRequestedAt time.Time
@@ -68,6 +73,7 @@
 	}
 	n.store = monitoredStore{Store: options.Store, clock: options.Clock, counters: options.Counters, latencies: options.Latencies, log: options.Log}
 	n.operatorRows = newOperatorRows(n)
+	n.workerReader = &workerReader{node: n}
 	return n
 }
 
@@ -86,6 +92,8 @@
 	entry.Handle(server, relaySubmitMethod, n.handleRelaySubmit)
 	entry.Handle(server, relayCancelMethod, n.handleRelayCancel)
 	entry.Handle(server, operatorRowsMethod, n.handleOperatorRows)
+	entry.Handle(server, peersMethod, n.handlePeers)
+	entry.Handle(server, workerRowsMethod, n.workerReader.answer)
 }
 
 // Run watches the configuration and the owners of the shards until ctx ends. It claims
@@ -104,6 +112,8 @@
 			return err
 		}
 		shards := n.setLayout(layout)
+		n.meetPeers(ctx)
+		group.Go(func() error { return n.runDirectory(ctx) })
 		for _, s := range shards {
 			group.Go(func() error { return s.monitorOwner(ctx) })
 		}
