Reserve room for large tasks and backfill small ones

Cause: a task that needs more processors than any gap has waits while smaller ones take each gap first.

Change: from the forecast of each worker's room, the owner reserves room for the largest tasks that are passed by smaller ones, lets others go ahead into it if they end before or fit beside, and counts reservations that miss their time. Mechanisms Reservations and Backfill.

--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -48,6 +48,8 @@
 	Evidence *Evidence
 	// LongDowntime is set if the decision is about a task that is down for long.
 	LongDowntime *LongDowntime
+	// Reservation is set if the decision is about a reservation.
+	Reservation *ReservationRoom
 	// ShardRoom is set if the decision records the room of the shard.
 	ShardRoom *ShardRoom
 }
@@ -160,6 +162,9 @@
 	fillerDemand map[Image]float64
 	scarcity     scarcity
 	startAnswers startAnswers
+	// reservations keeps room for large tasks, and largeTasks has those that found none lately.
+	reservations reservations
+	largeTasks   largeTasks
 	// stepsWithHold has the steps for whose tasks a worker is held.
 	stepsWithHold map[*step]bool
 	// unplaceable has the shapes of tasks for which no worker was found in this tick,
@@ -192,6 +197,7 @@
 		unloadedTails:        map[Image]unloadedTail{},
 		unplaceable:          map[shape]resource.Vector{},
 		stepsWithHold:        map[*step]bool{},
+		largeTasks:           largeTasks{},
 	}
 }
 
--- a/internal/decision/dispatch/forecast.go
+++ b/internal/decision/dispatch/forecast.go
@@ -52,3 +52,28 @@
 	r.Sort()
 	return r
 }
+
+// backfillShare is the share of a class whose runs end by the time for which a backfilled task is expected
+// to run, and unknownClassFactor is what replaces it while too few runs of the class have ended.
+const (
+	backfillShare      = 0.9
+	unknownClassFactor = 2
+)
+
+// cautiousDuration returns the time that most runs of the step's tasks don't exceed on a worker.
+func (e *Engine) cautiousDuration(s *step, w *worker) time.Duration {
+	if !e.durations.Knows(s.class()) {
+		return e.durationOn(s, w, unknownClassFactor*s.Estimate)
+	}
+	return e.durationOn(s, w, e.durations.Quantile(s.class(), s.Estimate, backfillShare))
+}
+
+// durationOn returns how long a run takes on a worker that may be slow or away from the step's data, from
+// its duration elsewhere.
+func (e *Engine) durationOn(s *step, w *worker, elsewhere time.Duration) time.Duration {
+	factor := max(w.slowdown, 1)
+	if s.PreferredRack != "" && !w.hasLabel(s.PreferredRack) {
+		factor *= max(e.options.RemoteDurationFactor, 1)
+	}
+	return time.Duration(float64(elsewhere) * factor)
+}
--- a/internal/decision/dispatch/gang.go
+++ b/internal/decision/dispatch/gang.go
@@ -20,7 +20,14 @@
 		run = max(run, e.nextRun(t))
 	}
 	placed := e.placeGang(now, s, run)
+	if len(placed) == 0 {
+		s.beginWait(now)
+		e.reservations.noteBlocked(s)
+		return 0
+	}
+	s.blockedSince = time.Time{}
 	for _, a := range placed {
+		e.noteStart(now, a)
 		e.sendStart(now, a)
 	}
 	return len(placed)
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
 // job is a job that isn't finished, or some of whose runs haven't ended.
@@ -50,6 +52,14 @@
 	// room for the step.
 	blockedSince time.Time
 	preemptedAt  time.Time
+	// passedAt is when a smaller task last started while the step waited for room, and missedOn the worker
+	// whose reservation for the step last missed its time, until the next one is made.
+	passedAt time.Time
+	missedOn membership.InstanceID
+	// urgency is that of the job when the step was last a candidate.
+	urgency urgency
+	// refusedByReservation reports that the last search found room that is reserved.
+	refusedByReservation bool
 	// restartsUrgently reports that a task of the step needs an urgent restart in this tick.
 	restartsUrgently bool
 	// durations are the durations of the tasks that have succeeded.
--- a/internal/decision/dispatch/order.go
+++ b/internal/decision/dispatch/order.go
@@ -51,7 +51,7 @@
 		}
 		for i := range list[first:] {
 			c := &list[first+i]
-			c.urgency, c.valueDensity = u, density
+			c.urgency, c.valueDensity, c.step.urgency = u, density, u
 			c.yieldsToShortTasks = c.yieldsToShortTasks && !e.isDisabled(mechanism.YieldToShortTasks)
 		}
 	}
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -77,10 +77,11 @@
 	return best
 }
 
-// mayPlace reports whether the placement policy, the step's constraints and the free
+// mayPlace reports whether the placement policy, the step's constraints, reservations and the free
 // capacity allow the task on the worker.
 func (e *Engine) mayPlace(now time.Time, t *task, w *worker) bool {
-	return w.hasRoomBesideHold(now, t) && e.isPermitted(now, t.step, w) && e.isFeasible(now, t.step, w)
+	return w.hasRoomBesideHold(now, t) && e.isPermitted(now, t.step, w) && e.isFeasible(now, t.step, w) &&
+		(w.hold.isForMoved(now, t) || e.leavesReservedRoom(now, t.step, w))
 }
 
 // hasRoomBesideHold reports whether a task leaves enough room for another one that was moved to
@@ -162,9 +163,12 @@
 		return e.fillerCost(now, s, w, cost)
 	}
 	reservedShare := share(w.reserved.Processors+s.Resources.Processors, w.Capacity.Processors)
-	if s.LongRunning {
+	switch {
+	case s.LongRunning:
 		cost -= packingBonus * reservedShare
-	} else {
+	case e.leavesLargeGaps(now, s):
+		cost -= reservedShare
+	default:
 		cost += reservedShare
 	}
 	if s.Target > 0 {
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -21,9 +21,8 @@
 // it makes room by stopping runs of less urgent queues.
 func (e *Engine) handleBlocked(now time.Time, t *task) {
 	s := t.step
-	if s.blockedSince.IsZero() {
-		s.blockedSince = now
-	}
+	s.beginWait(now)
+	e.reservations.noteBlocked(s)
 	if s.Filler || s.LongRunning || e.isDisabled(mechanism.Preemption) || now.Sub(s.blockedSince) < preemptDelay || now.Sub(s.preemptedAt) < preemptInterval {
 		return
 	}
@@ -38,6 +37,13 @@
 	}
 }
 
+// beginWait records since when the step has waited for room.
+func (s *step) beginWait(now time.Time) {
+	if s.blockedSince.IsZero() {
+		s.blockedSince = now
+	}
+}
+
 // handleBlockedStep is like handleBlocked for a step whose tasks weren't tried because
 // no worker was found for a task of the same shape.
 func (e *Engine) handleBlockedStep(now time.Time, s *step) {
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -206,6 +206,7 @@
 		if end.Kind == EndDone && a.firstProgress.percent == 0 {
 			a.recordDuration(now)
 			e.observeDuration(now, a)
+			e.noteBackfillEnd(now, a)
 		}
 		e.releaseRun(now, a)
 	}
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -29,11 +29,13 @@
 	e.findStragglers(now)
 	e.updateScarcity(now)
 	clear(e.unplaceable)
+	e.beginReservations(now)
 	limit := min(maxStartsPerTick, e.startLimit())
 	started := e.startMovedTasks(now)
 	started += e.startUrgentRestarts(now, limit-started)
 	e.drainWorkers(now)
 	e.startTasks(now, limit-started)
+	e.reserveRoom(now)
 	e.recordLongDowntimes(now)
 	e.recordShardRoom(now)
 	e.controlInterference(now)
@@ -120,7 +122,7 @@
 // isUnplaceable reports whether no worker was found in this tick for a task of the same
 // shape that needs no more resources, and none is held for the step.
 func (e *Engine) isUnplaceable(s *step) bool {
-	if e.stepsWithHold[s] {
+	if e.stepsWithHold[s] || e.reservations.holders[s.holder()] != nil {
 		return false
 	}
 	smallest, failed := e.unplaceable[s.shape()]
@@ -138,7 +140,7 @@
 // recordUnplaceable records that no worker was found for a task, unless a constraint
 // specific to its step may be the cause.
 func (e *Engine) recordUnplaceable(now time.Time, s *step) {
-	if s.MaxPerWorker > 0 || s.OneRack || s.job.queue.NeedsAdvice || e.isExcludedFromHold(now, s) {
+	if s.MaxPerWorker > 0 || s.OneRack || s.job.queue.NeedsAdvice || s.refusedByReservation || e.isExcludedFromHold(now, s) {
 		return
 	}
 	smallest, failed := e.unplaceable[s.shape()]
@@ -173,6 +175,7 @@
 // startSingly starts up to limit waiting tasks of a step that isn't a gang and returns
 // their number.
 func (e *Engine) startSingly(now time.Time, s *step, limit int) int {
+	s.refusedByReservation = false
 	placeable := !e.isUnplaceable(s)
 	if !placeable && !e.mayForceStart(now, s) {
 		e.handleBlockedStep(now, s)
@@ -225,6 +228,7 @@
 	if t.step.Filler {
 		e.addTrialRun(w, t.step.Image)
 	}
+	e.noteStart(now, a)
 	e.sendStart(now, a)
 	return a
 }
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -102,6 +102,8 @@
 	// progressAt is when percent last increased.
 	progressAt time.Time
 	pace       pace
+	// backfillEndsBy is when a run on reserved room should have ended, or zero.
+	backfillEndsBy time.Time
 }
 
 // worker is the engine's record of a worker and of the runs that occupy its capacity.
--- a/internal/decision/forecast/forecast.go
+++ b/internal/decision/forecast/forecast.go
@@ -57,6 +57,12 @@
 	s.add(float64(took) / float64(estimate))
 }
 
+// Knows reports whether enough runs of a class have ended to correct estimates by them.
+func (d *Durations) Knows(c Class) bool {
+	s := d.classes[c]
+	return s != nil && len(s.sorted) >= minSamples
+}
+
 // Expected returns the median run time of a class for an estimate. A class that isn't known yet takes as long
 // as its callers estimate.
 func (d *Durations) Expected(c Class, estimate time.Duration) time.Duration {
@@ -65,11 +71,10 @@
 
 // Quantile returns the run time that a share of the runs of a class don't exceed, for an estimate.
 func (d *Durations) Quantile(c Class, estimate time.Duration, share float64) time.Duration {
-	s := d.classes[c]
-	if s == nil || len(s.sorted) < minSamples {
+	if !d.Knows(c) {
 		return estimate
 	}
-	return time.Duration(s.quantile(0, share) * float64(estimate))
+	return time.Duration(d.classes[c].quantile(0, share) * float64(estimate))
 }
 
 // Remaining returns the time that a run is expected to go on, at least 0. A run that has outlasted all known
--- a/internal/decision/mechanism/mechanism.go
+++ b/internal/decision/mechanism/mechanism.go
@@ -43,6 +43,8 @@
 	EstimateExchange
 	OwnerRebalance
 	ZoneReader
+	Reservations
+	Backfill
 	count
 )
 
@@ -82,6 +84,8 @@
 	EstimateExchange:     {"EstimateExchange", "images that run in several shards"},
 	OwnerRebalance:       {"OwnerRebalance", "instances that own more shards than others"},
 	ZoneReader:           {"ZoneReader", "a large configuration that all instances of an availability zone read over one link"},
+	Reservations:         {"Reservations", "large tasks that wait while smaller ones take each gap"},
+	Backfill:             {"Backfill", "small tasks that wait while room is kept for larger ones"},
 }
 
 // Info returns the name of the mechanism and the load that it answers.
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -198,6 +198,9 @@
 	if d.LongDowntime != nil {
 		line = addLongDowntime(line, d.LongDowntime)
 	}
+	if d.Reservation != nil {
+		line = addReservation(line, d.Reservation)
+	}
 	if d.ShardRoom != nil {
 		line = addShardRoom(line, d.ShardRoom)
 	}
@@ -241,6 +244,12 @@
 	return line.Int("UnavailableWithRoom", d.UnavailableWithRoom).Int("WaitingTasks", d.WaitingTasks)
 }
 
+// addReservation adds the fields of a reservation.
+func addReservation(line *zerolog.Event, r *dispatch.ReservationRoom) *zerolog.Event {
+	return line.Int("Tasks", r.Tasks).Dur("ExpectedIn", r.ExpectedIn).
+		Int64("Processors", int64(r.Resources.Processors)).Int64("Memory", int64(r.Resources.Memory))
+}
+
 // addShardRoom adds the fields of the room of a shard.
 func addShardRoom(line *zerolog.Event, r *dispatch.ShardRoom) *zerolog.Event {
 	return line.Int("Workers", r.Workers).Int("Unavailable", r.Unavailable).
@@ -266,7 +275,7 @@
 		return d.Reason == string(dispatch.StartAccepted)
 	case "TaskEnded":
 		return d.Reason == string(dispatch.EndDone)
-	case "TaskStopping", "TaskAdopted":
+	case "TaskStopping", "TaskAdopted", "ReservationMade", "ReservationMet", "ReservationMissed":
 		return true
 	}
 	return false
