--- a/internal/decision/dispatch/bench_test.go
+++ b/internal/decision/dispatch/bench_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 )
 
@@ -71,6 +72,65 @@
 	}
 }
 
+// newFullHarness returns a harness whose workers are full of short tasks that don't end, with a backlog of
+// tasks of several sizes, so that the largest have reservations.
+func newFullHarness(disabled mechanism.Set, workers, backlog int) *harness {
+	random := rand.New(rand.NewPCG(benchSeed, benchSeed))
+	h := newHarnessWithout(disabled, 1, workers)
+	h.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{
+		batchQueue: {Name: batchQueue, Service: "pool", SlackFactor: 100, TargetLatency: time.Hour},
+	})
+	for _, w := range h.workers {
+		w.info.Capacity = cores(16.5)
+	}
+	h.listWorkers()
+	h.advance(0)
+	submit := func(name string, count int) {
+		for i := range count {
+			h.submit(dispatch.JobID(fmt.Sprintf("%s-%d", name, i)), dispatch.Step{
+				Tasks: 4, Resources: cores(float64(1 + random.IntN(6))), Image: "short",
+				Estimate: time.Duration(100+random.IntN(9900)) * time.Millisecond,
+			})
+		}
+	}
+	submit("running", 2*workers)
+	for started := -1; started < len(h.starts); {
+		started = len(h.starts)
+		h.advance(200 * time.Millisecond)
+	}
+	submit("waiting", backlog)
+	h.submit("passing", dispatch.Step{Tasks: 1, Resources: cores(0.1), Estimate: time.Second})
+	h.advance(200 * time.Millisecond)
+	return h
+}
+
+// BenchmarkTickFull measures a tick with a backlog of tasks for which there is no room, with and without
+// reservations for them.
+func BenchmarkTickFull(b *testing.B) {
+	for name, disabled := range map[string]mechanism.Set{"on": 0, "off": mechanism.Of(mechanism.Reservations)} {
+		for _, workers := range []int{48, 400} {
+			b.Run(fmt.Sprintf("reservations=%s/workers=%d", name, workers), func(b *testing.B) {
+				h := newFullHarness(disabled, workers, workers)
+				passing := 0
+				for b.Loop() {
+					h.now = h.now.Add(10 * time.Millisecond)
+					if passing++; passing%10 == 0 {
+						h.submit(dispatch.JobID(fmt.Sprintf("passing-%d", passing)), dispatch.Step{Tasks: 1, Resources: cores(0.001), Estimate: time.Second})
+					}
+					if passing%100 == 0 {
+						b.StopTimer()
+						h.pollWorkers()
+						b.StartTimer()
+					}
+					h.engine.Tick(h.now)
+					h.engine.TakeCommands()
+				}
+				b.ReportMetric(float64(h.counts["Reservation.Made"]), "made")
+			})
+		}
+	}
+}
+
 // BenchmarkObserve measures the processing of a worker's report.
 func BenchmarkObserve(b *testing.B) {
 	h := newLoadedHarness(48, 144)
--- a/internal/decision/dispatch/forecast.go
+++ b/internal/decision/dispatch/forecast.go
@@ -62,10 +62,15 @@
 
 // cautiousDuration returns the time that most runs of the step's tasks don't exceed on a worker.
 func (e *Engine) cautiousDuration(s *step, w *worker) time.Duration {
+	return e.durationOn(s, w, e.cautiousEstimate(s))
+}
+
+// cautiousEstimate returns the time that most runs of the step's tasks don't exceed.
+func (e *Engine) cautiousEstimate(s *step) time.Duration {
 	if !e.durations.Knows(s.class()) {
-		return e.durationOn(s, w, unknownClassFactor*s.Estimate)
+		return unknownClassFactor * s.Estimate
 	}
-	return e.durationOn(s, w, e.durations.Quantile(s.class(), s.Estimate, backfillShare))
+	return e.durations.Quantile(s.class(), s.Estimate, backfillShare)
 }
 
 // durationOn returns how long a run takes on a worker that may be slow or away from the step's data, from
--- a/internal/decision/dispatch/reservations.go
+++ b/internal/decision/dispatch/reservations.go
@@ -18,10 +18,15 @@
 	reservationDelay = 100 * time.Millisecond
 	// reservationInterval is the time between two searches for room to reserve. Each examines all workers.
 	reservationInterval = 100 * time.Millisecond
+	// reviewInterval is the time between two updates of the reservations to the forecast.
+	reviewInterval = 50 * time.Millisecond
 	// reservationHorizon is how far ahead room is reserved. Forecasts that look further are mostly wrong.
 	reservationHorizon = 4 * time.Second
 	// passedValidity is how long after a smaller task has started a waiting one counts as passed by it.
 	passedValidity = time.Second
+	// largeTaskRatio is how many times larger than a task that starts a waiting one is passed by it. Those of
+	// similar size find room soon enough.
+	largeTaskRatio = 2
 	// agingDelay is how long tasks of late jobs wait until their reservations hold against tasks of jobs
 	// that can still end in time. It bounds the wait beside a steady flow of new small tasks.
 	agingDelay = 3 * time.Second
@@ -39,14 +44,43 @@
 type reservations struct {
 	book    reservation.Book
 	holders map[reservation.Holder]*step
-	// checkedAt is when room was last searched for.
-	checkedAt time.Time
+	// checkedAt is when room was last searched for, and reviewedAt when the reservations were last updated.
+	checkedAt  time.Time
+	reviewedAt time.Time
 	// blocked has the steps that found no room in this tick, in the order of the candidates.
 	blocked []*step
+	// refused has, by shape, the smallest tasks that found in this tick only room that is reserved.
+	refused map[shape]refusedTask
 	// smallestStarted has the smallest tasks that started in this tick.
 	smallestStarted map[ServiceName]resource.Vector
 }
 
+// refusedTask is a task that found only reserved room.
+type refusedTask struct {
+	resources resource.Vector
+	duration  time.Duration
+	rank      reservation.Rank
+}
+
+// isRefused reports whether a task that may use all room that the step's may found only reserved room in
+// this tick.
+func (e *Engine) isRefused(now time.Time, s *step) bool {
+	other, refused := e.reservations.refused[s.shape()]
+	return refused && other.resources.FitsIn(s.Resources) && other.rank <= s.rank(now) &&
+		other.duration <= e.cautiousEstimate(s)
+}
+
+// noteRefused records that the step's tasks found only reserved room.
+func (e *Engine) noteRefused(now time.Time, s *step) {
+	r := &e.reservations
+	if r.refused == nil {
+		r.refused = map[shape]refusedTask{}
+	}
+	if _, known := r.refused[s.shape()]; !known {
+		r.refused[s.shape()] = refusedTask{s.Resources, e.cautiousEstimate(s), s.rank(now)}
+	}
+}
+
 // ReservationRoom describes the room of a reservation.
 type ReservationRoom struct {
 	// Resources are what is kept, for all tasks on the worker together.
@@ -90,9 +124,11 @@
 	r := &e.reservations
 	r.blocked = r.blocked[:0]
 	clear(r.smallestStarted)
-	if r.book.Len() == 0 {
+	clear(r.refused)
+	if r.book.Len() == 0 || now.Sub(r.reviewedAt) < reviewInterval {
 		return
 	}
+	r.reviewedAt = now
 	kept := map[reservation.Holder]int{}
 	for _, made := range r.book.All() {
 		e.reviewReservation(now, made, kept)
@@ -279,7 +315,7 @@
 func (e *Engine) findPassed(now time.Time) {
 	for _, s := range e.reservations.blocked {
 		smaller, started := e.reservations.smallestStarted[s.job.queue.Service]
-		if started && smaller.Processors < s.awaitedRoom().Processors {
+		if started && largeTaskRatio*smaller.Processors <= s.awaitedRoom().Processors {
 			s.passedAt = now
 			e.largeTasks.note(now, s)
 		}
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -121,12 +121,12 @@
 
 // isUnplaceable reports whether no worker was found in this tick for a task of the same
 // shape that needs no more resources, and none is held for the step.
-func (e *Engine) isUnplaceable(s *step) bool {
+func (e *Engine) isUnplaceable(now time.Time, s *step) bool {
 	if e.stepsWithHold[s] || e.reservations.holders[s.holder()] != nil {
 		return false
 	}
 	smallest, failed := e.unplaceable[s.shape()]
-	return failed && smallest.FitsIn(s.Resources)
+	return failed && smallest.FitsIn(s.Resources) || e.isRefused(now, s)
 }
 
 func (s *step) shape() shape {
@@ -140,7 +140,11 @@
 // recordUnplaceable records that no worker was found for a task, unless a constraint
 // specific to its step may be the cause.
 func (e *Engine) recordUnplaceable(now time.Time, s *step) {
-	if s.MaxPerWorker > 0 || s.OneRack || s.job.queue.NeedsAdvice || s.refusedByReservation || e.isExcludedFromHold(now, s) {
+	if s.MaxPerWorker > 0 || s.OneRack || s.job.queue.NeedsAdvice || e.isExcludedFromHold(now, s) {
+		return
+	}
+	if s.refusedByReservation {
+		e.noteRefused(now, s)
 		return
 	}
 	smallest, failed := e.unplaceable[s.shape()]
@@ -176,7 +180,7 @@
 // their number.
 func (e *Engine) startSingly(now time.Time, s *step, limit int) int {
 	s.refusedByReservation = false
-	placeable := !e.isUnplaceable(s)
+	placeable := !e.isUnplaceable(now, s)
 	if !placeable && !e.mayForceStart(now, s) {
 		e.handleBlockedStep(now, s)
 		return 0
