Test that reservations change nothing where nothing large waits

Cause: earlier deployments are to be served as before.

Change: a flow of similar tasks makes the same starts with reservations on and off; both mechanisms are in the table of loads; the reason of a reservation says when its room is expected.

--- a/internal/decision/dispatch/mechanism_test.go
+++ b/internal/decision/dispatch/mechanism_test.go
@@ -69,6 +69,19 @@
 			h.playSlowServingTask(0, 30)
 			return h.hasStopped("may interfere with a serving task")
 		}),
+		Entry("Reservations", mechanism.Reservations, func(h *harness) bool {
+			h.occupy(3*time.Second, 2*time.Second)
+			h.await(wholeWorkerStep(1))
+			return len(h.reservedWorkers()) > 0
+		}),
+		Entry("Backfill", mechanism.Backfill, func(h *harness) bool {
+			delete(h.workers, "w1")
+			h.occupy(3 * time.Second)
+			h.await(wholeWorkerStep(1))
+			h.submit("short", smallStep(500*time.Millisecond))
+			h.advance(50 * time.Millisecond)
+			return len(h.workersOf("short")) > 0
+		}),
 		Entry("YieldToShortTasks", mechanism.YieldToShortTasks, func(h *harness) bool {
 			delete(h.workers, "w1")
 			h.listWorkers()
--- a/internal/decision/dispatch/reservations.go
+++ b/internal/decision/dispatch/reservations.go
@@ -246,7 +246,7 @@
 	switch admission {
 	case reservation.Owned:
 		e.count("Reservation.Met")
-		e.recordReservation(now, "ReservationMet", made, "", now)
+		e.recordReservation(now, "ReservationMet", made, "starts on its reserved room", now)
 		if e.reservations.book.Fulfill(w.ID, made.Holder); e.reservations.book.Count(made.Holder) == 0 {
 			delete(e.reservations.holders, made.Holder)
 		}
@@ -404,7 +404,9 @@
 			e.count("Reservation.Moved")
 		}
 		s.missedOn = ""
-		e.recordReservation(now, "ReservationMade", made, "", made.At)
+		reason := fmt.Sprintf("step %d/%d waits for room, which is expected in %s", q.Holder.Occurrence, q.Holder.Step,
+			made.At.Sub(now).Round(time.Millisecond))
+		e.recordReservation(now, "ReservationMade", made, reason, made.At)
 	}
 }
 
@@ -413,12 +415,8 @@
 	if e.options.Recorder == nil {
 		return
 	}
-	h := made.Holder
-	if reason == "" {
-		reason = fmt.Sprintf("step %d/%d", h.Occurrence, h.Step)
-	}
 	e.record(now, Decision{
-		Event: event, Job: JobID(h.Job), Worker: made.Worker, Reason: reason, Took: now.Sub(made.MadeAt),
+		Event: event, Job: JobID(made.Holder.Job), Worker: made.Worker, Reason: reason, Took: now.Sub(made.MadeAt),
 		Reservation: &ReservationRoom{Resources: made.Whole(), Tasks: made.Tasks, ExpectedIn: at.Sub(now)},
 	})
 }
--- a/internal/decision/dispatch/reservations_test.go
+++ b/internal/decision/dispatch/reservations_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -29,6 +30,8 @@
 	unit float64
 	// rate is the number of small jobs a second, and due those that are to be submitted.
 	rate, due float64
+	// similar makes all small tasks need two units, else they need one to three.
+	similar bool
 	// wrongEstimates makes tasks take 0.1 to 1.9 times their estimate, and 3 % seven times as long.
 	wrongEstimates bool
 	durations      map[dispatch.TaskRun]time.Duration
@@ -71,7 +74,7 @@
 	for at := time.Duration(0); at < total; at += flowTick {
 		for f.due += f.rate * flowTick.Seconds(); f.due >= 1; f.due-- {
 			f.enter(dispatch.JobID(fmt.Sprintf("small-%d", len(f.submittedAt))), dispatch.Step{
-				Tasks: 1, Resources: cores(f.unit * float64(1+f.random.IntN(3))), Image: "small",
+				Tasks: 1, Resources: cores(f.unit * f.smallUnits()), Image: "small",
 				Estimate: time.Duration((0.5 + f.random.Float64()) * meanSmallTask * float64(time.Second)),
 			})
 		}
@@ -79,6 +82,14 @@
 	}
 }
 
+// smallUnits returns the size of the next small task.
+func (f *flow) smallUnits() float64 {
+	if f.similar {
+		return 2
+	}
+	return float64(1 + f.random.IntN(3))
+}
+
 // step advances the time by a tick, ends the runs that are due and reports the progress of the others.
 func (f *flow) step() {
 	for _, id := range f.engine.Workers() {
@@ -103,7 +114,7 @@
 	for task := range w.running {
 		tasks = append(tasks, task)
 	}
-	slices.SortFunc(tasks, func(a, b dispatch.TaskID) int { return compareStrings(a.String(), b.String()) })
+	slices.SortFunc(tasks, func(a, b dispatch.TaskID) int { return strings.Compare(a.String(), b.String()) })
 	for _, task := range tasks {
 		run := w.running[task]
 		if _, known := f.durations[run.TaskRun]; !known {
@@ -118,16 +129,6 @@
 	}
 }
 
-func compareStrings(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // duration returns how long a run really takes.
 func (f *flow) duration(estimate time.Duration) time.Duration {
 	if !f.wrongEstimates {
@@ -202,4 +203,18 @@
 		Entry("on workers of 16 processors with wrong estimates", 16.0, true),
 		Entry("on workers of 64 processors with wrong estimates", 64.0, true),
 	)
+
+	// Guards the deployments whose tasks are alike: there nothing large waits.
+	It("change no decision where tasks are of similar size", func() {
+		play := func(disabled mechanism.Set) *flow {
+			f := newFlow(disabled, workers, 16, 1.2)
+			f.similar, f.wrongEstimates = true, true
+			f.play(15 * time.Second)
+			return f
+		}
+		with, without := play(0), play(off)
+		Expect(len(without.starts)).To(BeNumerically(">", 1000))
+		Expect(with.starts).To(Equal(without.starts))
+		Expect(with.counts["Reservation.Made"]).To(BeZero())
+	})
 })
