Reserve room by the forecast in the product's own deployment

Cause: a large job waited for 60 s beside small ones before a worker was reserved for it, whichever had the most room at that moment, and nothing ran in the room meanwhile.

--- a/internal/decision/placement/decision.go
+++ b/internal/decision/placement/decision.go
@@ -46,6 +46,7 @@
 	ReasonProbe                 DecisionReason = "Probe"
 	ReasonGang                  DecisionReason = "Gang"
 	ReasonReservation           DecisionReason = "Reservation"
+	ReasonBackfill              DecisionReason = "Backfill"
 	ReasonUrgent                DecisionReason = "MakesRoomForUrgent"
 	ReasonInterference          DecisionReason = "Interference"
 	ReasonRecovered             DecisionReason = "ServiceRecovered"
--- a/internal/decision/placement/engine.go
+++ b/internal/decision/placement/engine.go
@@ -14,7 +14,9 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/forecast"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
@@ -76,7 +78,12 @@
 	parkedCount  int
 	runningCount int
 	timers       timerHeap
-	reservations []*reservation
+	reservations []*nodeReservation
+	// disabled are the parts of the policy that aren't used.
+	disabled mechanism.Set
+	// durations has the run times that this engine has learned, and smallest the smallest late start.
+	durations forecast.Durations
+	smallest  smallStart
 	// reservingGang is the only gang that may reserve workers, if any.
 	reservingGang *job
 	dueProbes     []*node
--- /dev/null
+++ b/internal/decision/placement/forecast.go
@@ -0,0 +1,154 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/forecast"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/reservation"
+)
+
+const (
+	// forecastReserveAfter is how long a job that is passed by smaller ones waits before room is reserved
+	// for it where the forecast expects room first.
+	forecastReserveAfter = 2 * time.Second
+	// reservationHorizon is how far ahead such room is reserved.
+	reservationHorizon = 10 * time.Minute
+	// passedValidity is how long after a smaller task has started a waiting job counts as passed by it.
+	passedValidity = 10 * time.Second
+	// largeTaskRatio is how many times larger than a task that starts a waiting one is passed by it.
+	largeTaskRatio = 2
+	// expectedStopTime is how long a task takes to save its work when it is told to stop.
+	expectedStopTime = 10 * time.Second
+	// maxBackfillChecks limits the reserved workers that are examined for one task.
+	maxBackfillChecks = 64
+	// backfillShare is the share of a class whose tasks end by the time for which a backfilled one is expected
+	// to run, and unknownClassFactor is what replaces it while too few tasks of the class have ended.
+	backfillShare      = 0.9
+	unknownClassFactor = 2
+)
+
+// smallStart is the size of the smallest task that started lately.
+type smallStart struct {
+	processors resource.MilliProcessors
+	at         time.Time
+}
+
+// SetDisabled disables parts of the policy: Reservations and Backfill.
+func (e *Engine) SetDisabled(disabled mechanism.Set) {
+	e.disabled = disabled
+}
+
+// forecastClass returns the class of the job's tasks for forecasts of run times.
+func (j *job) forecastClass() forecast.Class {
+	return forecast.Class{Queue: string(j.team.name), Image: string(j.Class)}
+}
+
+// estimate returns how long a task of the job should take, or 0 if that isn't known.
+func (j *job) estimate() time.Duration {
+	if j.ExpectedDuration > 0 {
+		return j.ExpectedDuration
+	}
+	return j.class.meanDuration
+}
+
+// observeDuration learns from the run time of a successful attempt.
+func (e *Engine) observeDuration(now time.Time, a *attempt) {
+	e.durations.Observe(a.job.forecastClass(), a.job.estimate(), now.Sub(a.started))
+}
+
+// noteStartSize records the size of a started task.
+func (e *Engine) noteStartSize(now time.Time, demand resource.Vector) {
+	if demand.Processors <= e.smallest.processors || now.Sub(e.smallest.at) > passedValidity {
+		e.smallest = smallStart{demand.Processors, now}
+	}
+}
+
+// isPassed reports whether much smaller tasks start while the job waits.
+func (e *Engine) isPassed(now time.Time, j *job, demand resource.Vector) bool {
+	small := e.smallest
+	return small.at.After(j.queuedAt) && now.Sub(small.at) <= passedValidity &&
+		largeTaskRatio*small.processors <= demand.Processors
+}
+
+// expectedRoom returns the expected room of a worker. Tasks that wait for it aren't counted.
+func (e *Engine) expectedRoom(now time.Time, n *node) forecast.Room {
+	room := forecast.Room{Free: n.free()}
+	for _, a := range n.attempts {
+		if at, known := e.expectedEnd(now, a); known {
+			room.Releases = append(room.Releases, forecast.Release{At: at, Amount: a.allocated})
+		}
+	}
+	room.Sort()
+	return room
+}
+
+// expectedEnd returns when an attempt is expected to free its room, and false if that isn't known.
+func (e *Engine) expectedEnd(now time.Time, a *attempt) (time.Time, bool) {
+	switch {
+	case a.stopping:
+		return now.Add(expectedStopTime), true
+	case a.job == nil || a.job.estimate() <= 0:
+		return time.Time{}, false
+	}
+	return now.Add(e.durations.Remaining(forecast.Run{
+		Class: a.job.forecastClass(), Estimate: a.job.estimate(), Elapsed: now.Sub(a.started),
+	})), true
+}
+
+// planRoom returns the worker on which a waiting task is expected to start first, from a limited number of
+// checks, and false if the forecast expects none.
+func (e *Engine) planRoom(now time.Time, j *job, demand resource.Vector) (*node, *reservation.Reservation) {
+	request := reservation.Request{Holder: reservation.Holder{Job: string(j.ID)}, Need: demand, Tasks: 1}
+	var candidates []reservation.Candidate
+	for range min(maxReservationChecks, len(e.nodes)) {
+		e.nextNode++
+		n := e.nodes[e.nextNode%len(e.nodes)]
+		if e.suitsReservation(now, n, j, demand) {
+			candidates = append(candidates, reservation.Candidate{Worker: n.ID, Room: e.expectedRoom(now, n)})
+		}
+	}
+	plan, found := reservation.Earliest(now, now.Add(reservationHorizon), request, candidates)
+	if !found {
+		return nil, nil
+	}
+	n := e.nodesByID[plan.Places[0].Worker]
+	planned := reservation.New(now, request, plan.At, plan.Places[0])
+	planned.Refresh(now, e.expectedRoom(now, n))
+	return n, planned
+}
+
+// reviewReservation reports whether the room of a reservation isn't expected in time any more, so that it is
+// made anew elsewhere.
+func (e *Engine) reviewReservation(now time.Time, r *reservation.Reservation, n *node) (missed bool) {
+	return !r.Refresh(now, e.expectedRoom(now, n)) || r.HasMissed(now)
+}
+
+// backfill returns a reserved worker on which a task of another job may start: it is expected to end before
+// the room is needed, or leaves enough beside.
+func (e *Engine) backfill(now time.Time, j *job, demand resource.Vector) (*node, *reservation.Reservation) {
+	if e.disabled.Has(mechanism.Backfill) || j.Priority == Urgent || j.estimate() <= 0 {
+		return nil, nil
+	}
+	start := e.startOf(now, j, demand)
+	for _, r := range e.reservations[:min(len(e.reservations), maxBackfillChecks)] {
+		if r.planned == nil || r.job == j || !demand.FitsIn(r.node.free()) || !r.node.isInService(now) {
+			continue
+		}
+		if !e.tolerates(now, r.node, j, float64(demand.Processors)/1000) || r.planned.Admit(start) == reservation.Refused {
+			continue
+		}
+		return r.node, r.planned
+	}
+	return nil, nil
+}
+
+// startOf describes a start of a task for reservations.
+func (e *Engine) startOf(now time.Time, j *job, demand resource.Vector) reservation.Start {
+	longest := unknownClassFactor * j.estimate()
+	if e.durations.Knows(j.forecastClass()) {
+		longest = e.durations.Quantile(j.forecastClass(), j.estimate(), backfillShare)
+	}
+	return reservation.Start{Holder: reservation.Holder{Job: string(j.ID)}, Need: demand, EndsBy: now.Add(longest)}
+}
--- a/internal/decision/placement/lifecycle.go
+++ b/internal/decision/placement/lifecycle.go
@@ -286,6 +286,7 @@
 	if end.Outcome == Succeeded {
 		j.done++
 		delete(j.checkpoints, a.index)
+		e.observeDuration(now, a)
 		j.class.recordCompletion(now, a)
 		e.recordSuccess(now, n, a)
 	} else {
--- a/internal/decision/placement/node.go
+++ b/internal/decision/placement/node.go
@@ -129,7 +129,7 @@
 	indexPositions [indexCount]indexPosition
 	// listIndex is the position in Engine.nodes, -1 after removal.
 	listIndex              int
-	reservation            *reservation
+	reservation            *nodeReservation
 	interferenceController interference.Controller
 	health                 health
 	// lastEviction is when a task was last evicted from the worker for lack of room or
@@ -199,6 +199,11 @@
 // acceptsTasks reports whether tasks may start on the worker other than as a probe or
 // on a reservation.
 func (n *node) acceptsTasks(now time.Time) bool {
+	return n.isInService(now) && n.reservation == nil
+}
+
+// isInService reports whether tasks may start on the worker other than as a probe.
+func (n *node) isInService(now time.Time) bool {
 	if n.State == WorkerUnreachable || n.State == WorkerLeaving {
 		return false
 	}
@@ -206,7 +211,7 @@
 	if h.quarantined() || now.Before(h.backoffUntil) || h.consecutiveFailures > 0 && h.trialAttempts > 0 {
 		return false
 	}
-	return n.reservation == nil
+	return true
 }
 
 // reindex updates the position of the worker in the indexes after a change.
--- a/internal/decision/placement/place.go
+++ b/internal/decision/placement/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
 )
@@ -145,10 +146,11 @@
 			return false
 		}
 		n := e.findNode(now, j, demand)
-		if n == nil {
+		if n != nil {
+			e.startTask(now, j, n, demand, ReasonFits, Facts{})
+		} else if !e.startBackfill(now, j, demand) {
 			return e.handleNoRoom(now, j, demand)
 		}
-		e.startTask(now, j, n, demand, ReasonFits, Facts{})
 		if j.pending() == 0 {
 			break
 		}
@@ -156,6 +158,19 @@
 	return len(queue.jobs) > 0
 }
 
+// startBackfill starts a task on a worker that is reserved for a larger one, and reports whether it did.
+func (e *Engine) startBackfill(now time.Time, j *job, demand resource.Vector) bool {
+	n, planned := e.backfill(now, j, demand)
+	if n == nil {
+		return false
+	}
+	start := e.startOf(now, j, demand)
+	admission := planned.Admit(start)
+	e.startTask(now, j, n, demand, ReasonBackfill, Facts{Beneficiary: worker.JobID(planned.Holder.Job)})
+	planned.Occupy(start, admission)
+	return true
+}
+
 // handleNoRoom makes room for a job that fits no worker now. It reports whether the
 // queue may continue with another job.
 func (e *Engine) handleNoRoom(now time.Time, j *job, demand resource.Vector) bool {
@@ -334,6 +349,7 @@
 	}
 	e.addAttempt(now, j, n, a)
 	e.startsThisTick++
+	e.noteStartSize(now, demand)
 	if e.startPermit.MaxStartsPerSecond > 0 {
 		e.startTokens--
 	}
--- a/internal/decision/placement/reservation.go
+++ b/internal/decision/placement/reservation.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/reservation"
 )
 
 const (
@@ -25,13 +27,15 @@
 	maxReservationChecks = 128
 )
 
-// reservation keeps a worker free for a job.
-type reservation struct {
+// nodeReservation keeps a worker free for a job.
+type nodeReservation struct {
 	node  *node
 	job   *job
 	since time.Time
 	// tasks is the number of the job's tasks that are still to start on the worker.
 	tasks int
+	// planned is the plan by the forecast, or nil for a worker that was chosen without one.
+	planned *reservation.Reservation
 }
 
 // makeRoom reserves a worker for a job that fits nowhere. For an urgent job it also
@@ -41,7 +45,16 @@
 		e.makeRoomForUrgent(now, j, demand)
 		return
 	}
-	if j.reservedTasks > 0 || j.waitTime(now) < reserveAfter || len(e.reservations) >= max(len(e.nodes)/maxReservedDivisor, 1) {
+	if j.reservedTasks > 0 || len(e.reservations) >= max(len(e.nodes)/maxReservedDivisor, 1) {
+		return
+	}
+	if j.waitTime(now) >= forecastReserveAfter && e.isPassed(now, j, demand) && !e.disabled.Has(mechanism.Reservations) {
+		if n, planned := e.planRoom(now, j, demand); n != nil {
+			e.reserve(now, j, n, 1).planned = planned
+			return
+		}
+	}
+	if j.waitTime(now) < reserveAfter {
 		return
 	}
 	if n := e.mostFreeNode(now, j, demand); n != nil {
@@ -122,10 +135,7 @@
 // for a task, from a limited number of checks.
 func (e *Engine) mostFreeNode(now time.Time, j *job, demand resource.Vector) *node {
 	checks := 0
-	avoid := e.avoidsFailedWorkers(j)
-	suits := func(n *node) bool {
-		return demand.FitsIn(n.allocatable()) && n.acceptsTasks(now) && !(avoid && slices.Contains(j.failureHistory.failedOn, n.ID))
-	}
+	suits := func(n *node) bool { return e.suitsReservation(now, n, j, demand) }
 	var best *node
 	e.preemptionIndex.visitLargestFirst(func(n *node) bool {
 		checks++
@@ -147,25 +157,32 @@
 	return best
 }
 
+// suitsReservation reports whether a worker may be reserved for a task of the job.
+func (e *Engine) suitsReservation(now time.Time, n *node, j *job, demand resource.Vector) bool {
+	return demand.FitsIn(n.allocatable()) && n.acceptsTasks(now) &&
+		!(e.avoidsFailedWorkers(j) && slices.Contains(j.failureHistory.failedOn, n.ID))
+}
+
 // needsReservations reports whether a gang is still waiting for the workers reserved
 // for it.
 func (e *Engine) needsReservations(j *job) bool {
 	return e.jobs[j.ID] == j && !j.parked && !j.cancelled && len(j.running) == 0
 }
 
-func (e *Engine) reserve(now time.Time, j *job, n *node, tasks int) {
-	r := &reservation{node: n, job: j, since: now, tasks: tasks}
+func (e *Engine) reserve(now time.Time, j *job, n *node, tasks int) *nodeReservation {
+	r := &nodeReservation{node: n, job: j, since: now, tasks: tasks}
 	n.reservation = r
 	j.reservedTasks += tasks
 	e.reservations = append(e.reservations, r)
 	e.reindex(now, n)
+	return r
 }
 
-func (e *Engine) release(now time.Time, r *reservation) {
+func (e *Engine) release(now time.Time, r *nodeReservation) {
 	r.node.reservation = nil
 	r.job.reservedTasks -= r.tasks
 	r.tasks = 0
-	e.reservations = slices.DeleteFunc(e.reservations, func(other *reservation) bool { return other == r })
+	e.reservations = slices.DeleteFunc(e.reservations, func(other *nodeReservation) bool { return other == r })
 	e.reindex(now, r.node)
 }
 
@@ -198,7 +215,7 @@
 }
 
 // reservationObsolete reports whether a reservation serves no purpose any more.
-func (e *Engine) reservationObsolete(now time.Time, r *reservation) bool {
+func (e *Engine) reservationObsolete(now time.Time, r *nodeReservation) bool {
 	j := r.job
 	if e.jobs[j.ID] != j || j.cancelled || j.parked || j.pending() == 0 || j.Gang && len(j.running) > 0 {
 		return true
@@ -206,12 +223,15 @@
 	if !e.demand(j).FitsIn(r.node.allocatable()) {
 		return true
 	}
+	if r.planned != nil && e.reviewReservation(now, r.planned, r.node) {
+		return true
+	}
 	return j.Priority == Urgent && !j.Gang && now.Sub(r.since) > maxUrgentReservation
 }
 
 // startOnReserved starts the job's tasks on its reserved worker as far as they fit, and
 // preempts others if the job has waited too long.
-func (e *Engine) startOnReserved(now time.Time, r *reservation) {
+func (e *Engine) startOnReserved(now time.Time, r *nodeReservation) {
 	j, n := r.job, r.node
 	demand := e.demand(j)
 	for r.tasks > 0 && j.pending() > 0 && demand.FitsIn(n.free()) {
--- a/internal/decision/reservation/book.go
+++ b/internal/decision/reservation/book.go
@@ -36,6 +36,14 @@
 	spare      resource.Vector
 }
 
+// New returns a reservation for tasks of a request on one worker of its plan.
+func New(now time.Time, q Request, at time.Time, place Place) *Reservation {
+	return &Reservation{
+		Holder: q.Holder, Rank: q.Rank, Worker: place.Worker, Tasks: place.Tasks, Need: q.Need,
+		MadeAt: now, At: at, expectedAt: at,
+	}
+}
+
 // Whole returns the room that the reservation keeps.
 func (r *Reservation) Whole() resource.Vector {
 	var sum resource.Vector
@@ -154,10 +162,7 @@
 	}
 	made := make([]*Reservation, len(p.Places))
 	for i, place := range p.Places {
-		made[i] = &Reservation{
-			Holder: q.Holder, Rank: q.Rank, Worker: place.Worker, Tasks: place.Tasks, Need: q.Need,
-			MadeAt: now, At: p.At, expectedAt: p.At,
-		}
+		made[i] = New(now, q, p.At, place)
 		b.byWorker[place.Worker] = made[i]
 	}
 	return made
