Release the reservations of jobs that other shards take

Cause: a job that was withdrawn kept its room until the reservation had missed its time.

Change: a reservation whose job the engine doesn't have any more is released.

--- a/internal/decision/dispatch/reservation_failure_test.go
+++ b/internal/decision/dispatch/reservation_failure_test.go
@@ -173,17 +173,23 @@
 		Expect(h.counts["Reservation.Released"]).To(BeEquivalentTo(1))
 	})
 
-	It("is released when the job is cancelled", func() {
+	DescribeTable("is released when its job is gone", func(leave func(*harness)) {
 		h := newHarness(1, 1)
 		h.occupy(3 * time.Second)
 		h.await(wholeWorkerStep(1))
 		h.submit("long", smallStep(time.Minute))
 		h.advance(50 * time.Millisecond)
 		Expect(h.workersOf("long")).To(BeEmpty())
-		h.engine.Cancel(h.now, "large")
+		leave(h)
 		h.advance(50 * time.Millisecond)
 		Expect(h.workersOf("long")).To(HaveLen(1))
-	})
+		Expect(h.counts["Reservation.Missed"]).To(BeZero())
+	},
+		Entry("because it is cancelled", func(h *harness) { h.engine.Cancel(h.now, "large") }),
+		Entry("because it is given to another shard", func(h *harness) {
+			Expect(h.engine.Withdraw(h.now, "large")).To(BeTrue())
+		}),
+	)
 
 	It("is on workers that the step's constraints allow", func() {
 		h := newHarness(1, 3)
--- a/internal/decision/dispatch/reservations.go
+++ b/internal/decision/dispatch/reservations.go
@@ -142,7 +142,8 @@
 		return
 	}
 	s, w := e.reservations.holders[made.Holder], e.workers[made.Worker]
-	if !s.mayHoldReservation(now) || kept[made.Holder]+made.Tasks > s.waitingTasks(now) {
+	isKnown := e.jobs[s.id.Job] == s.job
+	if !isKnown || !s.mayHoldReservation(now) || kept[made.Holder]+made.Tasks > s.waitingTasks(now) {
 		e.count("Reservation.Released")
 		e.dropReservation(made)
 		return
