--- a/internal/decision/placement/forecast.go
+++ b/internal/decision/placement/forecast.go
@@ -97,10 +97,28 @@
 	})), true
 }
 
-// planRoom returns the worker on which a waiting task is expected to start first, from a limited number of
-// checks, and false if the forecast expects none.
-func (e *Engine) planRoom(now time.Time, j *job, demand resource.Vector) (*node, *reservation.Reservation) {
-	request := reservation.Request{Holder: reservation.Holder{Job: string(j.ID)}, Need: demand, Tasks: 1}
+// reserveByForecast reserves the workers on which waiting tasks of a job are expected to start together
+// first, and reports whether it did. It does so only for a job that is passed by smaller ones.
+func (e *Engine) reserveByForecast(now time.Time, j *job, demand resource.Vector, tasks int) bool {
+	if e.disabled.Has(mechanism.Reservations) || j.waitTime(now) < forecastReserveAfter || !e.isPassed(now, j, multiply(demand, tasks)) {
+		return false
+	}
+	request := reservation.Request{Holder: reservation.Holder{Job: string(j.ID)}, Need: demand, Tasks: tasks}
+	plan, found := reservation.Earliest(now, now.Add(reservationHorizon), request, e.reservationCandidates(now, j, demand))
+	if !found {
+		return false
+	}
+	for _, place := range plan.Places {
+		n := e.nodesByID[place.Worker]
+		planned := reservation.New(now, request, plan.At, place)
+		planned.Refresh(now, e.expectedRoom(now, n))
+		e.reserve(now, j, n, place.Tasks).planned = planned
+	}
+	return true
+}
+
+// reservationCandidates returns workers that may be reserved for the job, from a limited number of checks.
+func (e *Engine) reservationCandidates(now time.Time, j *job, demand resource.Vector) []reservation.Candidate {
 	var candidates []reservation.Candidate
 	for range min(maxReservationChecks, len(e.nodes)) {
 		e.nextNode++
@@ -109,14 +127,7 @@
 			candidates = append(candidates, reservation.Candidate{Worker: n.ID, Room: e.expectedRoom(now, n)})
 		}
 	}
-	plan, found := reservation.Earliest(now, now.Add(reservationHorizon), request, candidates)
-	if !found {
-		return nil, nil
-	}
-	n := e.nodesByID[plan.Places[0].Worker]
-	planned := reservation.New(now, request, plan.At, plan.Places[0])
-	planned.Refresh(now, e.expectedRoom(now, n))
-	return n, planned
+	return candidates
 }
 
 // reviewReservation reports whether the room of a reservation isn't expected in time any more, so that it is
--- a/internal/decision/placement/forecast_test.go
+++ b/internal/decision/placement/forecast_test.go
@@ -150,6 +150,34 @@
 		Expect(fill(reserve(mechanism.Of(mechanism.Backfill)), 10*time.Second)).To(HaveLen(1))
 	})
 
+	It("wait for all members of a gang, and are given up together", func() {
+		f := newFixture(3, 16)
+		Expect(f.AddJob(f.now, testJob("busy", 3, 12))).To(Succeed())
+		busy := ofKind(f.step(time.Second), Start)
+		gang := testJob("gang", 2, 16)
+		gang.Gang = true
+		Expect(f.AddJob(f.now, gang)).To(Succeed())
+		for i := range 6 {
+			Expect(f.AddJob(f.now, testJob(fmt.Sprintf("passing-%d", i), 1, 1))).To(Succeed())
+			for _, d := range ofKind(f.step(time.Second), Start) {
+				f.end(d, Succeeded)
+			}
+		}
+		Expect(f.reservations).To(HaveLen(2))
+		lost := f.reservations[0].node.Worker
+		lost.State = WorkerLeaving
+		f.SetWorker(f.now, lost)
+		Expect(f.reservations).To(BeEmpty())
+		for _, d := range busy {
+			if d.Worker != lost.ID {
+				f.end(d, Succeeded)
+			}
+		}
+		starts := ofKind(f.step(time.Second), Start)
+		starts = append(starts, ofKind(f.step(time.Second), Start)...)
+		Expect(starts).To(ConsistOf(HaveField("Job", worker.JobID("gang")), HaveField("Job", worker.JobID("gang"))))
+	})
+
 	It("move when the worker leaves", func() {
 		f := reserve(0)
 		leaving := f.reservations[0].node
--- a/internal/decision/placement/health.go
+++ b/internal/decision/placement/health.go
@@ -257,7 +257,7 @@
 	facts := Facts{Failures: h.consecutiveFailures, Jobs: len(h.failedJobs), Message: h.lastMessage}
 	e.record(Decision{Kind: Quarantine, Worker: n.ID, Reason: ReasonFailsSeveralJobs, Facts: facts})
 	if n.reservation != nil {
-		e.release(now, n.reservation)
+		e.giveUp(now, n.reservation)
 	}
 	e.backOff(now, n, h.probeDelay)
 }
--- a/internal/decision/placement/node.go
+++ b/internal/decision/placement/node.go
@@ -325,7 +325,7 @@
 	e.addAllocatable(n)
 	e.setServices(n)
 	if n.reservation != nil && n.State != "" && n.State != WorkerAvailable {
-		e.release(now, n.reservation)
+		e.giveUp(now, n.reservation)
 	}
 	e.reindex(now, n)
 	if startsLeaving {
@@ -342,7 +342,7 @@
 		return
 	}
 	if n.reservation != nil {
-		e.release(now, n.reservation)
+		e.giveUp(now, n.reservation)
 	}
 	for len(n.attempts) > 0 {
 		a := n.attempts[len(n.attempts)-1]
--- a/internal/decision/placement/reservation.go
+++ b/internal/decision/placement/reservation.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
-	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/reservation"
 )
 
@@ -48,13 +47,7 @@
 	if j.reservedTasks > 0 || len(e.reservations) >= max(len(e.nodes)/maxReservedDivisor, 1) {
 		return
 	}
-	if j.waitTime(now) >= forecastReserveAfter && e.isPassed(now, j, demand) && !e.disabled.Has(mechanism.Reservations) {
-		if n, planned := e.planRoom(now, j, demand); n != nil {
-			e.reserve(now, j, n, 1).planned = planned
-			return
-		}
-	}
-	if j.waitTime(now) < reserveAfter {
+	if e.reserveByForecast(now, j, demand, 1) || j.waitTime(now) < reserveAfter {
 		return
 	}
 	if n := e.mostFreeNode(now, j, demand); n != nil {
@@ -186,6 +179,16 @@
 	e.reindex(now, r.node)
 }
 
+// giveUp releases a reservation that can't be used, and those of the other members of a gang that were
+// planned with it.
+func (e *Engine) giveUp(now time.Time, r *nodeReservation) {
+	if r.job.Gang && r.planned != nil {
+		e.releaseAll(now, r.job)
+		return
+	}
+	e.release(now, r)
+}
+
 func (e *Engine) releaseAll(now time.Time, j *job) {
 	for _, r := range slices.Clone(e.reservations) {
 		if r.job == j {
@@ -204,7 +207,7 @@
 			continue
 		}
 		if e.reservationObsolete(now, r) {
-			e.release(now, r)
+			e.giveUp(now, r)
 			continue
 		}
 		if r.job.Gang {
@@ -260,6 +263,9 @@
 	}
 	waited := j.waitTime(now)
 	if j.Priority != Urgent && waited < reserveAfter {
+		if j.reservedTasks == 0 && e.reserveByForecast(now, j, demand, j.pending()) {
+			e.reservingGang = j
+		}
 		return
 	}
 	e.reservingGang = j
--- a/internal/decision/reservation/book.go
+++ b/internal/decision/reservation/book.go
@@ -31,6 +31,9 @@
 	// MadeAt is when the reservation was made, and At when the room was expected then.
 	MadeAt time.Time
 	At     time.Time
+	// together reports that tasks on other workers start at the same time, so that the room isn't needed
+	// before.
+	together bool
 	// expectedAt is when the room is expected now, and spare what is left beside the reservation then.
 	expectedAt time.Time
 	spare      resource.Vector
@@ -40,7 +43,7 @@
 func New(now time.Time, q Request, at time.Time, place Place) *Reservation {
 	return &Reservation{
 		Holder: q.Holder, Rank: q.Rank, Worker: place.Worker, Tasks: place.Tasks, Need: q.Need,
-		MadeAt: now, At: at, expectedAt: at,
+		MadeAt: now, At: at, together: q.Tasks > 1, expectedAt: at,
 	}
 }
 
@@ -69,6 +72,9 @@
 	if !fits {
 		return false
 	}
+	if r.together && r.At.After(at) {
+		at = r.At
+	}
 	r.expectedAt = at
 	r.spare = room.FreeAt(at).Sub(r.Whole())
 	return true
--- a/internal/decision/reservation/reservation_test.go
+++ b/internal/decision/reservation/reservation_test.go
@@ -160,6 +160,18 @@
 		Expect(made.HasMissed(now)).To(BeTrue())
 	})
 
+	It("of a gang isn't needed before all members have room", func() {
+		early := room(4)
+		p, _ := reservation.Earliest(now, after(10), request(4, 2), []reservation.Candidate{
+			candidate("a", early), candidate("b", room(0, release(3, 4))),
+		})
+		made := (&reservation.Book{}).Add(now, request(4, 2), p)
+		Expect(made).To(HaveLen(2))
+		Expect(made[0].Worker).To(BeEquivalentTo("a"))
+		Expect(made[0].Refresh(now, early)).To(BeTrue())
+		Expect(made[0].Admit(small(4, 3))).To(Equal(reservation.Backfilled))
+	})
+
 	It("is given up when its room will never be free", func() {
 		_, made := reserve()
 		Expect(made.Refresh(now, room(4))).To(BeFalse())
