Reserve room late and keep gaps large early

Change: room is reserved after 3 s, for tasks of four times the size, on one worker in sixty, against all tasks of the same priority; small tasks go where they leave the least room as soon as larger ones are passed (LargeGaps). A run of a class that isn't known is expected to end by its estimate until it has outlasted it.

--- a/internal/decision/dispatch/mechanism_test.go
+++ b/internal/decision/dispatch/mechanism_test.go
@@ -82,6 +82,16 @@
 			h.advance(50 * time.Millisecond)
 			return len(h.workersOf("short")) > 0
 		}),
+		Entry("LargeGaps", mechanism.LargeGaps, func(h *harness) bool {
+			h.occupy(3*time.Second, 3*time.Second)
+			h.submit("beside", dispatch.Step{Tasks: 1, Resources: cores(1), Image: "busy", Estimate: time.Minute})
+			h.advance(50 * time.Millisecond)
+			h.submit("large", wholeWorkerStep(1))
+			h.pass(200 * time.Millisecond)
+			h.submit("small", smallStep(time.Second))
+			h.advance(50 * time.Millisecond)
+			return slices.Equal(h.workersOf("small"), h.workersOf("beside"))
+		}),
 		Entry("YieldToShortTasks", mechanism.YieldToShortTasks, func(h *harness) bool {
 			delete(h.workers, "w1")
 			h.listWorkers()
--- a/internal/decision/dispatch/reservations.go
+++ b/internal/decision/dispatch/reservations.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// reservationDelay is how long a task waits before room is reserved for it. Most gaps are large enough
-	// within that time.
-	reservationDelay = 100 * time.Millisecond
+	// reservationDelay is how long a task waits before room is reserved for it. Reserved room is idle in part,
+	// which costs the other tasks more than a short wait costs a large one.
+	reservationDelay = 3 * time.Second
 	// reservationInterval is the time between two searches for room to reserve. Each examines all workers.
 	reservationInterval = 100 * time.Millisecond
 	// reviewInterval is the time between two updates of the reservations to the forecast.
@@ -26,16 +26,11 @@
 	passedValidity = time.Second
 	// largeTaskRatio is how many times larger than a task that starts a waiting one is passed by it. Those of
 	// similar size find room soon enough.
-	largeTaskRatio = 2
-	// agingDelay is how long tasks of late jobs wait until their reservations hold against tasks of jobs
-	// that can still end in time. It bounds the wait beside a steady flow of new small tasks.
-	agingDelay = 3 * time.Second
+	largeTaskRatio = 4
 	// maxReservingSteps limits the steps for which room is searched at a time.
 	maxReservingSteps = 16
 	// workersPerReservation limits the workers with reservations: at most one in this many.
-	workersPerReservation = 12
-	// ranksPerPriority is the number of urgencies, which order the tasks of a priority.
-	ranksPerPriority = int(overdue) + 1
+	workersPerReservation = 60
 	// urgentRank is that of tasks that reservations never hold up.
 	urgentRank reservation.Rank = -1
 )
@@ -66,7 +61,7 @@
 // this tick.
 func (e *Engine) isRefused(now time.Time, s *step) bool {
 	other, refused := e.reservations.refused[s.shape()]
-	return refused && other.resources.FitsIn(s.Resources) && other.rank <= s.rank(now) &&
+	return refused && other.resources.FitsIn(s.Resources) && other.rank <= s.rank() &&
 		other.duration <= e.cautiousEstimate(s)
 }
 
@@ -77,7 +72,7 @@
 		r.refused = map[shape]refusedTask{}
 	}
 	if _, known := r.refused[s.shape()]; !known {
-		r.refused[s.shape()] = refusedTask{s.Resources, e.cautiousEstimate(s), s.rank(now)}
+		r.refused[s.shape()] = refusedTask{s.Resources, e.cautiousEstimate(s), s.rank()}
 	}
 }
 
@@ -108,15 +103,11 @@
 }
 
 // rank returns what the step's tasks may take of reserved room.
-func (s *step) rank(now time.Time) reservation.Rank {
+func (s *step) rank() reservation.Rank {
 	if s.restartsUrgently {
 		return urgentRank
 	}
-	rank := s.job.queue.Priority * ranksPerPriority
-	if !s.blockedSince.IsZero() && now.Sub(s.blockedSince) >= agingDelay {
-		return reservation.Rank(rank)
-	}
-	return reservation.Rank(rank + int(s.urgency))
+	return reservation.Rank(s.job.queue.Priority)
 }
 
 // beginReservations begins the records of a tick and updates the reservations to what is known now.
@@ -225,7 +216,7 @@
 
 // startOf describes a start of the step's task on a worker for reservations.
 func (e *Engine) startOf(now time.Time, s *step, w *worker) reservation.Start {
-	start := reservation.Start{Holder: s.holder(), Rank: s.rank(now), Need: s.Reserved()}
+	start := reservation.Start{Holder: s.holder(), Rank: s.rank(), Need: s.Reserved()}
 	if !s.LongRunning {
 		start.EndsBy = now.Add(e.cautiousDuration(s, w))
 	}
@@ -235,9 +226,6 @@
 // noteStart accounts for the start of a task in the reservations.
 func (e *Engine) noteStart(now time.Time, a *attempt) {
 	s, w := a.task.step, a.worker
-	if e.isDisabled(mechanism.Reservations) {
-		return
-	}
 	e.reservations.noteSize(s)
 	made := e.reservations.book.On(w.ID)
 	if made == nil {
@@ -289,12 +277,9 @@
 
 // reserveRoom reserves room for the largest of the tasks that found none while smaller ones started.
 func (e *Engine) reserveRoom(now time.Time) {
-	if e.isDisabled(mechanism.Reservations) {
-		return
-	}
 	e.findPassed(now)
 	r := &e.reservations
-	if e.recovering || len(r.blocked) == 0 || now.Sub(r.checkedAt) < reservationInterval {
+	if e.isDisabled(mechanism.Reservations) || e.recovering || len(r.blocked) == 0 || now.Sub(r.checkedAt) < reservationInterval {
 		return
 	}
 	r.checkedAt = now
@@ -316,10 +301,15 @@
 func (e *Engine) findPassed(now time.Time) {
 	for _, s := range e.reservations.blocked {
 		smaller, started := e.reservations.smallestStarted[s.job.queue.Service]
-		if started && largeTaskRatio*smaller.Processors <= s.awaitedRoom().Processors {
-			s.passedAt = now
+		if !started {
+			continue
+		}
+		if smaller.Processors < s.Reserved().Processors {
 			e.largeTasks.note(now, s)
 		}
+		if largeTaskRatio*smaller.Processors <= s.awaitedRoom().Processors {
+			s.passedAt = now
+		}
 	}
 }
 
@@ -333,7 +323,7 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b *step) int {
-		return cmp.Or(cmp.Compare(a.rank(now), b.rank(now)),
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()),
 			cmp.Compare(b.awaitedRoom().Processors, a.awaitedRoom().Processors))
 	})
 	return list[:min(len(list), maxReservingSteps)]
@@ -352,7 +342,7 @@
 
 // reserveFor reserves room for the step's waiting tasks, as long as fewer workers than the limit are reserved.
 func (e *Engine) reserveFor(now time.Time, s *step, rooms map[*worker]forecast.Room, limit int) {
-	request := reservation.Request{Holder: s.holder(), Rank: s.rank(now), Need: s.Reserved(), Tasks: 1}
+	request := reservation.Request{Holder: s.holder(), Rank: s.rank(), Need: s.Reserved(), Tasks: 1}
 	missing := s.waitingTasks(now) - e.reservations.book.Count(request.Holder)
 	if s.Gang {
 		if missing < len(s.tasks) {
@@ -421,31 +411,3 @@
 		Reservation: &ReservationRoom{Resources: made.Whole(), Tasks: made.Tasks, ExpectedIn: at.Sub(now)},
 	})
 }
-
-// largeTasks has the largest tasks of each service that were passed by smaller ones lately.
-type largeTasks map[ServiceName]largeTask
-
-type largeTask struct {
-	processors resource.MilliProcessors
-	passedAt   time.Time
-}
-
-// note records that a step was passed by smaller tasks.
-func (l largeTasks) note(now time.Time, s *step) {
-	known := l[s.job.queue.Service]
-	need := s.Reserved().Processors
-	if now.Sub(known.passedAt) > largeTaskRetention || need >= known.processors {
-		l[s.job.queue.Service] = largeTask{need, now}
-	}
-}
-
-// largeTaskRetention is for how long after a large task was passed smaller ones leave large gaps.
-const largeTaskRetention = 5 * time.Second
-
-// leavesLargeGaps reports whether the step's tasks go where they leave the least room, because larger ones
-// have found none lately.
-func (e *Engine) leavesLargeGaps(now time.Time, s *step) bool {
-	large, known := e.largeTasks[s.job.queue.Service]
-	return known && now.Sub(large.passedAt) <= largeTaskRetention && s.Resources.Processors < large.processors &&
-		!e.isDisabled(mechanism.Backfill)
-}
--- a/internal/decision/forecast/forecast.go
+++ b/internal/decision/forecast/forecast.go
@@ -88,13 +88,16 @@
 
 // expectedAfter returns the expected whole run time of a run that has gone on for its elapsed time.
 func (d *Durations) expectedAfter(r Run) time.Duration {
+	if !d.Knows(r.Class) || r.Estimate <= 0 {
+		if r.Elapsed < r.Estimate {
+			return r.Estimate
+		}
+		return 2 * r.Elapsed
+	}
 	if r.Elapsed < r.Estimate/2 {
 		return d.Expected(r.Class, r.Estimate)
 	}
 	s := d.classes[r.Class]
-	if s == nil || len(s.sorted) < minSamples || r.Estimate <= 0 {
-		return max(r.Estimate, 2*r.Elapsed)
-	}
 	elapsed := float64(r.Elapsed) / float64(r.Estimate)
 	if s.sorted[len(s.sorted)-1] <= elapsed {
 		return 2 * r.Elapsed
--- a/internal/decision/mechanism/mechanism.go
+++ b/internal/decision/mechanism/mechanism.go
@@ -45,6 +45,7 @@
 	ZoneReader
 	Reservations
 	Backfill
+	LargeGaps
 	count
 )
 
@@ -86,6 +87,7 @@
 	ZoneReader:           {"ZoneReader", "a large configuration that all instances of an availability zone read over one link"},
 	Reservations:         {"Reservations", "large tasks that wait while smaller ones take each gap"},
 	Backfill:             {"Backfill", "small tasks that wait while room is kept for larger ones"},
+	LargeGaps:            {"LargeGaps", "small tasks that fragment the room while larger ones find none"},
 }
 
 // Info returns the name of the mechanism and the load that it answers.
