Wait longer before the own deployment reserves room by the forecast

Cause: reserved room is idle in part, and most jobs find room sooner.

Change: after 15 s, for tasks of four times the size of those that start.

--- a/internal/decision/placement/forecast.go
+++ b/internal/decision/placement/forecast.go
@@ -12,13 +12,13 @@
 const (
 	// forecastReserveAfter is how long a job that is passed by smaller ones waits before room is reserved
 	// for it where the forecast expects room first.
-	forecastReserveAfter = 2 * time.Second
+	forecastReserveAfter = 15 * time.Second
 	// reservationHorizon is how far ahead such room is reserved.
 	reservationHorizon = 10 * time.Minute
 	// passedValidity is how long after a smaller task has started a waiting job counts as passed by it.
 	passedValidity = 10 * time.Second
 	// largeTaskRatio is how many times larger than a task that starts a waiting one is passed by it.
-	largeTaskRatio = 2
+	largeTaskRatio = 4
 	// expectedStopTime is how long a task takes to save its work when it is told to stop.
 	expectedStopTime = 10 * time.Second
 	// maxBackfillChecks limits the reserved workers that are examined for one task.
--- a/internal/decision/placement/forecast_test.go
+++ b/internal/decision/placement/forecast_test.go
@@ -117,6 +117,18 @@
 		Entry("with wrong estimates", true),
 	)
 
+	// waitForReservation is how long a job waits until a worker is reserved for it, with the ticks around that.
+	const waitForReservation = forecastReserveAfter + 2*time.Second
+
+	// pass lets small tasks come and go for a time.
+	pass := func(f *fixture, total time.Duration) {
+		for end := f.now.Add(total); f.now.Before(end); {
+			Expect(f.AddJob(f.now, testJob(fmt.Sprintf("passing at %s", f.now), 1, 1))).To(Succeed())
+			for _, d := range ofKind(f.step(time.Second), Start) {
+				f.end(d, Succeeded)
+			}
+		}
+	}
 	// reserve fills two workers and lets small tasks pass a job until a worker is reserved for it.
 	reserve := func(disabled mechanism.Set) *fixture {
 		f := newFixture(2, 16)
@@ -126,13 +138,7 @@
 		large := testJob("large", 1, 16)
 		large.Submitted = f.now
 		Expect(f.AddJob(f.now, large)).To(Succeed())
-		for i := range 4 {
-			passing := testJob(fmt.Sprintf("passing-%d", i), 1, 1)
-			Expect(f.AddJob(f.now, passing)).To(Succeed())
-			for _, d := range ofKind(f.step(time.Second), Start) {
-				f.end(d, Succeeded)
-			}
-		}
+		pass(f, waitForReservation)
 		Expect(f.reservations).To(HaveLen(1))
 		return f
 	}
@@ -157,12 +163,7 @@
 		gang := testJob("gang", 2, 16)
 		gang.Gang = true
 		Expect(f.AddJob(f.now, gang)).To(Succeed())
-		for i := range 6 {
-			Expect(f.AddJob(f.now, testJob(fmt.Sprintf("passing-%d", i), 1, 1))).To(Succeed())
-			for _, d := range ofKind(f.step(time.Second), Start) {
-				f.end(d, Succeeded)
-			}
-		}
+		pass(f, waitForReservation)
 		Expect(f.reservations).To(HaveLen(2))
 		lost := f.reservations[0].node.Worker
 		lost.State = WorkerLeaving
@@ -184,13 +185,7 @@
 		lost := leaving.Worker
 		lost.State = WorkerLeaving
 		f.SetWorker(f.now, lost)
-		for i := range 4 {
-			passing := testJob(fmt.Sprintf("late-%d", i), 1, 1)
-			Expect(f.AddJob(f.now, passing)).To(Succeed())
-			for _, d := range ofKind(f.step(time.Second), Start) {
-				f.end(d, Succeeded)
-			}
-		}
+		pass(f, waitForReservation)
 		Expect(f.reservations).To(HaveLen(1))
 		Expect(f.reservations[0].node).NotTo(Equal(leaving))
 	})
@@ -198,13 +193,7 @@
 	It("move when the tasks there take longer than expected", func() {
 		f := reserve(0)
 		made := f.reservations[0].planned.MadeAt
-		for i := range 100 {
-			passing := testJob(fmt.Sprintf("late-%d", i), 1, 1)
-			Expect(f.AddJob(f.now, passing)).To(Succeed())
-			for _, d := range ofKind(f.step(time.Second), Start) {
-				f.end(d, Succeeded)
-			}
-		}
+		pass(f, 2*time.Minute)
 		Expect(f.reservations).To(HaveLen(1))
 		Expect(f.reservations[0].planned.MadeAt).To(BeTemporally(">", made))
 	})
