--- a/internal/decision/dispatch/reservations.go
+++ b/internal/decision/dispatch/reservations.go
@@ -59,14 +59,14 @@
 
 // isRefused reports whether a task that may use all room that the step's may found only reserved room in
 // this tick.
-func (e *Engine) isRefused(now time.Time, s *step) bool {
+func (e *Engine) isRefused(s *step) bool {
 	other, refused := e.reservations.refused[s.shape()]
 	return refused && other.resources.FitsIn(s.Resources) && other.rank <= s.rank() &&
 		other.duration <= e.cautiousEstimate(s)
 }
 
 // noteRefused records that the step's tasks found only reserved room.
-func (e *Engine) noteRefused(now time.Time, s *step) {
+func (e *Engine) noteRefused(s *step) {
 	r := &e.reservations
 	if r.refused == nil {
 		r.refused = map[shape]refusedTask{}
--- a/internal/decision/dispatch/restart.go
+++ b/internal/decision/dispatch/restart.go
@@ -73,7 +73,7 @@
 		if blocked[s] || now.Before(t.nextSearchAt) {
 			continue
 		}
-		if e.isUnplaceable(now, s) {
+		if e.isUnplaceable(s) {
 			blocked[s] = true
 			continue
 		}
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -121,12 +121,12 @@
 
 // isUnplaceable reports whether no worker was found in this tick for a task of the same
 // shape that needs no more resources, and none is held for the step.
-func (e *Engine) isUnplaceable(now time.Time, s *step) bool {
+func (e *Engine) isUnplaceable(s *step) bool {
 	if e.stepsWithHold[s] || e.reservations.holders[s.holder()] != nil {
 		return false
 	}
 	smallest, failed := e.unplaceable[s.shape()]
-	return failed && smallest.FitsIn(s.Resources) || e.isRefused(now, s)
+	return failed && smallest.FitsIn(s.Resources) || e.isRefused(s)
 }
 
 func (s *step) shape() shape {
@@ -144,7 +144,7 @@
 		return
 	}
 	if s.refusedByReservation {
-		e.noteRefused(now, s)
+		e.noteRefused(s)
 		return
 	}
 	smallest, failed := e.unplaceable[s.shape()]
@@ -180,7 +180,7 @@
 // their number.
 func (e *Engine) startSingly(now time.Time, s *step, limit int) int {
 	s.refusedByReservation = false
-	placeable := !e.isUnplaceable(now, s)
+	placeable := !e.isUnplaceable(s)
 	if !placeable && !e.mayForceStart(now, s) {
 		e.handleBlockedStep(now, s)
 		return 0
