--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -60,6 +60,7 @@
 
 // chooseWorkerAmong is like chooseWorker but considers only eligible workers.
 func (e *Engine) chooseWorkerAmong(now time.Time, t *task, isEligible func(*worker) bool) *worker {
+	t.step.refusedByReservation = false
 	var best *worker
 	bestCost := 0.0
 	for _, w := range e.sortedWorkers {
--- a/internal/decision/dispatch/reservations.go
+++ b/internal/decision/dispatch/reservations.go
@@ -171,6 +171,7 @@
 	}
 }
 
+// dropReservation removes a reservation.
 func (e *Engine) dropReservation(made *reservation.Reservation) {
 	r := &e.reservations
 	r.book.Remove(made.Worker)
@@ -381,6 +382,7 @@
 	return list
 }
 
+// addReservation makes the reservations of a plan and takes their workers out of the rooms.
 func (e *Engine) addReservation(now time.Time, s *step, q reservation.Request, p reservation.Plan, rooms map[*worker]forecast.Room) {
 	if e.reservations.holders == nil {
 		e.reservations.holders = map[reservation.Holder]*step{}
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -179,7 +179,6 @@
 // startSingly starts up to limit waiting tasks of a step that isn't a gang and returns
 // their number.
 func (e *Engine) startSingly(now time.Time, s *step, limit int) int {
-	s.refusedByReservation = false
 	placeable := !e.isUnplaceable(s)
 	if !placeable && !e.mayForceStart(now, s) {
 		e.handleBlockedStep(now, s)
