--- a/internal/decision/dispatch/reservation_failure_test.go
+++ b/internal/decision/dispatch/reservation_failure_test.go
@@ -211,6 +211,23 @@
 		Expect(h.reservedWorkers()).To(ConsistOf(workerID(2)))
 	})
 
+	It("is on workers for which the placement policy has given a ticket", func() {
+		const advised = dispatch.QueueName("advised")
+		h := newQuietHarness(2)
+		h.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{
+			advised: {Name: advised, Service: "pool", SlackFactor: 2, TargetLatency: time.Minute, NeedsAdvice: true},
+		})
+		h.occupy(time.Second, 2*time.Second)
+		h.engine.AddJob(h.now, dispatch.Job{
+			ID: "large", Queue: advised, Accepted: h.now, Steps: []dispatch.Step{wholeWorkerStep(1)},
+		}, dispatch.Progress{}, false)
+		h.advance(10 * time.Millisecond)
+		h.engine.AdviceReceived(h.now, dispatch.AdviceRequest{Step: dispatch.StepID{Job: "large"}},
+			[]dispatch.Grant{{Worker: workerID(1), Ticket: "t"}}, time.Minute)
+		h.pass(waitForReservation)
+		Expect(h.reservedWorkers()).To(ConsistOf(workerID(1)))
+	})
+
 	It("isn't on a worker that has as many of the step's tasks as it may have", func() {
 		h := newQuietHarness(2)
 		h.workers[workerID(0)].info.Capacity = cores(10)
