Reserve room only for jobs that can end in time

A job with little slack is late when it has waited for 3 s, and room that is kept for it makes several others late.

Change: late jobs get no new reservations. Small tasks keep gaps large by what serving tasks leave, not by what short tasks take: a worker on which tasks hang is the fullest one.

--- a/internal/decision/dispatch/large_gaps.go
+++ b/internal/decision/dispatch/large_gaps.go
@@ -27,8 +27,8 @@
 	}
 }
 
-// leavesLargeGaps reports whether the step's tasks go where they leave the least room, because larger ones
-// have found none lately.
+// leavesLargeGaps reports whether the step's tasks go where serving tasks leave the least room, because larger
+// ones have found none lately.
 func (e *Engine) leavesLargeGaps(now time.Time, s *step) bool {
 	large, known := e.largeTasks[s.job.queue.Service]
 	return known && now.Sub(large.passedAt) <= largeTaskRetention && s.Resources.Processors < large.processors &&
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -37,6 +37,10 @@
 	// long-running tasks to full workers, so that the free capacity stays in pieces
 	// large enough for other tasks.
 	packingBonus = 0.5
+	// largeGapBonus is multiplied by the share of processors that serving tasks reserve. While large tasks
+	// find no room, it attracts small ones to workers whose other processors are too few for large ones anyway. Short
+	// tasks don't count for it: a worker on which they hang or take long is full of them.
+	largeGapBonus = 4.0
 	// tailLatencyCost is multiplied by the ratio of tail latency to target of the
 	// worker's serving tasks, as far as it exceeds unpenalizedTailRatio. It steers
 	// fillers to the workers with the most latency headroom.
@@ -168,7 +172,7 @@
 	case s.LongRunning:
 		cost -= packingBonus * reservedShare
 	case e.leavesLargeGaps(now, s):
-		cost -= reservedShare
+		cost += reservedShare - largeGapBonus*share(w.servingReserved, w.Capacity.Processors)
 	default:
 		cost += reservedShare
 	}
--- a/internal/decision/dispatch/reservations.go
+++ b/internal/decision/dispatch/reservations.go
@@ -315,11 +315,13 @@
 }
 
 // stepsNeedingRoom returns blocked steps for which room is to be reserved: those that go first before
-// others, and of these the largest ones.
+// others, and of these the largest ones. Steps of late jobs aren't among them: they would hold up jobs that can
+// still end in time.
 func (e *Engine) stepsNeedingRoom(now time.Time) []*step {
 	var list []*step
 	for _, s := range e.reservations.blocked {
-		if now.Sub(s.blockedSince) >= reservationDelay && now.Sub(s.passedAt) <= passedValidity && s.mayHoldReservation(now) {
+		isDue := now.Sub(s.blockedSince) >= reservationDelay && now.Sub(s.passedAt) <= passedValidity
+		if isDue && s.urgency == inTime && s.mayHoldReservation(now) {
 			list = append(list, s)
 		}
 	}
