--- a/internal/decision/forecast/forecast_test.go
+++ b/internal/decision/forecast/forecast_test.go
@@ -53,6 +53,13 @@
 		Expect(learned(1, 1, 1, 1, 1, 1, 7).Remaining(r)).To(Equal(4 * time.Second))
 	})
 
+	It("expects a run of a class that isn't known to end by its estimate until it has outlasted it", func() {
+		d := learned()
+		run := func(elapsed time.Duration) Run { return Run{Class: class, Estimate: 4 * time.Second, Elapsed: elapsed} }
+		Expect(d.Remaining(run(3 * time.Second))).To(Equal(time.Second))
+		Expect(d.Remaining(run(5 * time.Second))).To(Equal(5 * time.Second))
+	})
+
 	It("expects a run that has outlasted its whole class to go on as long again", func() {
 		r := Run{Class: class, Estimate: time.Second, Elapsed: 8 * time.Second}
 		Expect(learned(1, 1, 1, 1, 1, 1, 7).Remaining(r)).To(Equal(8 * time.Second))
