--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -30,12 +30,14 @@
 	e.findStragglers(now)
 	e.updateScarcity(now)
 	clear(e.unplaceable)
+	e.beginReservations(now)
 	limit := min(maxStartsPerTick, e.startLimit())
 	started := e.startMovedTasks(now)
 	started += e.startUrgentRestarts(now, limit-started)
 	e.drainWorkers(now)
 	started += e.startTasks(now, limit-started)
 	e.startCopies(now, limit-started)
+	e.reserveRoom(now)
 	e.recordLongDowntimes(now)
 	e.recordShardRoom(now)
 	e.controlInterference(now)
@@ -125,11 +127,11 @@
 // isUnplaceable reports whether no worker was found in this tick for a task of the same
 // shape that needs no more resources, and none is held for the step.
 func (e *Engine) isUnplaceable(s *step) bool {
-	if e.stepsWithHold[s] {
+	if e.stepsWithHold[s] || e.reservations.holders[s.holder()] != nil {
 		return false
 	}
 	smallest, failed := e.unplaceable[s.shape()]
-	return failed && smallest.FitsIn(s.Resources)
+	return failed && smallest.FitsIn(s.Resources) || e.isRefused(s)
 }
 
 func (s *step) shape() shape {
@@ -146,6 +148,10 @@
 	if s.MaxPerWorker > 0 || s.OneRack || s.job.queue.NeedsAdvice || e.isExcludedFromHold(now, s) {
 		return
 	}
+	if s.refusedByReservation {
+		e.noteRefused(s)
+		return
+	}
 	smallest, failed := e.unplaceable[s.shape()]
 	if !failed || s.Resources.FitsIn(smallest) {
 		e.unplaceable[s.shape()] = s.Resources
@@ -240,6 +246,7 @@
 	if t.step.Filler {
 		e.addTrialRun(w, t.step.Image)
 	}
+	e.noteStart(now, a)
 	e.sendStart(now, a)
 	return a
 }
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -107,6 +107,8 @@
 	// spared reports that the run would have been moved off its draining worker if no replacement were under
 	// way.
 	spared bool
+	// backfillEndsBy is when a run on reserved room should have ended, or zero.
+	backfillEndsBy time.Time
 }
 
 // worker is the engine's record of a worker and of the runs that occupy its capacity.
--- a/internal/decision/mechanism/mechanism.go
+++ b/internal/decision/mechanism/mechanism.go
@@ -46,6 +46,9 @@
 	ZoneReader
 	Replacement
 	FanIn
+	Reservations
+	Backfill
+	LargeGaps
 	count
 )
 
@@ -88,6 +91,9 @@
 	ZoneReader:           {"ZoneReader", "a large configuration that all instances of an availability zone read over one link"},
 	Replacement:          {"Replacement", "many workers that are replaced one after the other"},
 	FanIn:                {"FanIn", "hundreds of instances that read the same rows and call the same owners"},
+	Reservations:         {"Reservations", "large tasks that wait while smaller ones take each gap"},
+	Backfill:             {"Backfill", "small tasks that wait while room is kept for larger ones"},
+	LargeGaps:            {"LargeGaps", "small tasks that fragment the room while larger ones find none"},
 }
 
 // Info returns the name of the mechanism and the load that it answers.
