Mend what the review of reservations found

Cause: a task that only a reservation holds up stopped runs of less urgent queues for nothing; a task without an estimate was taken for one that ends at once; a corrected estimate could overflow; the product's own deployment backfilled workers on which a job had failed, never tasks without an estimate, and gave up unplanned reservations of a gang with the planned ones; a gang could reserve a whole shard.

Change: only a worker on which the task would start then loses a run; what has no estimate ends at no known time; corrections are at most a year; the three rules of placement are as for other starts; a gang reserves 16 workers or a quarter of all.

--- a/internal/decision/dispatch/copy.go
+++ b/internal/decision/dispatch/copy.go
@@ -163,9 +163,9 @@
 		if a == nil || a.phase != running || t.second != nil || t.done || now.Before(t.notBefore) || t.nextFailureIsLast() {
 			continue
 		}
-		end, _ := e.expectedEnd(now, a)
+		end, known := e.expectedEnd(now, a)
 		remaining := end.Sub(now)
-		if remaining <= time.Duration(copyGainFactor*float64(duration)) || !e.mayCopy(now, a) {
+		if !known || remaining <= time.Duration(copyGainFactor*float64(duration)) || !e.mayCopy(now, a) {
 			continue
 		}
 		list = append(list, copyCandidate{attempt: a, remaining: remaining, gain: remaining - duration})
--- a/internal/decision/dispatch/forecast.go
+++ b/internal/decision/dispatch/forecast.go
@@ -24,14 +24,14 @@
 	return e.durations.Expected(s.class(), s.Estimate)
 }
 
-// expectedEnd returns when a run is expected to free its room, and false if it isn't expected to end: a
-// long-running task goes on until its job is cancelled.
+// expectedEnd returns when a run is expected to free its room, and false if that isn't known: a long-running task goes
+// on until its job is cancelled, and a run without an estimate that has shown no progress for as long as it likes.
 func (e *Engine) expectedEnd(now time.Time, a *attempt) (time.Time, bool) {
 	s := a.task.step
 	switch {
 	case a.phase == stopping:
 		return a.stopSentAt.Add(e.stopTimeout()), true
-	case s.LongRunning:
+	case s.LongRunning, s.Estimate == 0 && a.projectedDuration() == 0:
 		return time.Time{}, false
 	}
 	remaining := e.durations.Remaining(forecast.Run{
@@ -80,5 +80,5 @@
 	if s.PreferredRack != "" && !w.hasLabel(s.PreferredRack) {
 		factor *= max(e.options.RemoteDurationFactor, 1)
 	}
-	return time.Duration(float64(elsewhere) * factor)
+	return forecast.Scale(elsewhere, factor)
 }
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -28,7 +28,7 @@
 	}
 	s.preemptedAt = now
 	for range min(e.startableTasks(now, s), maxVictims) {
-		victim := e.findVictim(t)
+		victim := e.findVictim(now, t)
 		if victim == nil {
 			return
 		}
@@ -79,10 +79,10 @@
 
 // findVictim returns the run of a less urgent queue whose end makes room for the task
 // and loses the least work, or nil if there is none.
-func (e *Engine) findVictim(t *task) *attempt {
+func (e *Engine) findVictim(now time.Time, t *task) *attempt {
 	var best *attempt
 	for _, w := range e.sortedWorkers {
-		if !e.meetsConstraints(t.step, w) {
+		if !e.wouldStartOn(now, t.step, w) {
 			continue
 		}
 		for _, a := range w.runs {
@@ -94,6 +94,12 @@
 	return best
 }
 
+// wouldStartOn reports whether room is all that keeps the step's tasks off a worker: it has none yet, and what becomes
+// free there isn't kept for others.
+func (e *Engine) wouldStartOn(now time.Time, s *step, w *worker) bool {
+	return e.meetsConstraints(s, w) && !s.Reserved().FitsIn(w.free()) && e.isPermitted(now, s, w) && e.leavesReservedRoom(now, s, w)
+}
+
 // isVictim reports whether the run may be stopped in favor of the step. Copies make room for first runs of their
 // own priority, too.
 func (a *attempt) isVictim(s *step) bool {
--- a/internal/decision/dispatch/replacement.go
+++ b/internal/decision/dispatch/replacement.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/forecast"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/replacement"
 )
@@ -156,7 +157,10 @@
 	if projected := a.projectedDuration(); projected > 0 {
 		return max(projected*time.Duration(100-a.percent)/100-now.Sub(a.progressAt), 0)
 	}
-	end, _ := e.expectedEnd(now, a)
+	end, known := e.expectedEnd(now, a)
+	if !known {
+		return forecast.MaxDuration
+	}
 	return end.Sub(now)
 }
 
--- a/internal/decision/dispatch/reservations.go
+++ b/internal/decision/dispatch/reservations.go
@@ -29,8 +29,11 @@
 	largeTaskRatio = 4
 	// maxReservingSteps limits the steps for which room is searched at a time.
 	maxReservingSteps = 16
-	// workersPerReservation limits the workers with reservations: at most one in this many.
-	workersPerReservation = 60
+	// workersPerReservation limits the workers with reservations: at most one in this many. A gang may reserve
+	// more: minGangWorkers, and one in workersPerGangReservation.
+	workersPerReservation     = 60
+	minGangWorkers            = 16
+	workersPerGangReservation = 4
 	// urgentRank is that of tasks that reservations never hold up.
 	urgentRank reservation.Rank = -1
 )
@@ -218,7 +221,7 @@
 // startOf describes a start of the step's task on a worker for reservations.
 func (e *Engine) startOf(now time.Time, s *step, w *worker) reservation.Start {
 	start := reservation.Start{Holder: s.holder(), Rank: s.rank(), Need: s.Reserved()}
-	if !s.LongRunning {
+	if !s.LongRunning && s.Estimate > 0 {
 		start.EndsBy = now.Add(e.cautiousDuration(s, w))
 	}
 	return start
@@ -356,7 +359,8 @@
 	candidates := e.reservationCandidates(now, s, rooms)
 	for ; missing > 0 && e.reservations.book.Len() < limit; missing-- {
 		plan, found := reservation.Earliest(now, now.Add(reservationHorizon), request, candidates)
-		if !found || e.reservations.book.Len()+len(plan.Places) > max(limit, len(plan.Places)) {
+		places := e.reservations.book.Len() + len(plan.Places)
+		if !found || places > max(limit, minGangWorkers, len(e.sortedWorkers)/workersPerGangReservation) {
 			return
 		}
 		e.addReservation(now, s, request, plan, rooms)
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -149,7 +149,9 @@
 		return
 	}
 	if s.refusedByReservation {
-		e.noteRefused(s)
+		if s.PreferredRack == "" {
+			e.noteRefused(s)
+		}
 		return
 	}
 	smallest, failed := e.unplaceable[s.shape()]
--- a/internal/decision/forecast/forecast.go
+++ b/internal/decision/forecast/forecast.go
@@ -18,6 +18,14 @@
 	minSamples = 5
 )
 
+// MaxDuration is the longest duration that is forecast.
+const MaxDuration = 365 * 24 * time.Hour
+
+// Scale returns a multiple of a duration, MaxDuration at most.
+func Scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(min(float64(d)*factor, float64(MaxDuration)))
+}
+
 // Class identifies tasks that take similarly long: those of one queue that run the same image.
 type Class struct {
 	Queue string
@@ -74,7 +82,7 @@
 	if !d.Knows(c) {
 		return estimate
 	}
-	return time.Duration(d.classes[c].quantile(0, share) * float64(estimate))
+	return Scale(estimate, d.classes[c].quantile(0, share))
 }
 
 // Remaining returns the time that a run is expected to go on, at least 0. A run that has outlasted all known
@@ -102,7 +110,7 @@
 	if s.sorted[len(s.sorted)-1] <= elapsed {
 		return 2 * r.Elapsed
 	}
-	return time.Duration(s.quantile(elapsed, 0.5) * float64(r.Estimate))
+	return Scale(r.Estimate, s.quantile(elapsed, 0.5))
 }
 
 // samples has the latest ratios of run time to estimate of a class.
--- a/internal/decision/placement/forecast.go
+++ b/internal/decision/placement/forecast.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
@@ -139,14 +140,18 @@
 // backfill returns a reserved worker on which a task of another job may start: it is expected to end before
 // the room is needed, or leaves enough beside.
 func (e *Engine) backfill(now time.Time, j *job, demand resource.Vector) (*node, *reservation.Reservation) {
-	if e.disabled.Has(mechanism.Backfill) || j.Priority == Urgent || j.estimate() <= 0 {
+	if e.disabled.Has(mechanism.Backfill) || j.Priority == Urgent {
 		return nil, nil
 	}
+	avoid := e.avoidsFailedWorkers(j)
 	start := e.startOf(now, j, demand)
 	for _, r := range e.reservations[:min(len(e.reservations), maxBackfillChecks)] {
 		if r.planned == nil || r.job == j || !demand.FitsIn(r.node.free()) || !r.node.isInService(now) {
 			continue
 		}
+		if avoid && slices.Contains(j.failureHistory.failedOn, r.node.ID) {
+			continue
+		}
 		if !e.tolerates(now, r.node, j, float64(demand.Processors)/1000) || r.planned.Admit(start) == reservation.Refused {
 			continue
 		}
@@ -155,11 +160,16 @@
 	return nil, nil
 }
 
-// startOf describes a start of a task for reservations.
+// startOf describes a start of a task for reservations. When a task without an estimate ends isn't known.
 func (e *Engine) startOf(now time.Time, j *job, demand resource.Vector) reservation.Start {
+	start := reservation.Start{Holder: reservation.Holder{Job: string(j.ID)}, Need: demand}
+	if j.estimate() <= 0 {
+		return start
+	}
 	longest := unknownClassFactor * j.estimate()
 	if e.durations.Knows(j.forecastClass()) {
 		longest = e.durations.Quantile(j.forecastClass(), j.estimate(), backfillShare)
 	}
-	return reservation.Start{Holder: reservation.Holder{Job: string(j.ID)}, Need: demand, EndsBy: now.Add(longest)}
+	start.EndsBy = now.Add(min(longest, forecast.MaxDuration))
+	return start
 }
--- a/internal/decision/placement/reservation.go
+++ b/internal/decision/placement/reservation.go
@@ -182,11 +182,15 @@
 // giveUp releases a reservation that can't be used, and those of the other members of a gang that were
 // planned with it.
 func (e *Engine) giveUp(now time.Time, r *nodeReservation) {
-	if r.job.Gang && r.planned != nil {
-		e.releaseAll(now, r.job)
+	if !r.job.Gang || r.planned == nil {
+		e.release(now, r)
 		return
 	}
-	e.release(now, r)
+	for _, other := range slices.Clone(e.reservations) {
+		if other.job == r.job && other.planned != nil {
+			e.release(now, other)
+		}
+	}
 }
 
 func (e *Engine) releaseAll(now time.Time, j *job) {
