--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -44,6 +44,8 @@
 	// follows from them and the client's estimates.
 	SlackFactor   float64
 	TargetLatency time.Duration
+	// WorkerVersion is that of a worker that joined.
+	WorkerVersion WorkerVersion
 	// Evidence is set if the decision is about runs that may be active.
 	Evidence *Evidence
 	// LongDowntime is set if the decision is about a task that is down for long.
@@ -133,6 +135,9 @@
 	// durations has the run times that this owner has learned.
 	durations           forecast.Durations
 	stragglersCheckedAt time.Time
+	// copiesCheckedAt is when runs to copy were last searched for, and copies how useful copies have been.
+	copiesCheckedAt time.Time
+	copies          copyRecord
 	// forcedFillers counts the running fillers that were started although no worker was
 	// feasible.
 	forcedFillers int
@@ -171,6 +176,7 @@
 	fillerDemand map[Image]float64
 	scarcity     scarcity
 	startAnswers startAnswers
+	replacements replacements
 	// stepsWithHold has the steps for whose tasks a worker is held.
 	stepsWithHold map[*step]bool
 	// unplaceable has the shapes of tasks for which no worker was found in this tick,
@@ -293,12 +299,12 @@
 			w = newWorker(info, now)
 			e.workers[info.ID] = w
 			e.insertWorker(w)
-			e.record(now, Decision{Event: "WorkerJoined", Worker: info.ID})
+			e.record(now, Decision{Event: "WorkerJoined", Worker: info.ID, WorkerVersion: info.Version})
 		}
 		if info.Draining && !w.Draining {
-			w.drainingAt = now
 			e.record(now, Decision{Event: "WorkerDraining", Worker: info.ID})
 		}
+		w.updateLeaveTime(now, &info)
 		// An answer from the previous address says nothing about the worker at the new
 		// one.
 		w.replaced = w.replaced && w.Address == info.Address
@@ -312,6 +318,7 @@
 			e.record(now, Decision{Event: "WorkerUnlisted", Worker: id})
 		}
 	}
+	e.observeReplacements(now, list)
 }
 
 func (e *Engine) insertWorker(w *worker) {
@@ -437,9 +444,7 @@
 	})
 	e.count("Job." + string(state))
 	j.eachTask(func(t *task) {
-		if t.attempt != nil {
-			e.stop(now, t.attempt, "job ended")
-		}
+		e.stopAttempts(now, t, "job ended")
 	})
 }
 
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -69,8 +69,9 @@
 	done bool
 	// elsewhere reports that another shard runs the task.
 	elsewhere bool
-	// attempt is the run that may be active, or nil.
+	// attempt is the run that may be active, or nil. second is another one, a copy on another worker.
 	attempt *attempt
+	second  *attempt
 	// run is the highest run number used so far, and firstRun the highest one that was used before the
 	// task was transferred to this shard.
 	run      Run
@@ -83,6 +84,8 @@
 	// restartedAsSlow reports that the task was restarted because its worker seemed
 	// slow.
 	restartedAsSlow bool
+	// replacementMoves counts the moves of a long-running task off workers that were replaced.
+	replacementMoves int
 	// movedAt is when the task was last moved to another worker.
 	movedAt time.Time
 	// lastHeldAt is when a worker was last held for the task.
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -142,7 +142,7 @@
 	e.record(now, Decision{Event: "WorkerRestarted", Worker: w.ID, Age: ev.ReportAge, Evidence: &ev})
 	w.incarnation = r.Incarnation
 	w.lastEndSeen, w.lastEndStored, w.leaseEndSent, w.possibleLeaseEnd = 0, 0, 0, 0
-	w.fenced, w.unstoredSuccesses = false, nil
+	w.fenced, w.unstoredEnds = false, nil
 	e.raiseFence(w)
 	w.dropOrphans()
 	for _, a := range w.runs {
@@ -193,23 +193,27 @@
 			continue
 		}
 		w.lastEndSeen = end.Number
-		if end.Kind == EndDone {
-			w.unstoredSuccesses = append(w.unstoredSuccesses, end)
+		if e.matters(end) {
+			w.unstoredEnds = append(w.unstoredEnds, end)
 		}
 		e.observeEnd(now, w, end)
 	}
 }
 
 func (e *Engine) observeEnd(now time.Time, w *worker, end End) {
-	startedUp := false
+	startedUp, ahead := false, true
 	if a := w.runs[end.Task]; a != nil && a.run == end.Run {
-		startedUp = a.percent >= startedUpPercent
+		startedUp, ahead = a.percent >= startedUpPercent, a.isAhead()
 		a.confirmed = true
 		a.task.beginDowntime(now, w, reasonEnded)
 		if end.Kind == EndDone && a.firstProgress.percent == 0 {
 			a.recordDuration(now)
 			e.observeDuration(now, a)
 		}
+		if end.Kind == EndDone {
+			e.recordCopyResult(a)
+			e.countSpared(a)
+		}
 		e.releaseRun(now, a)
 	}
 	w.dropOrphan(end.TaskRun)
@@ -224,7 +228,7 @@
 	t.run = max(t.run, end.Run)
 	e.record(now, Decision{Event: "TaskEnded", Task: end.TaskRun, Worker: w.ID, Reason: string(end.Kind)})
 	e.count("End." + string(end.Kind))
-	if end.Checkpoint != "" && t.checkpoint != end.Checkpoint {
+	if end.Checkpoint != "" && ahead && t.checkpoint != end.Checkpoint {
 		t.checkpoint = end.Checkpoint
 		e.markDirty(t.step.job)
 	}
@@ -240,7 +244,9 @@
 		e.succeed(now, t)
 	case end.Kind == EndFailed:
 		w.health.recordEnd(now, t.step.job.ID, true)
-		e.fail(now, t, end.Run, w)
+		if !t.done {
+			e.fail(now, t, end.Run, w)
+		}
 	}
 }
 
@@ -252,8 +258,8 @@
 	}
 	for _, member := range members {
 		member.succeed()
-		if member.attempt != nil && !t.step.Gang {
-			e.stop(now, member.attempt, "another run of the task succeeded")
+		if !t.step.Gang {
+			e.stopAttempts(now, member, "another run of the task succeeded")
 		}
 	}
 	e.markDirty(t.step.job)
@@ -316,7 +322,7 @@
 		}
 	}
 	a.measurement = r.Measurement
-	if r.Checkpoint != "" {
+	if r.Checkpoint != "" && a.isAhead() {
 		a.task.checkpoint = r.Checkpoint
 	}
 }
@@ -325,7 +331,7 @@
 // stopped, and occupies its capacity until it has ended.
 func (e *Engine) adopt(now time.Time, w *worker, r TaskRun) *attempt {
 	t := e.findTask(r.Task)
-	if t == nil || t.attempt != nil || t.elsewhere {
+	if t == nil || t.elsewhere || t.attempt != nil && !e.mayAdoptCopy(t, w) {
 		return nil
 	}
 	w.endAwaitedStop(t, r)
