--- a/internal/cmd/serveplatform/serveplatform.go
+++ b/internal/cmd/serveplatform/serveplatform.go
@@ -28,9 +28,10 @@
 	// PeerAnnounceAddress is the address that other instances are told to use; empty for the
 	// peer address of the settings file.
 	PeerAnnounceAddress string
-	// Disable has the names of the parts of the scheduling policy that aren't used, and
-	// Disabled their set.
+	// Disable has the names of the parts of the scheduling policy that aren't used, Enable those of the parts
+	// that are used although they are off by default, and Disabled the set of all that aren't used.
 	Disable  []string
+	Enable   []string
 	Disabled mechanism.Set
 	// MetricsPort is the port that serves counters and latencies as text; 0 for none.
 	MetricsPort int
@@ -72,6 +73,7 @@
 	flags.StringVar(&opts.LogLevel, "log-level", "info", "lowest `level` that is logged: debug, info, warn or error")
 	flags.DurationVar(&opts.LeaseTerm, "lease-term", defaultLeaseTerm, "`time` for which a worker runs its tasks without a renewal of its lease")
 	flags.StringVar(&opts.PeerAnnounceAddress, "announce-peer-address", "", "`address` that other entry instances are told to use, if it differs from the peer address")
+	flags.StringSliceVar(&opts.Enable, "enable", nil, "comma-separated `names` of parts of the scheduling policy that are used although they are off by default")
 	flags.StringSliceVar(&opts.Disable, "disable", nil, "comma-separated `names` of parts of the scheduling policy that aren't used; a wrong name lists all of them")
 	flags.IntVar(&opts.MetricsPort, "metrics-port", 0, "`port` that serves counters and latencies as text; 0 for none")
 	return cmd
@@ -88,10 +90,15 @@
 	if o.MetricsPort < 0 || o.MetricsPort > maxPort {
 		findings.Add("metrics-port", "it is not a port number", "give a number from 0 to 65535")
 	}
-	var err error
-	if o.Disabled, err = mechanism.Parse(o.Disable); err != nil {
+	disabled, err := mechanism.Parse(o.Disable)
+	if err != nil {
 		findings.Add("disable", err.Error(), "give names from that list, separated by commas")
 	}
+	enabled, err := mechanism.Parse(o.Enable)
+	if err != nil {
+		findings.Add("enable", err.Error(), "give names from that list, separated by commas")
+	}
+	o.Disabled = mechanism.OffByDefault().Without(enabled).Union(disabled)
 	if o.LeaseTerm < time.Second {
 		findings.Add("lease-term", "it is shorter than the replacement of a lost owner", "give 1s or more")
 	}
--- a/internal/decision/mechanism/mechanism.go
+++ b/internal/decision/mechanism/mechanism.go
@@ -121,6 +121,22 @@
 	return s
 }
 
+// OffByDefault returns the mechanisms that aren't used unless an operator enables them, because no
+// deployment so far has gained by them.
+func OffByDefault() Set {
+	return Of(LargeGaps)
+}
+
+// Without returns the set without the mechanisms of another one.
+func (s Set) Without(other Set) Set {
+	return s &^ other
+}
+
+// Union returns the mechanisms of both sets.
+func (s Set) Union(other Set) Set {
+	return s | other
+}
+
 // Has reports whether the set has the mechanism.
 func (s Set) Has(m Mechanism) bool {
 	return s&(1<<m) != 0
