--- a/internal/decision/dispatch/bench_test.go
+++ b/internal/decision/dispatch/bench_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
 const benchSeed = 7
@@ -71,6 +73,99 @@
 	}
 }
 
+// BenchmarkRelease measures the recovery record of an owner that releases its shard.
+func BenchmarkRelease(b *testing.B) {
+	for _, workers := range []int{48, 400} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			h := newLoadedHarness(workers, 3*workers)
+			for b.Loop() {
+				h.engine.Release(h.now)
+			}
+		})
+	}
+}
+
+// BenchmarkRecoveringTick measures a decision while a recorded worker hasn't listed its runs.
+func BenchmarkRecoveringTick(b *testing.B) {
+	for _, workers := range []int{48, 400} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			h := newLoadedHarness(workers, 3*workers)
+			record, _ := h.engine.Release(h.now)
+			h.engine.Resume()
+			h.engine.Recover(h.now, time.Hour)
+			for i := range record.Workers {
+				record.Workers[i].ExpireIn = time.Hour
+			}
+			record.Workers = append(record.Workers, dispatch.RecordedWorker{ID: "gone", ExpireIn: time.Hour})
+			h.engine.RecoverFrom(h.now, record)
+			for b.Loop() {
+				h.now = h.now.Add(10 * time.Millisecond)
+				h.engine.Tick(h.now)
+				h.engine.TakeCommands()
+			}
+		})
+	}
+}
+
+// newFullHarness returns a harness whose workers are full of short tasks that don't end, with a backlog of
+// tasks of several sizes, so that the largest have reservations.
+func newFullHarness(disabled mechanism.Set, workers, backlog int) *harness {
+	random := rand.New(rand.NewPCG(benchSeed, benchSeed))
+	h := newHarnessWithout(disabled, 1, workers)
+	h.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{
+		batchQueue: {Name: batchQueue, Service: "pool", SlackFactor: 100, TargetLatency: time.Hour},
+	})
+	for _, w := range h.workers {
+		w.info.Capacity = cores(16.5)
+	}
+	h.listWorkers()
+	h.advance(0)
+	submit := func(name string, count int) {
+		for i := range count {
+			h.submit(dispatch.JobID(fmt.Sprintf("%s-%d", name, i)), dispatch.Step{
+				Tasks: 4, Resources: cores(float64(1 + random.IntN(6))), Image: "short",
+				Estimate: time.Duration(100+random.IntN(9900)) * time.Millisecond,
+			})
+		}
+	}
+	submit("running", 2*workers)
+	for started := -1; started < len(h.starts); {
+		started = len(h.starts)
+		h.advance(200 * time.Millisecond)
+	}
+	submit("waiting", backlog)
+	h.submit("passing", dispatch.Step{Tasks: 1, Resources: cores(0.1), Estimate: time.Second})
+	h.advance(200 * time.Millisecond)
+	return h
+}
+
+// BenchmarkTickFull measures a tick with a backlog of tasks for which there is no room, with and without
+// reservations for them.
+func BenchmarkTickFull(b *testing.B) {
+	for name, disabled := range map[string]mechanism.Set{"on": 0, "off": mechanism.Of(mechanism.Reservations)} {
+		for _, workers := range []int{48, 400} {
+			b.Run(fmt.Sprintf("reservations=%s/workers=%d", name, workers), func(b *testing.B) {
+				h := newFullHarness(disabled, workers, workers)
+				passing := 0
+				for b.Loop() {
+					h.now = h.now.Add(10 * time.Millisecond)
+					if passing++; passing%10 == 0 {
+						h.submit(dispatch.JobID(fmt.Sprintf("passing-%d", passing)), dispatch.Step{Tasks: 1, Resources: cores(0.001), Estimate: time.Second})
+					}
+					if passing%100 == 0 {
+						b.StopTimer()
+						h.pollWorkers()
+						b.StartTimer()
+					}
+					h.engine.Tick(h.now)
+					h.engine.TakeCommands()
+				}
+				b.ReportMetric(float64(h.counts["Reservation.Made"]), "made")
+			})
+		}
+	}
+}
+
 // BenchmarkObserve measures the processing of a worker's report.
 func BenchmarkObserve(b *testing.B) {
 	h := newLoadedHarness(48, 144)
@@ -85,3 +180,35 @@
 		h.engine.Observe(h.now, "w0", r)
 	}
 }
+
+// BenchmarkTickReplacing measures a tick like BenchmarkTick while the workers are being replaced, and
+// SetWorkers then: a tenth of the workers drain, and as many have arrived.
+func BenchmarkTickReplacing(b *testing.B) {
+	for _, workers := range []int{48, 400} {
+		h := newLoadedHarness(workers, 3*workers)
+		for i := range workers / 10 {
+			arriving := newFakeWorker(membership.InstanceID(fmt.Sprintf("x%d", i)), 16)
+			h.workers[arriving.info.ID] = arriving
+			w := h.workers[membership.InstanceID(fmt.Sprintf("w%d", i))]
+			h.listWorkers()
+			w.info.Draining, w.info.Remaining = true, time.Hour
+			h.listWorkers()
+		}
+		h.advance(200 * time.Millisecond)
+		if h.counts["Replacement.Detected"] != 1 {
+			b.Fatal("no replacement is under way")
+		}
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				h.now = h.now.Add(time.Millisecond)
+				h.engine.Tick(h.now)
+				h.engine.TakeCommands()
+			}
+		})
+		b.Run(fmt.Sprintf("list/workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				h.listWorkers()
+			}
+		})
+	}
+}
--- a/internal/decision/dispatch/forecast.go
+++ b/internal/decision/dispatch/forecast.go
@@ -24,14 +24,14 @@
 	return e.durations.Expected(s.class(), s.Estimate)
 }
 
-// expectedEnd returns when a run is expected to free its room, and false if it isn't expected to end: a
-// long-running task goes on until its job is cancelled.
+// expectedEnd returns when a run is expected to free its room, and false if that isn't known: a long-running task goes
+// on until its job is cancelled, and a run without an estimate that has shown no progress for as long as it likes.
 func (e *Engine) expectedEnd(now time.Time, a *attempt) (time.Time, bool) {
 	s := a.task.step
 	switch {
 	case a.phase == stopping:
 		return a.stopSentAt.Add(e.stopTimeout()), true
-	case s.LongRunning:
+	case s.LongRunning, s.Estimate == 0 && a.projectedDuration() == 0:
 		return time.Time{}, false
 	}
 	remaining := e.durations.Remaining(forecast.Run{
@@ -52,3 +52,33 @@
 	r.Sort()
 	return r
 }
+
+// backfillShare is the share of a class whose runs end by the time for which a backfilled task is expected
+// to run, and unknownClassFactor is what replaces it while too few runs of the class have ended.
+const (
+	backfillShare      = 0.9
+	unknownClassFactor = 2
+)
+
+// cautiousDuration returns the time that most runs of the step's tasks don't exceed on a worker.
+func (e *Engine) cautiousDuration(s *step, w *worker) time.Duration {
+	return e.durationOn(s, w, e.cautiousEstimate(s))
+}
+
+// cautiousEstimate returns the time that most runs of the step's tasks don't exceed.
+func (e *Engine) cautiousEstimate(s *step) time.Duration {
+	if !e.durations.Knows(s.class()) {
+		return unknownClassFactor * s.Estimate
+	}
+	return e.durations.Quantile(s.class(), s.Estimate, backfillShare)
+}
+
+// durationOn returns how long a run takes on a worker that may be slow or away from the step's data, from
+// its duration elsewhere.
+func (e *Engine) durationOn(s *step, w *worker, elsewhere time.Duration) time.Duration {
+	factor := max(w.slowdown, 1)
+	if s.PreferredRack != "" && !w.hasLabel(s.PreferredRack) {
+		factor *= max(e.options.RemoteDurationFactor, 1)
+	}
+	return forecast.Scale(elsewhere, factor)
+}
--- a/internal/decision/dispatch/gang.go
+++ b/internal/decision/dispatch/gang.go
@@ -14,13 +14,20 @@
 func (e *Engine) startGang(now time.Time, s *step) int {
 	run := Run(0)
 	for _, t := range s.tasks {
-		if !t.isWaiting(now) {
+		if !e.mayStart(now, t) {
 			return 0
 		}
 		run = max(run, e.nextRun(t))
 	}
 	placed := e.placeGang(now, s, run)
+	if len(placed) == 0 {
+		s.beginWait(now)
+		e.reservations.noteBlocked(s)
+		return 0
+	}
+	s.blockedSince = time.Time{}
 	for _, a := range placed {
+		e.noteStart(now, a)
 		e.sendStart(now, a)
 	}
 	return len(placed)
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
 // job is a job that isn't finished, or some of whose runs haven't ended.
@@ -50,6 +52,14 @@
 	// room for the step.
 	blockedSince time.Time
 	preemptedAt  time.Time
+	// passedAt is when a smaller task last started while the step waited for room, and missedOn the worker
+	// whose reservation for the step last missed its time, until the next one is made.
+	passedAt time.Time
+	missedOn membership.InstanceID
+	// urgency is that of the job when the step was last a candidate.
+	urgency urgency
+	// refusedByReservation reports that the last search found room that is reserved.
+	refusedByReservation bool
 	// restartsUrgently reports that a task of the step needs an urgent restart in this tick.
 	restartsUrgently bool
 	// durations are the durations of the tasks that have succeeded.
@@ -67,8 +77,9 @@
 	done bool
 	// elsewhere reports that another shard runs the task.
 	elsewhere bool
-	// attempt is the run that may be active, or nil.
+	// attempt is the run that may be active, or nil. second is another one, a copy on another worker.
 	attempt *attempt
+	second  *attempt
 	// run is the highest run number used so far, and firstRun the highest one that was used before the
 	// task was transferred to this shard.
 	run      Run
@@ -81,6 +92,8 @@
 	// restartedAsSlow reports that the task was restarted because its worker seemed
 	// slow.
 	restartedAsSlow bool
+	// replacementMoves counts the moves of a long-running task off workers that were replaced.
+	replacementMoves int
 	// movedAt is when the task was last moved to another worker.
 	movedAt time.Time
 	// lastHeldAt is when a worker was last held for the task.
@@ -103,6 +116,10 @@
 	// before otherRunEndsBy.
 	otherRun       TaskRun
 	otherRunEndsBy time.Time
+	// recordedOn has the workers on which the earlier owner recorded a run of the task, and seenRunning
+	// reports that this owner has seen the only one.
+	recordedOn  []membership.InstanceID
+	seenRunning bool
 }
 
 func newJob(j Job, q Queue, recovered bool) *job {
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -21,15 +21,14 @@
 // it makes room by stopping runs of less urgent queues.
 func (e *Engine) handleBlocked(now time.Time, t *task) {
 	s := t.step
-	if s.blockedSince.IsZero() {
-		s.blockedSince = now
-	}
+	s.beginWait(now)
+	e.reservations.noteBlocked(s)
 	if s.Filler || s.LongRunning || e.isDisabled(mechanism.Preemption) || now.Sub(s.blockedSince) < preemptDelay || now.Sub(s.preemptedAt) < preemptInterval {
 		return
 	}
 	s.preemptedAt = now
-	for range min(s.waitingTasks(now), maxVictims) {
-		victim := e.findVictim(t)
+	for range min(e.startableTasks(now, s), maxVictims) {
+		victim := e.findVictim(now, t)
 		if victim == nil {
 			return
 		}
@@ -38,18 +37,36 @@
 	}
 }
 
+// beginWait records since when the step has waited for room.
+func (s *step) beginWait(now time.Time) {
+	if s.blockedSince.IsZero() {
+		s.blockedSince = now
+	}
+}
+
 // handleBlockedStep is like handleBlocked for a step whose tasks weren't tried because
 // no worker was found for a task of the same shape.
 func (e *Engine) handleBlockedStep(now time.Time, s *step) {
 	for _, t := range s.tasks {
-		if t.isWaiting(now) {
+		if e.mayStart(now, t) {
 			e.handleBlocked(now, t)
 			return
 		}
 	}
 }
 
-// waitingTasks returns the number of tasks that may start.
+// startableTasks returns the number of tasks that may start.
+func (e *Engine) startableTasks(now time.Time, s *step) int {
+	count := 0
+	for _, t := range s.tasks {
+		if e.mayStart(now, t) {
+			count++
+		}
+	}
+	return count
+}
+
+// waitingTasks returns the number of tasks that wait, also if an unknown run of them may be active.
 func (s *step) waitingTasks(now time.Time) int {
 	count := 0
 	for _, t := range s.tasks {
@@ -62,10 +79,10 @@
 
 // findVictim returns the run of a less urgent queue whose end makes room for the task
 // and loses the least work, or nil if there is none.
-func (e *Engine) findVictim(t *task) *attempt {
+func (e *Engine) findVictim(now time.Time, t *task) *attempt {
 	var best *attempt
 	for _, w := range e.sortedWorkers {
-		if !e.meetsConstraints(t.step, w) {
+		if !e.wouldStartOn(now, t.step, w) {
 			continue
 		}
 		for _, a := range w.runs {
@@ -77,9 +94,19 @@
 	return best
 }
 
-// isVictim reports whether the run may be stopped in favor of the step.
+// wouldStartOn reports whether room is all that keeps the step's tasks off a worker: it has none yet, and what becomes
+// free there isn't kept for others.
+func (e *Engine) wouldStartOn(now time.Time, s *step, w *worker) bool {
+	return e.meetsConstraints(s, w) && !s.Reserved().FitsIn(w.free()) && e.isPermitted(now, s, w) && e.leavesReservedRoom(now, s, w)
+}
+
+// isVictim reports whether the run may be stopped in favor of the step. Copies make room for first runs of their
+// own priority, too.
 func (a *attempt) isVictim(s *step) bool {
 	own := a.task.step
+	if a.isCopy() && a.phase == running {
+		return own.job.queue.Priority >= s.job.queue.Priority
+	}
 	return a.phase == running && !own.Filler && !own.LongRunning && !own.Gang &&
 		own.job.queue.Priority > s.job.queue.Priority
 }
@@ -87,6 +114,9 @@
 // lostWork returns the work that is repeated if the run is stopped, in percent of the
 // task.
 func (a *attempt) lostWork() int {
+	if a.isCopy() {
+		return 0
+	}
 	if a.task.step.Checkpointing {
 		return 0
 	}
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -39,7 +39,7 @@
 		return p, true
 	}
 	p.LastStoredEnd = w.lastEndStored
-	if e.suspended {
+	if e.suspended || e.released {
 		return p, true
 	}
 	p.Lease = w.renewLease(now, e.options.LeaseTerm)
@@ -101,7 +101,7 @@
 	if r.Incarnation != 0 {
 		w.incarnation = r.Incarnation
 	}
-	e.observeFence(w, r.Clock)
+	e.observeFence(now, w, r.Clock)
 	if w.missedPolls > 0 {
 		e.record(now, Decision{Event: "WorkerAnswers", Worker: id, Age: now.Sub(w.lastReportAt)})
 	}
@@ -142,7 +142,7 @@
 	e.record(now, Decision{Event: "WorkerRestarted", Worker: w.ID, Age: ev.ReportAge, Evidence: &ev})
 	w.incarnation = r.Incarnation
 	w.lastEndSeen, w.lastEndStored, w.leaseEndSent, w.possibleLeaseEnd = 0, 0, 0, 0
-	w.fenced = false
+	w.fenced, w.unstoredEnds = false, nil
 	e.raiseFence(w)
 	w.dropOrphans()
 	for _, a := range w.runs {
@@ -193,19 +193,27 @@
 			continue
 		}
 		w.lastEndSeen = end.Number
+		if e.matters(end) {
+			w.unstoredEnds = append(w.unstoredEnds, end)
+		}
 		e.observeEnd(now, w, end)
 	}
 }
 
 func (e *Engine) observeEnd(now time.Time, w *worker, end End) {
-	startedUp := false
+	startedUp, ahead := false, true
 	if a := w.runs[end.Task]; a != nil && a.run == end.Run {
-		startedUp = a.percent >= startedUpPercent
+		startedUp, ahead = a.percent >= startedUpPercent, a.isAhead()
 		a.confirmed = true
 		a.task.beginDowntime(now, w, reasonEnded)
 		if end.Kind == EndDone && a.firstProgress.percent == 0 {
 			a.recordDuration(now)
 			e.observeDuration(now, a)
+			e.noteBackfillEnd(now, a)
+		}
+		if end.Kind == EndDone {
+			e.recordCopyResult(a)
+			e.countSpared(a)
 		}
 		e.releaseRun(now, a)
 	}
@@ -221,7 +229,7 @@
 	t.run = max(t.run, end.Run)
 	e.record(now, Decision{Event: "TaskEnded", Task: end.TaskRun, Worker: w.ID, Reason: string(end.Kind)})
 	e.count("End." + string(end.Kind))
-	if end.Checkpoint != "" && t.checkpoint != end.Checkpoint {
+	if end.Checkpoint != "" && ahead && t.checkpoint != end.Checkpoint {
 		t.checkpoint = end.Checkpoint
 		e.markDirty(t.step.job)
 	}
@@ -237,7 +245,9 @@
 		e.succeed(now, t)
 	case end.Kind == EndFailed:
 		w.health.recordEnd(now, t.step.job.ID, true)
-		e.fail(now, t, end.Run, w)
+		if !t.done {
+			e.fail(now, t, end.Run, w)
+		}
 	}
 }
 
@@ -249,8 +259,8 @@
 	}
 	for _, member := range members {
 		member.succeed()
-		if member.attempt != nil && !t.step.Gang {
-			e.stop(now, member.attempt, "another run of the task succeeded")
+		if !t.step.Gang {
+			e.stopAttempts(now, member, "another run of the task succeeded")
 		}
 	}
 	e.markDirty(t.step.job)
@@ -301,6 +311,7 @@
 		a.phase = running
 	}
 	a.confirmed, a.listed = true, true
+	e.noteSeenRunning(a)
 	a.task.step.job.started = true
 	if r.Percent > a.percent {
 		if a.percent == 0 && (a.adopted || a.task.checkpoint != "") {
@@ -312,7 +323,7 @@
 		}
 	}
 	a.measurement = r.Measurement
-	if r.Checkpoint != "" {
+	if r.Checkpoint != "" && a.isAhead() {
 		a.task.checkpoint = r.Checkpoint
 	}
 }
@@ -321,7 +332,7 @@
 // stopped, and occupies its capacity until it has ended.
 func (e *Engine) adopt(now time.Time, w *worker, r TaskRun) *attempt {
 	t := e.findTask(r.Task)
-	if t == nil || t.attempt != nil || t.elsewhere {
+	if t == nil || t.elsewhere || t.attempt != nil && !e.mayAdoptCopy(t, w) {
 		return nil
 	}
 	w.endAwaitedStop(t, r)
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -18,22 +18,26 @@
 
 // Tick advances the engine to the given time and starts the tasks that can start.
 func (e *Engine) Tick(now time.Time) {
-	if e.suspended {
+	if e.suspended || e.released {
 		return
 	}
 	e.endRecovery(now)
 	e.dropSilentWorkers(now)
 	e.updateSchedulable(now)
+	e.updateReplacements(now)
 	e.retryStops(now)
 	e.forgetFinishedJobs(now)
 	e.findStragglers(now)
 	e.updateScarcity(now)
 	clear(e.unplaceable)
+	e.beginReservations(now)
 	limit := min(maxStartsPerTick, e.startLimit())
 	started := e.startMovedTasks(now)
 	started += e.startUrgentRestarts(now, limit-started)
 	e.drainWorkers(now)
-	e.startTasks(now, limit-started)
+	started += e.startTasks(now, limit-started)
+	e.startCopies(now, limit-started)
+	e.reserveRoom(now)
 	e.recordLongDowntimes(now)
 	e.recordShardRoom(now)
 	e.controlInterference(now)
@@ -94,17 +98,20 @@
 	}
 }
 
-// startTasks starts up to limit of the tasks that may start, in the order of the candidates.
-func (e *Engine) startTasks(now time.Time, limit int) {
+// startTasks starts up to limit of the tasks that may start, in the order of the candidates, and returns their
+// number.
+func (e *Engine) startTasks(now time.Time, limit int) int {
 	e.countTrialRuns(now)
 	e.countForcedFillers()
 	e.scheduleStarvationCheck(now)
+	started := 0
 	for _, c := range e.candidates(now) {
-		if limit <= 0 {
-			return
+		if started >= limit {
+			break
 		}
-		limit -= e.startStep(now, c.step, limit)
+		started += e.startStep(now, c.step, limit-started)
 	}
+	return started
 }
 
 // shape is the set of properties that decide whether any worker is feasible for a task.
@@ -120,11 +127,11 @@
 // isUnplaceable reports whether no worker was found in this tick for a task of the same
 // shape that needs no more resources, and none is held for the step.
 func (e *Engine) isUnplaceable(s *step) bool {
-	if e.stepsWithHold[s] {
+	if e.stepsWithHold[s] || e.reservations.holders[s.holder()] != nil {
 		return false
 	}
 	smallest, failed := e.unplaceable[s.shape()]
-	return failed && smallest.FitsIn(s.Resources)
+	return failed && smallest.FitsIn(s.Resources) || e.isRefused(s)
 }
 
 func (s *step) shape() shape {
@@ -141,6 +148,12 @@
 	if s.MaxPerWorker > 0 || s.OneRack || s.job.queue.NeedsAdvice || e.isExcludedFromHold(now, s) {
 		return
 	}
+	if s.refusedByReservation {
+		if s.PreferredRack == "" {
+			e.noteRefused(s)
+		}
+		return
+	}
 	smallest, failed := e.unplaceable[s.shape()]
 	if !failed || s.Resources.FitsIn(smallest) {
 		e.unplaceable[s.shape()] = s.Resources
@@ -156,6 +169,16 @@
 	return false
 }
 
+// mayStart reports whether the task waits, and no unknown run of it may be active.
+func (e *Engine) mayStart(now time.Time, t *task) bool {
+	return t.isWaiting(now) && !e.mustAwaitRecovery(now, t)
+}
+
+// hasStartable reports whether a task of the step may start.
+func (e *Engine) hasStartable(now time.Time, s *step) bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return e.mayStart(now, t) })
+}
+
 // startStep starts up to limit waiting tasks of a step and returns their number.
 func (e *Engine) startStep(now time.Time, s *step, limit int) int {
 	started := 0
@@ -183,7 +206,7 @@
 		if started >= limit {
 			break
 		}
-		if !t.isWaiting(now) || now.Before(t.nextSearchAt) {
+		if !e.mayStart(now, t) || now.Before(t.nextSearchAt) {
 			continue
 		}
 		var w *worker
@@ -225,6 +248,7 @@
 	if t.step.Filler {
 		e.addTrialRun(w, t.step.Image)
 	}
+	e.noteStart(now, a)
 	e.sendStart(now, a)
 	return a
 }
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
@@ -15,6 +16,9 @@
 	// acceptTimeout limits how long a submission waits for the owner to store the job. The
 	// owner's previous transaction may have to finish first.
 	acceptTimeout = 1500 * time.Millisecond
+	// withdrawTimeout is how long a submission waits for a transaction to take it, so that a peer hears within
+	// acceptTimeout that none did.
+	withdrawTimeout = 1200 * time.Millisecond
 	// ownerWaitTimeout is how long a submission waits for the shard to get an owner before
 	// the job is stored without one. Without an owner the job can't start anyway, and many
 	// concurrent transactions would delay the claim of the shard while the store is slow.
@@ -188,7 +192,9 @@
 	return o.awaitStored(ctx, waiting)
 }
 
-// awaitStored stores a submission in the next transaction unless the owner already knows the job.
+// awaitStored stores a submission in the next transaction unless the owner already knows the job. It fails
+// with errNotAccepted if no transaction has taken the submission in time, and with queue.ErrOutcomeUnknown if
+// the outcome of one that has isn't known yet.
 func (o *owner) awaitStored(ctx context.Context, waiting *submission) error {
 	o.lock.Lock()
 	known := o.covers(&waiting.job)
@@ -204,13 +210,65 @@
 		return errNotAccepted
 	}
 	o.requestWrite()
-	select {
-	case err := <-waiting.done:
+	if decided, err := o.awaitOutcome(ctx, waiting, o.node.Clock.After(withdrawTimeout)); decided {
+		return err
+	}
+	o.withdraw(func(s *submission) bool { return s == waiting })
+	if decided, err := o.awaitOutcome(ctx, waiting, nil); decided {
 		return err
+	}
+	return queue.ErrOutcomeUnknown
+}
+
+// awaitOutcome waits until the outcome of a submission is known, ctx or the owner ends, or the timeout is over.
+// It reports whether the outcome is known, and the error of the submission.
+func (o *owner) awaitOutcome(ctx context.Context, s *submission, timeout <-chan time.Time) (decided bool, err error) {
+	select {
+	case err := <-s.done:
+		return true, err
 	case <-ctx.Done():
 	case <-o.ctx.Done():
+	case <-timeout:
 	}
-	return queue.ErrOutcomeUnknown
+	select {
+	case err := <-s.done:
+		return true, err
+	default:
+		return false, nil
+	}
+}
+
+// withdraw rejects the matching submissions that no transaction has taken. Of a job that a transaction
+// under way may store, the submission stays. A job that was to move to another shard is stored already, and the
+// engine gets it back.
+func (o *owner) withdraw(matches func(*submission) bool) {
+	for _, id := range o.withdrawMatching(matches) {
+		o.node.background(func(context.Context) error {
+			o.addIfStored(id)
+			return nil
+		})
+	}
+}
+
+// withdrawMatching is like withdraw, and returns the jobs that the watch may have passed over.
+func (o *owner) withdrawMatching(matches func(*submission) bool) []dispatch.JobID {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	var withdrawn []dispatch.JobID
+	o.submissions = slices.DeleteFunc(o.submissions, func(s *submission) bool {
+		if !matches(s) || o.storing[s.job.ID] {
+			return false
+		}
+		if o.covers(&s.job) {
+			s.done <- nil
+			return true
+		}
+		o.node.Counters.Add("Submit.Withdrawn", 1)
+		s.done <- errNotAccepted
+		withdrawn = append(withdrawn, s.job.ID)
+		return true
+	})
+	return withdrawn
 }
 
 // knows reports whether the job or its outcome is known. The lock must be held.
--- a/internal/entry/dispatcher/client_requests.go
+++ b/internal/entry/dispatcher/client_requests.go
@@ -36,6 +36,8 @@
 	RefusedStarting = "Starting"
 	// RefusedOwnerUnreachable is the reason when the shard's owner doesn't answer.
 	RefusedOwnerUnreachable = "OwnerUnreachable"
+	// RefusedTooManyQueries is the reason when a state query has to wait for others for too long.
+	RefusedTooManyQueries = "TooManyQueries"
 )
 
 // Submit stores a job and returns once it is stored. It returns a *queue.Refusal if the
@@ -97,7 +99,8 @@
 var errAlreadyStored = errors.New("dispatcher: the job is already stored")
 
 // storeJob stores a job from this instance. It fails with errAlreadyStored if the job
-// was stored before.
+// was stored before. The row is read first: if the store doesn't answer that, the job can be refused,
+// while the outcome of a transaction without an answer would be unknown.
 func (s *shard) storeJob(ctx context.Context, j dispatch.Job) error {
 	n := s.node
 	if outage, lost := n.store.lostFor(); lost {
@@ -107,6 +110,14 @@
 	if err != nil {
 		return err
 	}
+	switch stored, err := n.read(ctx, s.partition.jobKey(j.ID)); {
+	case err != nil:
+		outage, _ := n.store.lostFor()
+		return storeRefusal(outage)
+	case stored.Version != 0:
+		n.Counters.Add("Submit.Repeated", 1)
+		return errAlreadyStored
+	}
 	tx := table.Transaction{
 		Conditions: []table.Condition{{Key: s.partition.jobKey(j.ID)}},
 		Writes:     []table.Write{{Key: s.partition.jobKey(j.ID), Value: row}},
@@ -258,8 +269,12 @@
 		}
 		return answer.State, nil
 	}
+	if err := s.node.stateReads.Acquire(ctx, 1); err != nil {
+		return "", &queue.Refusal{Reason: RefusedTooManyQueries, RetryAfter: shortRetryAfter}
+	}
 	s.node.Counters.Add("State.FromStore", 1)
 	row, err := s.node.read(ctx, s.partition.jobKey(id))
+	s.node.stateReads.Release(1)
 	if err != nil {
 		outage, _ := s.node.store.lostFor()
 		return "", storeRefusal(outage)
