--- a/internal/decision/fanin/fanin.go
+++ b/internal/decision/fanin/fanin.go
@@ -49,9 +49,9 @@
 	return d * time.Duration(xxhash.Sum64String(name)%steps) / steps
 }
 
-// FirstSeed returns which of the configured seeds an instance calls in a round. The instances
+// SeedOfRound returns which of the configured seeds an instance calls in a round. The instances
 // begin with different ones, and each calls them in turn.
-func FirstSeed(self membership.InstanceID, round, seeds int) int {
+func SeedOfRound(self membership.InstanceID, round, seeds int) int {
 	return int((xxhash.Sum64String(string(self)) + uint64(round)) % uint64(seeds))
 }
 
--- a/internal/entry/dispatcher/directory.go
+++ b/internal/entry/dispatcher/directory.go
@@ -191,7 +191,7 @@
 		if len(seeds) == 0 || !n.isLarge() {
 			return
 		}
-		failed := n.exchangePeers(ctx, seeds[fanin.FirstSeed(n.Name, round, len(seeds))]) != nil
+		failed := n.exchangePeers(ctx, seeds[fanin.SeedOfRound(n.Name, round, len(seeds))]) != nil
 		now := len(n.livePeers())
 		if !failed && now == known {
 			return
--- a/internal/entry/dispatcher/layout.go
+++ b/internal/entry/dispatcher/layout.go
@@ -190,7 +190,7 @@
 func (n *Node) announceToSeed(ctx context.Context, round int) {
 	seeds := n.configuredSeeds()
 	if len(seeds) > 0 && round%announceRounds == 0 {
-		n.announceTo(ctx, seeds[fanin.FirstSeed(n.Name, round/announceRounds, len(seeds))])
+		n.announceTo(ctx, seeds[fanin.SeedOfRound(n.Name, round/announceRounds, len(seeds))])
 	}
 }
 
