--- a/internal/decision/dispatch/bench_test.go
+++ b/internal/decision/dispatch/bench_test.go
@@ -10,6 +10,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/manifest"
+	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
 const benchSeed = 7
@@ -72,6 +73,40 @@
 	}
 }
 
+// BenchmarkRelease measures the recovery record of an owner that releases its shard.
+func BenchmarkRelease(b *testing.B) {
+	for _, workers := range []int{48, 400} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			h := newLoadedHarness(workers, 3*workers)
+			for b.Loop() {
+				h.engine.Release(h.now)
+			}
+		})
+	}
+}
+
+// BenchmarkRecoveringTick measures a decision while a recorded worker hasn't listed its runs.
+func BenchmarkRecoveringTick(b *testing.B) {
+	for _, workers := range []int{48, 400} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			h := newLoadedHarness(workers, 3*workers)
+			record, _ := h.engine.Release(h.now)
+			h.engine.Resume()
+			h.engine.Recover(h.now, time.Hour)
+			for i := range record.Workers {
+				record.Workers[i].ExpireIn = time.Hour
+			}
+			record.Workers = append(record.Workers, dispatch.RecordedWorker{ID: "gone", ExpireIn: time.Hour})
+			h.engine.RecoverFrom(h.now, record)
+			for b.Loop() {
+				h.now = h.now.Add(10 * time.Millisecond)
+				h.engine.Tick(h.now)
+				h.engine.TakeCommands()
+			}
+		})
+	}
+}
+
 // newFullHarness returns a harness whose workers are full of short tasks that don't end, with a backlog of
 // tasks of several sizes, so that the largest have reservations.
 func newFullHarness(disabled mechanism.Set, workers, backlog int) *harness {
@@ -145,3 +180,35 @@
 		h.engine.Observe(h.now, "w0", r)
 	}
 }
+
+// BenchmarkTickReplacing measures a tick like BenchmarkTick while the workers are being replaced, and
+// SetWorkers then: a tenth of the workers drain, and as many have arrived.
+func BenchmarkTickReplacing(b *testing.B) {
+	for _, workers := range []int{48, 400} {
+		h := newLoadedHarness(workers, 3*workers)
+		for i := range workers / 10 {
+			arriving := newFakeWorker(membership.InstanceID(fmt.Sprintf("x%d", i)), 16)
+			h.workers[arriving.info.ID] = arriving
+			w := h.workers[membership.InstanceID(fmt.Sprintf("w%d", i))]
+			h.listWorkers()
+			w.info.Draining, w.info.Remaining = true, time.Hour
+			h.listWorkers()
+		}
+		h.advance(200 * time.Millisecond)
+		if h.counts["Replacement.Detected"] != 1 {
+			b.Fatal("no replacement is under way")
+		}
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				h.now = h.now.Add(time.Millisecond)
+				h.engine.Tick(h.now)
+				h.engine.TakeCommands()
+			}
+		})
+		b.Run(fmt.Sprintf("list/workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				h.listWorkers()
+			}
+		})
+	}
+}
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -44,6 +44,8 @@
 	// follows from them and the client's estimates.
 	SlackFactor   float64
 	TargetLatency time.Duration
+	// WorkerVersion is that of a worker that joined.
+	WorkerVersion WorkerVersion
 	// Evidence is set if the decision is about runs that may be active.
 	Evidence *Evidence
 	// LongDowntime is set if the decision is about a task that is down for long.
@@ -108,6 +110,17 @@
 	// recoveryEnds is when all leases that an earlier owner granted have expired.
 	recoveryEnds time.Time
 	recovering   bool
+	// earlierOwnerActsUntil is when the earlier owner can no longer act.
+	earlierOwnerActsUntil time.Time
+	// hasRecord reports that the earlier owner recorded where there may be runs, and recorded has the
+	// workers in that record, and recordedRuns its runs by job.
+	hasRecord    bool
+	recorded     map[membership.InstanceID]recordedWorker
+	recordedRuns map[JobID][]recordedRun
+	// awaitsAnyRun reports that a worker may have unknown runs of any recovered task, as of the last tick.
+	awaitsAnyRun bool
+	// released is true once the record for the next owner was made.
+	released bool
 	// suspended is true while another owner may have taken over.
 	suspended bool
 	// newJobsStartAt is when jobs that were accepted after the takeover may start.
@@ -124,6 +137,9 @@
 	// durations has the run times that this owner has learned.
 	durations           forecast.Durations
 	stragglersCheckedAt time.Time
+	// copiesCheckedAt is when runs to copy were last searched for, and copies how useful copies have been.
+	copiesCheckedAt time.Time
+	copies          copyRecord
 	// forcedFillers counts the running fillers that were started although no worker was
 	// feasible.
 	forcedFillers int
@@ -162,6 +178,7 @@
 	fillerDemand map[Image]float64
 	scarcity     scarcity
 	startAnswers startAnswers
+	replacements replacements
 	// reservations keeps room for large tasks, and largeTasks has those that found none lately.
 	reservations reservations
 	largeTasks   largeTasks
@@ -288,12 +305,12 @@
 			w = newWorker(info, now)
 			e.workers[info.ID] = w
 			e.insertWorker(w)
-			e.record(now, Decision{Event: "WorkerJoined", Worker: info.ID})
+			e.record(now, Decision{Event: "WorkerJoined", Worker: info.ID, WorkerVersion: info.Version})
 		}
 		if info.Draining && !w.Draining {
-			w.drainingAt = now
 			e.record(now, Decision{Event: "WorkerDraining", Worker: info.ID})
 		}
+		w.updateLeaveTime(now, &info)
 		// An answer from the previous address says nothing about the worker at the new
 		// one.
 		w.replaced = w.replaced && w.Address == info.Address
@@ -307,6 +324,7 @@
 			e.record(now, Decision{Event: "WorkerUnlisted", Worker: id})
 		}
 	}
+	e.observeReplacements(now, list)
 }
 
 func (e *Engine) insertWorker(w *worker) {
@@ -350,6 +368,7 @@
 		added.takeTransferred(now, j.Transferred)
 	}
 	e.jobs[j.ID] = added
+	e.addRecordedRuns(added)
 	e.issueTransfers(added, stored)
 	e.record(now, Decision{
 		Event: "JobAdded", Job: j.ID, Reason: string(j.Queue), Objective: added.objective,
@@ -431,9 +450,7 @@
 	})
 	e.count("Job." + string(state))
 	j.eachTask(func(t *task) {
-		if t.attempt != nil {
-			e.stop(now, t.attempt, "job ended")
-		}
+		e.stopAttempts(now, t, "job ended")
 	})
 }
 
@@ -447,8 +464,12 @@
 	e.dirty[j.ID] = j
 }
 
-// TakeCommands returns the commands that were issued since the last call.
+// TakeCommands returns the commands that were issued since the last call, none once the engine is
+// released: the next owner couldn't know of them.
 func (e *Engine) TakeCommands() []Command {
+	if e.released {
+		return nil
+	}
 	commands := e.commands
 	e.commands = nil
 	return commands
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -77,8 +77,9 @@
 	done bool
 	// elsewhere reports that another shard runs the task.
 	elsewhere bool
-	// attempt is the run that may be active, or nil.
+	// attempt is the run that may be active, or nil. second is another one, a copy on another worker.
 	attempt *attempt
+	second  *attempt
 	// run is the highest run number used so far, and firstRun the highest one that was used before the
 	// task was transferred to this shard.
 	run      Run
@@ -91,6 +92,8 @@
 	// restartedAsSlow reports that the task was restarted because its worker seemed
 	// slow.
 	restartedAsSlow bool
+	// replacementMoves counts the moves of a long-running task off workers that were replaced.
+	replacementMoves int
 	// movedAt is when the task was last moved to another worker.
 	movedAt time.Time
 	// lastHeldAt is when a worker was last held for the task.
@@ -113,6 +116,10 @@
 	// before otherRunEndsBy.
 	otherRun       TaskRun
 	otherRunEndsBy time.Time
+	// recordedOn has the workers on which the earlier owner recorded a run of the task, and seenRunning
+	// reports that this owner has seen the only one.
+	recordedOn  []membership.InstanceID
+	seenRunning bool
 }
 
 func newJob(j Job, q Queue, recovered bool) *job {
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -67,6 +67,7 @@
 	t.step.refusedByReservation = false
 	var best *worker
 	bestCost := 0.0
+	leaving := e.leavingCost(t.step)
 	for _, w := range e.sortedWorkers {
 		if !isEligible(w) || !e.mayPlace(now, t, w) {
 			continue
@@ -75,6 +76,9 @@
 			return w
 		}
 		cost, ok := e.cost(now, t, w)
+		if w.leavesSoon {
+			cost += leaving
+		}
 		if ok && (best == nil || cost < bestCost) {
 			best, bestCost = w, cost
 		}
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -18,12 +18,13 @@
 
 // Tick advances the engine to the given time and starts the tasks that can start.
 func (e *Engine) Tick(now time.Time) {
-	if e.suspended {
+	if e.suspended || e.released {
 		return
 	}
 	e.endRecovery(now)
 	e.dropSilentWorkers(now)
 	e.updateSchedulable(now)
+	e.updateReplacements(now)
 	e.retryStops(now)
 	e.forgetFinishedJobs(now)
 	e.findStragglers(now)
@@ -34,7 +35,8 @@
 	started := e.startMovedTasks(now)
 	started += e.startUrgentRestarts(now, limit-started)
 	e.drainWorkers(now)
-	e.startTasks(now, limit-started)
+	started += e.startTasks(now, limit-started)
+	e.startCopies(now, limit-started)
 	e.reserveRoom(now)
 	e.recordLongDowntimes(now)
 	e.recordShardRoom(now)
@@ -96,17 +98,20 @@
 	}
 }
 
-// startTasks starts up to limit of the tasks that may start, in the order of the candidates.
-func (e *Engine) startTasks(now time.Time, limit int) {
+// startTasks starts up to limit of the tasks that may start, in the order of the candidates, and returns their
+// number.
+func (e *Engine) startTasks(now time.Time, limit int) int {
 	e.countTrialRuns(now)
 	e.countForcedFillers()
 	e.scheduleStarvationCheck(now)
+	started := 0
 	for _, c := range e.candidates(now) {
-		if limit <= 0 {
-			return
+		if started >= limit {
+			break
 		}
-		limit -= e.startStep(now, c.step, limit)
+		started += e.startStep(now, c.step, limit-started)
 	}
+	return started
 }
 
 // shape is the set of properties that decide whether any worker is feasible for a task.
@@ -144,7 +149,9 @@
 		return
 	}
 	if s.refusedByReservation {
-		e.noteRefused(s)
+		if s.PreferredRack == "" {
+			e.noteRefused(s)
+		}
 		return
 	}
 	smallest, failed := e.unplaceable[s.shape()]
@@ -162,6 +169,16 @@
 	return false
 }
 
+// mayStart reports whether the task waits, and no unknown run of it may be active.
+func (e *Engine) mayStart(now time.Time, t *task) bool {
+	return t.isWaiting(now) && !e.mustAwaitRecovery(now, t)
+}
+
+// hasStartable reports whether a task of the step may start.
+func (e *Engine) hasStartable(now time.Time, s *step) bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return e.mayStart(now, t) })
+}
+
 // startStep starts up to limit waiting tasks of a step and returns their number.
 func (e *Engine) startStep(now time.Time, s *step, limit int) int {
 	started := 0
@@ -189,7 +206,7 @@
 		if started >= limit {
 			break
 		}
-		if !t.isWaiting(now) || now.Before(t.nextSearchAt) {
+		if !e.mayStart(now, t) || now.Before(t.nextSearchAt) {
 			continue
 		}
 		var w *worker
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -83,6 +83,8 @@
 	adopted bool
 	// restarted reports that the worker restarted before it answered the start.
 	restarted bool
+	// startedAsCopy reports that another run of the task was active when this one was started.
+	startedAsCopy bool
 	// forced reports that a filler was started because it had waited too long.
 	// interfering reports that it was started beside serving tasks with which it is
 	// expected to interfere, at a pace that keeps them within their targets.
@@ -102,6 +104,9 @@
 	// progressAt is when percent last increased.
 	progressAt time.Time
 	pace       pace
+	// spared reports that the run would have been moved off its draining worker if no replacement were under
+	// way.
+	spared bool
 	// backfillEndsBy is when a run on reserved room should have ended, or zero.
 	backfillEndsBy time.Time
 }
@@ -113,9 +118,11 @@
 	// schedulable workers may get tasks in this tick: they are available, not
 	// quarantined and in an availability zone that is in service.
 	schedulable bool
-	unlistedAt  time.Time
-	// drainingAt is when the worker was first listed as draining.
-	drainingAt  time.Time
+	// leavesSoon reports that the workers of its service are being replaced and this one hasn't been.
+	leavesSoon bool
+	unlistedAt time.Time
+	// leavesAt is the earliest time at which a draining worker leaves, or zero if it didn't tell.
+	leavesAt    time.Time
 	incarnation int64
 	// reported is true once the worker has answered this owner.
 	reported bool
@@ -169,6 +176,8 @@
 	// of the last one that is stored.
 	lastEndSeen   int64
 	lastEndStored int64
+	// unstoredEnds has the ends between the two that a next owner must know before it starts their tasks.
+	unstoredEnds []End
 	// awaitedStops has the runs that the earlier owner was stopping when it released the shard, with
 	// the time at which they must have ended.
 	awaitedStops map[TaskRun]time.Time
@@ -288,7 +297,7 @@
 	}
 	a.task.step.perWorker[w]++
 	a.task.step.job.activeAttempts++
-	a.task.attempt = a
+	a.task.addAttempt(a)
 	a.task.run = max(a.task.run, a.run)
 }
 
@@ -316,12 +325,10 @@
 		delete(s.perWorker, w)
 	}
 	s.job.activeAttempts--
-	if a.task.attempt == a {
-		a.task.attempt = nil
-		if a.confirmed {
-			a.task.lastRunAt, a.task.deferredSince = w.lastReportAt, time.Time{}
-		}
+	if a.task.attempt == a && a.confirmed {
+		a.task.lastRunAt, a.task.deferredSince = w.lastReportAt, time.Time{}
 	}
+	a.task.removeAttempt(a)
 }
 
 // taskRun returns the ID of the run.
--- a/internal/decision/mechanism/mechanism.go
+++ b/internal/decision/mechanism/mechanism.go
@@ -32,6 +32,7 @@
 	SlowWorkers
 	Quarantine
 	Stragglers
+	SecondCopies
 	ValueDensity
 	UrgencyClasses
 	YieldToShortTasks
@@ -43,6 +44,8 @@
 	EstimateExchange
 	OwnerRebalance
 	ZoneReader
+	Replacement
+	FanIn
 	Reservations
 	Backfill
 	LargeGaps
@@ -74,6 +77,7 @@
 	SlowWorkers:          {"SlowWorkers", "workers on which tasks take longer than elsewhere"},
 	Quarantine:           {"Quarantine", "workers that fail everything that they start"},
 	Stragglers:           {"Stragglers", "single tasks that hang or take far longer than others of their step"},
+	SecondCopies:         {"SecondCopies", "single runs that take far longer than a copy on another worker would, of steps that allow copies"},
 	ValueDensity:         {"ValueDensity", "more work than capacity within a queue"},
 	UrgencyClasses:       {"UrgencyClasses", "a backlog in which some jobs can no longer end in time"},
 	YieldToShortTasks:    {"YieldToShortTasks", "long-running tasks that compete with short ones for the same room"},
@@ -85,6 +89,8 @@
 	EstimateExchange:     {"EstimateExchange", "images that run in several shards"},
 	OwnerRebalance:       {"OwnerRebalance", "instances that own more shards than others"},
 	ZoneReader:           {"ZoneReader", "a large configuration that all instances of an availability zone read over one link"},
+	Replacement:          {"Replacement", "many workers that are replaced one after the other"},
+	FanIn:                {"FanIn", "hundreds of instances that read the same rows and call the same owners"},
 	Reservations:         {"Reservations", "large tasks that wait while smaller ones take each gap"},
 	Backfill:             {"Backfill", "small tasks that wait while room is kept for larger ones"},
 	LargeGaps:            {"LargeGaps", "small tasks that fragment the room while larger ones find none"},
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -73,6 +73,9 @@
 	Operator(rows map[table.Key]table.Row) (queue.Configuration, error)
 	// Workers returns the workers, and an error that describes rows that were skipped.
 	Workers(rows map[table.Key]table.Row) ([]dispatch.WorkerInfo, error)
+	// SameWorker reports whether two values of a worker's row say the same of the worker, so that
+	// the later one is only a heartbeat.
+	SameWorker(earlier, later []byte) bool
 }
 
 // Options are the settings and dependencies of a Node.
@@ -85,6 +88,8 @@
 	PeerAddress string
 	// Seeds are the peer addresses to contact first.
 	Seeds []string
+	// IsSeed reports that other instances contact this one first.
+	IsSeed bool
 	// Cores is the instance's share of processors. Stronger instances own more shards. 0
 	// means unknown.
 	Cores float64
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -72,6 +72,10 @@
 	// engine's revision of them.
 	fleet           [][]byte
 	workersRevision int
+	// recordRows is the number of rows that have recovery records of earlier owners. recordRejected
+	// reports that the store rejected a transaction with the record of this one.
+	recordRows     int
+	recordRejected bool
 	// workerList is the platform's list of workers.
 	workerList workerList
 	// previousAuthorityAt is when the previous owner last confirmed its ownership, zero if
@@ -177,6 +181,9 @@
 	if d.Worker != "" {
 		line = line.Str("Worker", string(d.Worker))
 	}
+	if d.WorkerVersion != "" {
+		line = line.Str("WorkerVersion", string(d.WorkerVersion))
+	}
 	if d.Reason != "" {
 		line = line.Str("Reason", d.Reason)
 	}
