Show in the memory tests that headers of many short lines cost too much

A header line costs some 70 bytes in the process beside its own bytes, and a header of 20 KiB may have 4,000 of them.

A spec of the crowds also expects now that 300 of the 400 connections were opened and written to; before, it passed if none was.

--- a/internal/integration/memory/crowd_test.go
+++ b/internal/integration/memory/crowd_test.go
@@ -86,6 +86,36 @@
 	return message{head}
 }
 
+const (
+	// unfinishedHeaderBytes is less than what the process reads of a header before it refuses it as too large,
+	// finishedHeaderBytes is about what it takes.
+	unfinishedHeaderBytes = 60 << 10
+	finishedHeaderBytes   = 19 << 10
+)
+
+// tinyLines returns the beginning of a request whose header consists of as many distinct lines as its
+// size allows.
+func tinyLines(method, host, path string, size int) []byte {
+	head := bytes.TrimSuffix(requestHead(method, host, path, ""), []byte("\r\n"))
+	for i := 0; len(head) < size; i++ {
+		head = fmt.Appendf(head, "%x:\r\n", i)
+	}
+	return head
+}
+
+// unfinishedTinyLines returns a request whose header of tiny lines doesn't end.
+func unfinishedTinyLines(method, host, path string) message {
+	return message{tinyLines(method, host, path, unfinishedHeaderBytes)}
+}
+
+// finishedTinyLines returns a request whose header of tiny lines is complete, and whose body is missing.
+func finishedTinyLines(method, host, path string) message {
+	head := bytes.TrimSuffix(requestHead(method, host, path, fmt.Sprintf("Content-Length: %d\r\n", bodyBytes)), []byte("\r\n"))
+	lines := tinyLines(method, host, path, finishedHeaderBytes-len(head))
+	_, lines, _ = bytes.Cut(lines, []byte("X-Deadline-Ms: 3600000\r\n"))
+	return message{append(append(head, lines...), "\r\n"...)}
+}
+
 // pipelined returns queries of which no answer is read.
 func pipelined(method, host, path string) message {
 	return message{bytes.Repeat(requestHead(method, host, path, ""), pipelinedQueries)}
@@ -116,8 +146,13 @@
 
 	lock        sync.Mutex
 	connections []net.Conn
+	// begun counts the connections that were opened and, if there is a message, took some of it.
+	begun int
 }
 
+// minBegun is how many connections of a crowd begin at least, although the process may close any of them.
+const minBegun = crowdSize * 3 / 4
+
 // openCrowd opens the connections, on each of which it sends the message as far as the process
 // takes it, and leaves them open until close is called.
 func openCrowd(addresses []string, m message) *crowd {
@@ -145,13 +180,35 @@
 	c.connections = append(c.connections, connection)
 	c.lock.Unlock()
 	_ = connection.SetWriteDeadline(time.Now().Add(writeTimeout))
-	for _, piece := range m {
-		if _, err := connection.Write(piece); err != nil {
+	if len(m) == 0 {
+		c.countBegun()
+	}
+	for i, piece := range m {
+		n, err := connection.Write(piece)
+		if i == 0 && n > 0 {
+			c.countBegun()
+		}
+		if err != nil {
 			return
 		}
 	}
 }
 
+func (c *crowd) countBegun() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.begun++
+}
+
+// expectBegun expects that enough connections of the crowd were opened and written to.
+func (c *crowd) expectBegun() {
+	GinkgoHelper()
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	AddReportEntry("crowd", fmt.Sprintf("%d of %d connections have begun", c.begun, crowdSize))
+	Expect(c.begun).To(BeNumerically(">=", minBegun), "connections of the crowd that have begun")
+}
+
 // close closes all connections.
 func (c *crowd) close() {
 	c.lock.Lock()
@@ -175,6 +232,7 @@
 			return false
 		}
 	}).WithTimeout(dialTimeout + writeTimeout + time.Second).WithPolling(20 * time.Millisecond).Should(BeTrue())
+	c.expectBegun()
 	settle(p, addresses)
 	expectAnswer(p, answersRequest)
 	p.expectWithinLimits()
--- a/internal/integration/memory/serve_test.go
+++ b/internal/integration/memory/serve_test.go
@@ -99,6 +99,8 @@
 		Entry("sends such bodies as one chunk", func() message { return oneChunk("POST", "h", crowdServicePath) }),
 		Entry("sends such bodies in chunks of one byte", func() message { return smallChunks("POST", "h", crowdServicePath) }),
 		Entry("sends headers that never end", func() message { return endlessHeader("POST", "h", crowdServicePath) }),
+		Entry("sends unfinished headers of very many lines", func() message { return unfinishedTinyLines("POST", "h", crowdServicePath) }),
+		Entry("sends finished headers of very many lines and no body", func() message { return finishedTinyLines("POST", "h", crowdServicePath) }),
 	)
 	DescribeTable("stays within its memory and answers callers while a crowd sends to", func(port func(*serveInstance) string, m func() message) {
 		i := startServe(memoryLimits)
--- a/internal/integration/memory/serveplatform_test.go
+++ b/internal/integration/memory/serveplatform_test.go
@@ -150,6 +150,8 @@
 		Entry("sends such bodies in chunks of one byte", func() message { return smallChunks("POST", testHost, jobPath) }),
 		Entry("sends complete bodies with very many steps", func() message { return manySteps(testHost, jobPath) }),
 		Entry("sends headers that never end", func() message { return endlessHeader("POST", testHost, jobPath) }),
+		Entry("sends unfinished headers of very many lines", func() message { return unfinishedTinyLines("POST", testHost, jobPath) }),
+		Entry("sends finished headers of very many lines and no body", func() message { return finishedTinyLines("POST", testHost, jobPath) }),
 	)
 	It("stays within its memory and answers callers while a crowd sends unfinished messages to the peers' port", func() {
 		i := startServePlatform(memoryLimits)
