Take what a header's lines cost, and end only requests that make room

Cause: a header was charged twice its bytes, but each line costs some 70 bytes beside them, and 64 KiB were read before the configured limit was checked. A Take that couldn't succeed ended every older request and failed nevertheless. A body or header that was ended at the moment in which it had arrived was handled on a connection whose reads fail, which cancelled the request while it was stored. The largest body that serve's manifest allows had no room even in calm.

Change: the header is followed as it arrives, up to its end; each line takes 96 bytes, and a header over the limit is answered 431 while it arrives. The budget adds up what can be freed first, ends only what is needed, and no small request within the reserve for a large one. Received tells whether the request was ended: a body gets 503, a header's connection is closed. The only request may take what the largest configured one needs. Room for decoding is given back once decoded. Small requests are those of 16 KiB with their header. Closed connections are logged outside the port's lock.

A message that had just arrived when the budget ended it ended all calls of its connection.

Change: a third of the sockets and an eighth of the memory at 32 KiB each, 16 to 1,024. The descriptor is free before the new connection is served. A message that has arrived goes on. The ports have buffers of 128 KiB in the kernel.

--- a/internal/caller/intake/body.go
+++ b/internal/caller/intake/body.go
@@ -47,7 +47,10 @@
 	}
 	content, err := b.read(ctx)
 	if err == nil {
-		c.lease.Received()
+		// It may have been ended at the moment in which its last part arrived.
+		err = c.lease.Received()
+	}
+	if err == nil {
 		c.enter(phaseHandling)
 		return content, c.Conn.SetReadDeadline(time.Time{})
 	}
@@ -77,18 +80,19 @@
 	}
 }
 
-// TakeForDecoding takes memory for a body to be decoded, which needs up to factor times its size.
-// Small bodies need none.
-func TakeForDecoding(r *http.Request, size int, factor Bytes) error {
+// TakeForDecoding takes memory for a body to be decoded, which needs up to factor times its size,
+// until giveBack is called. Small bodies need none.
+func TakeForDecoding(r *http.Request, size int, factor Bytes) (giveBack func(), err error) {
 	c := connectionOf(r)
-	if c == nil || Bytes(size) <= smallRequestBytes {
-		return nil
+	if c == nil || Bytes(size) <= firstKnownStepBytes {
+		return func() {}, nil
 	}
-	err := c.lease.Take(c.port.Clock.Now(), Bytes(size)*factor)
-	if err != nil {
+	n := Bytes(size) * factor
+	if err := c.lease.Take(c.port.Clock.Now(), n); err != nil {
 		c.port.refused("Body", err)
+		return nil, err
 	}
-	return err
+	return func() { c.lease.Give(n) }, nil
 }
 
 // body is a body that is being read.
@@ -104,8 +108,12 @@
 	parts      int
 }
 
-// firstStepBytes is what a body of unknown length begins with.
-const firstStepBytes = 1 << 10
+const (
+	// firstStepBytes is what a body of unknown length begins with, firstKnownStepBytes what one of known
+	// length begins with at most.
+	firstStepBytes      = 1 << 10
+	firstKnownStepBytes = 8 << 10
+)
 
 // read reads the body into a buffer that grows as the body arrives.
 func (b *body) read(ctx context.Context) ([]byte, error) {
@@ -140,7 +148,7 @@
 	size := max(2*int64(cap(content)), firstStepBytes)
 	if b.expected >= 0 {
 		most = b.expected + 1
-		size = max(size, min(most, int64(smallRequestBytes)))
+		size = max(size, min(most, firstKnownStepBytes))
 	}
 	size = min(size, most)
 	if b.connection != nil {
--- a/internal/caller/intake/budget.go
+++ b/internal/caller/intake/budget.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// smallRequestBytes of each request may come from the reserve.
-	smallRequestBytes Bytes = 8 << 10
+	// smallRequestBytes of each request, with what its header needs, may come from the reserve.
+	smallRequestBytes Bytes = 16 << 10
 	// reserveShare of the budget is kept for the first bytes of requests.
 	reserveShare = 4
 	// loneShare times the budget is for a request that is the only one, so that a request of the
@@ -32,6 +32,10 @@
 // that have been arriving for longest are ended, so that callers that send a request and never
 // finish it can't keep others out. A nil Budget grants everything.
 type Budget struct {
+	// LargestRequest returns what the largest request that is configured needs. A request that is the
+	// only one may take that much. It may be nil, and must be set before the budget is used.
+	LargestRequest func() Bytes
+
 	total, reserve Bytes
 
 	lock sync.Mutex
@@ -89,14 +93,18 @@
 }
 
 // Received says that the request, or a part of it, has arrived completely. It isn't ended from
-// now on.
-func (l *Lease) Received() {
+// now on. If it has been ended before, its bytes are given back and Received fails with ErrEnded.
+func (l *Lease) Received() error {
 	if l == nil {
-		return
+		return nil
 	}
 	l.budget.lock.Lock()
 	defer l.budget.lock.Unlock()
 	l.stopReading()
+	if l.ended {
+		return ErrEnded
+	}
+	return nil
 }
 
 // stopReading removes the lease from the list. The lock must be held.
@@ -127,41 +135,82 @@
 	if l.ended {
 		return nil, ErrEnded
 	}
-	limit := b.total
+	ended, enough := b.toEnd(now, l, b.used+n-b.limitFor(l, n), l.bytes+n > smallRequestBytes)
+	if !enough {
+		return nil, ErrExhausted
+	}
+	for _, other := range ended {
+		other.giveBack(other.bytes)
+		other.stopReading()
+		other.ended = true
+	}
+	b.used += n
+	l.bytes += n
+	return ended, nil
+}
+
+// limitFor returns how many bytes may be held in all once l has taken n more. The lock must be held.
+func (b *Budget) limitFor(l *Lease, n Bytes) Bytes {
 	switch {
+	case b.used == l.bytes && b.LargestRequest != nil:
+		return max(b.total*loneShare, b.LargestRequest())
 	case b.used == l.bytes:
-		limit *= loneShare
+		return b.total * loneShare
 	case l.bytes+n > smallRequestBytes:
-		limit -= b.reserve
+		return b.total - b.reserve
 	}
-	for b.used+n > limit {
-		oldest := b.oldestReading(now, l)
-		if oldest == nil {
-			return ended, ErrExhausted
+	return b.total
+}
+
+// toEnd selects the requests to end so that missing bytes get free for l, those first that have been
+// arriving for longest. It reports false if ending all that may be ended isn't enough. If keepSmall is set,
+// small requests keep the reserve. The lock must be held.
+func (b *Budget) toEnd(now time.Time, l *Lease, missing Bytes, keepSmall bool) (selected []*Lease, enough bool) {
+	if missing <= 0 {
+		return nil, true
+	}
+	spare := b.total
+	if keepSmall {
+		spare = b.smallArriving() - b.reserve
+	}
+	for element := b.reading.Front(); element != nil && missing > 0; element = element.Next() {
+		other := element.Value.(*Lease)
+		if now.Sub(other.since) < minReadingTime {
+			break
 		}
-		oldest.giveBack(oldest.bytes)
-		oldest.stopReading()
-		oldest.ended = true
-		ended = append(ended, oldest)
+		if other == l || other.bytes == 0 {
+			continue
+		}
+		if other.bytes <= smallRequestBytes {
+			if other.bytes > spare {
+				continue
+			}
+			spare -= other.bytes
+		}
+		selected = append(selected, other)
+		missing -= other.bytes
 	}
-	b.used += n
-	l.bytes += n
-	return ended, nil
+	// A large one that came last may make earlier ones unnecessary.
+	needed := selected[:0]
+	for _, other := range selected {
+		if missing+other.bytes <= 0 {
+			missing += other.bytes
+			continue
+		}
+		needed = append(needed, other)
+	}
+	return needed, missing <= 0
 }
 
-// oldestReading returns the lease other than l that has been arriving for longest, or nil if none
-// has for minReadingTime. The lock must be held.
-func (b *Budget) oldestReading(now time.Time, l *Lease) *Lease {
+// smallArriving returns what small requests that are arriving hold. The lock must be held.
+func (b *Budget) smallArriving() Bytes {
+	var sum Bytes
 	for element := b.reading.Front(); element != nil; element = element.Next() {
-		oldest := element.Value.(*Lease)
-		if now.Sub(oldest.since) < minReadingTime {
-			return nil
-		}
-		if oldest != l {
-			return oldest
+		if other := element.Value.(*Lease); other.bytes <= smallRequestBytes {
+			sum += other.bytes
 		}
 	}
-	return nil
+	return sum
 }
 
 // Give gives back some of the bytes.
--- a/internal/caller/intake/budget_test.go
+++ b/internal/caller/intake/budget_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -68,7 +69,7 @@
 	})
 	It("doesn't end a request that has arrived and waits for its answer", func() {
 		c := newCrowd(testBudget)
-		c.hold().Received()
+		Expect(c.hold().Received()).To(Succeed())
 		c.now = c.now.Add(time.Hour)
 		Expect(c.arrive("other").Take(c.now, 2*smallRequestBytes)).To(MatchError(ErrExhausted))
 		Expect(c.ended).To(BeEmpty())
@@ -77,7 +78,7 @@
 		c := newCrowd(testBudget)
 		answered := c.arrive("answered")
 		Expect(answered.Take(c.now, 1)).To(Succeed())
-		answered.Received()
+		Expect(answered.Received()).To(Succeed())
 		growing := c.arrive("growing")
 		Expect(growing.Take(c.now, c.total-c.reserve-1)).To(Succeed())
 		c.now = c.now.Add(time.Hour)
@@ -116,11 +117,62 @@
 		Expect(c.reading.Len()).To(BeZero())
 		Expect(first.Take(c.now, 1)).To(Succeed(), "a released lease serves the next request")
 	})
+	It("ends nothing if that isn't enough", func() {
+		c := newCrowd(testBudget)
+		answered := c.hold()
+		Expect(answered.Received()).To(Succeed())
+		answered.Give(10 * smallRequestBytes)
+		Expect(c.arrive("arriving").Take(c.now, 5*smallRequestBytes)).To(Succeed())
+		c.now = c.now.Add(minReadingTime)
+		Expect(c.arrive("large").Take(c.now, 11*smallRequestBytes)).To(MatchError(ErrExhausted))
+		Expect(c.ended).To(BeEmpty())
+		Expect(c.arrive("less").Take(c.now, 9*smallRequestBytes)).To(Succeed())
+		Expect(c.ended).To(Equal([]string{"arriving"}))
+	})
+	It("ends only as many as needed", func() {
+		c := newCrowd(testBudget)
+		for _, size := range []Bytes{2, 3, 20, 23} {
+			Expect(c.arrive(fmt.Sprint(size)).Take(c.now, size*smallRequestBytes)).To(Succeed())
+		}
+		c.now = c.now.Add(minReadingTime)
+		Expect(c.arrive("large").Take(c.now, 20*smallRequestBytes)).To(Succeed())
+		Expect(c.ended).To(Equal([]string{"20"}))
+	})
+	It("ends no small request within the reserve for a large one", func() {
+		c := newCrowd(testBudget)
+		for range c.reserve / smallRequestBytes {
+			Expect(c.arrive("small").Take(c.now, smallRequestBytes)).To(Succeed())
+		}
+		Expect(c.arrive("first").Take(c.now, c.total-2*c.reserve)).To(Succeed())
+		c.now = c.now.Add(minReadingTime)
+		Expect(c.arrive("too large").Take(c.now, c.total-c.reserve)).To(MatchError(ErrExhausted))
+		Expect(c.ended).To(BeEmpty())
+		Expect(c.arrive("second").Take(c.now, c.total-2*c.reserve)).To(Succeed())
+		Expect(c.ended).To(Equal([]string{"first"}))
+	})
+	It("tells a request that was ended at the moment in which it had arrived", func() {
+		c := newCrowd(testBudget)
+		first := c.hold()
+		c.now = c.now.Add(minReadingTime)
+		c.hold()
+		Expect(first.Received()).To(MatchError(ErrEnded))
+		first.Release()
+		first.Reading(c.now)
+		Expect(first.Received()).To(Succeed())
+	})
+	It("grants the only request what the largest one needs that is configured", func() {
+		c := newCrowd(testBudget)
+		c.LargestRequest = func() Bytes { return 50 * c.total }
+		only := c.arrive("only")
+		Expect(only.Take(c.now, 50*c.total)).To(Succeed())
+		Expect(only.Take(c.now, 1)).To(MatchError(ErrExhausted))
+		Expect(c.arrive("other").Take(c.now, 1)).To(MatchError(ErrExhausted))
+	})
 	It("never grants several requests more than its total", func() {
 		c := newCrowd(testBudget)
 		leases := []*Lease{c.arrive("first")}
 		Expect(leases[0].Take(c.now, 1)).To(Succeed())
-		leases[0].Received()
+		Expect(leases[0].Received()).To(Succeed())
 		for i := range 2000 {
 			l := c.arrive("x")
 			leases = append(leases, l)
@@ -137,7 +189,7 @@
 		l := none.NewLease(func() {})
 		l.Reading(time.Time{})
 		Expect(l.Take(time.Time{}, 1<<40)).To(Succeed())
-		l.Received()
+		Expect(l.Received()).To(Succeed())
 		l.Give(1)
 		l.Release()
 	})
@@ -169,9 +221,23 @@
 	It("follow the memory where it binds", func() {
 		Expect(NewLimits(Machine{Memory: 64 << 20, Descriptors: 4100}).CallerConnections).To(Equal(341))
 	})
+	It("give two connections to each of 300 instances where the machine allows it, within a third of the descriptors", func() {
+		Expect(NewLimits(Machine{Memory: 184 << 20, Descriptors: 4100}).PeerConnections).To(BeNumerically(">=", 600))
+		Expect(NewLimits(Machine{Memory: 1 << 40, Descriptors: 1 << 20}).PeerConnections).To(Equal(1024))
+		Expect(NewLimits(Machine{Memory: 1 << 40, Descriptors: 500}).PeerConnections).To(Equal(100))
+		Expect(NewLimits(Machine{Memory: 64 << 20, Descriptors: 1 << 20}).PeerConnections).To(Equal(256))
+	})
+	It("take a body of 256 KiB that is decoded beside small requests, on any machine", func() {
+		b := NewBudget(NewLimits(Machine{}).Requests)
+		now := time.Now()
+		for range b.reserve / smallRequestBytes {
+			Expect(b.NewLease(func() {}).Take(now, smallRequestBytes)).To(Succeed())
+		}
+		Expect(b.NewLease(func() {}).Take(now, 9*262144)).To(Succeed())
+	})
 	It("allow some requests on a machine that tells too little", func() {
 		l := NewLimits(Machine{})
-		Expect(l).To(Equal(Limits{Requests: minBudget, Messages: minBudget, Internal: minInternalBudget, CallerConnections: minCallerConnections, InternalConnections: minInternalConnections}))
+		Expect(l).To(Equal(Limits{Requests: minBudget, Messages: minBudget, Internal: minInternalBudget, CallerConnections: minCallerConnections, InternalConnections: minInternalConnections, PeerConnections: minPeerConnections}))
 	})
 	It("take a body of the largest size that the platform configures on the smallest machine", func() {
 		const largestBody = 262144
--- a/internal/caller/intake/limits.go
+++ b/internal/caller/intake/limits.go
@@ -36,7 +36,15 @@
 	minCallerConnections   = 16
 	minInternalConnections = 8
 	maxInternalConnections = 64
-	minBudget              = 2 << 20
+	// peerShare of the sockets, and peerMemoryShare of the memory at peerConnectionBytes each, is for the
+	// connections of other instances, which have two each.
+	peerShare                 = 3
+	peerMemoryShare           = 8
+	peerConnectionBytes Bytes = 32 << 10
+	minPeerConnections        = 16
+	maxPeerConnections        = 1024
+	// minBudget is enough for a body of 256 KiB to be decoded beside small requests.
+	minBudget = 6 << 20
 	// internalBudgetShare of the memory is for the requests to all ports that aren't for callers.
 	internalBudgetShare = 32
 	minInternalBudget   = 1 << 20
@@ -44,6 +52,13 @@
 	assumedDescriptors = 1024
 )
 
+// RequestBytes returns what a request with a body of up to largest bytes needs while it is read, where a
+// body is copied into a larger buffer as it grows, and while it is decoded.
+func RequestBytes(largest int64, decodingFactor Bytes) Bytes {
+	const copies = 2
+	return Bytes(largest)*max(copies, 1+decodingFactor) + maxHeaderMemory
+}
+
 // MaxDescriptors returns the number of file descriptors that the system allows the process.
 func MaxDescriptors() int {
 	var limit syscall.Rlimit
@@ -64,6 +79,8 @@
 	// each other HTTP port.
 	CallerConnections   int
 	InternalConnections int
+	// PeerConnections bounds the connections of other instances.
+	PeerConnections int
 }
 
 // NewLimits returns the bounds of a process on a machine.
@@ -75,6 +92,7 @@
 		Requests: budget, Messages: budget, Internal: max(m.Memory/internalBudgetShare, minInternalBudget),
 		CallerConnections:   max(min(sockets/callerShare, byMemory), minCallerConnections),
 		InternalConnections: min(max(sockets/internalShare, minInternalConnections), maxInternalConnections),
+		PeerConnections:     min(max(min(sockets/peerShare, int(m.Memory/peerMemoryShare/peerConnectionBytes)), minPeerConnections), maxPeerConnections),
 	}
 }
 
@@ -95,8 +113,12 @@
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
 	defaultWriteTimeout  = 5 * time.Second
+	// headerSlack is how far a header may be over its limit.
+	headerSlack = 4 << 10
 	// maxHeaderBytes is the largest header that is read, whatever the limit of the port is.
 	maxHeaderBytes = 64 << 10
+	// maxHeaderMemory is what such a header needs, with lines of the usual length.
+	maxHeaderMemory = 1 << 20
 	// maxBodyTime bounds the time in which a body arrives, maxBodyPause the time without any
 	// byte of it.
 	maxBodyTime  = 30 * time.Second
@@ -110,6 +132,7 @@
 	if l.HeaderBytes <= 0 {
 		l.HeaderBytes = defaultHeaderBytes
 	}
+	l.HeaderBytes = min(l.HeaderBytes, maxHeaderBytes)
 	if l.HeaderTimeout <= 0 {
 		l.HeaderTimeout = defaultHeaderTimeout
 	}
--- a/internal/caller/intake/listener.go
+++ b/internal/caller/intake/listener.go
@@ -16,22 +16,29 @@
 const (
 	// kernelBufferBytes is the size of the kernel's buffers for each direction of a connection.
 	// What waits in them counts as the machine's memory.
-	kernelBufferBytes = 16 << 10
+	kernelBufferBytes     = 16 << 10
+	peerKernelBufferBytes = 128 << 10
 	// writeStepBytes is the largest part of an answer that is written with one time limit.
 	writeStepBytes = 32 << 10
 	// deadlineStep is how long a deadline isn't set again, which costs some time.
 	deadlineStep = time.Second
-	// headerMemoryFactor is the memory that a header needs for each of its bytes.
-	headerMemoryFactor = 2
 )
 
 // Listen opens an address with small buffers in the kernel.
-func Listen(address string) (net.Listener, error) {
+func Listen(address string) (net.Listener, error) { return listen(address, kernelBufferBytes) }
+
+// ListenForPeers opens an address for other instances, whose messages may be large and come over links
+// with a long delay.
+func ListenForPeers(address string) (net.Listener, error) {
+	return listen(address, peerKernelBufferBytes)
+}
+
+func listen(address string, bufferBytes int) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			// A system that keeps its own size of buffers serves as well.
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, kernelBufferBytes)
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, kernelBufferBytes)
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bufferBytes)
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, bufferBytes)
 		})
 	}}
 	return config.Listen(context.Background(), "tcp", address)
@@ -71,8 +78,15 @@
 	// phase and since are the connection's activity; since is in nanoseconds since 1970.
 	phase atomic.Int32
 	since atomic.Int64
-	// headerBytes counts what was read since the last request.
-	headerBytes atomic.Int64
+	// header is the header that arrives. Only the goroutine that reads the connection uses it and
+	// headerRefused.
+	header headerScan
+	// headerRefused is set once a header was refused, after which nothing more is read.
+	headerRefused bool
+	// newHeader is set when the next bytes that are read begin a header.
+	newHeader atomic.Bool
+	// headerEnded is set if the budget has ended the header that has arrived. Only the server's goroutine uses it.
+	headerEnded bool
 	// awaitsRequest is set while the server is about to wait for a request.
 	awaitsRequest atomic.Bool
 	closeOnce     sync.Once
@@ -116,6 +130,9 @@
 
 // Read reads from the connection. The bytes of a header are taken from the budget.
 func (c *connection) Read(p []byte) (int, error) {
+	if c.headerRefused {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
@@ -128,14 +145,36 @@
 	default:
 		return n, err
 	}
-	c.headerBytes.Add(int64(n))
-	if takeErr := c.lease.Take(c.port.Clock.Now(), Bytes(n)*headerMemoryFactor); takeErr != nil {
-		c.port.refused("Header", takeErr)
-		// After this error the server closes the connection without an answer. To another one it
-		// answers that the request is malformed.
-		return 0, os.ErrDeadlineExceeded
+	if c.newHeader.CompareAndSwap(true, false) {
+		c.header = headerScan{}
+	}
+	takeErr := c.lease.Take(c.port.Clock.Now(), c.header.add(p[:n]))
+	tooLarge := c.header.bytes > c.port.limits().HeaderBytes+headerSlack
+	if takeErr == nil && !tooLarge {
+		return n, err
+	}
+	c.headerRefused = true
+	c.port.refused("Header", takeErr)
+	if tooLarge {
+		c.refuseHeader(p)
+	}
+	// After this error the server closes the connection without an answer. To another one it
+	// answers that the request is malformed.
+	return 0, os.ErrDeadlineExceeded
+}
+
+const headerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\nthe header is too large"
+
+// refuseHeader answers a header that is too large before it has arrived completely, and reads what still
+// comes for a moment, so that the answer isn't lost by a reset.
+func (c *connection) refuseHeader(buffer []byte) {
+	_, err := c.Write([]byte(headerTooLarge))
+	if err != nil || c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	for err == nil {
+		_, err = c.Conn.Read(buffer)
 	}
-	return n, err
 }
 
 // Write writes to the connection. It fails if the caller doesn't read for the port's WriteTimeout.
--- a/internal/caller/intake/port.go
+++ b/internal/caller/intake/port.go
@@ -74,22 +74,36 @@
 
 // admit returns the connection if the port has a place for it, otherwise nil.
 func (p *Port) admit(tcp *net.TCPConn) *connection {
+	c, closedReason := p.place(tcp)
+	if closedReason != "" {
+		p.closed(closedReason)
+	}
+	return c
+}
+
+// place gives a connection a place, and returns nil if there is none. It returns why a connection, this
+// or another one, was or has to be closed, or nothing.
+func (p *Port) place(tcp *net.TCPConn) (c *connection, closedReason string) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	if p.MaxConnections > 0 && len(p.connections) >= p.MaxConnections && !p.closeOne() {
-		p.closed("New")
-		return nil
+	if p.MaxConnections > 0 && len(p.connections) >= p.MaxConnections {
+		ph, found := p.closeOne()
+		if !found {
+			return nil, "New"
+		}
+		closedReason = phaseNames[ph]
 	}
-	c := newConnection(tcp, p)
+	c = newConnection(tcp, p)
 	if p.connections == nil {
 		p.connections = map[*connection]struct{}{}
 	}
 	p.connections[c] = struct{}{}
-	return c
+	return c, closedReason
 }
 
-// closeOne closes the connection that is least useful, if one may be closed. The lock must be held.
-func (p *Port) closeOne() bool {
+// closeOne closes the connection that is least useful, if one may be closed, and returns its phase. The
+// lock must be held.
+func (p *Port) closeOne() (ph phase, found bool) {
 	open := make([]*connection, 0, len(p.connections))
 	activities := make([]activity, 0, len(p.connections))
 	for c := range p.connections {
@@ -98,13 +112,12 @@
 	}
 	selected := selectConnection(p.Clock.Now(), activities)
 	if selected < 0 {
-		return false
+		return 0, false
 	}
-	p.closed(phaseNames[activities[selected].phase])
 	delete(p.connections, open[selected])
 	// The server notices by the error of its next read or write, and gives the bytes back.
 	_ = open[selected].Conn.Close()
-	return true
+	return activities[selected].phase, true
 }
 
 // remove is called when a connection is closed.
@@ -123,18 +136,18 @@
 	}
 	switch state {
 	case http.StateActive:
-		c.lease.Received()
+		c.headerEnded = c.lease.Received() != nil
 		c.enter(phaseHandling)
 	case http.StateIdle:
 		c.lease.Release()
-		c.headerBytes.Store(0)
+		c.newHeader.Store(true)
 		c.awaitsRequest.Store(true)
 		c.enter(phaseIdle)
 	}
 }
 
-// bound refuses requests whose header is over the limit and bounds the time for bodies that the
-// handler doesn't read.
+// bound bounds the time for bodies that the handler doesn't read, and closes connections whose header
+// was ended to free memory at the moment in which it had arrived.
 func (p *Port) bound(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connectionOf(r)
@@ -142,19 +155,16 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if c.headerEnded {
+			// Reads of the connection fail from now on, which would end the request while it is handled.
+			p.refused("Header", ErrEnded)
+			panic(http.ErrAbortHandler)
+		}
 		if r.ContentLength == 0 {
 			c.enter(phaseHandling)
 		} else {
 			c.awaitBody()
 		}
-		// The last read may have brought bytes that come after the header.
-		const readAhead = 4 << 10
-		if c.headerBytes.Load() > int64(p.limits().HeaderBytes)+readAhead {
-			p.refused("Header", nil)
-			CloseAfterAnswer(w, r)
-			http.Error(w, "the header is too large", http.StatusRequestHeaderFieldsTooLarge)
-			return
-		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/caller/intake/port_test.go
+++ b/internal/caller/intake/port_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -68,6 +69,11 @@
 	}
 }
 
+// readerFunc is a function as a reader.
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 // open opens a connection and sends text on it.
 func (f *portFixture) open(text string) net.Conn {
 	GinkgoHelper()
@@ -127,6 +133,31 @@
 		expectStatus(f.open(unfinished+"x"), http.StatusServiceUnavailable)
 		Expect(f.counters.Value("Intake.Test.Refused.BodyStalled")).To(Equal(int64(1)))
 	})
+	It("reads the largest body that is configured when it is the only one, whatever the budget is", func() {
+		b := NewBudget(16 << 10)
+		b.LargestRequest = func() Bytes { return RequestBytes(testBodyLimit, 2) }
+		f := startPort(GinkgoTB(), &Port{Budget: b})
+		body := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", testBodyLimit, strings.Repeat("x", testBodyLimit))
+		expectStatus(f.open(post+body), http.StatusOK)
+	})
+	It("answers 503 to a body that was ended at the moment in which it had arrived", func() {
+		f := startPort(GinkgoTB(), &Port{Budget: NewBudget(64 << 10)})
+		server, client := net.Pipe()
+		DeferCleanup(client.Close)
+		c := &connection{Conn: server, port: f.Port, lease: f.Budget.NewLease(func() {})}
+		c.lease.Reading(time.Now())
+		r := requestOn(c)
+		r.ContentLength = 4 << 10
+		r.Body = io.NopCloser(io.MultiReader(strings.NewReader(strings.Repeat("x", 4<<10)), readerFunc(func([]byte) (int, error) {
+			for _, n := range []Bytes{44<<10 - 1, smallRequestBytes, 1} {
+				Expect(f.Budget.NewLease(func() {}).Take(time.Now().Add(minReadingTime), n)).To(Succeed())
+			}
+			return 0, io.EOF
+		})))
+		_, err := ReadBody(r.Context(), httptest.NewRecorder(), r, testBodyLimit)
+		Expect(err).To(MatchError(ErrEnded))
+		Expect(f.counters.Value("Intake.Test.Refused.BodyEnded")).To(Equal(int64(1)))
+	})
 	It("refuses a body that is too large without reading it", func() {
 		f := startPort(GinkgoTB(), &Port{})
 		expectStatus(f.open(post+"Content-Length: 99999999\r\n\r\n"), http.StatusRequestEntityTooLarge)
@@ -189,7 +220,9 @@
 		r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "/", strings.NewReader("abc"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ReadBody(r.Context(), nil, r, 3)).To(Equal([]byte("abc")))
-		Expect(TakeForDecoding(r, 1<<30, 8)).To(Succeed())
+		giveBack, err := TakeForDecoding(r, 1<<30, 8)
+		Expect(err).NotTo(HaveOccurred())
+		giveBack()
 	})
 })
 
--- a/internal/caller/job/handler.go
+++ b/internal/caller/job/handler.go
@@ -277,13 +277,19 @@
 	return manifest.Class{}, false
 }
 
+// LargestSubmission returns the memory that the largest submission needs.
+func LargestSubmission(limits manifest.Limits) intake.Bytes {
+	return intake.RequestBytes(int64(limits.MaxPayload)+maxSubmissionOverhead, decodingFactor)
+}
+
 // decodeSpec reads and decodes a submission. Its error satisfies intake.IsRefusal.
 func decodeSpec(w http.ResponseWriter, r *http.Request, limits manifest.Limits) (Spec, []Finding, error) {
 	var spec Spec
 	limit := int64(limits.MaxPayload) + maxSubmissionOverhead
 	content, err := intake.ReadBody(r.Context(), w, r, limit)
+	giveBack := func() {}
 	if err == nil {
-		err = intake.TakeForDecoding(r, len(content), decodingFactor)
+		giveBack, err = intake.TakeForDecoding(r, len(content), decodingFactor)
 	}
 	if intake.IsRefusal(err) {
 		return spec, nil, err
@@ -291,6 +297,7 @@
 	if err != nil {
 		return spec, []Finding{bodyFinding(err, limit)}, nil
 	}
+	defer giveBack()
 	decoder := json.NewDecoder(bytes.NewReader(content))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&spec); err != nil {
--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -87,7 +87,7 @@
 		Clock: clock, Counter: p.counters, Dial: dialPeer,
 		DialTimeout: peerDialTimeout, BackoffLimit: peerBackoffLimit,
 	})
-	p.peerServer = entry.NewServer(entry.ServerOptions{Clock: clock, Counter: p.counters, MaxConnections: maxPeerConnections, Budget: intake.NewBudget(p.limits.Messages)})
+	p.peerServer = entry.NewServer(entry.ServerOptions{Clock: clock, Counter: p.counters, MaxConnections: p.limits.PeerConnections, Budget: intake.NewBudget(p.limits.Messages)})
 	var policy dispatcher.Policy
 	if s.PolicyAddress != "" {
 		policy = platform.PolicyClient{Address: s.PolicyAddress, HTTP: httpClient}
@@ -111,8 +111,6 @@
 	// peerBackoffLimit is the longest delay between attempts to reach another instance.
 	// It is short so that restarted instances soon connect again.
 	peerBackoffLimit = 500 * time.Millisecond
-	// maxPeerConnections is enough for two connections from each of 512 instances.
-	maxPeerConnections = 1024
 )
 
 func dialPeer(ctx context.Context, address string) (net.Conn, error) {
@@ -148,7 +146,9 @@
 		}
 		return listener
 	}
-	callers := p.newPort("Callers", p.limits.CallerConnections, intake.NewBudget(p.limits.Requests))
+	budget := intake.NewBudget(p.limits.Requests)
+	budget.LargestRequest = func() intake.Bytes { return platform.LargestSubmission(p.node.Configuration()) }
+	callers := p.newPort("Callers", p.limits.CallerConnections, budget)
 	callers.Limits = p.requestLimits
 	p.callerServer = callers.NewServer(&platform.CallerHandler{
 		Jobs: p.node, Clock: opts.Factory.Clock, Counters: p.counters, Log: p.log, Draining: p.stopping.Load,
@@ -158,7 +158,7 @@
 	readiness := p.newPort("Readiness", p.limits.InternalConnections, internal)
 	p.readyServer = readiness.NewServer(http.HandlerFunc(p.serveReady))
 	p.listeners[p.readyServer] = readiness.Listener(open(intake.Listen, p.settings.ReadinessAddress))
-	p.peerListener = open(listenTCP, p.settings.PeerAddress)
+	p.peerListener = open(intake.ListenForPeers, p.settings.PeerAddress)
 	metrics := p.newPort("Metrics", p.limits.InternalConnections, internal)
 	p.metricsServer = metrics.NewServer(counter.TextHandler{Counters: p.counters, Histograms: p.latencies})
 	if opts.MetricsPort != 0 {
@@ -167,8 +167,6 @@
 	return errors.Join(errs...)
 }
 
-func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
-
 func (p *process) newPort(name string, maxConnections int, budget *intake.Budget) *intake.Port {
 	return &intake.Port{
 		Name: name, MaxConnections: maxConnections, Budget: budget,
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -18,6 +18,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/worker"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/claim"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/intake"
+	"github.com/jacinthtrail/jacinthtrail/internal/caller/job"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/service"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/ticket"
 	"github.com/jacinthtrail/jacinthtrail/internal/entry/configuration"
@@ -122,7 +123,7 @@
 	}
 	i.callerListener = listen(intake.Listen, settings.CallerAddress)
 	i.operatorListener = listen(intake.Listen, settings.OperatorAddress)
-	i.peerListener = listen(listenTCP, settings.PeerAddress)
+	i.peerListener = listen(intake.ListenForPeers, settings.PeerAddress)
 	if len(errs) > 0 {
 		i.closeListeners()
 		return nil, errors.Join(errs...)
@@ -149,7 +150,7 @@
 	i.workerSyncer = &worker.Client{}
 	i.peerClient = entry.NewClient(entry.ClientOptions{Clock: i.clock, Counter: i.counters})
 	i.limits = intake.NewLimits(i.settings.machine())
-	i.peerServer = entry.NewServer(entry.ServerOptions{Clock: i.clock, Counter: i.counters, Budget: intake.NewBudget(i.limits.Messages)})
+	i.peerServer = entry.NewServer(entry.ServerOptions{Clock: i.clock, Counter: i.counters, MaxConnections: i.limits.PeerConnections, Budget: intake.NewBudget(i.limits.Messages)})
 	i.initTicketsAndClaims()
 	i.slotManager = newSlotManager(i)
 	i.services = i.serviceHandler()
@@ -191,6 +192,7 @@
 	defer stop()
 	group, background := errgroup.WithContext(background)
 	callerPort := i.newPort("Callers", i.limits.CallerConnections, i.limits.Requests)
+	callerPort.Budget.LargestRequest = i.largestRequest
 	callers := callerPort.NewServer(i.callerRoutes())
 	operatorPort := i.newPort("Operators", i.limits.InternalConnections, i.limits.Internal)
 	operators := operatorPort.NewServer((&control.Server{Backend: operatorBackend{i}, Counters: i.counters}).Handler())
@@ -221,7 +223,15 @@
 	}
 }
 
-func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+// largestRequest returns the memory that the largest request needs that the manifest allows.
+func (i *Instance) largestRequest() intake.Bytes {
+	m := i.config.Current().Manifest
+	largest := job.LargestSubmission(m.Limits)
+	for _, s := range m.Services {
+		largest = max(largest, intake.RequestBytes(int64(s.MaxBody), 0))
+	}
+	return largest
+}
 
 func (i *Instance) closePeerClient() {
 	if err := i.peerClient.Close(); err != nil {
--- a/internal/peer/entry/entry_test.go
+++ b/internal/peer/entry/entry_test.go
@@ -256,6 +256,21 @@
 		Eventually(budget.Used, testTimeout).Should(BeZero())
 	})
 
+	// Guards against the loss of all calls of a connection whose message had just arrived.
+	It("keeps a connection whose message was ended at the moment in which it had arrived", func() {
+		server, client := net.Pipe()
+		DeferCleanup(client.Close)
+		stream := newStream(server, nil, 0)
+		stream.limitMemory(intake.NewBudget(64<<10), clockwork.NewFakeClock())
+		var group sync.WaitGroup
+		DeferCleanup(group.Wait)
+		group.Go(func() { _, _ = client.Write([]byte("abc")) })
+		Expect(stream.readBody(3)).To(Equal([]byte("abc")))
+		stream.interruptRead()
+		group.Go(func() { _, _ = client.Write([]byte("def")) })
+		Expect(stream.readBody(3)).To(Equal([]byte("def")))
+	})
+
 	// Guards against connections without messages that keep other instances out.
 	It("closes the oldest connection that hasn't sent a message when there are too many", func() {
 		counter := &recordingCounter{}
--- a/internal/peer/entry/server.go
+++ b/internal/peer/entry/server.go
@@ -127,7 +127,14 @@
 func (s *Server) ServeConnection(ctx context.Context, connection net.Conn) {
 	stream := newStream(connection, s.options.Counter, s.options.IdleTimeout)
 	stream.limitMemory(s.options.Budget, s.options.Clock)
-	if !s.reserveConnection(stream) {
+	reserved, replaced := s.reserveConnection(stream)
+	if replaced != nil {
+		count(s.options.Counter, CountClosedUnused)
+		_ = replaced.Close()
+		// It has nothing to send. Its descriptor is free once this returns.
+		_ = replaced.connection.Close()
+	}
+	if !reserved {
 		count(s.options.Counter, CountRefusedConnection)
 		_ = connection.Close()
 		return
@@ -145,22 +152,20 @@
 	jsonrpc2.NewConn(ctx, stream, (*connectionHandler)(s), logger)
 }
 
-// reserveConnection adds a new connection. It reports false if the limit is reached and each
-// connection has sent a message.
-func (s *Server) reserveConnection(added *stream) bool {
+// reserveConnection adds a new connection, in place of the one that it returns, if any, which the caller
+// closes. It reports false if the limit is reached and each connection has sent a message.
+func (s *Server) reserveConnection(added *stream) (reserved bool, replaced *stream) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if len(s.connections) >= s.options.MaxConnections {
-		oldest := s.oldestUnused()
-		if oldest == nil {
-			return false
+		replaced = s.oldestUnused()
+		if replaced == nil {
+			return false, nil
 		}
-		count(s.options.Counter, CountClosedUnused)
-		delete(s.connections, oldest)
-		_ = oldest.Close()
+		delete(s.connections, replaced)
 	}
 	s.connections[added] = struct{}{}
-	return true
+	return true, replaced
 }
 
 // oldestUnused returns the oldest connection that hasn't sent a message. The lock must be held.
--- a/internal/peer/entry/stream.go
+++ b/internal/peer/entry/stream.go
@@ -44,7 +44,9 @@
 	queue       net.Buffers
 	queuedBytes int
 	closed      bool
-	wake        chan struct{}
+	// arriving is set while the body of a message arrives.
+	arriving bool
+	wake     chan struct{}
 	// readEnded is closed when ReadObject fails. After that, jsonrpc2 doesn't read again
 	// and starts no more calls.
 	readEnded chan struct{}
@@ -68,10 +70,26 @@
 // used.
 func (s *stream) limitMemory(budget *intake.Budget, clock clockwork.Clock) {
 	s.clock = clock
-	s.incoming = budget.NewLease(func() { _ = s.connection.SetReadDeadline(time.Unix(1, 0)) })
+	s.incoming = budget.NewLease(s.interruptRead)
 	s.outgoing = budget.NewLease(func() {})
 }
 
+// interruptRead makes the read of the message fail that arrives. A message that has arrived in the meantime
+// is handled, so that the calls of the connection aren't lost.
+func (s *stream) interruptRead() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.arriving {
+		_ = s.connection.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+func (s *stream) setArriving(arriving bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.arriving = arriving
+}
+
 // WriteObject encodes obj and queues it for sending.
 func (s *stream) WriteObject(obj any) error {
 	body, err := json.Marshal(obj)
@@ -158,8 +176,11 @@
 
 // readBody reads the body of a message into a buffer that grows as the body arrives.
 func (s *stream) readBody(size int) ([]byte, error) {
+	s.setArriving(true)
+	defer s.setArriving(false)
 	s.incoming.Reading(s.clock.Now())
-	defer s.incoming.Received()
+	// The call takes memory of its own, so a message that was ended when it had arrived may go on.
+	defer func() { _ = s.incoming.Received() }()
 	first := size
 	if s.incoming != nil {
 		first = min(size, firstReadBytes)
