--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -23,10 +23,15 @@
 	Factory  *factory.Factory
 	Settings instance.Settings
 	LogLevel string
+	// MemoryGiven is set if the memory was given and isn't the default.
+	MemoryGiven bool
 }
 
-// memoryLimitPercent of the memory is the soft memory limit of the process.
-const memoryLimitPercent = 70
+const (
+	// memoryLimitPercent of the memory that is given is the soft memory limit of the process.
+	memoryLimitPercent = 70
+	memoryFlag         = "memory-mb"
+)
 
 // NewCmd returns the command. Tests replace its run function with runF.
 func NewCmd(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
@@ -52,6 +57,7 @@
 			opts.Settings.Zone = membership.Zone(zone)
 			opts.Settings.Region = membership.Region(region)
 			opts.Settings.Memory = resource.Bytes(memoryMB) << 20
+			opts.MemoryGiven = cmd.Flags().Changed(memoryFlag)
 			if err := opts.check(); err != nil {
 				return err
 			}
@@ -68,7 +74,7 @@
 	flags.StringVar(&opts.Settings.PeerAnnounceAddress, "announce-peer-address", "", "`address` that other entry instances are told to use, if it differs from the peer address")
 	flags.StringVar(&opts.Settings.Platform, "platform", "127.0.0.1:7400", "`address` of the platform's services")
 	flags.StringSliceVar(&opts.Settings.Peers, "peers", nil, "peer `addresses` of other entry instances to ask when the platform can't be reached")
-	flags.Int64Var(&memoryMB, "memory-mb", int64(instance.DefaultMemory>>20), "memory of the process in `MB`, from which the memory for requests and connections is derived")
+	flags.Int64Var(&memoryMB, memoryFlag, int64(instance.DefaultMemory>>20), "memory of the process in `MB`, from which the memory for requests and connections is derived")
 	flags.IntVar(&opts.Settings.Descriptors, "file-descriptors", 0, "`number` of file descriptors of the process, from which the number of connections is derived; 0 for what the system allows")
 	flags.DurationVar(&opts.Settings.UnreadyDelay, "unready-delay", instance.DefaultUnreadyDelay, "`time` for which a stopping instance still serves new requests, so that the load balancer removes it first")
 	flags.DurationVar(&opts.Settings.DrainTimeout, "drain-timeout", 0, "longest `time` of a graceful stop, including the wait for requests and feeds in flight; 0s for the longest that the manifest allows")
@@ -93,7 +99,7 @@
 	log := zerolog.New(opts.Factory.IO.ErrOut).Level(level).With().
 		Timestamp().Str("Instance", string(opts.Settings.ID)).Str("Zone", string(opts.Settings.Zone)).Logger()
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	if opts.Settings.Memory > 0 {
+	if opts.MemoryGiven && opts.Settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(opts.Settings.Memory) / 100 * memoryLimitPercent)
 	}
 	entry, err := instance.Listen(opts.Settings, opts.Factory.Clock, log)
--- a/internal/entry/dispatcher/client_requests.go
+++ b/internal/entry/dispatcher/client_requests.go
@@ -269,12 +269,11 @@
 		}
 		return answer.State, nil
 	}
-	if err := s.node.stateReads.Acquire(ctx, 1); err != nil {
-		return "", &queue.Refusal{Reason: RefusedTooManyQueries, RetryAfter: shortRetryAfter}
+	row, err := s.readForState(ctx, id)
+	var refusal *queue.Refusal
+	if errors.As(err, &refusal) {
+		return "", err
 	}
-	s.node.Counters.Add("State.FromStore", 1)
-	row, err := s.node.read(ctx, s.partition.jobKey(id))
-	s.node.stateReads.Release(1)
 	if err != nil {
 		outage, _ := s.node.store.lostFor()
 		return "", storeRefusal(outage)
@@ -295,6 +294,16 @@
 	return s.stateOfUnfinished(ctx, id)
 }
 
+// readForState reads the row of a job. It returns a *queue.Refusal if too many queries read at the same time.
+func (s *shard) readForState(ctx context.Context, id dispatch.JobID) (table.Row, error) {
+	if err := s.node.stateReads.Acquire(ctx, 1); err != nil {
+		return table.Row{}, &queue.Refusal{Reason: RefusedTooManyQueries, RetryAfter: shortRetryAfter}
+	}
+	defer s.node.stateReads.Release(1)
+	s.node.Counters.Add("State.FromStore", 1)
+	return s.node.read(ctx, s.partition.jobKey(id))
+}
+
 // movedState asks the shard that a job was moved to. That shard may not have the job
 // yet.
 func (s *shard) movedState(ctx context.Context, id dispatch.JobID, to shardID, stored bool) (dispatch.JobState, error) {
