Count the lines of a header whose first bytes came with the request before it

Cause: such a header's line that is cut in its middle looked like the header's end, after which its lines weren't counted. Change: what is read before the request begins is a header. The new spec fails without it. A request that grows doesn't count itself among the small ones that keep the reserve.

--- a/internal/caller/intake/budget.go
+++ b/internal/caller/intake/budget.go
@@ -171,7 +171,7 @@
 	}
 	spare := b.total
 	if keepSmall {
-		spare = b.smallArriving() - b.reserve
+		spare = b.smallArriving(l) - b.reserve
 	}
 	for element := b.reading.Front(); element != nil && missing > 0; element = element.Next() {
 		other := element.Value.(*Lease)
@@ -202,11 +202,11 @@
 	return needed, missing <= 0
 }
 
-// smallArriving returns what small requests that are arriving hold. The lock must be held.
-func (b *Budget) smallArriving() Bytes {
+// smallArriving returns what small requests other than l that are arriving hold. The lock must be held.
+func (b *Budget) smallArriving(l *Lease) Bytes {
 	var sum Bytes
 	for element := b.reading.Front(); element != nil; element = element.Next() {
-		if other := element.Value.(*Lease); other.bytes <= smallRequestBytes {
+		if other := element.Value.(*Lease); other != l && other.bytes <= smallRequestBytes {
 			sum += other.bytes
 		}
 	}
--- a/internal/caller/intake/header.go
+++ b/internal/caller/intake/header.go
@@ -15,6 +15,14 @@
 	headerLineMemory   Bytes = 96
 )
 
+// resume continues a scan that took an empty line for the end of the header, because its first bytes had come
+// with the request before it.
+func (h *headerScan) resume() {
+	if h.ended {
+		h.ended, h.lineBytes = false, 1
+	}
+}
+
 // add returns the memory that the next bytes of a request need, which may be more than its header.
 func (h *headerScan) add(p []byte) Bytes {
 	before, lines := h.bytes, 0
--- a/internal/caller/intake/header_test.go
+++ b/internal/caller/intake/header_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"runtime"
 	"strings"
@@ -66,6 +67,16 @@
 		expectClosed(f.open("GET / HTTP/1.1\r\nHost: h\r\n" + manyLines(12<<10)))
 		Expect(f.counters.Value("Intake.Test.Refused.HeaderMemory")).To(Equal(int64(1)))
 	})
+	It("takes memory for its lines although its first bytes came with the request before it", func() {
+		f := startPort(GinkgoTB(), &Port{Budget: NewBudget(256 << 10)})
+		Expect(f.Budget.NewLease(func() {}).Take(time.Now(), 1)).To(Succeed())
+		c := f.open(wholePost + "GET / HTTP/1.1\r\nHost: h\r")
+		expectStatus(c, http.StatusOK)
+		_, err := io.WriteString(c, "\n"+manyLines(18<<10))
+		Expect(err).NotTo(HaveOccurred())
+		expectClosed(c)
+		Expect(f.counters.Value("Intake.Test.Refused.HeaderMemory")).To(Equal(int64(1)))
+	})
 	It("is refused when it has more bytes than the limit, although it doesn't end", func() {
 		f := startPort(GinkgoTB(), &Port{})
 		expectStatus(f.open("GET / HTTP/1.1\r\nHost: h\r\n"+manyLines(21<<10)), http.StatusRequestHeaderFieldsTooLarge)
--- a/internal/caller/intake/listener.go
+++ b/internal/caller/intake/listener.go
@@ -148,6 +148,8 @@
 	if c.newHeader.CompareAndSwap(true, false) {
 		c.header = headerScan{}
 	}
+	// The server reads no more once a header has ended.
+	c.header.resume()
 	takeErr := c.lease.Take(c.port.Clock.Now(), c.header.add(p[:n]))
 	tooLarge := c.header.bytes > c.port.limits().HeaderBytes+headerSlack
 	if takeErr == nil && !tooLarge {
