--- a/internal/decision/forecast/forecast.go
+++ b/internal/decision/forecast/forecast.go
@@ -18,6 +18,14 @@
 	minSamples = 5
 )
 
+// MaxDuration is the longest duration that is forecast.
+const MaxDuration = 365 * 24 * time.Hour
+
+// Scale returns a multiple of a duration, MaxDuration at most.
+func Scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(min(float64(d)*factor, float64(MaxDuration)))
+}
+
 // Class identifies tasks that take similarly long: those of one queue that run the same image.
 type Class struct {
 	Queue string
@@ -57,6 +65,12 @@
 	s.add(float64(took) / float64(estimate))
 }
 
+// Knows reports whether enough runs of a class have ended to correct estimates by them.
+func (d *Durations) Knows(c Class) bool {
+	s := d.classes[c]
+	return s != nil && len(s.sorted) >= minSamples
+}
+
 // Expected returns the median run time of a class for an estimate. A class that isn't known yet takes as long
 // as its callers estimate.
 func (d *Durations) Expected(c Class, estimate time.Duration) time.Duration {
@@ -65,11 +79,10 @@
 
 // Quantile returns the run time that a share of the runs of a class don't exceed, for an estimate.
 func (d *Durations) Quantile(c Class, estimate time.Duration, share float64) time.Duration {
-	s := d.classes[c]
-	if s == nil || len(s.sorted) < minSamples {
+	if !d.Knows(c) {
 		return estimate
 	}
-	return time.Duration(s.quantile(0, share) * float64(estimate))
+	return Scale(estimate, d.classes[c].quantile(0, share))
 }
 
 // Remaining returns the time that a run is expected to go on, at least 0. A run that has outlasted all known
@@ -83,18 +96,21 @@
 
 // expectedAfter returns the expected whole run time of a run that has gone on for its elapsed time.
 func (d *Durations) expectedAfter(r Run) time.Duration {
+	if !d.Knows(r.Class) || r.Estimate <= 0 {
+		if r.Elapsed < r.Estimate {
+			return r.Estimate
+		}
+		return 2 * r.Elapsed
+	}
 	if r.Elapsed < r.Estimate/2 {
 		return d.Expected(r.Class, r.Estimate)
 	}
 	s := d.classes[r.Class]
-	if s == nil || len(s.sorted) < minSamples || r.Estimate <= 0 {
-		return max(r.Estimate, 2*r.Elapsed)
-	}
 	elapsed := float64(r.Elapsed) / float64(r.Estimate)
 	if s.sorted[len(s.sorted)-1] <= elapsed {
 		return 2 * r.Elapsed
 	}
-	return time.Duration(s.quantile(elapsed, 0.5) * float64(r.Estimate))
+	return Scale(r.Estimate, s.quantile(elapsed, 0.5))
 }
 
 // samples has the latest ratios of run time to estimate of a class.
--- a/internal/decision/mechanism/mechanism.go
+++ b/internal/decision/mechanism/mechanism.go
@@ -46,6 +46,9 @@
 	ZoneReader
 	Replacement
 	FanIn
+	Reservations
+	Backfill
+	LargeGaps
 	count
 )
 
@@ -88,6 +91,9 @@
 	ZoneReader:           {"ZoneReader", "a large configuration that all instances of an availability zone read over one link"},
 	Replacement:          {"Replacement", "many workers that are replaced one after the other"},
 	FanIn:                {"FanIn", "hundreds of instances that read the same rows and call the same owners"},
+	Reservations:         {"Reservations", "large tasks that wait while smaller ones take each gap"},
+	Backfill:             {"Backfill", "small tasks that wait while room is kept for larger ones"},
+	LargeGaps:            {"LargeGaps", "small tasks that fragment the room while larger ones find none"},
 }
 
 // Info returns the name of the mechanism and the load that it answers.
@@ -121,6 +127,22 @@
 	return s
 }
 
+// OffByDefault returns the mechanisms that aren't used unless an operator enables them, because no
+// deployment so far has gained by them.
+func OffByDefault() Set {
+	return Of(LargeGaps)
+}
+
+// Without returns the set without the mechanisms of another one.
+func (s Set) Without(other Set) Set {
+	return s &^ other
+}
+
+// Union returns the mechanisms of both sets.
+func (s Set) Union(other Set) Set {
+	return s | other
+}
+
 // Has reports whether the set has the mechanism.
 func (s Set) Has(m Mechanism) bool {
 	return s&(1<<m) != 0
