Bound connections of other instances by the descriptors, and let the memory tests draw each port once

One of 20 runs of the memory tests failed before its crowd was opened: nothing listened on the callers' port for 30 s. The process's output was gone with the spec's directory, so the cause isn't shown; a test drew the four ports of a process without remembering them, so that two could be equal and the process ended at once. Ports are drawn once now, and a process that ends while it starts fails the spec with its output.

--- a/internal/caller/intake/budget_test.go
+++ b/internal/caller/intake/budget_test.go
@@ -164,6 +164,7 @@
 		l := NewLimits(Machine{Memory: 184 << 20, Descriptors: 4100})
 		Expect(l.CallerConnections).To(Equal(975))
 		Expect(l.InternalConnections).To(Equal(64))
+		Expect(l.PeerConnections).To(Equal(975))
 		Expect(l.Requests).To(Equal(Bytes(23 << 20)))
 	})
 	It("follow the memory where it binds", func() {
@@ -171,7 +172,7 @@
 	})
 	It("allow some requests on a machine that tells too little", func() {
 		l := NewLimits(Machine{})
-		Expect(l).To(Equal(Limits{Requests: minBudget, Messages: minBudget, Internal: minInternalBudget, CallerConnections: minCallerConnections, InternalConnections: minInternalConnections}))
+		Expect(l).To(Equal(Limits{Requests: minBudget, Messages: minBudget, Internal: minInternalBudget, CallerConnections: minCallerConnections, InternalConnections: minInternalConnections, PeerConnections: minPeerConnections}))
 	})
 	It("take a body of the largest size that the platform configures on the smallest machine", func() {
 		const largestBody = 262144
--- a/internal/caller/intake/limits.go
+++ b/internal/caller/intake/limits.go
@@ -33,7 +33,11 @@
 	// internalShare of the sockets is for each port that isn't for callers.
 	internalShare = 32
 
+	// peerShare of the sockets is for connections that other instances open.
+	peerShare = 4
+
 	minCallerConnections   = 16
+	minPeerConnections     = 16
 	minInternalConnections = 8
 	maxInternalConnections = 64
 	minBudget              = 2 << 20
@@ -64,6 +68,8 @@
 	// each other HTTP port.
 	CallerConnections   int
 	InternalConnections int
+	// PeerConnections bounds the connections that other instances open.
+	PeerConnections int
 }
 
 // NewLimits returns the bounds of a process on a machine.
@@ -74,6 +80,7 @@
 	return Limits{
 		Requests: budget, Messages: budget, Internal: max(m.Memory/internalBudgetShare, minInternalBudget),
 		CallerConnections:   max(min(sockets/callerShare, byMemory), minCallerConnections),
+		PeerConnections:     max(sockets/peerShare, minPeerConnections),
 		InternalConnections: min(max(sockets/internalShare, minInternalConnections), maxInternalConnections),
 	}
 }
--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -87,7 +87,7 @@
 		Clock: clock, Counter: p.counters, Dial: dialPeer,
 		DialTimeout: peerDialTimeout, BackoffLimit: peerBackoffLimit,
 	})
-	p.peerServer = entry.NewServer(entry.ServerOptions{Clock: clock, Counter: p.counters, MaxConnections: maxPeerConnections, Budget: intake.NewBudget(p.limits.Messages)})
+	p.peerServer = entry.NewServer(entry.ServerOptions{Clock: clock, Counter: p.counters, MaxConnections: min(maxPeerConnections, p.limits.PeerConnections), Budget: intake.NewBudget(p.limits.Messages)})
 	var policy dispatcher.Policy
 	if s.PolicyAddress != "" {
 		policy = platform.PolicyClient{Address: s.PolicyAddress, HTTP: httpClient}
--- a/internal/integration/memory/process_test.go
+++ b/internal/integration/memory/process_test.go
@@ -125,11 +125,26 @@
 	lastPort  = 32000
 )
 
-// freeAddress returns a loopback address with an unused port.
+// takenAddresses has the addresses that freeAddress has returned.
+var takenAddresses sync.Map
+
+// expectServing waits until the process answers an ordinary request.
+func (p *process) expectServing(answersRequest func() error) {
+	GinkgoHelper()
+	Eventually(func() error {
+		Expect(p.sample()).To(BeTrue(), "the process has ended: %s", p.logTail())
+		return answersRequest()
+	}).WithTimeout(startTimeout).WithPolling(100 * time.Millisecond).Should(Succeed())
+}
+
+// freeAddress returns a loopback address with an unused port, a different one each time.
 func freeAddress() string {
 	GinkgoHelper()
 	for range 1000 {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(lastPort-firstPort))
+		if _, taken := takenAddresses.LoadOrStore(address, true); taken {
+			continue
+		}
 		if listener, err := net.Listen("tcp", address); err == nil {
 			Expect(listener.Close()).To(Succeed())
 			return address
--- a/internal/integration/memory/serve_test.go
+++ b/internal/integration/memory/serve_test.go
@@ -33,8 +33,8 @@
 	}
 	i.process = startProcess(l, environment, "serve", "--id", "n-0", "--zone", "z", "--region", "g", "--platform", platformAddress,
 		"--caller-address", i.callers, "--peer-address", i.peers, "--operator-address", i.operators, "--log-level", "warn")
-	Eventually(i.publish).WithTimeout(startTimeout).WithPolling(200 * time.Millisecond).Should(Succeed())
-	Eventually(i.submit).WithTimeout(startTimeout).WithPolling(100 * time.Millisecond).Should(Succeed())
+	i.expectServing(i.publish)
+	i.expectServing(i.submit)
 	return i
 }
 
--- a/internal/integration/memory/serveplatform_test.go
+++ b/internal/integration/memory/serveplatform_test.go
@@ -65,7 +65,7 @@
 	i := &platformInstance{callers: freeAddress(), readiness: freeAddress(), peers: freeAddress(), metrics: freeAddress()}
 	i.process = startProcess(l, nil, "serve-platform", "--config", i.writeSettings(l, s.Listener.Addr().String()),
 		"--metrics-port", strings.TrimPrefix(i.metrics, "127.0.0.1:"), "--log-level", "warn")
-	Eventually(i.submit).WithTimeout(startTimeout).WithPolling(100 * time.Millisecond).Should(Succeed())
+	i.expectServing(i.submit)
 	return i
 }
 
