Expect the stricter bound on peers' connections

Cause: two parts set the bound; the one that was kept also follows from memory, an eighth at 32 KiB each.

Change: the spec expects 736 with 184 MB in place of 975.

--- a/internal/caller/intake/budget_test.go
+++ b/internal/caller/intake/budget_test.go
@@ -216,7 +216,7 @@
 		l := NewLimits(Machine{Memory: 184 << 20, Descriptors: 4100})
 		Expect(l.CallerConnections).To(Equal(975))
 		Expect(l.InternalConnections).To(Equal(64))
-		Expect(l.PeerConnections).To(Equal(975))
+		Expect(l.PeerConnections).To(Equal(736))
 		Expect(l.Requests).To(Equal(Bytes(23 << 20)))
 	})
 	It("follow the memory where it binds", func() {
