Let the spec of unfinished messages hold more than a small request

Cause: the reserve of small requests is for up to 16 KiB now, and a large message no longer ends one of these; the spec's first message was such a one, so that the second was refused in its place.

Change: the first message holds 64 KiB and the second takes 128 of 256 KiB, so that the first has to be ended; a read that only times out no longer passes for a closed connection.

--- a/internal/peer/entry/entry_test.go
+++ b/internal/peer/entry/entry_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -233,7 +234,7 @@
 
 	// Guards against peers that send messages and never finish them.
 	It("takes memory as a message arrives, and ends a message that doesn't when another needs its memory", func() {
-		counter, clock, budget := &recordingCounter{}, clockwork.NewFakeClock(), intake.NewBudget(64<<10)
+		counter, clock, budget := &recordingCounter{}, clockwork.NewFakeClock(), intake.NewBudget(256<<10)
 		server, _ := newTestServer(ServerOptions{Counter: counter, Budget: budget, Clock: clock, IdleTimeout: time.Minute})
 		address := listen(server)
 		open := func(arrived int) net.Conn {
@@ -245,13 +246,14 @@
 			Expect(err).NotTo(HaveOccurred())
 			return connection
 		}
-		first := open(9 << 10)
-		Eventually(budget.Used, testTimeout).Should(Equal(intake.Bytes(16 << 10)))
+		first := open(33 << 10)
+		Eventually(budget.Used, testTimeout).Should(Equal(intake.Bytes(64 << 10)))
 		clock.Advance(time.Second)
-		second := open(17 << 10)
+		second := open(65 << 10)
 		_, err := first.Read(make([]byte, 1))
 		Expect(err).To(HaveOccurred(), "the first connection is closed")
-		Eventually(budget.Used, testTimeout).Should(Equal(intake.Bytes(32 << 10)))
+		Expect(err).NotTo(MatchError(os.ErrDeadlineExceeded))
+		Eventually(budget.Used, testTimeout).Should(Equal(intake.Bytes(128 << 10)))
 		Expect(second.Close()).To(Succeed())
 		Eventually(budget.Used, testTimeout).Should(BeZero())
 	})
