Bound and pass on the age of copies that instances read from

The instance that follows the list of workers answered with a copy of up to half of the bound for changes, looked at its age only after the wait, and the owner's mirror took that copy for new. A change could so take one and a half times the bound.

The reader now refuses once its copy is a quarter of the bound old, also during the wait, and a mirror counts the age of the copy that it reads from, that of the zone reader too.

The specs fail without the refusal, the age or its use by the mirror.

--- a/internal/entry/dispatcher/operator_rows.go
+++ b/internal/entry/dispatcher/operator_rows.go
@@ -19,15 +19,13 @@
 	readerTimeoutShare = 8
 	// maxReaderWait limits the time that an instance may ask the zone reader to wait.
 	maxReaderWait = 5 * time.Second
-	// readerRetryInterval is how long an instance that failed to answer isn't asked again.
-	readerRetryInterval = 2 * time.Second
 	// maxReadersAsked limits the instances that are asked in one call, since those of other
 	// zones must be found out.
 	maxReadersAsked = 4
 )
 
 var (
-	errReaderStale  = errors.New("dispatcher: the zone reader hasn't read the rows for too long")
+	errReaderStale  = errors.New("dispatcher: the reader hasn't read the rows for too long")
 	errNoZoneReader = errors.New("dispatcher: no other instance reads for the availability zone")
 )
 
@@ -42,23 +40,29 @@
 
 	lock sync.Mutex
 	// zones has the zones of the instances that were asked.
-	zones map[membership.InstanceID]membership.Zone
-	// retryAt is when an instance that failed to answer may be asked again.
-	retryAt map[membership.InstanceID]time.Time
+	zones   map[membership.InstanceID]membership.Zone
+	retryAt retryTimes
 	// source is the instance from which the rows were last read, empty for the store.
 	source membership.InstanceID
 	// receivedAt is when data of the answer to a read from the store last arrived.
 	receivedAt time.Time
+	// copyAge is how old the zone reader's copy was at its last answer, 0 if the rows came from the
+	// store. Only the mirror uses it.
+	copyAge time.Duration
 }
 
+// CopyAge returns how old the rows of the last call were when it ended.
+func (o *operatorRows) CopyAge() time.Duration { return o.copyAge }
+
 func newOperatorRows(n *Node) *operatorRows {
 	return &operatorRows{
-		node: n, zones: map[membership.InstanceID]membership.Zone{}, retryAt: map[membership.InstanceID]time.Time{},
+		node: n, zones: map[membership.InstanceID]membership.Zone{}, retryAt: retryTimes{},
 	}
 }
 
 // Snapshot reads all rows from the store.
 func (o *operatorRows) Snapshot(ctx context.Context, prefix table.Key) ([]table.Row, table.Version, error) {
+	o.copyAge = 0
 	rows, version, err := o.node.store.Snapshot(progress.WithNotify(ctx, o.recordReceipt), prefix)
 	if err == nil {
 		o.history.Reset(rows, version, o.node.Clock.Now())
@@ -68,6 +72,7 @@
 
 // Watch returns the changes from the zone reader or, if that fails, from the store.
 func (o *operatorRows) Watch(ctx context.Context, prefix table.Key, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
+	o.copyAge = 0
 	changes, version, err := o.watchReader(ctx, after, wait)
 	if err == nil {
 		return changes, version, nil
@@ -125,7 +130,7 @@
 	now := o.node.Clock.Now()
 	mayRead := func(p peer) bool {
 		zone, known := o.zones[p.Name]
-		return (!known || zone == o.node.Zone) && !now.Before(o.retryAt[p.Name])
+		return (!known || zone == o.node.Zone) && o.retryAt.mayAsk(p.Name, now)
 	}
 	return zoneReader(o.node.Zone, o.node.self(), live, mayRead)
 }
@@ -161,7 +166,7 @@
 func (o *operatorRows) avoid(name membership.InstanceID) {
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	o.retryAt[name] = o.node.Clock.Now().Add(readerRetryInterval)
+	o.retryAt.avoid(name, o.node.Clock.Now())
 }
 
 // ask calls an instance. It fails with errReaderStale if the instance, of the same zone, hasn't read
@@ -190,6 +195,7 @@
 	o.node.Counters.Add(configurationRows+".FromReader", 1)
 	o.history.Apply(changes, a.Version, o.node.Clock.Now().Add(-a.Age))
 	o.logSource(from, nil)
+	o.copyAge = a.Age
 	return changes, a.Version, nil
 }
 
--- a/internal/entry/dispatcher/worker_list.go
+++ b/internal/entry/dispatcher/worker_list.go
@@ -43,7 +43,7 @@
 
 func (o *owner) mirrorWorkers() *table.Mirror {
 	m := o.node.mirror("Workers", o.node.Catalog.WorkersPrefix(), workersWatchInterval, o.applyWorkers)
-	m.Watcher = &workerRows{Watcher: m.Watcher, node: o.node, shard: o.shard.id, retryAt: map[membership.InstanceID]time.Time{}}
+	m.Watcher = &workerRows{Watcher: m.Watcher, node: o.node, shard: o.shard.id, retryAt: retryTimes{}}
 	return m
 }
 
--- a/internal/entry/dispatcher/worker_reader.go
+++ b/internal/entry/dispatcher/worker_reader.go
@@ -133,6 +133,11 @@
 	deadline := r.node.Clock.After(min(request.Wait, maxReaderWait))
 	for {
 		changed := r.history.Changed()
+		untilStale := r.node.maxReaderAge() - r.age()
+		if untilStale < 0 {
+			r.node.Counters.Add("WorkerReader.Stale", 1)
+			return workerRowsAnswer{}, entry.Errorf(entry.CodeUnavailable, "%v", errReaderStale)
+		}
 		changes, version, err := r.history.Since(request.After)
 		if err != nil {
 			return workerRowsAnswer{}, entry.Errorf(entry.CodeUnavailable, "%v", err)
@@ -143,6 +148,7 @@
 		}
 		select {
 		case <-changed:
+		case <-r.node.Clock.After(untilStale + time.Millisecond):
 		case <-deadline:
 			return workerRowsAnswer{Version: version, Age: r.age()}, nil
 		case <-ctx.Done():
@@ -151,6 +157,13 @@
 	}
 }
 
+// maxReaderAge is how old the copy of an instance that follows the list of workers may be when it
+// answers an owner. The owner then has time for another call and a read from the store within the
+// bound for changes.
+func (n *Node) maxReaderAge() time.Duration {
+	return n.changeBound() / 4
+}
+
 // age returns the time since the list was last read.
 func (r *workerReader) age() time.Duration {
 	return r.node.Clock.Now().Sub(r.history.ReadAt())
@@ -172,14 +185,19 @@
 // that one doesn't answer or hasn't read the list for too long.
 type workerRows struct {
 	table.Watcher
-	node  *Node
-	shard shardID
-	// retryAt is when an instance that failed to answer may be asked again.
-	retryAt map[membership.InstanceID]time.Time
+	node    *Node
+	shard   shardID
+	retryAt retryTimes
+	// age is how old the reader's copy was at its last answer, 0 if the rows came from the store.
+	age time.Duration
 }
 
+// CopyAge returns how old the rows of the last call were when it ended.
+func (w *workerRows) CopyAge() time.Duration { return w.age }
+
 // Watch returns the changes from the reader or, if that fails, from the store.
 func (w *workerRows) Watch(ctx context.Context, prefix table.Key, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
+	w.age = 0
 	name, address, found := w.reader()
 	if !found {
 		return w.Watcher.Watch(ctx, prefix, after, wait)
@@ -189,7 +207,7 @@
 		return changes, version, nil
 	}
 	w.node.Counters.Add("Workers.ReaderFailed", 1)
-	w.retryAt[name] = w.node.Clock.Now().Add(readerRetryInterval)
+	w.retryAt.avoid(name, w.node.Clock.Now())
 	// The time for the store begins now.
 	progress.Made(ctx)
 	return w.Watcher.Watch(ctx, prefix, after, 0)
@@ -206,7 +224,7 @@
 		addresses[p.Name] = p.Address
 	}
 	for _, name := range fanin.ListReaders(n.faninInstance(), n.faninInstances()) {
-		if !n.Clock.Now().Before(w.retryAt[name]) {
+		if w.retryAt.mayAsk(name, n.Clock.Now()) {
 			return name, addresses[name], true
 		}
 	}
@@ -229,9 +247,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	if answer.Age > n.changeBound()/2 {
+	if answer.Age > n.maxReaderAge() {
 		return nil, 0, errReaderStale
 	}
 	changes, err := decodeChanges(answer.Changes)
+	w.age = answer.Age
 	return changes, answer.Version, err
 }
--- a/internal/entry/dispatcher/worker_reader_test.go
+++ b/internal/entry/dispatcher/worker_reader_test.go
@@ -121,7 +121,7 @@
 	d.owner.Peers = entry.NewClient(entry.ClientOptions{Dial: pipeTo(ctx, server)})
 	DeferCleanup(d.owner.Peers.Close)
 	d.owner.recordPeers([]peer{d.reader.self()})
-	d.rows = &workerRows{Watcher: d.store, node: d.owner, shard: 3, retryAt: map[membership.InstanceID]time.Time{}}
+	d.rows = &workerRows{Watcher: d.store, node: d.owner, shard: 3, retryAt: retryTimes{}}
 	_, _, err := d.reader.workerReader.Snapshot(ctx, "w//")
 	Expect(err).NotTo(HaveOccurred())
 	d.reader.workerReader.running = true
@@ -218,6 +218,40 @@
 		Expect(d.store.takeSent()).To(Equal(1))
 	})
 
+	// Guards against a reader that answers with an old copy only after the whole wait.
+	It("is refused at once by a reader whose copy is too old, and its age is passed on before", func(ctx context.Context) {
+		d := newReaderDeployment(ctx, 0)
+		// A call of the test may take long on a busy machine.
+		d.owner.ChangeBound, d.reader.ChangeBound = 20*time.Second, 20*time.Second
+		request := workerRowsRequest{Shard: 3, After: testWorkers}
+		d.clock.Advance(d.owner.changeBound() / 5)
+		d.read(ctx, testWorkers)
+		d.clock.Advance(d.owner.changeBound() / 5)
+		changes, _, err := d.rows.Watch(ctx, "w//", testWorkers, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changes).To(BeEmpty())
+		Expect(d.rows.CopyAge()).To(Equal(d.owner.changeBound() / 5))
+		d.clock.Advance(d.owner.changeBound() / 10)
+		request.Wait = time.Minute
+		_, err = d.reader.workerReader.answer(ctx, request)
+		Expect(err).To(MatchError(ContainSubstring(errReaderStale.Error())))
+		_, _, err = d.rows.Watch(ctx, "w//", testWorkers, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.rows.CopyAge()).To(BeZero())
+	})
+
+	It("is refused by a reader whose copy becomes too old during the wait", func(ctx context.Context) {
+		d := newReaderDeployment(ctx, 0)
+		var group errgroup.Group
+		group.Go(func() error {
+			_, err := d.reader.workerReader.answer(ctx, workerRowsRequest{Shard: 3, After: testWorkers, Wait: maxReaderWait})
+			return err
+		})
+		Expect(d.clock.BlockUntilContext(ctx, 2)).To(Succeed())
+		d.clock.Advance(d.owner.changeBound() / 3)
+		Expect(group.Wait()).To(MatchError(ContainSubstring(errReaderStale.Error())))
+	})
+
 	It("is read from the store while the reader's changes begin later", func(ctx context.Context) {
 		d := newReaderDeployment(ctx, 0)
 		changes, _ := d.read(ctx, testWorkers-1)
--- a/internal/platform/table/watch.go
+++ b/internal/platform/table/watch.go
@@ -52,6 +52,12 @@
 	Watch(ctx context.Context, prefix Key, after Version, wait time.Duration) ([]Change, Version, error)
 }
 
+// copyWatcher is a Watcher that may read from a copy of the rows. CopyAge returns how old the
+// copy was when the last call ended.
+type copyWatcher interface {
+	CopyAge() time.Duration
+}
+
 // DefaultChangeBound is the ChangeBound of a Mirror that sets none.
 const DefaultChangeBound = 2500 * time.Millisecond
 
@@ -68,7 +74,8 @@
 	Version Version
 	// Took is how long the call took, which includes the wait for a change.
 	Took time.Duration
-	// Age is the time since the previous successful call ended, 0 if there was none.
+	// Age is the time since the rows were last read before the call, as in MirrorState, 0 if they
+	// weren't.
 	Age time.Duration
 	// AfterFailure reports that the previous call failed.
 	AfterFailure bool
@@ -93,7 +100,8 @@
 	Phase MirrorPhase
 	// PhaseAge is the time since the phase began.
 	PhaseAge time.Duration
-	// Age is the time since the last successful call ended, 0 if there was none.
+	// Age is the time since the rows were last read from the service, directly or by the instance
+	// from whose copy they come, 0 if they weren't.
 	Age time.Duration
 }
 
@@ -123,7 +131,7 @@
 	lock       sync.Mutex
 	phase      MirrorPhase
 	phaseSince time.Time
-	// succeededAt is when the last successful call ended.
+	// succeededAt is when the last successful call ended, or when the copy was read that it returned.
 	succeededAt time.Time
 }
 
@@ -245,13 +253,21 @@
 	c.Age = m.State().Age
 	m.lastCallFailed = c.Err != nil
 	if c.Err == nil {
-		m.recordSuccess(now)
+		m.recordSuccess(now.Add(-m.copyAge()))
 	}
 	if m.OnCall != nil && ctx.Err() == nil {
 		m.OnCall(c)
 	}
 }
 
+// copyAge returns how old the rows of the last call were when it ended.
+func (m *Mirror) copyAge() time.Duration {
+	if w, ok := m.Watcher.(copyWatcher); ok {
+		return w.CopyAge()
+	}
+	return 0
+}
+
 func (m *Mirror) recordSuccess(at time.Time) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
--- a/internal/platform/table/watch_test.go
+++ b/internal/platform/table/watch_test.go
@@ -32,7 +32,25 @@
 	return w.watch(ctx, wait)
 }
 
+// copyingWatcher reads from a copy of an age.
+type copyingWatcher struct {
+	scriptedWatcher
+	age time.Duration
+}
+
+func (w copyingWatcher) CopyAge() time.Duration { return w.age }
+
 var _ = Describe("Mirror", func() {
+	It("counts the age of the copy that it reads from", func(ctx context.Context) {
+		clock := clockwork.NewFakeClock()
+		watcher := copyingWatcher{age: time.Second}
+		watcher.snapshot = func() ([]table.Row, table.Version, error) { return nil, 1, nil }
+		mirror := &table.Mirror{Watcher: watcher, Clock: clock, OnChange: func(map[table.Key]table.Row) {}}
+		Expect(mirror.Load(ctx)).To(Succeed())
+		clock.Advance(time.Second)
+		Expect(mirror.State().Age).To(Equal(2 * time.Second))
+	})
+
 	const (
 		prefix      table.Key = "op//"
 		minInterval           = time.Second
