Don't wait for seeds that can't choose the number of shards

A seed that read the list of workers but couldn't store the number of shards went on to report that it chooses it, so that the others waited for ever.

A seed doesn't report so after a failed transaction, the wait ends 30 to 38 s after the start in any case, and is 1 to 3 s where less than 65 instances are known. An instance asks the seeds in each round until one has answered.

--- a/internal/decision/fanin/fanin.go
+++ b/internal/decision/fanin/fanin.go
@@ -18,11 +18,17 @@
 	maxSmallInstances = 64
 	maxSmallShards    = 8
 	// seedPatience is how long an instance that isn't a seed leaves the list of workers to the
-	// seeds, which need it to choose the number of shards.
-	seedPatience = 3 * time.Second
-	// seedSpread is the time over which the other instances begin to read the list if the seeds
-	// haven't chosen the number of shards by then.
-	seedSpread = 8 * time.Second
+	// seeds, which need it to choose the number of shards, and largeSeedPatience how long it does
+	// so in a large deployment.
+	seedPatience      = time.Second
+	largeSeedPatience = 3 * time.Second
+	// seedSpread and largeSeedSpread are the times over which the other instances begin to read the
+	// list if the seeds haven't chosen the number of shards by then. An instance that knows no
+	// other one may still be one of many.
+	seedSpread      = 2 * time.Second
+	largeSeedSpread = 8 * time.Second
+	// maxSeedPatience is how long an instance leaves the list to seeds that report that they read it.
+	maxSeedPatience = 30 * time.Second
 	// claimantCount is the number of instances that claim a shard without an owner at once, and
 	// claimStep is how much later each further group of as many instances does.
 	claimantCount = 5
@@ -38,11 +44,21 @@
 }
 
 // ListReaderDelay returns how long an instance that isn't a seed leaves the list of workers to the
-// seeds while none of them reports that it reads the list.
-func ListReaderDelay(self membership.InstanceID) time.Duration {
+// seeds while none of them reports that it reads the list. The deployment is large as far as the
+// instance knows.
+func ListReaderDelay(self membership.InstanceID, large bool) time.Duration {
+	if large {
+		return largeSeedPatience + fraction(largeSeedSpread, string(self))
+	}
 	return seedPatience + fraction(seedSpread, string(self))
 }
 
+// MaxListReaderDelay returns how long after its start an instance that isn't a seed leaves the list
+// of workers to the seeds if they read it, but don't choose the number of shards.
+func MaxListReaderDelay(self membership.InstanceID) time.Duration {
+	return maxSeedPatience + fraction(largeSeedSpread, string(self))
+}
+
 // fraction returns a fixed part of a duration for a name, evenly distributed over the names.
 func fraction(d time.Duration, name string) time.Duration {
 	const steps = 1 << 10
@@ -59,6 +75,8 @@
 type Instance struct {
 	Name  membership.InstanceID
 	Cores float64
+	// Zone is empty if it isn't known.
+	Zone membership.Zone
 }
 
 // compareFor returns a negative number if a goes before b for a purpose: the stronger one and,
--- a/internal/entry/dispatcher/layout.go
+++ b/internal/entry/dispatcher/layout.go
@@ -90,6 +90,8 @@
 type workerCountMonitor struct {
 	workers int
 	since   time.Time
+	// notStored reports that the layout couldn't be stored.
+	notStored bool
 }
 
 // isStable reports whether there are workers and their number has stayed the same for
@@ -143,7 +145,9 @@
 	if choosersSince.Before(startedAt) {
 		choosersSince = startedAt
 	}
-	return n.Clock.Now().Sub(choosersSince) >= fanin.ListReaderDelay(n.Name)
+	now := n.Clock.Now()
+	return now.Sub(choosersSince) >= fanin.ListReaderDelay(n.Name, n.isLarge()) ||
+		now.Sub(startedAt) >= fanin.MaxListReaderDelay(n.Name)
 }
 
 // recordLayoutChooser records that another instance knows or is about to choose the layout.
@@ -153,13 +157,22 @@
 	n.layoutChooserAt = n.Clock.Now()
 }
 
-// recordWorkersRead records that this instance has read the list of workers.
+// recordWorkersRead records that this instance has read the list of workers, and can write as far
+// as it knows.
 func (n *Node) recordWorkersRead() {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	n.workersReadAt = n.Clock.Now()
 }
 
+// recordLayoutNotStored records that this instance couldn't store the layout, so that others choose
+// it.
+func (n *Node) recordLayoutNotStored() {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.workersReadAt = time.Time{}
+}
+
 // choosesLayout reports whether this instance knows the layout, or has lately read the list of
 // workers to choose it.
 func (n *Node) choosesLayout() bool {
@@ -186,11 +199,14 @@
 	}
 }
 
-// announceToSeed announces this instance to one of the seeds at a time, every few rounds.
+// announceToSeed announces this instance to one of the seeds at a time: every few rounds, and in
+// each round until one has answered.
 func (n *Node) announceToSeed(ctx context.Context, round int) {
 	seeds := n.configuredSeeds()
-	if len(seeds) > 0 && round%announceRounds == 0 {
-		n.announceTo(ctx, seeds[fanin.FirstSeed(n.Name, round/announceRounds, len(seeds))])
+	isTurn := round%announceRounds == 0 || len(n.livePeers()) == 0
+	if len(seeds) > 0 && isTurn {
+		// The calls of successive rounds, and those of successive turns, go to different seeds.
+		n.announceTo(ctx, seeds[fanin.FirstSeed(n.Name, round/announceRounds+round%announceRounds, len(seeds))])
 	}
 }
 
@@ -220,7 +236,9 @@
 	if err != nil {
 		return layoutRow{}, err
 	}
-	n.recordWorkersRead()
+	if !monitor.notStored {
+		n.recordWorkersRead()
+	}
 	workers, err := n.Catalog.Workers(rowsByKey(rows))
 	if err != nil {
 		n.Counters.Add("Workers.RowsLeftOut", 1)
@@ -242,6 +260,10 @@
 	if errors.Is(err, table.ErrConflict) {
 		return layoutRow{}, nil
 	}
+	if err != nil {
+		monitor.notStored = true
+		n.recordLayoutNotStored()
+	}
 	return layout, err
 }
 
