Keep the list of instances when both directories are gone

In a large deployment, entries of other instances come through the two directories. When both were gone, the entries of all others expired before those of the directories, so that every instance knew nobody, claimed without a wait and asked the store for all owners' rows. Now the directories are in different availability zones, two substitutes that all agree on are called in the same round, and the list comes by hello calls again after 4 s without an answer. The zone of an instance is a field of the call Peers only, since earlier builds reject unknown fields.

Owners are called while an instance waits for silent seeds; only claims wait. The wait before a claim begins anew when the owner has answered meanwhile: an owner of another shard kept the earlier one, and claimed without a wait.

--- a/internal/decision/fanin/fanin_test.go
+++ b/internal/decision/fanin/fanin_test.go
@@ -137,6 +137,33 @@
 		}
 	})
 
+	// Guards against a zone or region that loses all of them when it is cut off.
+	It("and their substitutes are in as many availability zones as there are", func() {
+		spread := slices.Clone(list)
+		zones := map[membership.InstanceID]membership.Zone{}
+		for i := range spread {
+			spread[i].Zone = membership.Zone(fmt.Sprint(i / 75))
+			zones[spread[i].Name] = spread[i].Zone
+		}
+		chosen := fanin.Directories(spread[0], spread[1:])
+		Expect(chosen).To(HaveLen(2))
+		chosen = append(chosen, fanin.Substitutes(spread[0], spread[1:])...)
+		used := map[membership.Zone]bool{}
+		for _, name := range chosen {
+			used[zones[name]] = true
+		}
+		Expect(chosen).To(HaveLen(4))
+		Expect(used).To(HaveLen(4))
+		for i, instance := range spread {
+			Expect(fanin.Substitutes(instance, others(spread, i))).To(Equal(chosen[2:]))
+		}
+	})
+
+	It("have no substitutes where there are no further instances", func() {
+		Expect(fanin.Substitutes(list[0], nil)).To(BeEmpty())
+		Expect(fanin.Substitutes(list[0], list[1:3])).To(HaveLen(1))
+	})
+
 	It("don't follow the list of workers as well", func() {
 		Expect(fanin.ListReaders(list[0], list[1:])).To(HaveLen(2))
 		Expect(fanin.ListReaders(list[0], list[1:])).NotTo(Equal(fanin.Directories(list[0], list[1:])))
--- a/internal/entry/dispatcher/claimants.go
+++ b/internal/entry/dispatcher/claimants.go
@@ -33,11 +33,14 @@
 
 // mayClaim reports whether this instance may read the owner's row to claim the shard. In a
 // large deployment only a few instances do so at once, and others when these haven't claimed it
-// for a while.
+// for a while, and none does before it has met the others.
 func (s *shard) mayClaim() bool {
 	if !s.node.isLarge() {
 		return true
 	}
+	if s.node.meetingPeers.Load() {
+		return false
+	}
 	wait := s.currentClaimWait()
 	return wait == 0 || s.vacantFor() >= wait
 }
--- a/internal/entry/dispatcher/directory.go
+++ b/internal/entry/dispatcher/directory.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,14 +40,14 @@
 
 // faninInstance describes this instance, and faninInstances the live peers, to package fanin.
 func (n *Node) faninInstance() fanin.Instance {
-	return fanin.Instance{Name: n.Name, Cores: coresOrDefault(n.Cores)}
+	return fanin.Instance{Name: n.Name, Cores: coresOrDefault(n.Cores), Zone: n.Zone}
 }
 
 func (n *Node) faninInstances() []fanin.Instance {
-	live := n.livePeers()
+	live := n.liveEntries()
 	instances := make([]fanin.Instance, len(live))
 	for i, p := range live {
-		instances[i] = fanin.Instance{Name: p.Name, Cores: coresOrDefault(p.Cores)}
+		instances[i] = fanin.Instance{Name: p.Name, Cores: coresOrDefault(p.Cores), Zone: p.Zone}
 	}
 	return instances
 }
@@ -59,7 +60,7 @@
 }
 
 // get returns the list and its age, and encodes it anew when it is older than peersCacheTime.
-func (e *encodedPeers) get(now time.Time, current func() []peer) ([]byte, time.Duration, error) {
+func (e *encodedPeers) get(now time.Time, current func() []directoryEntry) ([]byte, time.Duration, error) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	if age := now.Sub(e.encodedAt); e.list != nil && age < peersCacheTime {
@@ -78,12 +79,12 @@
 }
 
 // decodePeers returns the instances of an answer, with their ages when it was sent.
-func decodePeers(a peersAnswer) ([]peer, error) {
+func decodePeers(a peersAnswer) ([]directoryEntry, error) {
 	value, err := decompress(a.Peers, maxPeersBytes)
 	if err != nil {
 		return nil, err
 	}
-	var list []peer
+	var list []directoryEntry
 	if err := json.Unmarshal(value, &list); err != nil {
 		return nil, fmt.Errorf("decode the instances: %w", err)
 	}
@@ -97,9 +98,11 @@
 func (n *Node) handlePeers(_ context.Context, r peersRequest) (peersAnswer, error) {
 	n.Counters.Add("Directory.Calls", 1)
 	if r.From.Name != "" {
-		n.recordPeers([]peer{r.From})
+		n.recordEntries([]directoryEntry{{r.From, r.Zone}})
 	}
-	list, age, err := n.encodedPeers.get(n.Clock.Now(), func() []peer { return append(n.livePeers(), n.self()) })
+	list, age, err := n.encodedPeers.get(n.Clock.Now(), func() []directoryEntry {
+		return append(n.liveEntries(), directoryEntry{n.self(), n.Zone})
+	})
 	return peersAnswer{Peers: list, Age: age, ChoosesLayout: n.choosesLayout()}, err
 }
 
@@ -108,7 +111,7 @@
 func (n *Node) exchangePeers(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	answer, err := entry.Call[peersRequest, peersAnswer](ctx, n.Peers, address, peersMethod, peersRequest{n.self()})
+	answer, err := entry.Call[peersRequest, peersAnswer](ctx, n.Peers, address, peersMethod, peersRequest{From: n.self(), Zone: n.Zone})
 	if isUnknownMethod(err) {
 		return n.exchangeByHello(ctx, address)
 	}
@@ -121,7 +124,7 @@
 		n.Log.Error().Err(err).Str("From", address).Msg("can't decode a list of instances")
 		return err
 	}
-	n.recordPeers(list)
+	n.recordEntries(list)
 	if answer.ChoosesLayout {
 		n.recordLayoutChooser()
 	}
@@ -146,31 +149,50 @@
 // runDirectory exchanges the known instances with the directories while the deployment is large.
 // Each instance calls the directories in turn.
 func (n *Node) runDirectory(ctx context.Context) error {
+	n.recordDirectoryAnswer()
 	turn := 0
 	return n.every(ctx, fanin.DirectoryInterval, func() {
-		if !n.isLarge() {
-			return
-		}
-		turn++
-		directories := n.directoryAddresses()
-		for i := range directories {
-			if n.exchangePeers(ctx, directories[(turn+i)%len(directories)]) == nil {
-				return
-			}
+		if n.isLarge() {
+			turn++
+			n.callDirectory(ctx, turn)
 		}
 	})
 }
 
-// directoryAddresses returns the addresses of the directories other than this instance, or the
-// configured seeds if no other instance is known.
-func (n *Node) directoryAddresses() []string {
+// callDirectory exchanges the known instances with the directory whose turn it is or, if that
+// fails, with the next one that answers.
+func (n *Node) callDirectory(ctx context.Context, turn int) {
+	for _, address := range n.directoryAddresses(turn) {
+		if n.exchangePeers(ctx, address) == nil {
+			n.recordDirectoryAnswer()
+			return
+		}
+	}
+}
+
+// recordDirectoryAnswer records that a directory has answered.
+func (n *Node) recordDirectoryAnswer() {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.directoryAnsweredAt = n.Clock.Now()
+}
+
+// directoryAddresses returns the addresses of the directories other than this instance, the one
+// whose turn it is first, and then those of their substitutes. It returns the configured seeds if
+// no other instance is known.
+func (n *Node) directoryAddresses(turn int) []string {
 	live := n.livePeers()
 	byName := make(map[membership.InstanceID]string, len(live))
 	for _, p := range live {
 		byName[p.Name] = p.Address
 	}
 	var addresses []string
-	for _, name := range fanin.Directories(n.faninInstance(), n.faninInstances()) {
+	self, others := n.faninInstance(), n.faninInstances()
+	directories := fanin.Directories(self, others)
+	if turn%2 == 1 {
+		slices.Reverse(directories)
+	}
+	for _, name := range append(directories, fanin.Substitutes(self, others)...) {
 		if address := byName[name]; address != "" {
 			addresses = append(addresses, address)
 		}
@@ -182,7 +204,7 @@
 }
 
 // meetPeers learns the other instances of a large deployment from the seeds before this instance
-// watches its shards, since after a start of all instances none knows any other. It ends early
+// claims a shard, since after a start of all instances none knows any other. It ends early
 // once it learns of no further ones.
 func (n *Node) meetPeers(ctx context.Context) {
 	seeds := n.configuredSeeds()
--- a/internal/entry/dispatcher/directory_test.go
+++ b/internal/entry/dispatcher/directory_test.go
@@ -207,7 +207,7 @@
 				Expect(err).NotTo(HaveOccurred())
 				list, err := decodePeers(answer)
 				Expect(err).NotTo(HaveOccurred())
-				pair[1].recordPeers(list)
+				pair[1].recordEntries(list)
 			}
 			clock.Advance(peersCacheTime / 2)
 		}
--- a/internal/entry/dispatcher/hello.go
+++ b/internal/entry/dispatcher/hello.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
 )
@@ -38,6 +39,9 @@
 		s.view.storeLost = a.StoreLost
 		s.view.load = a.Load
 		s.view.owner.Released = a.Owner.Released
+		if !a.StoreLost && !a.Owner.Released {
+			s.vacantSince = time.Time{}
+		}
 	}
 	s.lock.Unlock()
 	s.node.recordPeers(a.Peers)
--- a/internal/entry/dispatcher/messages.go
+++ b/internal/entry/dispatcher/messages.go
@@ -128,8 +128,19 @@
 	CanClaim bool
 }
 
+// directoryEntry is an instance in the list of a directory. Its zone isn't a field of peer because
+// instances of earlier builds reject calls with unknown fields.
+type directoryEntry struct {
+	peer
+	Zone membership.Zone `json:",omitempty"`
+}
+
 // peersRequest tells which instance calls, and asks for the instances that are alive.
-type peersRequest struct{ From peer }
+type peersRequest struct {
+	From peer
+	// Zone is the availability zone of the caller.
+	Zone membership.Zone `json:",omitempty"`
+}
 
 // peersAnswer has the instances as encodedPeers encodes them, and the age of that list.
 type peersAnswer struct {
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -58,6 +58,10 @@
 	// peersRequestedAt is when this instance last asked a peer for the instances that it
 	// knows.
 	peersRequestedAt time.Time
+	// directoryAnsweredAt is when a directory of a large deployment last answered.
+	directoryAnsweredAt time.Time
+	// meetingPeers is set while meetPeers runs.
+	meetingPeers atomic.Bool
 }
 
 // maxStateReads is more than the queries need that an instance has the processor time for.
@@ -112,11 +116,7 @@
 			return err
 		}
 		shards := n.setLayout(layout)
-		n.meetPeers(ctx)
-		group.Go(func() error { return n.runDirectory(ctx) })
-		for _, s := range shards {
-			group.Go(func() error { return s.monitorOwner(ctx) })
-		}
+		n.followShards(ctx, group, shards)
 		if !n.Disabled.Has(mechanism.OwnerRebalance) {
 			group.Go(func() error { return n.runRebalancing(ctx) })
 		}
@@ -125,6 +125,22 @@
 	return group.Wait()
 }
 
+// followShards begins to exchange the known instances and to watch the owners of the shards.
+func (n *Node) followShards(ctx context.Context, group *errgroup.Group, shards []*shard) {
+	n.meetingPeers.Store(true)
+	group.Go(func() error {
+		n.meetPeers(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		n.meetingPeers.Store(false)
+		return n.runDirectory(ctx)
+	})
+	for _, s := range shards {
+		group.Go(func() error { return s.monitorOwner(ctx) })
+	}
+}
+
 // Ready reports whether the instance can serve callers.
 func (n *Node) Ready() bool {
 	return n.config.Load() != nil && n.shards.Load() != nil && !n.draining.Load()
--- a/internal/entry/dispatcher/peers.go
+++ b/internal/entry/dispatcher/peers.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -14,21 +15,27 @@
 	// peersRequestInterval is the time between two requests for all known instances, which
 	// make up most of an answer in a large deployment.
 	peersRequestInterval = 2 * time.Second
+	// directorySilentAfter is the time without an answer of a directory after which the known
+	// instances are requested in hello calls, well before the list of peers is empty.
+	directorySilentAfter = 4 * time.Second
 )
 
 type knownPeer struct {
 	peer
+	// zone is empty if it isn't known.
+	zone   membership.Zone
 	seenAt time.Time
 }
 
 // wantsPeers reports whether it is time to request the known instances in a hello call. In a large
-// deployment they come from the directories.
+// deployment they come from the directories, unless none of these answers.
 func (n *Node) wantsPeers() bool {
 	large := n.isLarge()
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	now := n.Clock.Now()
-	if len(n.peers) > 0 && (large || now.Sub(n.peersRequestedAt) < peersRequestInterval) {
+	fromDirectory := large && now.Sub(n.directoryAnsweredAt) < directorySilentAfter
+	if len(n.peers) > 0 && (fromDirectory || now.Sub(n.peersRequestedAt) < peersRequestInterval) {
 		return false
 	}
 	n.peersRequestedAt = now
@@ -39,22 +46,41 @@
 // as heard from when the peer heard from it; otherwise two peers would keep a dead
 // instance alive by reporting it to each other.
 func (n *Node) recordPeers(list []peer) {
+	entries := make([]directoryEntry, len(list))
+	for i, p := range list {
+		entries[i].peer = p
+	}
+	n.recordEntries(entries)
+}
+
+// recordEntries records instances that are alive with their zones, as recordPeers.
+func (n *Node) recordEntries(list []directoryEntry) {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	now := n.Clock.Now()
-	for _, p := range list {
-		seenAt := now.Add(-p.Age)
-		if p.Name != n.Name && seenAt.After(n.peers[p.Name].seenAt) {
-			n.peers[p.Name] = knownPeer{p, seenAt}
+	for _, e := range list {
+		known := n.peers[e.Name]
+		seenAt := now.Add(-e.Age)
+		if e.Name != n.Name && seenAt.After(known.seenAt) {
+			n.peers[e.Name] = knownPeer{e.peer, cmp.Or(e.Zone, known.zone), seenAt}
 		}
 	}
 }
 
 // livePeers returns the instances that were heard from within peerTimeout.
 func (n *Node) livePeers() []peer {
+	var list []peer
+	for _, e := range n.liveEntries() {
+		list = append(list, e.peer)
+	}
+	return list
+}
+
+// liveEntries returns the instances that were heard from within peerTimeout, with their zones.
+func (n *Node) liveEntries() []directoryEntry {
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	var list []peer
+	var list []directoryEntry
 	now := n.Clock.Now()
 	for name, p := range n.peers {
 		if now.Sub(p.seenAt) > peerTimeout {
@@ -62,7 +88,7 @@
 			continue
 		}
 		p.Age = now.Sub(p.seenAt)
-		list = append(list, p.peer)
+		list = append(list, directoryEntry{p.peer, p.zone})
 	}
 	return list
 }
