--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -37,6 +37,10 @@
 	// long-running tasks to full workers, so that the free capacity stays in pieces
 	// large enough for other tasks.
 	packingBonus = 0.5
+	// largeGapBonus is multiplied by the share of processors that serving tasks reserve. While large tasks
+	// find no room, it attracts small ones to workers whose other processors are too few for large ones anyway. Short
+	// tasks don't count for it: a worker on which they hang or take long is full of them.
+	largeGapBonus = 4.0
 	// tailLatencyCost is multiplied by the ratio of tail latency to target of the
 	// worker's serving tasks, as far as it exceeds unpenalizedTailRatio. It steers
 	// fillers to the workers with the most latency headroom.
@@ -60,6 +64,7 @@
 
 // chooseWorkerAmong is like chooseWorker but considers only eligible workers.
 func (e *Engine) chooseWorkerAmong(now time.Time, t *task, isEligible func(*worker) bool) *worker {
+	t.step.refusedByReservation = false
 	var best *worker
 	bestCost := 0.0
 	leaving := e.leavingCost(t.step)
@@ -81,10 +86,11 @@
 	return best
 }
 
-// mayPlace reports whether the placement policy, the step's constraints and the free
+// mayPlace reports whether the placement policy, the step's constraints, reservations and the free
 // capacity allow the task on the worker.
 func (e *Engine) mayPlace(now time.Time, t *task, w *worker) bool {
-	return w.hasRoomBesideHold(now, t) && e.isPermitted(now, t.step, w) && e.isFeasible(now, t.step, w)
+	return w.hasRoomBesideHold(now, t) && e.isPermitted(now, t.step, w) && e.isFeasible(now, t.step, w) &&
+		(w.hold.isForMoved(now, t) || e.leavesReservedRoom(now, t.step, w))
 }
 
 // hasRoomBesideHold reports whether a task leaves enough room for another one that was moved to
@@ -166,9 +172,12 @@
 		return e.fillerCost(now, s, w, cost)
 	}
 	reservedShare := share(w.reserved.Processors+s.Resources.Processors, w.Capacity.Processors)
-	if s.LongRunning {
+	switch {
+	case s.LongRunning:
 		cost -= packingBonus * reservedShare
-	} else {
+	case e.leavesLargeGaps(now, s):
+		cost += reservedShare - largeGapBonus*share(w.servingReserved, w.Capacity.Processors)
+	default:
 		cost += reservedShare
 	}
 	if s.Target > 0 {
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -209,6 +209,7 @@
 		if end.Kind == EndDone && a.firstProgress.percent == 0 {
 			a.recordDuration(now)
 			e.observeDuration(now, a)
+			e.noteBackfillEnd(now, a)
 		}
 		if end.Kind == EndDone {
 			e.recordCopyResult(a)
--- a/internal/decision/placement/reservation.go
+++ b/internal/decision/placement/reservation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/reservation"
 )
 
 const (
@@ -25,13 +26,15 @@
 	maxReservationChecks = 128
 )
 
-// reservation keeps a worker free for a job.
-type reservation struct {
+// nodeReservation keeps a worker free for a job.
+type nodeReservation struct {
 	node  *node
 	job   *job
 	since time.Time
 	// tasks is the number of the job's tasks that are still to start on the worker.
 	tasks int
+	// planned is the plan by the forecast, or nil for a worker that was chosen without one.
+	planned *reservation.Reservation
 }
 
 // makeRoom reserves a worker for a job that fits nowhere. For an urgent job it also
@@ -41,7 +44,10 @@
 		e.makeRoomForUrgent(now, j, demand)
 		return
 	}
-	if j.reservedTasks > 0 || j.waitTime(now) < reserveAfter || len(e.reservations) >= max(len(e.nodes)/maxReservedDivisor, 1) {
+	if j.reservedTasks > 0 || len(e.reservations) >= max(len(e.nodes)/maxReservedDivisor, 1) {
+		return
+	}
+	if e.reserveByForecast(now, j, demand, 1) || j.waitTime(now) < reserveAfter {
 		return
 	}
 	if n := e.mostFreeNode(now, j, demand); n != nil {
@@ -122,10 +128,7 @@
 // for a task, from a limited number of checks.
 func (e *Engine) mostFreeNode(now time.Time, j *job, demand resource.Vector) *node {
 	checks := 0
-	avoid := e.avoidsFailedWorkers(j)
-	suits := func(n *node) bool {
-		return demand.FitsIn(n.allocatable()) && n.acceptsTasks(now) && !(avoid && slices.Contains(j.failureHistory.failedOn, n.ID))
-	}
+	suits := func(n *node) bool { return e.suitsReservation(now, n, j, demand) }
 	var best *node
 	e.preemptionIndex.visitLargestFirst(func(n *node) bool {
 		checks++
@@ -147,28 +150,49 @@
 	return best
 }
 
+// suitsReservation reports whether a worker may be reserved for a task of the job.
+func (e *Engine) suitsReservation(now time.Time, n *node, j *job, demand resource.Vector) bool {
+	return demand.FitsIn(n.allocatable()) && n.acceptsTasks(now) &&
+		!(e.avoidsFailedWorkers(j) && slices.Contains(j.failureHistory.failedOn, n.ID))
+}
+
 // needsReservations reports whether a gang is still waiting for the workers reserved
 // for it.
 func (e *Engine) needsReservations(j *job) bool {
 	return e.jobs[j.ID] == j && !j.parked && !j.cancelled && len(j.running) == 0
 }
 
-func (e *Engine) reserve(now time.Time, j *job, n *node, tasks int) {
-	r := &reservation{node: n, job: j, since: now, tasks: tasks}
+func (e *Engine) reserve(now time.Time, j *job, n *node, tasks int) *nodeReservation {
+	r := &nodeReservation{node: n, job: j, since: now, tasks: tasks}
 	n.reservation = r
 	j.reservedTasks += tasks
 	e.reservations = append(e.reservations, r)
 	e.reindex(now, n)
+	return r
 }
 
-func (e *Engine) release(now time.Time, r *reservation) {
+func (e *Engine) release(now time.Time, r *nodeReservation) {
 	r.node.reservation = nil
 	r.job.reservedTasks -= r.tasks
 	r.tasks = 0
-	e.reservations = slices.DeleteFunc(e.reservations, func(other *reservation) bool { return other == r })
+	e.reservations = slices.DeleteFunc(e.reservations, func(other *nodeReservation) bool { return other == r })
 	e.reindex(now, r.node)
 }
 
+// giveUp releases a reservation that can't be used, and those of the other members of a gang that were
+// planned with it.
+func (e *Engine) giveUp(now time.Time, r *nodeReservation) {
+	if !r.job.Gang || r.planned == nil {
+		e.release(now, r)
+		return
+	}
+	for _, other := range slices.Clone(e.reservations) {
+		if other.job == r.job && other.planned != nil {
+			e.release(now, other)
+		}
+	}
+}
+
 func (e *Engine) releaseAll(now time.Time, j *job) {
 	for _, r := range slices.Clone(e.reservations) {
 		if r.job == j {
@@ -187,7 +211,7 @@
 			continue
 		}
 		if e.reservationObsolete(now, r) {
-			e.release(now, r)
+			e.giveUp(now, r)
 			continue
 		}
 		if r.job.Gang {
@@ -198,7 +222,7 @@
 }
 
 // reservationObsolete reports whether a reservation serves no purpose any more.
-func (e *Engine) reservationObsolete(now time.Time, r *reservation) bool {
+func (e *Engine) reservationObsolete(now time.Time, r *nodeReservation) bool {
 	j := r.job
 	if e.jobs[j.ID] != j || j.cancelled || j.parked || j.pending() == 0 || j.Gang && len(j.running) > 0 {
 		return true
@@ -206,12 +230,15 @@
 	if !e.demand(j).FitsIn(r.node.allocatable()) {
 		return true
 	}
+	if r.planned != nil && e.reviewReservation(now, r.planned, r.node) {
+		return true
+	}
 	return j.Priority == Urgent && !j.Gang && now.Sub(r.since) > maxUrgentReservation
 }
 
 // startOnReserved starts the job's tasks on its reserved worker as far as they fit, and
 // preempts others if the job has waited too long.
-func (e *Engine) startOnReserved(now time.Time, r *reservation) {
+func (e *Engine) startOnReserved(now time.Time, r *nodeReservation) {
 	j, n := r.job, r.node
 	demand := e.demand(j)
 	for r.tasks > 0 && j.pending() > 0 && demand.FitsIn(n.free()) {
@@ -240,6 +267,9 @@
 	}
 	waited := j.waitTime(now)
 	if j.Priority != Urgent && waited < reserveAfter {
+		if j.reservedTasks == 0 && e.reserveByForecast(now, j, demand, j.pending()) {
+			e.reservingGang = j
+		}
 		return
 	}
 	e.reservingGang = j
