Wait longer for seeds that answer, and request no lists while meeting others

While an instance met the others at its start, it counted the directories as silent and requested whole lists in hello calls. A seed that has just started knows few of many instances, so that its callers took the deployment for small and began to read the list of workers after 1 s.

The time of silence now begins with the start, and the wait is 3 s where a seed has answered, 1 to 5 s where none has. The copy of the instance that follows the list may be a third of the bound old: if that instance then falls silent, the owner still reads from the store within the bound.

--- a/internal/decision/fanin/fanin.go
+++ b/internal/decision/fanin/fanin.go
@@ -17,15 +17,15 @@
 	// maxSmallInstances and maxSmallShards limit a small deployment.
 	maxSmallInstances = 64
 	maxSmallShards    = 8
-	// seedPatience is how long an instance that isn't a seed leaves the list of workers to the
-	// seeds, which need it to choose the number of shards, and largeSeedPatience how long it does
-	// so in a large deployment.
-	seedPatience      = time.Second
-	largeSeedPatience = 3 * time.Second
+	// silentSeedPatience is how long an instance that isn't a seed leaves the list of workers to the
+	// seeds, which need it to choose the number of shards, if none answers, and seedPatience how
+	// long it does so otherwise. A seed that has just started knows few of many instances.
+	silentSeedPatience = time.Second
+	seedPatience       = 3 * time.Second
 	// seedSpread and largeSeedSpread are the times over which the other instances begin to read the
 	// list if the seeds haven't chosen the number of shards by then. An instance that knows no
 	// other one may still be one of many.
-	seedSpread      = 2 * time.Second
+	seedSpread      = 4 * time.Second
 	largeSeedSpread = 8 * time.Second
 	// maxSeedPatience is how long an instance leaves the list to seeds that report that they read it.
 	maxSeedPatience = 30 * time.Second
@@ -44,13 +44,16 @@
 }
 
 // ListReaderDelay returns how long an instance that isn't a seed leaves the list of workers to the
-// seeds while none of them reports that it reads the list. The deployment is large as far as the
-// instance knows.
-func ListReaderDelay(self membership.InstanceID, large bool) time.Duration {
-	if large {
-		return largeSeedPatience + fraction(largeSeedSpread, string(self))
+// seeds while none of them reports that it reads the list, given the number of other instances that
+// it knows, 0 if no seed has answered.
+func ListReaderDelay(self membership.InstanceID, known int) time.Duration {
+	switch {
+	case known == 0:
+		return silentSeedPatience + fraction(seedSpread, string(self))
+	case IsLarge(known+1, 0):
+		return seedPatience + fraction(largeSeedSpread, string(self))
 	}
-	return seedPatience + fraction(seedSpread, string(self))
+	return seedPatience
 }
 
 // MaxListReaderDelay returns how long after its start an instance that isn't a seed leaves the list
--- a/internal/entry/dispatcher/layout.go
+++ b/internal/entry/dispatcher/layout.go
@@ -146,7 +146,7 @@
 		choosersSince = startedAt
 	}
 	now := n.Clock.Now()
-	return now.Sub(choosersSince) >= fanin.ListReaderDelay(n.Name, n.isLarge()) ||
+	return now.Sub(choosersSince) >= fanin.ListReaderDelay(n.Name, len(n.livePeers())) ||
 		now.Sub(startedAt) >= fanin.MaxListReaderDelay(n.Name)
 }
 
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -128,6 +128,7 @@
 // followShards begins to exchange the known instances and to watch the owners of the shards.
 func (n *Node) followShards(ctx context.Context, group *errgroup.Group, shards []*shard) {
 	n.meetingPeers.Store(true)
+	n.recordDirectoryAnswer()
 	group.Go(func() error {
 		n.meetPeers(ctx)
 		if ctx.Err() != nil {
--- a/internal/entry/dispatcher/worker_reader.go
+++ b/internal/entry/dispatcher/worker_reader.go
@@ -158,10 +158,10 @@
 }
 
 // maxReaderAge is how old the copy of an instance that follows the list of workers may be when it
-// answers an owner. The owner then has time for another call and a read from the store within the
-// bound for changes.
+// answers an owner. If its next answer doesn't come, the owner still has time to read from the store
+// within the bound for changes.
 func (n *Node) maxReaderAge() time.Duration {
-	return n.changeBound() / 4
+	return n.changeBound() / 3
 }
 
 // age returns the time since the list was last read.
