--- a/internal/decision/dispatch/copy.go
+++ b/internal/decision/dispatch/copy.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// areUseful reports whether copies of runs whose worker isn't suspected are worth their room: where long tasks
-// take long on every worker, the first run nearly always wins.
+// areUseful reports whether copies are worth their room even if nothing points to the worker as the cause. If tasks
+// take long on every worker, the first run nearly always succeeds first.
 func (r *copyRecord) areUseful() bool {
 	return r.ended < minJudgedCopies || float64(r.won) >= minCopySuccess*float64(r.ended)
 }
@@ -112,8 +112,7 @@
 	return max(minCopies, runs/runsPerCopy) - copies
 }
 
-// isRoomAwaited reports whether a task of the pool, or of one with a more urgent priority, found no room in this tick,
-// so that a copy would take it.
+// isRoomAwaited reports whether a task of the pool, or of a more urgent one, waits for room that a copy would take.
 func (e *Engine) isRoomAwaited(now time.Time, p pool) bool {
 	for _, j := range e.jobs {
 		if j.outcome != "" || j.cancelled || j.queue.Service != p.service || j.queue.Priority > p.priority {
@@ -233,7 +232,7 @@
 	t.second = a
 }
 
-// removeAttempt forgets a run of the task. If another one is left, it is the task's run from now on.
+// removeAttempt removes a run of the task. A remaining second run takes its place.
 func (t *task) removeAttempt(a *attempt) {
 	switch a {
 	case t.attempt:
@@ -264,9 +263,9 @@
 	}
 }
 
-// isAhead reports whether no other run of the task has made more progress. Only such a run gives the task's
-// checkpoint.
-func (a *attempt) isAhead() bool {
+// hasMostProgress reports whether no other run of the task has made more progress. Only checkpoints of such a run
+// are stored.
+func (a *attempt) hasMostProgress() bool {
 	for _, other := range []*attempt{a.task.attempt, a.task.second} {
 		if other != nil && other.percent > a.percent {
 			return false
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -52,10 +52,10 @@
 	// room for the step.
 	blockedSince time.Time
 	preemptedAt  time.Time
-	// passedAt is when a smaller task last started while the step waited for room, and missedOn the worker
-	// whose reservation for the step last missed its time, until the next one is made.
-	passedAt time.Time
-	missedOn membership.InstanceID
+	// overtakenAt is when a smaller task last started while the step waited for room. missedOn is the worker whose
+	// reservation for the step last missed its time. It is empty once the step has a new reservation.
+	overtakenAt time.Time
+	missedOn    membership.InstanceID
 	// urgency is that of the job when the step was last a candidate.
 	urgency urgency
 	// refusedByReservation reports that the last search found room that is reserved.
--- a/internal/decision/dispatch/recovery_property_test.go
+++ b/internal/decision/dispatch/recovery_property_test.go
@@ -12,13 +12,13 @@
 )
 
 // claim makes a new owner take the shard over.
-func (w *world) claim() {
+func (w *takeoverSimulation) claim() {
 	w.claimAt = time.Time{}
 	epoch, previous := dispatch.Epoch(1), w.owner()
 	if previous != nil {
 		epoch = previous.epoch.Next()
 	}
-	o := &worldOwner{epoch: epoch, storedAt: w.now, polling: map[membership.InstanceID]bool{}, engine: dispatch.New(dispatch.Options{
+	o := &simulatedOwner{epoch: epoch, storedAt: w.now, polling: map[membership.InstanceID]bool{}, engine: dispatch.New(dispatch.Options{
 		Epoch: epoch, LeaseTerm: leaseTerm, MaxLease: maxLease, StopTimeout: stopTimeout,
 	})}
 	o.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{
@@ -50,7 +50,7 @@
 }
 
 // advanceOwner makes an owner poll, decide and store.
-func (w *world) advanceOwner(o *worldOwner) {
+func (w *takeoverSimulation) advanceOwner(o *simulatedOwner) {
 	if o.dead {
 		return
 	}
@@ -83,7 +83,7 @@
 }
 
 // store stores the changes of the owner.
-func (w *world) store(o *worldOwner) {
+func (w *takeoverSimulation) store(o *simulatedOwner) {
 	batch := o.engine.TakeBatch(1)
 	for _, u := range batch.Updates {
 		w.progress[u.ID] = u.Progress
@@ -95,7 +95,7 @@
 }
 
 // listedWorkers returns the platform's list of workers. Entries of workers that are cut off expire.
-func (w *world) listedWorkers() []dispatch.WorkerInfo {
+func (w *takeoverSimulation) listedWorkers() []dispatch.WorkerInfo {
 	var list []dispatch.WorkerInfo
 	for _, x := range w.sortedWorkers() {
 		if !x.gone && (!w.now.Before(x.cutUntil) || w.now.Sub(x.cutAt) < entryTerm) {
@@ -105,7 +105,7 @@
 	return list
 }
 
-func (w *world) sendPoll(o *worldOwner, id membership.InstanceID) {
+func (w *takeoverSimulation) sendPoll(o *simulatedOwner, id membership.InstanceID) {
 	p, _ := o.engine.Poll(w.now, id)
 	o.polling[id] = true
 	answer := func(f func()) {
@@ -136,7 +136,7 @@
 }
 
 // send sends a command, which may be lost, executed late or lose its answer.
-func (w *world) send(o *worldOwner, c dispatch.Command) {
+func (w *takeoverSimulation) send(o *simulatedOwner, c dispatch.Command) {
 	x := w.workers[c.Worker]
 	if x == nil {
 		return
@@ -186,7 +186,7 @@
 }
 
 // replaceOwner ends the current owner in one of several ways.
-func (w *world) replaceOwner() {
+func (w *takeoverSimulation) replaceOwner() {
 	o := w.owner()
 	if !w.claimAt.IsZero() || o.dead || o.cut {
 		return
@@ -204,7 +204,7 @@
 }
 
 // release stores the release of the shard. The answer may be lost, so that the owner doesn't end.
-func (w *world) release(o *worldOwner) {
+func (w *takeoverSimulation) release(o *simulatedOwner) {
 	w.recordEpoch, w.record = o.epoch, nil
 	w.stopping = o.engine.StoppingRuns(w.now, 100)
 	record, complete := o.engine.Release(w.now)
@@ -217,7 +217,7 @@
 }
 
 // disturb makes one thing happen to a worker, the jobs or the owner.
-func (w *world) disturb(number int) {
+func (w *takeoverSimulation) disturb(number int) {
 	workers := w.sortedWorkers()
 	x := workers[w.random.IntN(len(workers))]
 	switch w.random.IntN(8) {
@@ -252,7 +252,7 @@
 func TestRecoveryNeverStartsTwice(t *testing.T) {
 	started := 0
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 6).Draw(t, "workers"))
+		w := newTakeoverSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 6).Draw(t, "workers"))
 		if rapid.Bool().Draw(t, "otherBuilds") {
 			w.usesRecords = func() bool { return w.chance(0.7) }
 		}
--- a/internal/decision/dispatch/recovery_record.go
+++ b/internal/decision/dispatch/recovery_record.go
@@ -9,8 +9,9 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
-// RecoveryRecord tells the next owner where runs may be that it can't know otherwise. An owner makes it
-// when it releases its shard, and starts nothing from then on. Workers that aren't in it have no run.
+// RecoveryRecord lists the workers that may have runs, so that the next owner needn't wait for all workers to
+// report theirs. An owner makes it when it releases its shard, and starts nothing afterwards. Workers that aren't
+// in it have no run.
 type RecoveryRecord struct {
 	Workers []RecordedWorker
 	// EarlierOwnerActsFor is how much longer the owner before may act, and NewJobsDelay how much longer
@@ -34,7 +35,7 @@
 	Incarnation int64 `json:",omitempty"`
 }
 
-// recordedWorker is what the record of the earlier owner tells of a worker.
+// recordedWorker is the entry of a worker in the earlier owner's record.
 type recordedWorker struct {
 	runs   []TaskRun
 	anyRun bool
@@ -117,17 +118,17 @@
 	return r
 }
 
-// matters reports whether a next owner must know of an end before it starts the task again: of a success, a failed
-// attempt or saved work.
-func (e *Engine) matters(end End) bool {
+// affectsRecovery reports whether the next owner must know of an end before it starts the task again: because the
+// task is done, an attempt counts as failed, or a checkpoint was saved.
+func (e *Engine) affectsRecovery(end End) bool {
 	if t := e.findTask(end.Task); t != nil && t.step.LongRunning {
 		return false
 	}
 	return end.Kind == EndDone || end.Kind == EndFailed || end.Checkpoint != ""
 }
 
-// addPossibleRuns adds the runs of the owner that may be active on the worker, and those whose end matters and isn't
-// stored yet.
+// addPossibleRuns adds the owner's runs that may be active on the worker, and those with an end that isn't stored
+// yet and affects the recovery.
 func (w *worker) addPossibleRuns(now time.Time, runs map[TaskRun]bool) {
 	for _, a := range w.runs {
 		runs[a.taskRun()] = true
--- a/internal/decision/dispatch/recovery_world_test.go
+++ b/internal/decision/dispatch/recovery_simulation_test.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	worldStep = 50 * time.Millisecond
+	simulationStep = 50 * time.Millisecond
 	// authorityTerm is how long an owner that can't reach the store acts after its last transaction.
 	authorityTerm = 2400 * time.Millisecond
 	// claimDelay is the time after the last transaction of a silent owner at which it is replaced.
@@ -22,18 +22,18 @@
 	maxLateStart = 15 * time.Second
 )
 
-// worldWorker is a worker that obeys fences, leases and stops as the platform promises.
-type worldWorker struct {
+// simulatedWorker is a worker that obeys fences, leases and stops as the platform promises.
+type simulatedWorker struct {
 	info     dispatch.WorkerInfo
 	clock    time.Duration
 	rate     float64
 	highest  dispatch.Fence
 	leaseEnd time.Duration
 	// runs are active. A run is listed from listedAt on, and no longer once it is being stopped.
-	runs map[dispatch.TaskID]*worldRun
+	runs map[dispatch.TaskID]*simulatedRun
 	// blocked has the highest run of each task that was stopped or has ended.
 	blocked  map[dispatch.TaskID]dispatch.Run
-	ended    []worldEnd
+	ended    []simulatedEnd
 	endCount int64
 	// cutAt is when the worker was cut off, and cutUntil when owners reach it again. gone reports that it has
 	// left for good.
@@ -45,7 +45,7 @@
 	hiddenFrom  dispatch.Epoch
 }
 
-type worldRun struct {
+type simulatedRun struct {
 	run      dispatch.Run
 	listedAt time.Time
 	// stopAt is when a run that is being stopped ends, or zero.
@@ -54,15 +54,15 @@
 	kind   dispatch.EndKind
 }
 
-type worldEnd struct {
+type simulatedEnd struct {
 	dispatch.End
 	at time.Time
 	// lapsed reports that the lease of the worker expired before the end was acknowledged.
 	lapsed bool
 }
 
-// worldOwner is an owner with its engine.
-type worldOwner struct {
+// simulatedOwner is an owner with its engine.
+type simulatedOwner struct {
 	engine *dispatch.Engine
 	epoch  dispatch.Epoch
 	// storedAt is the time of its last transaction.
@@ -72,14 +72,14 @@
 	polling  map[membership.InstanceID]bool
 }
 
-// world plays takeovers over a few workers, and notes each task that runs twice.
-type world struct {
+// takeoverSimulation plays takeovers over a few workers, and notes each task that runs twice.
+type takeoverSimulation struct {
 	random  *rand.Rand
 	now     time.Time
-	workers map[membership.InstanceID]*worldWorker
-	owners  []*worldOwner
+	workers map[membership.InstanceID]*simulatedWorker
+	owners  []*simulatedOwner
 	// events are messages on their way.
-	events []worldEvent
+	events []simulatedEvent
 	// jobs, progress, fleet, stopping and record are in the store. recordEpoch is that of the last two.
 	jobs        []dispatch.Job
 	progress    map[dispatch.JobID]dispatch.Progress
@@ -99,14 +99,14 @@
 	notedEnd map[dispatch.TaskID]time.Time
 }
 
-type worldEvent struct {
+type simulatedEvent struct {
 	at time.Time
 	do func()
 }
 
-func newWorld(seed uint64, workers int) *world {
-	w := &world{
-		random: rand.New(rand.NewPCG(seed, 1)), now: startTime, workers: map[membership.InstanceID]*worldWorker{},
+func newTakeoverSimulation(seed uint64, workers int) *takeoverSimulation {
+	w := &takeoverSimulation{
+		random: rand.New(rand.NewPCG(seed, 1)), now: startTime, workers: map[membership.InstanceID]*simulatedWorker{},
 		progress: map[dispatch.JobID]dispatch.Progress{}, outcomes: map[dispatch.JobID]bool{},
 		starts: map[dispatch.TaskID][]time.Time{}, notedEnd: map[dispatch.TaskID]time.Time{},
 	}
@@ -117,21 +117,21 @@
 	return w
 }
 
-func (w *world) addWorker(i int) {
+func (w *takeoverSimulation) addWorker(i int) {
 	id := membership.InstanceID(fmt.Sprintf("w%d", i))
-	w.workers[id] = &worldWorker{
+	w.workers[id] = &simulatedWorker{
 		info: dispatch.WorkerInfo{ID: id, Address: string(id), Service: "pool", Zone: "z", Capacity: cores(4)},
-		rate: 0.98 + 0.02*w.random.Float64(), runs: map[dispatch.TaskID]*worldRun{}, blocked: map[dispatch.TaskID]dispatch.Run{},
+		rate: 0.98 + 0.02*w.random.Float64(), runs: map[dispatch.TaskID]*simulatedRun{}, blocked: map[dispatch.TaskID]dispatch.Run{},
 	}
 }
 
 // sortedWorkers returns the workers in a fixed order, so that a seed always plays the same.
-func (w *world) sortedWorkers() []*worldWorker {
-	list := make([]*worldWorker, 0, len(w.workers))
+func (w *takeoverSimulation) sortedWorkers() []*simulatedWorker {
+	list := make([]*simulatedWorker, 0, len(w.workers))
 	for _, worker := range w.workers {
 		list = append(list, worker)
 	}
-	slices.SortFunc(list, func(a, b *worldWorker) int {
+	slices.SortFunc(list, func(a, b *simulatedWorker) int {
 		if a.info.ID < b.info.ID {
 			return -1
 		}
@@ -141,20 +141,20 @@
 }
 
 // after does something after a delay.
-func (w *world) after(d time.Duration, do func()) {
-	w.events = append(w.events, worldEvent{w.now.Add(d), do})
+func (w *takeoverSimulation) after(d time.Duration, do func()) {
+	w.events = append(w.events, simulatedEvent{w.now.Add(d), do})
 }
 
 // delay returns how long a message takes.
-func (w *world) delay() time.Duration {
+func (w *takeoverSimulation) delay() time.Duration {
 	return time.Duration(w.random.IntN(80)) * time.Millisecond
 }
 
-func (w *world) chance(p float64) bool {
+func (w *takeoverSimulation) chance(p float64) bool {
 	return w.random.Float64() < p
 }
 
-func (w *world) owner() *worldOwner {
+func (w *takeoverSimulation) owner() *simulatedOwner {
 	if len(w.owners) == 0 {
 		return nil
 	}
@@ -162,20 +162,20 @@
 }
 
 // step advances the time.
-func (w *world) step() {
-	w.now = w.now.Add(worldStep)
+func (w *takeoverSimulation) step() {
+	w.now = w.now.Add(simulationStep)
 	for _, worker := range w.sortedWorkers() {
 		w.advanceWorker(worker)
 	}
-	due := []worldEvent{}
-	w.events = slices.DeleteFunc(w.events, func(e worldEvent) bool {
+	due := []simulatedEvent{}
+	w.events = slices.DeleteFunc(w.events, func(e simulatedEvent) bool {
 		if e.at.After(w.now) {
 			return false
 		}
 		due = append(due, e)
 		return true
 	})
-	slices.SortStableFunc(due, func(a, b worldEvent) int { return a.at.Compare(b.at) })
+	slices.SortStableFunc(due, func(a, b simulatedEvent) int { return a.at.Compare(b.at) })
 	for _, e := range due {
 		e.do()
 	}
@@ -188,8 +188,8 @@
 }
 
 // advanceWorker ends the runs that are done, were stopped or have lost their lease.
-func (w *world) advanceWorker(x *worldWorker) {
-	x.clock += time.Duration(float64(worldStep) * x.rate)
+func (w *takeoverSimulation) advanceWorker(x *simulatedWorker) {
+	x.clock += time.Duration(float64(simulationStep) * x.rate)
 	if x.gone {
 		return
 	}
@@ -226,16 +226,16 @@
 	return ids
 }
 
-func (x *worldWorker) end(now time.Time, id dispatch.TaskID, kind dispatch.EndKind) {
+func (x *simulatedWorker) end(now time.Time, id dispatch.TaskID, kind dispatch.EndKind) {
 	r := x.runs[id]
 	delete(x.runs, id)
 	x.blocked[id] = max(x.blocked[id], r.run)
 	x.endCount++
-	x.ended = append(x.ended, worldEnd{End: dispatch.End{Number: x.endCount, TaskRun: dispatch.TaskRun{Task: id, Run: r.run}, Kind: kind}, at: now})
+	x.ended = append(x.ended, simulatedEnd{End: dispatch.End{Number: x.endCount, TaskRun: dispatch.TaskRun{Task: id, Run: r.run}, Kind: kind}, at: now})
 }
 
 // accepts reports whether the worker executes a command.
-func (x *worldWorker) accepts(f dispatch.Fence, lease time.Duration) bool {
+func (x *simulatedWorker) accepts(f dispatch.Fence, lease time.Duration) bool {
 	if f < x.highest {
 		return false
 	}
@@ -245,12 +245,12 @@
 }
 
 // reaches reports whether a message of an owner reaches a worker.
-func (w *world) reaches(o *worldOwner, x *worldWorker) bool {
+func (w *takeoverSimulation) reaches(o *simulatedOwner, x *simulatedWorker) bool {
 	return x != nil && !x.gone && !w.now.Before(x.cutUntil) && (o.epoch < x.hiddenFrom || !w.now.Before(x.hiddenUntil))
 }
 
 // start executes a start command on a worker.
-func (w *world) start(x *worldWorker, c dispatch.Command) dispatch.StartResult {
+func (w *takeoverSimulation) start(x *simulatedWorker, c dispatch.Command) dispatch.StartResult {
 	switch r := x.runs[c.Task]; {
 	case c.Fence < x.highest:
 		return dispatch.StartStaleEpoch
@@ -263,7 +263,7 @@
 	}
 	x.accepts(c.Fence, c.Lease)
 	w.checkStart(x, c)
-	r := &worldRun{run: c.Run, listedAt: w.now.Add(worldStep)}
+	r := &simulatedRun{run: c.Run, listedAt: w.now.Add(simulationStep)}
 	if c.Task.Job[0] != 'l' {
 		r.doneAt = w.now.Add(time.Duration(200+w.random.IntN(2500)) * time.Millisecond)
 		r.kind = dispatch.EndDone
@@ -278,7 +278,7 @@
 }
 
 // checkStart notes a task that starts while another run of it is active or after it has succeeded.
-func (w *world) checkStart(on *worldWorker, c dispatch.Command) {
+func (w *takeoverSimulation) checkStart(on *simulatedWorker, c dispatch.Command) {
 	for _, x := range w.sortedWorkers() {
 		if r := x.runs[c.Task]; r != nil && !x.gone && x.clock < x.leaseEnd {
 			w.fault("run %d of %s starts on %s while run %d is on %s", c.Run, c.Task, on.info.ID, r.run, x.info.ID)
@@ -289,12 +289,12 @@
 	}
 }
 
-func (w *world) fault(format string, arguments ...any) {
+func (w *takeoverSimulation) fault(format string, arguments ...any) {
 	w.faults = append(w.faults, fmt.Sprintf("%s: ", w.now.Sub(startTime))+fmt.Sprintf(format, arguments...))
 }
 
 // poll executes a poll on a worker.
-func (w *world) poll(x *worldWorker, p dispatch.Poll) (dispatch.Report, bool) {
+func (w *takeoverSimulation) poll(x *simulatedWorker, p dispatch.Poll) (dispatch.Report, bool) {
 	if !x.accepts(p.Fence, p.Lease) {
 		return dispatch.Report{}, false
 	}
@@ -304,7 +304,7 @@
 			r.Running = append(r.Running, dispatch.RunningTask{TaskRun: dispatch.TaskRun{Task: id, Run: run.run}, Percent: 100})
 		}
 	}
-	x.ended = slices.DeleteFunc(x.ended, func(e worldEnd) bool {
+	x.ended = slices.DeleteFunc(x.ended, func(e simulatedEnd) bool {
 		if e.Number > p.LastStoredEnd {
 			return false
 		}
@@ -318,7 +318,7 @@
 }
 
 // noteEnd is called when an end has been acknowledged. No start may have followed a success.
-func (w *world) noteEnd(e worldEnd) {
+func (w *takeoverSimulation) noteEnd(e simulatedEnd) {
 	if e.Kind != dispatch.EndDone || e.lapsed {
 		return
 	}
--- a/internal/decision/dispatch/replacement.go
+++ b/internal/decision/dispatch/replacement.go
@@ -22,10 +22,10 @@
 	workersPerMove = 12
 )
 
-// reasonSaved is the reason of late stops on workers that leave while they are being replaced.
-const reasonSaved = "its worker leaves; its work is saved and goes on elsewhere"
+// reasonWorkSaved is the reason for stopping a checkpointing run shortly before its worker leaves.
+const reasonWorkSaved = "its worker leaves; the run saves its work and resumes on another worker"
 
-// replacements is what the engine knows of replacements of many workers.
+// replacements tracks replacements of many workers.
 type replacements struct {
 	detector replacement.Detector
 	// underWay reports that one is under way, as of the current tick.
@@ -33,8 +33,8 @@
 	// moves counts the long-running tasks that are moving, and moveLimit limits them.
 	moves     int
 	moveLimit int
-	// notices has the longest time for which draining workers of each service said that they remain.
-	notices map[ServiceName]time.Duration
+	// longestDrain has, by service, the longest remaining time that a draining worker has reported.
+	longestDrain map[ServiceName]time.Duration
 }
 
 // observeReplacements applies a list of workers.
@@ -45,7 +45,7 @@
 	entries := make([]replacement.Worker, 0, len(list))
 	for i := range list {
 		entries = append(entries, replacementEntry(&list[i]))
-		e.replacements.recordNotice(&list[i])
+		e.replacements.recordDrainTime(&list[i])
 	}
 	e.recordReplacements(now, e.replacements.detector.Observe(now, entries))
 }
@@ -60,14 +60,14 @@
 	return entry
 }
 
-func (r *replacements) recordNotice(info *WorkerInfo) {
+func (r *replacements) recordDrainTime(info *WorkerInfo) {
 	if !info.Draining {
 		return
 	}
-	if r.notices == nil {
-		r.notices = map[ServiceName]time.Duration{}
+	if r.longestDrain == nil {
+		r.longestDrain = map[ServiceName]time.Duration{}
 	}
-	r.notices[info.Service] = max(r.notices[info.Service], info.Remaining)
+	r.longestDrain[info.Service] = max(r.longestDrain[info.Service], info.Remaining)
 }
 
 func (e *Engine) recordReplacements(now time.Time, events []replacement.Event) {
@@ -113,15 +113,15 @@
 	return e.replacements.underWay && e.replacements.detector.IsUnderWay(replacement.Pool(w.Service))
 }
 
-// leavingCost returns the cost for a task of the step of a worker that will be replaced: tasks that are
-// expected to end within the notice of such a worker have none.
+// leavingCost returns the cost of placing a task of the step on a worker that will be replaced. It is 0 for tasks
+// that are expected to end while such a worker drains.
 func (e *Engine) leavingCost(s *step) float64 {
 	switch {
 	case !e.replacements.underWay:
 		return 0
 	case s.LongRunning:
 		return leavingSoonCost
-	case e.expectedDuration(s) <= e.replacements.notices[s.job.queue.Service]:
+	case e.expectedDuration(s) <= e.replacements.longestDrain[s.job.queue.Service]:
 		return 0
 	case s.Checkpointing:
 		return leavingSoonCheckpointCost
@@ -129,7 +129,7 @@
 	return leavingSoonCost
 }
 
-// moveOffReplaced is like moveOff for a worker that is being replaced and said when it leaves.
+// moveOffReplaced is like moveOff for a worker that is being replaced and has reported when it leaves.
 func (e *Engine) moveOffReplaced(now time.Time, a *attempt) bool {
 	s := a.task.step
 	switch {
@@ -140,7 +140,7 @@
 	case s.Checkpointing && e.isAboutToLeave(now, a.worker):
 		return e.saveBeforeLeaving(now, a)
 	case !now.Add(e.remainingTime(now, a)).After(a.worker.leavesAt.Add(-drainMargin)):
-		a.spared = a.spared || a.outlastsWorker(now)
+		a.moveAvoided = a.moveAvoided || a.outlastsWorker(now)
 		return false
 	case s.Checkpointing:
 		return e.saveBeforeLeaving(now, a)
@@ -164,22 +164,22 @@
 	return end.Sub(now)
 }
 
-// saveBeforeLeaving stops a run whose work is saved by that when its worker is about to leave. Until then the
-// run goes on, and may end.
+// saveBeforeLeaving stops a checkpointing run, which then saves its work, when its worker is about to leave. Until
+// then the run continues and may end.
 func (e *Engine) saveBeforeLeaving(now time.Time, a *attempt) bool {
 	if !e.isAboutToLeave(now, a.worker) {
-		a.spared = true
+		a.moveAvoided = true
 		return false
 	}
 	e.count("Replacement.Saved")
-	e.stop(now, a, reasonSaved)
+	e.stop(now, a, reasonWorkSaved)
 	return true
 }
 
 // moveLongRunningOffReplaced moves a long-running task to an arriving worker with room that isn't held for
 // anything else and, shortly before its own worker leaves, to any. No more tasks move at once than can start
 // at once, and none while too many of its step are unavailable. When the worker is about to leave, the task is
-// stopped all the same.
+// stopped regardless.
 func (e *Engine) moveLongRunningOffReplaced(now time.Time, a *attempt) bool {
 	s := a.task.step
 	if e.replacements.moves < e.replacements.moveLimit && !s.hasWaiting(now) && s.mayBecomeUnavailable(a) {
@@ -206,24 +206,24 @@
 	})
 }
 
-// mayBecomeUnavailable reports whether the limit of the step allows a run that is at work to be taken down.
+// mayBecomeUnavailable reports whether the run may be stopped without exceeding the step's MaxUnavailable.
 func (s *step) mayBecomeUnavailable(a *attempt) bool {
-	return s.MaxUnavailable == 0 || !a.isAtWork() || s.unavailable() < s.MaxUnavailable
+	return s.MaxUnavailable == 0 || !a.isAvailable() || s.unavailable() < s.MaxUnavailable
 }
 
-// unavailable returns the number of tasks of this shard that aren't at work.
+// unavailable returns the number of the step's tasks in this shard without an available run.
 func (s *step) unavailable() int {
 	count := 0
 	for _, t := range s.tasks {
-		if !t.done && !t.elsewhere && (t.attempt == nil || !t.attempt.isAtWork()) {
+		if !t.done && !t.elsewhere && (t.attempt == nil || !t.attempt.isAvailable()) {
 			count++
 		}
 	}
 	return count
 }
 
-// isAtWork reports whether the run of a long-running task has started up and wasn't told to stop.
-func (a *attempt) isAtWork() bool {
+// isAvailable reports whether the run of a long-running task has started up and isn't being stopped.
+func (a *attempt) isAvailable() bool {
 	return a.phase == running && a.percent >= startedUpPercent
 }
 
@@ -237,9 +237,9 @@
 	e.count("Replacement.MovedOnce")
 }
 
-// countSpared counts a run that ended on a worker off which it would have been moved.
-func (e *Engine) countSpared(a *attempt) {
-	if a.spared {
+// countAvoidedMove counts a run that ended on its worker although it would have been moved without the mechanism.
+func (e *Engine) countAvoidedMove(a *attempt) {
+	if a.moveAvoided {
 		e.count("Replacement.MovesAvoided")
 	}
 }
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -193,7 +193,7 @@
 			continue
 		}
 		w.lastEndSeen = end.Number
-		if e.matters(end) {
+		if e.affectsRecovery(end) {
 			w.unstoredEnds = append(w.unstoredEnds, end)
 		}
 		e.observeEnd(now, w, end)
@@ -203,7 +203,7 @@
 func (e *Engine) observeEnd(now time.Time, w *worker, end End) {
 	startedUp, ahead := false, true
 	if a := w.runs[end.Task]; a != nil && a.run == end.Run {
-		startedUp, ahead = a.percent >= startedUpPercent, a.isAhead()
+		startedUp, ahead = a.percent >= startedUpPercent, a.hasMostProgress()
 		a.confirmed = true
 		a.task.beginDowntime(now, w, reasonEnded)
 		if end.Kind == EndDone && a.firstProgress.percent == 0 {
@@ -213,7 +213,7 @@
 		}
 		if end.Kind == EndDone {
 			e.recordCopyResult(a)
-			e.countSpared(a)
+			e.countAvoidedMove(a)
 		}
 		e.releaseRun(now, a)
 	}
@@ -323,7 +323,7 @@
 		}
 	}
 	a.measurement = r.Measurement
-	if r.Checkpoint != "" && a.isAhead() {
+	if r.Checkpoint != "" && a.hasMostProgress() {
 		a.task.checkpoint = r.Checkpoint
 	}
 }
--- a/internal/decision/dispatch/reservations.go
+++ b/internal/decision/dispatch/reservations.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// reservationDelay is how long a task waits before room is reserved for it. Reserved room is idle in part,
-	// which costs the other tasks more than a short wait costs a large one.
+	// reservationDelay is how long a task waits before room is reserved for it. Part of the reserved room stays
+	// idle, which costs other tasks more than a short wait costs a large one.
 	reservationDelay = 3 * time.Second
 	// reservationInterval is the time between two searches for room to reserve. Each examines all workers.
 	reservationInterval = 100 * time.Millisecond
@@ -22,10 +22,10 @@
 	reviewInterval = 50 * time.Millisecond
 	// reservationHorizon is how far ahead room is reserved. Forecasts that look further are mostly wrong.
 	reservationHorizon = 4 * time.Second
-	// passedValidity is how long after a smaller task has started a waiting one counts as passed by it.
-	passedValidity = time.Second
-	// largeTaskRatio is how many times larger than a task that starts a waiting one is passed by it. Those of
-	// similar size find room soon enough.
+	// overtakenValidity is how long after the start of a smaller task a waiting one counts as overtaken.
+	overtakenValidity = time.Second
+	// largeTaskRatio is how many times as large as a starting task a waiting one must be to count as overtaken.
+	// Tasks of similar size find room soon enough.
 	largeTaskRatio = 4
 	// maxReservingSteps limits the steps for which room is searched at a time.
 	maxReservingSteps = 16
@@ -60,8 +60,8 @@
 	rank      reservation.Rank
 }
 
-// isRefused reports whether a task that may use all room that the step's may found only reserved room in
-// this tick.
+// isRefused reports whether a task that needs no more than the step's, and may use the same room, found only
+// reserved room in this tick.
 func (e *Engine) isRefused(s *step) bool {
 	other, refused := e.reservations.refused[s.shape()]
 	return refused && other.resources.FitsIn(s.Resources) && other.rank <= s.rank() &&
@@ -129,8 +129,8 @@
 	}
 }
 
-// reviewReservation releases a reservation that isn't needed any more or has missed its time. kept counts
-// the tasks of each holder for which room stays reserved.
+// reviewReservation releases a reservation that is no longer needed or has missed its time. kept counts, by
+// holder, the tasks for which room stays reserved.
 func (e *Engine) reviewReservation(now time.Time, made *reservation.Reservation, kept map[reservation.Holder]int) {
 	if e.reservations.book.On(made.Worker) != made {
 		return
@@ -191,15 +191,15 @@
 		s.hasWaiting(now) && s.mayStart(now)
 }
 
-// mayReserve reports whether room may be kept for the step on a worker. Holds go before.
+// mayReserve reports whether room may be kept for the step on a worker. Holds take precedence.
 func (e *Engine) mayReserve(now time.Time, s *step, w *worker) bool {
 	return e.meetsConstraints(s, w) && !w.hold.isActive(now) && e.isPermitted(now, s, w)
 }
 
-// admit returns why a task may start on a worker beside the reservation there.
+// admit decides whether a task may start on a worker that has a reservation.
 func (e *Engine) admit(now time.Time, s *step, made *reservation.Reservation) reservation.Admission {
-	a := made.Admit(e.startOf(now, s, e.workers[made.Worker]))
-	if a > reservation.Preceding && !s.Filler && e.isDisabled(mechanism.Backfill) {
+	a := made.Admit(e.reservationStart(now, s, e.workers[made.Worker]))
+	if a > reservation.MoreUrgent && !s.Filler && e.isDisabled(mechanism.Backfill) {
 		return reservation.Refused
 	}
 	return a
@@ -218,8 +218,8 @@
 	return false
 }
 
-// startOf describes a start of the step's task on a worker for reservations.
-func (e *Engine) startOf(now time.Time, s *step, w *worker) reservation.Start {
+// reservationStart describes the start of a task of the step on a worker to the reservations.
+func (e *Engine) reservationStart(now time.Time, s *step, w *worker) reservation.Start {
 	start := reservation.Start{Holder: s.holder(), Rank: s.rank(), Need: s.Reserved()}
 	if !s.LongRunning && s.Estimate > 0 {
 		start.EndsBy = now.Add(e.cautiousDuration(s, w))
@@ -248,10 +248,10 @@
 		e.count("Reservation.Backfilled")
 		a.backfillEndsBy = now.Add(e.cautiousDuration(s, w))
 	}
-	made.Occupy(e.startOf(now, s, w), admission)
+	made.Occupy(e.reservationStart(now, s, w), admission)
 }
 
-// noteBackfillEnd counts a backfilled run that has outlasted its forecast.
+// noteBackfillEnd counts a backfilled run that took longer than its forecast.
 func (e *Engine) noteBackfillEnd(now time.Time, a *attempt) {
 	if !a.backfillEndsBy.IsZero() && now.After(a.backfillEndsBy) {
 		e.count("Reservation.BackfillOverran")
@@ -281,7 +281,7 @@
 
 // reserveRoom reserves room for the largest of the tasks that found none while smaller ones started.
 func (e *Engine) reserveRoom(now time.Time) {
-	e.findPassed(now)
+	e.markOvertaken(now)
 	r := &e.reservations
 	if e.isDisabled(mechanism.Reservations) || e.recovering || len(r.blocked) == 0 || now.Sub(r.checkedAt) < reservationInterval {
 		return
@@ -301,8 +301,8 @@
 	}
 }
 
-// findPassed marks the blocked steps that wait while smaller tasks start.
-func (e *Engine) findPassed(now time.Time) {
+// markOvertaken records which blocked steps wait while smaller tasks start.
+func (e *Engine) markOvertaken(now time.Time) {
 	for _, s := range e.reservations.blocked {
 		smaller, started := e.reservations.smallestStarted[s.job.queue.Service]
 		if !started {
@@ -312,18 +312,17 @@
 			e.largeTasks.note(now, s)
 		}
 		if largeTaskRatio*smaller.Processors <= s.awaitedRoom().Processors {
-			s.passedAt = now
+			s.overtakenAt = now
 		}
 	}
 }
 
-// stepsNeedingRoom returns blocked steps for which room is to be reserved: those that go first before
-// others, and of these the largest ones. Steps of late jobs aren't among them: they would hold up jobs that can
-// still end in time.
+// stepsNeedingRoom returns the blocked steps for which room is to be reserved, by rank and then from the largest
+// down. It omits steps of late jobs, which would delay jobs that can still end in time.
 func (e *Engine) stepsNeedingRoom(now time.Time) []*step {
 	var list []*step
 	for _, s := range e.reservations.blocked {
-		isDue := now.Sub(s.blockedSince) >= reservationDelay && now.Sub(s.passedAt) <= passedValidity
+		isDue := now.Sub(s.blockedSince) >= reservationDelay && now.Sub(s.overtakenAt) <= overtakenValidity
 		if isDue && s.urgency == inTime && s.mayHoldReservation(now) {
 			list = append(list, s)
 		}
@@ -416,6 +415,6 @@
 	}
 	e.record(now, Decision{
 		Event: event, Job: JobID(made.Holder.Job), Worker: made.Worker, Reason: reason, Took: now.Sub(made.MadeAt),
-		Reservation: &ReservationRoom{Resources: made.Whole(), Tasks: made.Tasks, ExpectedIn: at.Sub(now)},
+		Reservation: &ReservationRoom{Resources: made.TotalNeed(), Tasks: made.Tasks, ExpectedIn: at.Sub(now)},
 	})
 }
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -104,9 +104,9 @@
 	// progressAt is when percent last increased.
 	progressAt time.Time
 	pace       pace
-	// spared reports that the run would have been moved off its draining worker if no replacement were under
-	// way.
-	spared bool
+	// moveAvoided reports that the run would have been moved off its draining worker if no replacement were under
+	// way. It is counted if the run ends there.
+	moveAvoided bool
 	// backfillEndsBy is when a run on reserved room should have ended, or zero.
 	backfillEndsBy time.Time
 }
@@ -121,7 +121,7 @@
 	// leavesSoon reports that the workers of its service are being replaced and this one hasn't been.
 	leavesSoon bool
 	unlistedAt time.Time
-	// leavesAt is the earliest time at which a draining worker leaves, or zero if it didn't tell.
+	// leavesAt is the earliest time at which a draining worker leaves, or zero if it didn't report that.
 	leavesAt    time.Time
 	incarnation int64
 	// reported is true once the worker has answered this owner.
@@ -176,7 +176,8 @@
 	// of the last one that is stored.
 	lastEndSeen   int64
 	lastEndStored int64
-	// unstoredEnds has the ends between the two that a next owner must know before it starts their tasks.
+	// unstoredEnds has the ends that were seen but not stored yet and that the next owner must know before it
+	// starts their tasks again.
 	unstoredEnds []End
 	// awaitedStops has the runs that the earlier owner was stopping when it released the shard, with
 	// the time at which they must have ended.
--- a/internal/decision/placement/forecast.go
+++ b/internal/decision/placement/forecast.go
@@ -11,14 +11,14 @@
 )
 
 const (
-	// forecastReserveAfter is how long a job that is passed by smaller ones waits before room is reserved
-	// for it where the forecast expects room first.
+	// forecastReserveAfter is how long an overtaken job waits before room is reserved for it on the workers where
+	// the forecast expects room first.
 	forecastReserveAfter = 15 * time.Second
-	// reservationHorizon is how far ahead such room is reserved.
+	// reservationHorizon is how far ahead room is reserved.
 	reservationHorizon = 10 * time.Minute
-	// passedValidity is how long after a smaller task has started a waiting job counts as passed by it.
-	passedValidity = 10 * time.Second
-	// largeTaskRatio is how many times larger than a task that starts a waiting one is passed by it.
+	// overtakenValidity is how long after the start of a smaller task a waiting job counts as overtaken.
+	overtakenValidity = 10 * time.Second
+	// largeTaskRatio is how many times as large as a starting task a waiting one must be to count as overtaken.
 	largeTaskRatio = 4
 	// expectedStopTime is how long a task takes to save its work when it is told to stop.
 	expectedStopTime = 10 * time.Second
@@ -30,7 +30,7 @@
 	unknownClassFactor = 2
 )
 
-// smallStart is the size of the smallest task that started lately.
+// smallStart is the size of the smallest task that started recently.
 type smallStart struct {
 	processors resource.MilliProcessors
 	at         time.Time
@@ -61,15 +61,15 @@
 
 // noteStartSize records the size of a started task.
 func (e *Engine) noteStartSize(now time.Time, demand resource.Vector) {
-	if demand.Processors <= e.smallest.processors || now.Sub(e.smallest.at) > passedValidity {
+	if demand.Processors <= e.smallest.processors || now.Sub(e.smallest.at) > overtakenValidity {
 		e.smallest = smallStart{demand.Processors, now}
 	}
 }
 
-// isPassed reports whether much smaller tasks start while the job waits.
-func (e *Engine) isPassed(now time.Time, j *job, demand resource.Vector) bool {
+// isOvertaken reports whether much smaller tasks start while the job waits.
+func (e *Engine) isOvertaken(now time.Time, j *job, demand resource.Vector) bool {
 	small := e.smallest
-	return small.at.After(j.queuedAt) && now.Sub(small.at) <= passedValidity &&
+	return small.at.After(j.queuedAt) && now.Sub(small.at) <= overtakenValidity &&
 		largeTaskRatio*small.processors <= demand.Processors
 }
 
@@ -99,9 +99,9 @@
 }
 
 // reserveByForecast reserves the workers on which waiting tasks of a job are expected to start together
-// first, and reports whether it did. It does so only for a job that is passed by smaller ones.
+// first, and reports whether it did. It does so only for a job that smaller ones overtake.
 func (e *Engine) reserveByForecast(now time.Time, j *job, demand resource.Vector, tasks int) bool {
-	if e.disabled.Has(mechanism.Reservations) || j.waitTime(now) < forecastReserveAfter || !e.isPassed(now, j, multiply(demand, tasks)) {
+	if e.disabled.Has(mechanism.Reservations) || j.waitTime(now) < forecastReserveAfter || !e.isOvertaken(now, j, multiply(demand, tasks)) {
 		return false
 	}
 	request := reservation.Request{Holder: reservation.Holder{Job: string(j.ID)}, Need: demand, Tasks: tasks}
@@ -131,20 +131,20 @@
 	return candidates
 }
 
-// reviewReservation reports whether the room of a reservation isn't expected in time any more, so that it is
-// made anew elsewhere.
+// reviewReservation reports whether the room of a reservation is no longer expected in time, so that room must be
+// reserved elsewhere.
 func (e *Engine) reviewReservation(now time.Time, r *reservation.Reservation, n *node) (missed bool) {
 	return !r.Refresh(now, e.expectedRoom(now, n)) || r.HasMissed(now)
 }
 
-// backfill returns a reserved worker on which a task of another job may start: it is expected to end before
-// the room is needed, or leaves enough beside.
+// backfill returns a reserved worker on which a task of another job may start, because the task is expected to
+// end before the room is needed or leaves enough of it.
 func (e *Engine) backfill(now time.Time, j *job, demand resource.Vector) (*node, *reservation.Reservation) {
 	if e.disabled.Has(mechanism.Backfill) || j.Priority == Urgent {
 		return nil, nil
 	}
 	avoid := e.avoidsFailedWorkers(j)
-	start := e.startOf(now, j, demand)
+	start := e.reservationStart(now, j, demand)
 	for _, r := range e.reservations[:min(len(e.reservations), maxBackfillChecks)] {
 		if r.planned == nil || r.job == j || !demand.FitsIn(r.node.free()) || !r.node.isInService(now) {
 			continue
@@ -160,8 +160,8 @@
 	return nil, nil
 }
 
-// startOf describes a start of a task for reservations. When a task without an estimate ends isn't known.
-func (e *Engine) startOf(now time.Time, j *job, demand resource.Vector) reservation.Start {
+// reservationStart describes a start of a task for reservations. When a task without an estimate ends isn't known.
+func (e *Engine) reservationStart(now time.Time, j *job, demand resource.Vector) reservation.Start {
 	start := reservation.Start{Holder: reservation.Holder{Job: string(j.ID)}, Need: demand}
 	if j.estimate() <= 0 {
 		return start
--- a/internal/decision/placement/place.go
+++ b/internal/decision/placement/place.go
@@ -164,7 +164,7 @@
 	if n == nil {
 		return false
 	}
-	start := e.startOf(now, j, demand)
+	start := e.reservationStart(now, j, demand)
 	admission := planned.Admit(start)
 	e.startTask(now, j, n, demand, ReasonBackfill, Facts{Beneficiary: worker.JobID(planned.Holder.Job)})
 	planned.Occupy(start, admission)
--- a/internal/decision/replacement/detector.go
+++ b/internal/decision/replacement/detector.go
@@ -1,8 +1,8 @@
 // Package replacement detects from the list of workers that those of a pool are being replaced one after
 // the other.
 //
-// It keeps what the lists of the last seconds have shown and stores nothing, so that a new owner learns the
-// same from the lists that it receives.
+// It keeps its observations of the last seconds in memory only. A new owner of the workers derives the same
+// state from the lists that it receives.
 package replacement
 
 import (
@@ -28,7 +28,7 @@
 // Pool names a pool of workers of one service.
 type Pool string
 
-// Version is the version of a worker's software. It is empty if the worker didn't tell.
+// Version is the version of a worker's software. It is empty if the worker didn't report it.
 type Version string
 
 // Worker is an entry of the list of workers.
@@ -52,10 +52,11 @@
 	Took time.Duration
 }
 
-// Detector follows the lists of workers. The zero value has seen none.
+// Detector follows the lists of workers. The zero value has observed none.
 type Detector struct {
 	pools map[Pool]*pool
-	seen  bool
+	// seen reports that a list has been observed.
+	seen bool
 }
 
 // Observe evaluates a list of workers, and returns which replacements began or ended.
@@ -64,12 +65,12 @@
 		d.pools = map[Pool]*pool{}
 	}
 	for _, p := range d.pools {
-		p.mark++
+		p.listNumber++
 	}
 	for _, w := range list {
 		p := d.pools[w.Pool]
 		if p == nil {
-			p = &pool{members: map[string]*member{}, mark: 1}
+			p = &pool{members: map[string]*member{}, listNumber: 1}
 			d.pools[w.Pool] = p
 		}
 		p.observe(now, w, !d.seen)
@@ -136,27 +137,27 @@
 type member struct {
 	version Version
 	// joinedAt is when the worker joined, or zero if it was there before the first list.
-	joinedAt time.Time
-	born     time.Time
-	draining bool
-	mark     int
-	// goneAt is when the worker was no longer listed, or zero.
-	goneAt time.Time
+	joinedAt   time.Time
+	born       time.Time
+	draining   bool
+	listNumber int
+	// unlistedAt is when the worker was first missing from a list, or zero.
+	unlistedAt time.Time
 }
 
-// isOf reports whether the member is the process of an entry.
-func (m *member) isOf(w Worker) bool {
+// isSameProcess reports whether an entry describes the same process as the member.
+func (m *member) isSameProcess(w Worker) bool {
 	switch {
 	case m.version != w.Version, m.draining && !w.Draining:
 		return false
-	case m.goneAt.IsZero():
+	case m.unlistedAt.IsZero():
 		return true
 	}
 	return !w.Born.IsZero() && m.born.Equal(w.Born)
 }
 
-// current is a replacement that is under way.
-type current struct {
+// activeReplacement is a replacement that is under way.
+type activeReplacement struct {
 	from, to Version
 	// began is when the replacement was detected, and since the earliest time at which a worker of it can have
 	// arrived.
@@ -167,22 +168,22 @@
 	members    map[string]*member
 	departures []change
 	arrivals   []change
-	current    *current
+	current    *activeReplacement
 	// changedAt is when a worker last left or arrived.
 	changedAt time.Time
-	// mark counts the lists, to find the members that the last one doesn't have.
-	mark int
+	// listNumber is the number of the last list. Members with a lower one aren't in it.
+	listNumber int
 }
 
-// observe applies the entry of a worker. The first list doesn't tell when its workers began to drain. A worker
-// that is back under its id after it drained, or with another version, has arrived anew. One that is back with
-// the same process hasn't: entries expire while the store is down.
+// observe applies the entry of a worker. When the workers of the first list began to drain isn't known. A worker
+// whose id is listed again after it drained, or with another version, counts as a new arrival. One that is
+// listed again with the same process doesn't, because entries expire while the store is unavailable.
 func (p *pool) observe(now time.Time, w Worker, first bool) {
 	m := p.members[w.ID]
-	if m != nil && m.version != w.Version && !m.draining && m.goneAt.IsZero() {
+	if m != nil && m.version != w.Version && !m.draining && m.unlistedAt.IsZero() {
 		p.addDeparture(now, change{version: m.version, at: now, earliest: now, drained: true})
 	}
-	if m == nil || !m.isOf(w) {
+	if m == nil || !m.isSameProcess(w) {
 		m = &member{version: w.Version}
 		p.members[w.ID] = m
 		if !w.Draining {
@@ -196,7 +197,7 @@
 		}
 		p.addDeparture(now, c)
 	}
-	m.draining, m.mark, m.born, m.goneAt = w.Draining, p.mark, w.Born, time.Time{}
+	m.draining, m.listNumber, m.born, m.unlistedAt = w.Draining, p.listNumber, w.Born, time.Time{}
 }
 
 func (p *pool) addDeparture(now time.Time, c change) {
@@ -227,15 +228,15 @@
 func (p *pool) removeUnlisted(now time.Time) {
 	for id, m := range p.members {
 		switch {
-		case m.mark == p.mark:
+		case m.listNumber == p.listNumber:
 			continue
-		case !m.goneAt.IsZero():
-			if now.Sub(m.goneAt) >= window {
+		case !m.unlistedAt.IsZero():
+			if now.Sub(m.unlistedAt) >= window {
 				delete(p.members, id)
 			}
 			continue
 		}
-		m.goneAt = now
+		m.unlistedAt = now
 		if !m.draining {
 			p.addDeparture(now, change{version: m.version, at: now, earliest: now})
 		}
@@ -254,7 +255,7 @@
 	return kept
 }
 
-// update finds out whether a replacement is under way.
+// update ends the active replacement if it is complete, quiet or superseded, and begins a detected one.
 func (p *pool) update(now time.Time, name Pool, events []Event) []Event {
 	next := p.detect()
 	if c := p.current; c != nil {
@@ -278,19 +279,19 @@
 	return append(events, Event{Pool: name, Ended: true, From: c.from, To: c.to, Took: now.Sub(c.began)})
 }
 
-// detect returns the replacement that the changes of the window show, or nil if they show none. Of the
-// version that arrives, only workers that drained count as leaving: those that crash and come back look alike
-// otherwise.
-func (p *pool) detect() *current {
+// detect returns the replacement that the changes within the window amount to, or nil. Workers of the arriving
+// version count as leaving only if they drained. Otherwise workers that crash and restart would look like a
+// replacement.
+func (p *pool) detect() *activeReplacement {
 	to, _ := mostFrequent(p.arrivals)
-	from, left := mostFrequent(p.departuresThat(func(c change) bool { return c.version != to }))
+	from, left := mostFrequent(p.departuresMatching(func(c change) bool { return c.version != to }))
 	if left < minDepartures {
-		from, left = mostFrequent(p.departuresThat(func(c change) bool { return c.version == to && c.drained }))
+		from, left = mostFrequent(p.departuresMatching(func(c change) bool { return c.version == to && c.drained }))
 	}
 	if left < minDepartures {
 		return nil
 	}
-	c := &current{from: from, to: to, since: p.firstDeparture(from).Add(-leadTime)}
+	c := &activeReplacement{from: from, to: to, since: p.firstDeparture(from).Add(-leadTime)}
 	arrived := 0
 	for _, a := range p.arrivals {
 		if a.version == to && !a.at.Before(c.since) {
@@ -303,7 +304,7 @@
 	return c
 }
 
-func (p *pool) departuresThat(count func(change) bool) []change {
+func (p *pool) departuresMatching(count func(change) bool) []change {
 	list := make([]change, 0, len(p.departures))
 	for _, c := range p.departures {
 		if count(c) {
@@ -337,18 +338,18 @@
 }
 
 // isArriving reports whether a member is one of those that replace others.
-func (c *current) isArriving(m *member) bool {
+func (c *activeReplacement) isArriving(m *member) bool {
 	if c.from != c.to {
 		return m.version == c.to
 	}
 	return !m.joinedAt.IsZero() && !m.joinedAt.Before(c.since)
 }
 
-// isComplete reports whether workers are listed, and none that the replacement replaces.
-func (p *pool) isComplete(c *current) bool {
+// isComplete reports whether at least one worker is listed, and all listed ones have arrived in the replacement.
+func (p *pool) isComplete(c *activeReplacement) bool {
 	listed := false
 	for _, m := range p.members {
-		if !m.goneAt.IsZero() {
+		if !m.unlistedAt.IsZero() {
 			continue
 		}
 		if m.draining || !c.isArriving(m) {
--- a/internal/decision/reservation/book.go
+++ b/internal/decision/reservation/book.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	// minGrace is how late the room of a reservation may become free before the reservation has missed
-	// its time. It covers the report of an end and the next tick.
+	// minGrace is the delay of its room that a reservation always tolerates before it has missed its time. It
+	// covers the report of an end and the next tick.
 	minGrace = 200 * time.Millisecond
-	// graceDivisor adds a share of the time ahead to that, as a forecast is the less exact the further
-	// ahead it looks.
+	// graceDivisor allows a share of the time between reservation and start, if that is longer, because forecasts
+	// are less exact the further ahead they look.
 	graceDivisor = 4
 )
 
@@ -47,8 +47,8 @@
 	}
 }
 
-// Whole returns the room that the reservation keeps.
-func (r *Reservation) Whole() resource.Vector {
+// TotalNeed returns the room that the reservation keeps for all of its tasks.
+func (r *Reservation) TotalNeed() resource.Vector {
 	var sum resource.Vector
 	for range r.Tasks {
 		sum = sum.Add(r.Need)
@@ -68,7 +68,7 @@
 
 // Refresh updates the time at which the room is expected, and returns false if the tasks will never fit.
 func (r *Reservation) Refresh(now time.Time, room forecast.Room) bool {
-	at, fits := room.EarliestFit(now, r.Whole())
+	at, fits := room.EarliestFit(now, r.TotalNeed())
 	if !fits {
 		return false
 	}
@@ -76,7 +76,7 @@
 		at = r.At
 	}
 	r.expectedAt = at
-	r.spare = room.FreeAt(at).Sub(r.Whole())
+	r.spare = room.FreeAt(at).Sub(r.TotalNeed())
 	return true
 }
 
@@ -90,7 +90,7 @@
 	EndsBy time.Time
 }
 
-// Admission is why a task may start on a reserved worker, or that it may not.
+// Admission is the reason for which a task may start on a reserved worker, or Refused.
 type Admission int
 
 // Admissions.
@@ -99,12 +99,12 @@
 	Refused Admission = iota
 	// Owned tasks are those for which the room is reserved.
 	Owned
-	// Preceding tasks are more urgent than the reservation.
-	Preceding
+	// MoreUrgent tasks have a lower rank than the reservation.
+	MoreUrgent
 	// Backfilled tasks are expected to end before the reservation needs the room.
 	Backfilled
-	// Beside tasks take room that the reservation leaves.
-	Beside
+	// FitsBeside tasks take only room that the reservation doesn't need.
+	FitsBeside
 )
 
 // Admit decides whether a task that fits now may start on the worker.
@@ -113,24 +113,24 @@
 	case s.Holder == r.Holder:
 		return Owned
 	case s.Rank < r.Rank:
-		return Preceding
+		return MoreUrgent
 	case !s.EndsBy.IsZero() && !s.EndsBy.After(r.expectedAt):
 		return Backfilled
 	case s.Need.FitsIn(r.spare):
-		return Beside
+		return FitsBeside
 	}
 	return Refused
 }
 
-// Occupy accounts for a task that has started on the worker. It lasts until the next Refresh, which knows the
-// run of the task.
+// Occupy accounts for a task that has started on the worker, until the next Refresh, whose forecast includes the
+// task's run.
 func (r *Reservation) Occupy(s Start, a Admission) {
-	if a == Beside || a == Preceding {
+	if a == FitsBeside || a == MoreUrgent {
 		r.spare = r.spare.Sub(s.Need)
 	}
 }
 
-// Book has the reservations of a shard, at most one on a worker. The zero value is empty.
+// Book keeps the reservations of a shard, at most one for each worker. The zero value is empty.
 type Book struct {
 	byWorker map[membership.InstanceID]*Reservation
 }
@@ -179,8 +179,8 @@
 	delete(b.byWorker, id)
 }
 
-// Fulfill records that a task of the holder has started on a worker. It returns the reservation that has
-// kept the room for it, or nil.
+// Fulfill records that a task of the holder has started on a worker. It returns the reservation that kept the
+// room for it, or nil.
 func (b *Book) Fulfill(id membership.InstanceID, h Holder) *Reservation {
 	r := b.byWorker[id]
 	if r == nil || r.Holder != h {
--- a/internal/decision/reservation/reservation_test.go
+++ b/internal/decision/reservation/reservation_test.go
@@ -126,8 +126,8 @@
 
 	It("lets tasks start beside it until what it leaves is taken", func() {
 		_, made := reserve()
-		Expect(made.Admit(small(2, 60))).To(Equal(reservation.Beside))
-		made.Occupy(small(2, 60), reservation.Beside)
+		Expect(made.Admit(small(2, 60))).To(Equal(reservation.FitsBeside))
+		made.Occupy(small(2, 60), reservation.FitsBeside)
 		Expect(made.Admit(small(1, 60))).To(Equal(reservation.Refused))
 	})
 
@@ -142,7 +142,7 @@
 		_, made := reserve()
 		urgent := small(4, 60)
 		urgent.Rank = 0
-		Expect(made.Admit(urgent)).To(Equal(reservation.Preceding))
+		Expect(made.Admit(urgent)).To(Equal(reservation.MoreUrgent))
 	})
 
 	It("is fulfilled by the start of its task", func() {
