Share the cautious run time of a class

Cause: dispatch and placement each had the share of runs and the factor for unknown classes, and the same choice between them.

Change: forecast.Durations.Cautious has both. Comments and spec titles of the forecast say what is computed. No behaviour changes.

--- a/internal/decision/dispatch/forecast.go
+++ b/internal/decision/dispatch/forecast.go
@@ -11,7 +11,7 @@
 	return forecast.Class{Queue: string(s.job.Queue), Image: string(s.Image)}
 }
 
-// observeDuration learns from the whole duration of a run that succeeded. When an adopted run began isn't
+// observeDuration learns from the run time of a run that succeeded. It skips adopted runs, whose start isn't
 // known.
 func (e *Engine) observeDuration(now time.Time, a *attempt) {
 	if !a.adopted {
@@ -24,8 +24,8 @@
 	return e.durations.Expected(s.class(), s.Estimate)
 }
 
-// expectedEnd returns when a run is expected to free its room, and false if that isn't known: a long-running task goes
-// on until its job is cancelled, and a run without an estimate that has shown no progress for as long as it likes.
+// expectedEnd returns when a run is expected to free its room, and false if that isn't known: for a long-running
+// task, which ends only when its job is cancelled, and for a run with neither an estimate nor progress.
 func (e *Engine) expectedEnd(now time.Time, a *attempt) (time.Time, bool) {
 	s := a.task.step
 	switch {
@@ -41,7 +41,7 @@
 	return now.Add(remaining), true
 }
 
-// room returns the expected room of a worker. Tasks that wait for it aren't counted.
+// room returns the expected room of a worker, not counting tasks that wait for it.
 func (e *Engine) room(now time.Time, w *worker) forecast.Room {
 	r := forecast.Room{Free: w.free()}
 	for _, a := range w.runs {
@@ -53,13 +53,6 @@
 	return r
 }
 
-// backfillShare is the share of a class whose runs end by the time for which a backfilled task is expected
-// to run, and unknownClassFactor is what replaces it while too few runs of the class have ended.
-const (
-	backfillShare      = 0.9
-	unknownClassFactor = 2
-)
-
 // cautiousDuration returns the time that most runs of the step's tasks don't exceed on a worker.
 func (e *Engine) cautiousDuration(s *step, w *worker) time.Duration {
 	return e.durationOn(s, w, e.cautiousEstimate(s))
@@ -67,14 +60,11 @@
 
 // cautiousEstimate returns the time that most runs of the step's tasks don't exceed.
 func (e *Engine) cautiousEstimate(s *step) time.Duration {
-	if !e.durations.Knows(s.class()) {
-		return unknownClassFactor * s.Estimate
-	}
-	return e.durations.Quantile(s.class(), s.Estimate, backfillShare)
+	return e.durations.Cautious(s.class(), s.Estimate)
 }
 
-// durationOn returns how long a run takes on a worker that may be slow or away from the step's data, from
-// its duration elsewhere.
+// durationOn returns how long a run takes on a worker that may be slow or outside the step's preferred rack,
+// given its duration elsewhere.
 func (e *Engine) durationOn(s *step, w *worker, elsewhere time.Duration) time.Duration {
 	factor := max(w.slowdown, 1)
 	if s.PreferredRack != "" && !w.hasLabel(s.PreferredRack) {
--- a/internal/decision/forecast/forecast.go
+++ b/internal/decision/forecast/forecast.go
@@ -1,8 +1,7 @@
 // Package forecast predicts when runs end and when room becomes free on workers.
 //
-// It keeps only what it has learned of run times. Its callers tell it what they know of runs and workers, so
-// the same code serves an owner of the product's own deployment, one on the users' platform, a replay and a
-// test.
+// It keeps only observed run times. Callers pass in the state of runs and workers, so that several schedulers,
+// replays and tests share it.
 package forecast
 
 import (
@@ -16,6 +15,10 @@
 	maxSamples = 64
 	// minSamples is the number of run times from which a class is known.
 	minSamples = 5
+	// cautiousShare is the share of the runs of a class that don't exceed its cautious run time, and
+	// unknownClassFactor is multiplied by the estimate while the class isn't known.
+	cautiousShare      = 0.9
+	unknownClassFactor = 2
 )
 
 // MaxDuration is the longest duration that is forecast.
@@ -32,19 +35,19 @@
 	Image string
 }
 
-// Run is what is known of a run.
+// Run is the state of a run.
 type Run struct {
 	Class Class
 	// Estimate is the caller's estimate of the run time. It is 0 if there is none.
 	Estimate time.Duration
 	// Elapsed is the time since the run began.
 	Elapsed time.Duration
-	// Projected is the whole run time at the run's present speed. It is 0 if that isn't known.
+	// Projected is the total run time at the run's present speed. It is 0 if that isn't known.
 	Projected time.Duration
 }
 
 // Durations learns how long the runs of each class take relative to their callers' estimates. The zero value
-// has learned nothing.
+// has no observations.
 type Durations struct {
 	classes map[Class]*samples
 }
@@ -85,8 +88,16 @@
 	return Scale(estimate, d.classes[c].quantile(0, share))
 }
 
-// Remaining returns the time that a run is expected to go on, at least 0. A run that has outlasted all known
-// ones of its class is expected to take twice as long as it has taken so far.
+// Cautious returns the run time that most runs of a class don't exceed, for an estimate.
+func (d *Durations) Cautious(c Class, estimate time.Duration) time.Duration {
+	if !d.Knows(c) {
+		return unknownClassFactor * estimate
+	}
+	return d.Quantile(c, estimate, cautiousShare)
+}
+
+// Remaining returns the time that a run is expected to continue, at least 0. A run that has taken longer than all
+// known ones of its class is expected to take twice as long as it has taken so far.
 func (d *Durations) Remaining(r Run) time.Duration {
 	if r.Projected > 0 {
 		return max(r.Projected-r.Elapsed, 0)
@@ -94,7 +105,7 @@
 	return max(d.expectedAfter(r)-r.Elapsed, 0)
 }
 
-// expectedAfter returns the expected whole run time of a run that has gone on for its elapsed time.
+// expectedAfter returns the expected total run time of a run, given its elapsed time.
 func (d *Durations) expectedAfter(r Run) time.Duration {
 	if !d.Knows(r.Class) || r.Estimate <= 0 {
 		if r.Elapsed < r.Estimate {
--- a/internal/decision/forecast/forecast_test.go
+++ b/internal/decision/forecast/forecast_test.go
@@ -17,7 +17,7 @@
 
 var class = Class{Queue: "urgent", Image: "a"}
 
-// learned returns durations that have observed ratios of run time to estimate.
+// learned returns Durations that have observed runs with the ratios of run time to estimate.
 func learned(ratios ...float64) *Durations {
 	d := &Durations{}
 	for _, r := range ratios {
@@ -27,7 +27,7 @@
 }
 
 var _ = Describe("Durations", func() {
-	It("trusts the estimate of a class that isn't known", func() {
+	It("uses the estimate of a class with too few run times", func() {
 		Expect(learned(3, 3).Expected(class, time.Second)).To(Equal(time.Second))
 	})
 
@@ -35,7 +35,7 @@
 		Expect(learned(2, 2, 2, 7, 1).Expected(class, 2*time.Second)).To(Equal(4 * time.Second))
 	})
 
-	It("forgets run times that many others have replaced", func() {
+	It("keeps only the latest run times of a class", func() {
 		d := learned(9, 9, 9, 9, 9)
 		for range maxSamples {
 			d.Observe(class, time.Second, time.Second)
@@ -43,24 +43,24 @@
 		Expect(d.Quantile(class, time.Second, 1)).To(Equal(time.Second))
 	})
 
-	It("takes the speed of a run before what it has learned", func() {
+	It("prefers the speed of a run to the run times of its class", func() {
 		r := Run{Class: class, Estimate: time.Second, Elapsed: time.Second, Projected: 3 * time.Second}
 		Expect(learned(2, 2, 2, 2, 2).Remaining(r)).To(Equal(2 * time.Second))
 	})
 
-	It("expects a run that has outlasted most of its class to end with the longer ones", func() {
+	It("expects a run that has taken longer than most of its class to take as long as the rest", func() {
 		r := Run{Class: class, Estimate: time.Second, Elapsed: 3 * time.Second}
 		Expect(learned(1, 1, 1, 1, 1, 1, 7).Remaining(r)).To(Equal(4 * time.Second))
 	})
 
-	It("expects a run of a class that isn't known to end by its estimate until it has outlasted it", func() {
+	It("expects a run of an unknown class to end by its estimate, and later to take twice as long as so far", func() {
 		d := learned()
 		run := func(elapsed time.Duration) Run { return Run{Class: class, Estimate: 4 * time.Second, Elapsed: elapsed} }
 		Expect(d.Remaining(run(3 * time.Second))).To(Equal(time.Second))
 		Expect(d.Remaining(run(5 * time.Second))).To(Equal(5 * time.Second))
 	})
 
-	It("expects a run that has outlasted its whole class to go on as long again", func() {
+	It("expects a run that has taken longer than all of its class to take twice as long as so far", func() {
 		r := Run{Class: class, Estimate: time.Second, Elapsed: 8 * time.Second}
 		Expect(learned(1, 1, 1, 1, 1, 1, 7).Remaining(r)).To(Equal(8 * time.Second))
 	})
@@ -95,7 +95,7 @@
 		Expect(fits).To(BeFalse())
 	})
 
-	It("adds up what has become free by a time", func() {
+	It("adds the releases up to a time to the free capacity", func() {
 		Expect(room().FreeAt(now.Add(time.Second))).To(Equal(cores(3)))
 	})
 })
--- a/internal/decision/forecast/room.go
+++ b/internal/decision/forecast/room.go
@@ -13,7 +13,7 @@
 	Amount resource.Vector
 }
 
-// Room is the expected room of a worker over time. The zero value has none.
+// Room is the free capacity of a worker, now and as expected later. The zero value has none.
 type Room struct {
 	// Free is the room at present.
 	Free resource.Vector
--- a/internal/decision/placement/forecast.go
+++ b/internal/decision/placement/forecast.go
@@ -24,10 +24,6 @@
 	expectedStopTime = 10 * time.Second
 	// maxBackfillChecks limits the reserved workers that are examined for one task.
 	maxBackfillChecks = 64
-	// backfillShare is the share of a class whose tasks end by the time for which a backfilled one is expected
-	// to run, and unknownClassFactor is what replaces it while too few tasks of the class have ended.
-	backfillShare      = 0.9
-	unknownClassFactor = 2
 )
 
 // smallStart is the size of the smallest task that started recently.
@@ -73,7 +69,7 @@
 		largeTaskRatio*small.processors <= demand.Processors
 }
 
-// expectedRoom returns the expected room of a worker. Tasks that wait for it aren't counted.
+// expectedRoom returns the expected room of a worker, not counting tasks that wait for it.
 func (e *Engine) expectedRoom(now time.Time, n *node) forecast.Room {
 	room := forecast.Room{Free: n.free()}
 	for _, a := range n.attempts {
@@ -160,16 +156,14 @@
 	return nil, nil
 }
 
-// reservationStart describes a start of a task for reservations. When a task without an estimate ends isn't known.
+// reservationStart describes the start of a task to the reservations. The end of a task without an estimate isn't
+// known.
 func (e *Engine) reservationStart(now time.Time, j *job, demand resource.Vector) reservation.Start {
 	start := reservation.Start{Holder: reservation.Holder{Job: string(j.ID)}, Need: demand}
 	if j.estimate() <= 0 {
 		return start
 	}
-	longest := unknownClassFactor * j.estimate()
-	if e.durations.Knows(j.forecastClass()) {
-		longest = e.durations.Quantile(j.forecastClass(), j.estimate(), backfillShare)
-	}
+	longest := e.durations.Cautious(j.forecastClass(), j.estimate())
 	start.EndsBy = now.Add(min(longest, forecast.MaxDuration))
 	return start
 }
