Let spec titles of the scheduling policy stand on their own

Change: they say which situation and failure they guard against, with the figures. The two specs on fragmented room share their set-up. Each spec checks the same as before.

--- a/internal/decision/dispatch/copy_test.go
+++ b/internal/decision/dispatch/copy_test.go
@@ -12,7 +12,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
-// hangs is a factor at which a worker makes no visible progress.
+// hangs is a slowdown factor at which a worker makes no visible progress.
 const hangs = 1000
 
 // copyableStep returns a step of which at most one task runs on a worker, and that allows copies.
@@ -50,7 +50,7 @@
 	return dispatch.TaskID{}
 }
 
-// expectOneSuccess checks that the job is complete and that nothing of it runs any more.
+// expectOneSuccess expects that the job is complete and has no runs left.
 func expectOneSuccess(h *harness, id dispatch.JobID) {
 	GinkgoHelper()
 	expectState(h, id, dispatch.Completed)
@@ -60,7 +60,7 @@
 }
 
 var _ = Describe("A copy of a run on a worker that hangs", func() {
-	It("ends the job in the time of a copy, and the first run is stopped", func() {
+	It("lets the job end in the time that a copy takes, and the first run is stopped", func() {
 		h := withHangingWorker(mechanism.Of(mechanism.Stragglers), 5)
 		h.submit("j", copyableStep(5))
 		h.runFor(300 * time.Millisecond)
@@ -93,7 +93,7 @@
 		Entry("for a step that doesn't allow copies", mechanism.Stragglers, func(s *dispatch.Step) { s.Speculative = false }),
 	)
 
-	It("runs on a worker that has no other task of the step if the step wants that", func() {
+	It("observes the step's limit of tasks on a worker", func() {
 		h := withHangingWorker(mechanism.Of(mechanism.Stragglers), 4)
 		h.submit("j", copyableStep(4))
 		for range 80 {
@@ -105,7 +105,7 @@
 		expectOneSuccess(h.harness, "j")
 	})
 
-	It("waits while a first run finds no room, although it would fit itself", func() {
+	It("doesn't start while a first run finds no room, even if the copy would fit", func() {
 		h := withHangingWorker(mechanism.Of(mechanism.Stragglers), 2)
 		h.slowFactors["w1"] = hangs
 		h.submit("j", dispatch.Step{Tasks: 2, Resources: cores(1), Estimate: time.Second, Speculative: true, MaxPerWorker: 1})
@@ -120,7 +120,7 @@
 		Expect(h.counts["Task.Copies"]).To(BeEquivalentTo(1))
 	})
 
-	It("makes way for a first run of its queue that finds no room", func() {
+	It("is stopped for a first run of its queue that finds no room", func() {
 		h := withHangingWorker(mechanism.Of(mechanism.Stragglers), 2)
 		h.slowFactors["w1"] = hangs
 		h.submit("j", dispatch.Step{Tasks: 1, Resources: cores(1), Estimate: time.Second, Speculative: true})
@@ -134,7 +134,7 @@
 })
 
 var _ = Describe("Copies", func() {
-	It("number at most a twentieth of the runs, and two where there are few", func() {
+	It("are limited to a twentieth of the runs, and to two if there are few runs", func() {
 		h := newStragglerHarnessWithout(mechanism.Of(mechanism.Stragglers), 20)
 		for id := range h.workers {
 			h.slowFactors[id] = hangs
@@ -144,8 +144,8 @@
 		Expect(h.counts["Task.Copies"]).To(BeEquivalentTo(4))
 	})
 
-	// Guards against copies that only use up room, where a few tasks take long on every worker.
-	It("are given up where the first run always wins", func() {
+	// Guards against copies that only use up room because a few tasks take long on every worker.
+	It("are no longer started if the first run always succeeds first", func() {
 		h := newStragglerHarness(8)
 		submit := func(job dispatch.JobID) {
 			h.durations[dispatch.TaskID{Job: job, Index: 3}] = 7 * time.Second
@@ -194,7 +194,7 @@
 	}
 
 	// Guards against a job that fails although its task has succeeded.
-	It("don't fail a job by an end after the success of its task", func() {
+	It("don't fail a job if they fail after its task has succeeded", func() {
 		h := withHangingWorker(mechanism.Of(mechanism.Stragglers), 2)
 		attempts(h, 2)
 		h.submit("j", dispatch.Step{Tasks: 1, Resources: cores(1), Estimate: time.Second, Speculative: true}, dispatch.Step{
@@ -212,7 +212,7 @@
 	})
 
 	// Guards against a job that fails by its copy while the first run might succeed.
-	It("aren't started where another failed run would fail the job", func() {
+	It("aren't started if another failed run would fail the job", func() {
 		h := withHangingWorker(mechanism.Of(mechanism.Stragglers), 2)
 		attempts(h, 1)
 		h.submit("j", dispatch.Step{Tasks: 1, Resources: cores(1), Estimate: time.Second, Speculative: true})
@@ -242,7 +242,7 @@
 		Expect(h.starts[2].Start.Checkpoint).To(Equal(dispatch.Checkpoint("ahead")))
 	})
 
-	It("go on when the first run fails, and the failure counts", func() {
+	It("continue when the first run fails, and the failure counts", func() {
 		h := withHangingWorker(mechanism.Of(mechanism.Stragglers), 2)
 		h.submit("j", dispatch.Step{Tasks: 1, Resources: cores(1), Estimate: time.Second, Speculative: true})
 		h.slowFactors["w1"] = hangs
@@ -258,7 +258,7 @@
 		expectState(h.harness, "j", dispatch.Failed)
 	})
 
-	It("go on when the worker of the first run is lost, and only one run is left", func() {
+	It("continue as the only run when the worker of the first run is lost", func() {
 		h := withHangingWorker(mechanism.Of(mechanism.Stragglers), 3)
 		h.submit("j", dispatch.Step{Tasks: 1, Resources: cores(1), Estimate: time.Second, Speculative: true})
 		for _, id := range []membership.InstanceID{"w1", "w2"} {
@@ -275,7 +275,7 @@
 	})
 })
 
-var _ = Describe("A takeover beside two runs of a task", func() {
+var _ = Describe("A takeover while a task has two runs", func() {
 	task := dispatch.TaskID{Job: "j"}
 	afterTakeover := func(s dispatch.Step) *harness {
 		h := newHarness(2, 2)
@@ -305,7 +305,7 @@
 
 	// Guards against a step that runs twice: the earlier owner may have seen the end of another copy, and
 	// started the next step.
-	It("doesn't take the next step for one that no earlier owner has started", func() {
+	It("doesn't assume that no earlier owner has started the next step", func() {
 		s := batchStep(1)
 		s.Speculative = true
 		h := newHarness(2, 3)
--- a/internal/decision/dispatch/defrag_test.go
+++ b/internal/decision/dispatch/defrag_test.go
@@ -10,9 +10,9 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 )
 
-// Guards against a long-running task that waits too long for room. In run scale-1 of a site
-// that had grown, all workers were nearly full, and a long-running task that had failed waited
-// for 34 s because smaller tasks took each gap. It was counted as lost.
+// Guards against a long-running task that waits too long for room. On workers that were nearly
+// full, a failed long-running task waited for 34 s because smaller tasks took each gap, and was
+// counted as lost.
 var _ = Describe("A waiting long-running task", func() {
 	// runFor advances the time with all running tasks reporting 100 percent.
 	runFor := func(h *harness, d time.Duration, each func()) {
@@ -46,6 +46,27 @@
 		}
 	}
 
+	// fragment returns a harness in which the job "large" waits because smaller long-running tasks fragment the room.
+	// A worker that isn't listed yet has room for one of them.
+	fragment := func() *harness {
+		h := newHarness(1, 2)
+		h.listWorkers()
+		h.advance(0)
+		small := longRunningStep(4, 2)
+		small.MaxPerWorker = 2
+		h.submit("small", small)
+		runFor(h, time.Second, nil)
+		Expect(h.workersOf("small")).To(HaveLen(4))
+		h.submit("large", longRunningStep(1, 4))
+		runFor(h, 4*time.Second, nil)
+		Expect(h.workersOf("large")).To(BeEmpty())
+		for _, w := range h.workers {
+			w.info.Capacity = cores(7)
+		}
+		h.workers["w2"] = newFakeWorker("w2", 2)
+		return h
+	}
+
 	It("holds a worker for a waiting long-running task against smaller tasks", func() {
 		h := newHarness(1, 1)
 		h.listWorkers()
@@ -59,7 +80,7 @@
 
 	// Guards against a long-running task that never runs. While a worker was held for it, short
 	// tasks with a higher value density that found no room caused the engine to skip it as
-	// unplaceable too (counted as lost in the sweep of the large site, 17 s without a run).
+	// unplaceable too. It was without a run for 17 s.
 	It("starts a long-running task on its held worker even if smaller tasks come first", func() {
 		h := newHarness(1, 1)
 		h.listWorkers()
@@ -74,43 +95,15 @@
 	})
 
 	It("moves a smaller long-running task if a larger one finds only fragmented room", func() {
-		h := newHarness(1, 2)
-		h.listWorkers()
-		h.advance(0)
-		small := longRunningStep(4, 2)
-		small.MaxPerWorker = 2
-		h.submit("small", small)
-		runFor(h, time.Second, nil)
-		Expect(h.workersOf("small")).To(HaveLen(4))
-		h.submit("large", longRunningStep(1, 4))
-		runFor(h, 4*time.Second, nil)
-		Expect(h.workersOf("large")).To(BeEmpty())
-		for _, w := range h.workers {
-			w.info.Capacity = cores(7)
-		}
-		h.workers["w2"] = newFakeWorker("w2", 2)
+		h := fragment()
 		h.listWorkers()
 		runFor(h, 4*time.Second, nil)
 		Expect(h.workersOf("large")).To(HaveLen(1))
 		Expect(h.workersOf("small")).To(HaveLen(4))
 	})
 
-	It("moves none for a new task while many workers are being replaced", func() {
-		h := newHarness(1, 2)
-		h.listWorkers()
-		h.advance(0)
-		small := longRunningStep(4, 2)
-		small.MaxPerWorker = 2
-		h.submit("small", small)
-		runFor(h, time.Second, nil)
-		Expect(h.workersOf("small")).To(HaveLen(4))
-		h.submit("large", longRunningStep(1, 4))
-		runFor(h, 4*time.Second, nil)
-		Expect(h.workersOf("large")).To(BeEmpty())
-		for _, w := range h.workers {
-			w.info.Capacity = cores(7)
-		}
-		h.workers["w2"] = newFakeWorker("w2", 2)
+	It("moves no smaller task while many workers are being replaced", func() {
+		h := fragment()
 		h.beginReplacement()
 		runFor(h, 4*time.Second, nil)
 		Expect(h.workersOf("large")).To(BeEmpty())
@@ -119,9 +112,8 @@
 		Expect(h.workersOf("large")).To(HaveLen(1))
 	})
 
-	// Guards against a hold that blocks tasks which fit. In run leaving-workers of a site with
-	// seed 504392780792, workers were held for tasks that didn't fit yet while smaller ones that
-	// did fit waited and were counted as lost.
+	// Guards against a hold that blocks tasks which fit. Workers were held for tasks that didn't
+	// fit yet, while smaller ones that did fit waited and were counted as lost.
 	It("doesn't keep a smaller long-running task off a worker that is held for a larger one", func() {
 		h := newHarness(1, 1)
 		h.listWorkers()
--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -373,9 +373,9 @@
 		Expect(h.engine.MayRetryStart(h.now, c.Worker, c.TaskRun)).To(BeFalse())
 	})
 
-	// Guards against retries that add to an overload. In run scale-2 of a site that had grown,
-	// the owner had too little processor time, so answers took longer than its timeout. The
-	// retries slowed it down further, and 410 leases expired.
+	// Guards against retries that add to an overload. If an owner has too little processor time,
+	// answers take longer than its timeout. Retries slowed such an owner down further, and 410
+	// leases expired.
 	It("retries only a share of the unanswered starts, and waits longer when answers are slow", func() {
 		h := newHarnessWithout(mechanism.Of(mechanism.StartWindow), 1, 200)
 		h.listWorkers()
@@ -1133,9 +1133,8 @@
 		return h
 	}
 
-	// Guards against a single serving task that blocks a worker. In run scale-1 of a site, most
-	// fillers interfered with its image, so it kept all fillers off a worker with tasks of
-	// another image.
+	// Guards against a single serving task that blocks a worker. If most fillers interfere with
+	// its image, it keeps all fillers off a worker with tasks of another image.
 	It("moves a serving task off a worker on which it alone blocks fillers", func() {
 		h := blockFillers()
 		for range 4 {
--- a/internal/decision/dispatch/drain_test.go
+++ b/internal/decision/dispatch/drain_test.go
@@ -107,9 +107,9 @@
 	})
 })
 
-// Guards against tasks that are stopped or moved when half of the time that their worker stays is over: its
-// entry is renewed with the time that is left then, which was counted from when it began to drain.
-var _ = Describe("A draining worker whose entry counts down", func() {
+// Guards against tasks that are stopped or moved after half of their worker's drain time: the remaining time in
+// each renewed entry was counted from the start of the drain.
+var _ = Describe("A draining worker that renews its remaining time", func() {
 	const stays = 10 * time.Second
 
 	// drainFor lets the only worker drain, renews its entry every second, and returns for how long the task
@@ -141,7 +141,7 @@
 		expectLateStop(drainFor(h, "watch"))
 	})
 
-	It("keeps it as long under an owner that took over while it drained", func() {
+	It("keeps it as long after a takeover during the drain", func() {
 		h := newHarness(1, 1)
 		h.workers["w0"].info.Draining, h.workers["w0"].info.Remaining = true, stays
 		run := dispatch.TaskRun{Task: dispatch.TaskID{Job: "watch"}, Run: 1}
@@ -165,8 +165,8 @@
 	})
 })
 
-// Guards against long-running tasks that a new owner takes down although it may not start them again yet: they
-// were down for 10 s, while their workers stayed for as long.
+// Guards against long-running tasks that a new owner stops although it may not start them elsewhere yet. They were
+// without a run for 10 s, although their workers remained for as long.
 var _ = Describe("A draining worker during a recovery", func() {
 	const (
 		stays = 30 * time.Second
--- a/internal/decision/dispatch/fault_test.go
+++ b/internal/decision/dispatch/fault_test.go
@@ -31,9 +31,9 @@
 		return h
 	}
 
-	// Guards against one slow worker that causes a filler image to be kept off all workers. In
-	// run scale-1 of bogkreds-jt, 85 of 108 measurements far over the target came from five
-	// workers that were slow or had stalled, some of them without any filler.
+	// Guards against one slow worker that causes a filler image to be kept off all workers. Of
+	// 108 latencies far over the target, 85 came from five workers that were slow or had
+	// stalled, some of them without any filler.
 	It("doesn't blame fillers for a worker that is slow for other reasons", func() {
 		h := setUp(4, "batch")
 		for range 6 {
--- a/internal/decision/dispatch/large_gaps_test.go
+++ b/internal/decision/dispatch/large_gaps_test.go
@@ -49,7 +49,7 @@
 	return !j.ended.IsZero() && j.ended.Sub(j.submitted) <= factor*j.objective
 }
 
-// burst plays jobs of short tasks beside long-running ones that leave them pieces of each worker.
+// burst simulates jobs of short tasks on workers that long-running tasks partly occupy.
 type burst struct {
 	*harness
 	random  *rand.Rand
@@ -91,7 +91,7 @@
 	return min(mean*math.Exp(math.Sqrt(variance)*b.random.NormFloat64()-variance/2), limit)
 }
 
-// play lets jobs arrive, with a burst in the middle, and those that have begun end.
+// play lets jobs arrive, with a burst in the middle, and then lets the started ones end.
 func (b *burst) play() *burst {
 	due := 0.0
 	for at := time.Duration(0); at < burstLength+5*time.Second; at += burstTick {
@@ -179,14 +179,14 @@
 	return value / possible, inTime / max(large, 1)
 }
 
-// Guards callers in bursts beside long-running tasks: small tasks went where most room was, and broke each
-// gap into pieces that tasks of ordinary size didn't fit in.
+// Guards against small tasks that fragment the room between long-running ones during a burst: they started where
+// most room was, and left gaps in which tasks of ordinary size didn't fit.
 var _ = Describe("Small tasks while larger ones find no room", func() {
 	const (
 		seeds = 20
 		load  = 0.9
-		// maxLoss is what large tasks may lose by the first rule, and all jobs by the second one. The mean of
-		// the seeds is exact to about as much.
+		// maxLoss is the share that large tasks may lose by LargeGaps, and all jobs by adding Reservations. The
+		// mean over the seeds has about this precision.
 		maxLoss = 0.01
 	)
 	// play returns the means of served over several seeds.
@@ -199,7 +199,7 @@
 		return value, largeInTime
 	}
 
-	It("go where they leave least room, which serves the jobs better, and lose little to reservations", func() {
+	It("go where serving tasks leave the least room, which raises the value of the jobs, and reservations cost little of it", func() {
 		valueBefore, largeBefore := play(mechanism.Of(mechanism.Reservations, mechanism.LargeGaps))
 		value, large := play(mechanism.Of(mechanism.Reservations))
 		valueWithBoth, largeWithBoth := play(0)
--- a/internal/decision/dispatch/recovery_property_test.go
+++ b/internal/decision/dispatch/recovery_property_test.go
@@ -11,7 +11,7 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
-// claim makes a new owner take the shard over.
+// claim makes a new owner take over the shard.
 func (w *takeoverSimulation) claim() {
 	w.claimAt = time.Time{}
 	epoch, previous := dispatch.Epoch(1), w.owner()
@@ -216,7 +216,7 @@
 	w.claimAt = w.now.Add(time.Duration(w.random.IntN(600)) * time.Millisecond)
 }
 
-// disturb makes one thing happen to a worker, the jobs or the owner.
+// disturb applies one random event to a worker, the jobs or the owner.
 func (w *takeoverSimulation) disturb(number int) {
 	workers := w.sortedWorkers()
 	x := workers[w.random.IntN(len(workers))]
@@ -247,7 +247,7 @@
 	}
 }
 
-// TestRecoveryNeverStartsTwice plays random takeovers, releases, drains, silent workers, late starts and lost
+// TestRecoveryNeverStartsTwice simulates random takeovers, releases, drains, silent workers, late starts and lost
 // answers. No task may start while a run of it is active, or after it has succeeded.
 func TestRecoveryNeverStartsTwice(t *testing.T) {
 	started := 0
--- a/internal/decision/dispatch/recovery_record_test.go
+++ b/internal/decision/dispatch/recovery_record_test.go
@@ -56,9 +56,9 @@
 	return dispatch.Step{Tasks: tasks, Resources: cores(1), LongRunning: true}
 }
 
-// Guards against long-running tasks that are without a run for over 9 s: half of the workers were replaced
-// while the shard changed hands. Those that had left never listed their runs, and until their leases had
-// expired no recovered task started, though the new owner had seen the ends of most of them.
+// Guards against long-running tasks that are without a run for over 9 s if half of the workers leave during a
+// takeover. Workers that had left never listed their runs, and no recovered task started before their leases
+// had expired, although the new owner had seen the ends of most runs.
 var _ = Describe("A takeover while half of the workers leave", func() {
 	const (
 		workers  = 350
@@ -128,11 +128,11 @@
 	})
 
 	// Without a record the workers that have reported once and then left count for as long as the longest lease.
-	It("leaves some without one for longer than that if it hasn't, which shows that the load is the right one", func() {
+	It("leaves some tasks without a run for over 9 s if the earlier owner hasn't released the shard", func() {
 		Expect(replace(func(h *harness, jobs ...dispatch.Job) { h.takeOver(1001, jobs...) })).To(BeNumerically(">", 9*time.Second))
 	})
 
-	It("lets only tasks that nothing has been seen of wait if the earlier owner was killed", func() {
+	It("delays only tasks without a reported run if the earlier owner was killed", func() {
 		h := newHarness(1, 3)
 		h.listWorkers()
 		h.advance(interval)
@@ -196,7 +196,7 @@
 		Expect(h.startCount("new")).To(Equal(1))
 	})
 
-	It("keeps a task from running again that succeeded before the end was stored", func() {
+	It("prevents a second run of a task that succeeded before the end was stored", func() {
 		h, j, _ := beside()
 		h.workers["w1"].silent = false
 		h.endRun("w1", h.starts[0].Task, dispatch.EndDone)
@@ -242,7 +242,7 @@
 		Expect(h.startCount("j")).To(Equal(1))
 	})
 
-	It("has starts without an answer, which may be executed late", func() {
+	It("includes unanswered starts, which may be executed late", func() {
 		h, j, k := beside()
 		h.workers["w1"].silent = false
 		h.workers["w0"].info.Draining = true
@@ -258,7 +258,7 @@
 		Expect(h.starts).To(BeEmpty())
 	})
 
-	It("is handed on by an owner that is replaced before the workers have listed their runs", func() {
+	It("includes an earlier record if the owner is replaced before the workers have listed their runs", func() {
 		h, j, k := beside()
 		h.takeOverReleased(1001, j, k)
 		advance(h, 500*time.Millisecond)
@@ -301,7 +301,7 @@
 		Expect(complete).To(BeFalse())
 	})
 
-	It("counts for a job that is added later", func() {
+	It("applies to a job that is added later", func() {
 		h, j, _ := beside()
 		h.takeOverReleased(1001)
 		h.engine.AddJob(h.now, j, dispatch.Progress{}, false)
@@ -309,7 +309,7 @@
 		Expect(h.starts).To(BeEmpty())
 	})
 
-	It("counts for a worker that isn't known", func() {
+	It("applies to a worker that isn't known", func() {
 		h, j, _ := beside()
 		record, _ := h.engine.Release(h.now)
 		delete(h.workers, "w1")
@@ -365,7 +365,7 @@
 	)
 })
 
-// Guards against two runs of a task at once: an owner that is cut off from a worker takes its runs for lost,
+// Guards against two runs of a task at once: an owner that is disconnected from a worker treats its runs as lost,
 // and may start them elsewhere until it notices that it was replaced.
 var _ = Describe("A run that is seen while the earlier owner may still act", func() {
 	It("may not be the last one", func() {
--- a/internal/decision/dispatch/recovery_review_test.go
+++ b/internal/decision/dispatch/recovery_review_test.go
@@ -78,8 +78,8 @@
 	})
 })
 
-// Guards against a task that runs twice: the step allows copies, so that a run that was seen to end needn't be the
-// only one.
+// Guards against a task that runs again although a copy of it is active: if the step allows copies, the end of one
+// run doesn't show that the task has no other.
 var _ = Describe("A recovered task of a step that allows copies", func() {
 	It("waits for the workers that haven't listed their runs although a run of it has been seen to end", func() {
 		h := newHarness(2, 3)
--- a/internal/decision/dispatch/recovery_simulation_test.go
+++ b/internal/decision/dispatch/recovery_simulation_test.go
@@ -16,7 +16,7 @@
 	authorityTerm = 2400 * time.Millisecond
 	// claimDelay is the time after the last transaction of a silent owner at which it is replaced.
 	claimDelay = time.Second
-	// entryTerm is how long the list shows a worker that is cut off.
+	// entryTerm is how long a disconnected worker remains listed.
 	entryTerm = 2500 * time.Millisecond
 	// maxLateStart is how late a start without an answer may be executed.
 	maxLateStart = 15 * time.Second
@@ -35,8 +35,8 @@
 	blocked  map[dispatch.TaskID]dispatch.Run
 	ended    []simulatedEnd
 	endCount int64
-	// cutAt is when the worker was cut off, and cutUntil when owners reach it again. gone reports that it has
-	// left for good.
+	// cutAt is when the worker was disconnected, and cutUntil when owners reach it again. gone reports that it
+	// has left permanently.
 	cutAt    time.Time
 	cutUntil time.Time
 	gone     bool
@@ -72,13 +72,13 @@
 	polling  map[membership.InstanceID]bool
 }
 
-// takeoverSimulation plays takeovers over a few workers, and notes each task that runs twice.
+// takeoverSimulation simulates takeovers with a few workers, and records each task that runs twice.
 type takeoverSimulation struct {
 	random  *rand.Rand
 	now     time.Time
 	workers map[membership.InstanceID]*simulatedWorker
 	owners  []*simulatedOwner
-	// events are messages on their way.
+	// events are messages in transit and other future actions.
 	events []simulatedEvent
 	// jobs, progress, fleet, stopping and record are in the store. recordEpoch is that of the last two.
 	jobs        []dispatch.Job
@@ -140,7 +140,7 @@
 	return list
 }
 
-// after does something after a delay.
+// after schedules an action after a delay.
 func (w *takeoverSimulation) after(d time.Duration, do func()) {
 	w.events = append(w.events, simulatedEvent{w.now.Add(d), do})
 }
--- a/internal/decision/dispatch/replacement_test.go
+++ b/internal/decision/dispatch/replacement_test.go
@@ -16,7 +16,7 @@
 
 const (
 	replayTick = 100 * time.Millisecond
-	// startupTime is how long a long-running task takes until it is at work.
+	// startupTime is how long a long-running task takes to start up.
 	startupTime = 500 * time.Millisecond
 	// replacementGap is the time between two workers, arrivalLead how long the new one is there before the
 	// earlier one drains, and leaveTime how long that one stays.
@@ -36,11 +36,11 @@
 	durations map[dispatch.TaskID]time.Duration
 	startedAt map[dispatch.TaskRun]time.Time
 	leavesAt  map[membership.InstanceID]time.Time
-	// wasAtWork has the long-running tasks that have been at work, and moves how often each was stopped.
-	wasAtWork map[dispatch.TaskID]bool
-	moves     map[dispatch.TaskID]int
-	stopsSeen int
-	// downtime and lost are the time without a run of long-running tasks and the work that was thrown away.
+	// wasAvailable has the long-running tasks that have started up, and moves how often each was stopped.
+	wasAvailable map[dispatch.TaskID]bool
+	moves        map[dispatch.TaskID]int
+	stopsSeen    int
+	// downtime is the time that long-running tasks were without a run, and lost the run time of work that wasn't saved.
 	downtime, lost time.Duration
 	// failing is the first letter of the workers that fail what they start.
 	failing        string
@@ -63,7 +63,7 @@
 	r := &replay{
 		harness: newHarnessWithout(disabled, 1, workers), size: workers, random: rand.New(rand.NewPCG(benchSeed, benchSeed)),
 		durations: map[dispatch.TaskID]time.Duration{}, startedAt: map[dispatch.TaskRun]time.Time{},
-		leavesAt: map[membership.InstanceID]time.Time{}, wasAtWork: map[dispatch.TaskID]bool{}, moves: map[dispatch.TaskID]int{},
+		leavesAt: map[membership.InstanceID]time.Time{}, wasAvailable: map[dispatch.TaskID]bool{}, moves: map[dispatch.TaskID]int{},
 	}
 	for _, w := range r.workers {
 		w.info.Capacity, w.info.Version = cores(16), "v1"
@@ -219,11 +219,11 @@
 func (r *replay) measureTask(task dispatch.TaskID, unavailable map[dispatch.JobID]int) {
 	for _, w := range r.workers {
 		if run := w.running[task]; run != nil && run.Percent == 100 {
-			r.wasAtWork[task] = true
+			r.wasAvailable[task] = true
 			return
 		}
 	}
-	if r.wasAtWork[task] {
+	if r.wasAvailable[task] {
 		r.downtime += replayTick
 		unavailable[task.Job]++
 	}
@@ -262,11 +262,11 @@
 	return r
 }
 
-// Guards against long-running tasks that move onto workers which drain next, and against work that is thrown
-// away although its worker stays long enough, while half of a pool is replaced.
+// Guards against long-running tasks that move to workers which drain next, and against work that is lost although
+// its worker remains long enough, while half of a pool is replaced.
 var _ = Describe("The replacement of many workers", func() {
 	for _, version := range []dispatch.WorkerVersion{"v2", "v1"} {
-		It("moves fewer tasks again and throws less work away, from v1 to "+string(version), func() {
+		It("moves fewer tasks more than once and loses less work, from v1 to "+string(version), func() {
 			off := playReplacement(mechanism.Of(mechanism.Replacement), version)
 			on := playReplacement(0, version)
 			Expect(on.counts["Replacement.Detected"]).To(Equal(int64(1)))
@@ -321,14 +321,14 @@
 	}
 }
 
-var _ = Describe("A replacement in which something fails half way", func() {
+var _ = Describe("A replacement that is interrupted", func() {
 	// newLoad is a long-running job of one task that comes while workers are being replaced.
 	newLoad := func(r *replay, id dispatch.JobID) {
 		r.submit(id, longRunningStep(4, 2))
 		r.play(2 * time.Second)
 	}
 
-	It("has ended once nothing changes for a while, and the earlier workers are used again", func() {
+	It("ends once no worker leaves or arrives for a while", func() {
 		r := newReplay(0, 24)
 		r.replace(0, 6, "v2")
 		newLoad(r, "during")
@@ -348,7 +348,7 @@
 		r.expectOn("during", 4, "w")
 	})
 
-	It("is known to an owner that takes over, from the list alone", func() {
+	It("is detected by a new owner from the list alone", func() {
 		r := newReplay(0, 24)
 		r.replace(0, 8, "v1")
 		r.engine = dispatch.New(dispatch.Options{Epoch: 2, LeaseTerm: leaseTerm, StopTimeout: stopTimeout, Counters: r, Recorder: r})
@@ -382,7 +382,7 @@
 	})
 })
 
-// Guards against a policy for replacements that changes decisions while there is none.
+// Guards against a policy for replacements that changes decisions while no replacement is under way.
 var _ = Describe("A pool that isn't being replaced", func() {
 	// play lets four of sixteen workers drain, with a long-running task each.
 	play := func(disabled mechanism.Set) (commands []string) {
@@ -407,7 +407,7 @@
 		return commands
 	}
 
-	It("is served as without the mechanism", func() {
+	It("is scheduled as without the mechanism", func() {
 		Expect(play(0)).To(Equal(play(mechanism.Of(mechanism.Replacement))))
 	})
 })
--- a/internal/decision/dispatch/reservation_failure_test.go
+++ b/internal/decision/dispatch/reservation_failure_test.go
@@ -47,14 +47,14 @@
 	}
 }
 
-// await submits a job that finds no room, and lets small tasks pass it until room is reserved.
+// await submits a job that finds no room, and lets small tasks overtake it until room is reserved.
 func (h *harness) await(s dispatch.Step) {
 	h.submit("large", s)
 	h.advance(10 * time.Millisecond)
 	h.pass(waitForReservation)
 }
 
-// pass lets small tasks come and go for a time.
+// pass lets small tasks start and end for a while.
 func (h *harness) pass(total time.Duration) {
 	for end := h.now.Add(total); h.now.Before(end); {
 		passing := dispatch.JobID("passing at " + h.now.String())
@@ -105,7 +105,7 @@
 		Expect(h.counts["Reservation.Met"]).To(BeEquivalentTo(1))
 	})
 
-	It("lets a small task go ahead only if it is expected to end before the room is needed", func() {
+	It("admits a small task only if it is expected to end before the room is needed", func() {
 		for _, disabled := range []mechanism.Set{0, mechanism.Of(mechanism.Backfill)} {
 			h := newHarnessWithout(disabled|mechanism.Of(mechanism.Stragglers), 1, 1)
 			h.occupy(3 * time.Second)
@@ -120,7 +120,7 @@
 		}
 	})
 
-	It("counts a small task that goes on for longer than forecast", func() {
+	It("counts a small task that takes longer than forecast", func() {
 		h := newQuietHarness(1)
 		h.occupy(3 * time.Second)
 		h.await(wholeWorkerStep(1))
@@ -131,7 +131,7 @@
 		Expect(h.counts["Reservation.BackfillOverran"]).To(BeEquivalentTo(1))
 	})
 
-	It("isn't kept for a late job, which would hold up jobs that can end in time", func() {
+	It("isn't kept for a late job, which would delay jobs that can end in time", func() {
 		h := newQuietHarness(1)
 		h.occupy(2 * time.Second)
 		h.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{
@@ -141,7 +141,7 @@
 		Expect(h.reservedWorkers()).To(BeEmpty())
 	})
 
-	It("gives way to a more urgent queue", func() {
+	It("admits tasks of a more urgent queue", func() {
 		h := newQuietHarness(1)
 		h.engine.SetQueues(map[dispatch.QueueName]dispatch.Queue{"urgent": {Name: "urgent", Service: "pool"}})
 		h.occupy(2 * time.Second)
@@ -286,8 +286,8 @@
 		Expect(h.workersOf("long")).To(ConsistOf(workerID(0)))
 	})
 
-	// A new owner has learned nothing, and doesn't know yet what runs where.
-	It("is made anew by a new owner once it knows what runs", func() {
+	// A new owner has no run times, and doesn't know the active runs yet.
+	It("is reserved again by a new owner once it knows the active runs", func() {
 		h := newHarnessWithout(mechanism.Of(mechanism.Stragglers), 2, 2)
 		h.allowWaiting(0)
 		for i := range 2 {
--- a/internal/decision/dispatch/reservation_review_test.go
+++ b/internal/decision/dispatch/reservation_review_test.go
@@ -16,7 +16,7 @@
 		"low":      {Name: "low", Service: "pool", Priority: 1, SlackFactor: 2, TargetLatency: time.Minute},
 	}
 	// Guards against runs that are stopped for a task which may not use their room.
-	It("stops no run of a less urgent queue for a task that only it holds up", func() {
+	It("stops no run of a less urgent queue for a task that only the reservation keeps from starting", func() {
 		h := newHarnessWithout(mechanism.Of(mechanism.Stragglers), 1, 1)
 		h.engine.SetQueues(queues)
 		h.listWorkers()
@@ -33,8 +33,8 @@
 		Expect(h.workersOf("long")).To(BeEmpty())
 		Expect(h.counts["Task.Evicted.Preempted"]).To(Equal(before))
 	})
-	// Guards against a task of unknown length that is taken for one that ends at once.
-	It("isn't passed by a task without an estimate", func() {
+	// Guards against a task of unknown length that is treated as one that ends at once.
+	It("refuses a task without an estimate", func() {
 		h := newHarnessWithout(mechanism.Of(mechanism.Stragglers), 1, 1)
 		h.occupy(3 * time.Second)
 		h.await(wholeWorkerStep(1))
@@ -44,7 +44,7 @@
 		Expect(h.workersOf("unknown")).To(BeEmpty())
 	})
 	// Guards against an estimate that overflows when it is corrected by what was learned.
-	It("isn't passed by a task of a month whose class takes thousands of times its estimates", func() {
+	It("refuses a task with an estimate of a month whose class takes thousands of times its estimates", func() {
 		h := newHarnessWithout(mechanism.Of(mechanism.Stragglers), 1, 1)
 		h.listWorkers()
 		h.advance(0)
--- a/internal/decision/dispatch/reservations_test.go
+++ b/internal/decision/dispatch/reservations_test.go
@@ -22,7 +22,7 @@
 	meanSmallTask = 0.6
 )
 
-// flow plays a steady flow of small jobs that takes most of the workers.
+// flow simulates a steady flow of small jobs that occupies most of the workers.
 type flow struct {
 	*harness
 	random *rand.Rand
@@ -164,7 +164,7 @@
 	return dispatch.Step{Tasks: tasks, Resources: cores(13 * f.unit), Image: "large", Estimate: time.Second}
 }
 
-// playLarge plays a flow into which a large job comes after a while.
+// playLarge runs a flow into which a large job is submitted after a while.
 func playLarge(f *flow, s dispatch.Step) *flow {
 	f.play(5 * time.Second)
 	f.enter("large", s)
@@ -176,9 +176,9 @@
 	const (
 		workers = 12
 		load    = 0.97
-		// maxLargeWait is what a large job may wait: the slack that its queue allows.
+		// maxLargeWait is the longest permitted wait of a large job: the slack of its queue.
 		maxLargeWait = 5 * time.Second
-		// maxSmallLoss is what small jobs may wait longer for it in the mean.
+		// maxSmallLoss is the permitted increase of the mean wait of small jobs.
 		maxSmallLoss = 150 * time.Millisecond
 	)
 	off := mechanism.Of(mechanism.Reservations)
@@ -204,7 +204,7 @@
 		Entry("on workers of 64 processors with wrong estimates", 64.0, true),
 	)
 
-	// Guards the deployments whose tasks are alike: there nothing large waits.
+	// Guards against reservations that only leave room idle, because no waiting task is much larger than others.
 	It("change no decision where tasks are of similar size", func() {
 		play := func(disabled mechanism.Set) *flow {
 			f := newFlow(disabled, workers, 16, 1.2)
--- a/internal/decision/dispatch/room_test.go
+++ b/internal/decision/dispatch/room_test.go
@@ -47,8 +47,8 @@
 	})
 
 	// Guards against a long-running task that never starts because short tasks take all capacity
-	// that becomes free (chairrota-large, run trouble-2: counted as lost 17 s after it was moved,
-	// although there was room for it).
+	// that becomes free: one was without a run for 17 s after it was moved, although there was room
+	// for it.
 	It("starts a long-running task first if it has waited too long", func() {
 		h := newHarness(1, 1)
 		h.listWorkers()
--- a/internal/decision/dispatch/starvation_test.go
+++ b/internal/decision/dispatch/starvation_test.go
@@ -10,10 +10,10 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/interference"
 )
 
-// Guards against a filler job that stands still while most capacity is free. On run trouble-1
-// of chairrota one worker was left on which an image interfered with no serving task.
-// Force-started fillers crowded it and took 10 s each, and while two of them ran, two other
-// jobs of the image had nothing running for 28 s, which counts as lost.
+// Guards against a filler job that makes no progress while most capacity is free. If an image
+// interferes with serving tasks on all workers but one, force-started fillers crowd that one.
+// They took 10 s each, and while two of them ran, two other jobs of the image had nothing
+// running for 28 s, which counts as lost.
 var _ = Describe("A filler job whose only compatible worker is crowded", func() {
 	It("runs beside serving tasks after a longer delay", func() {
 		h := newHarness(1, 2)
--- a/internal/decision/dispatch/straggler_test.go
+++ b/internal/decision/dispatch/straggler_test.go
@@ -78,7 +78,7 @@
 	long := dispatch.TaskID{Job: "j", Index: 2}
 
 	// Guards against a task that is restarted on one worker after the other although it takes
-	// long on all of them (bogkreds-jt: up to ten times in run quiet-1, four times in scale-1).
+	// long on all of them. Such tasks were restarted up to ten times.
 	It("doesn't restart a long task if other tasks of its worker are as fast as elsewhere", func() {
 		h := newStragglerHarness(4)
 		h.durations[long] = 5 * time.Second
--- a/internal/decision/mechanism/mechanism.go
+++ b/internal/decision/mechanism/mechanism.go
@@ -133,7 +133,7 @@
 	return Of(LargeGaps)
 }
 
-// Without returns the set without the mechanisms of another one.
+// Without returns the mechanisms of the set that aren't in the other one.
 func (s Set) Without(other Set) Set {
 	return s &^ other
 }
--- a/internal/decision/placement/forecast_test.go
+++ b/internal/decision/placement/forecast_test.go
@@ -120,7 +120,7 @@
 	// waitForReservation is how long a job waits until a worker is reserved for it, with the ticks around that.
 	const waitForReservation = forecastReserveAfter + 2*time.Second
 
-	// pass lets small tasks come and go for a time.
+	// pass lets small tasks start and end for a while.
 	pass := func(f *fixture, total time.Duration) {
 		for end := f.now.Add(total); f.now.Before(end); {
 			Expect(f.AddJob(f.now, testJob(fmt.Sprintf("passing at %s", f.now), 1, 1))).To(Succeed())
@@ -129,7 +129,7 @@
 			}
 		}
 	}
-	// reserve fills two workers and lets small tasks pass a job until a worker is reserved for it.
+	// reserve fills two workers and lets small tasks overtake a job until a worker is reserved for it.
 	reserve := func(disabled mechanism.Set) *fixture {
 		f := newFixture(2, 16)
 		f.SetDisabled(disabled)
@@ -150,13 +150,13 @@
 		return ofKind(f.step(time.Second), Start)
 	}
 
-	It("let a small task go ahead only if it is expected to end before the room is needed", func() {
+	It("admit a small task only if it is expected to end before the room is needed", func() {
 		Expect(fill(reserve(0), 10*time.Second)).To(ContainElement(HaveField("Reason", ReasonBackfill)))
 		Expect(fill(reserve(0), time.Hour)).To(HaveLen(1))
 		Expect(fill(reserve(mechanism.Of(mechanism.Backfill)), 10*time.Second)).To(HaveLen(1))
 	})
 
-	It("wait for all members of a gang, and are given up together", func() {
+	It("are made for all members of a gang, and are released together", func() {
 		f := newFixture(3, 16)
 		Expect(f.AddJob(f.now, testJob("busy", 3, 12))).To(Succeed())
 		busy := ofKind(f.step(time.Second), Start)
@@ -179,7 +179,7 @@
 		Expect(starts).To(ConsistOf(HaveField("Job", worker.JobID("gang")), HaveField("Job", worker.JobID("gang"))))
 	})
 
-	It("move when the worker leaves", func() {
+	It("move to another worker when theirs leaves", func() {
 		f := reserve(0)
 		leaving := f.reservations[0].node
 		lost := leaving.Worker
@@ -190,7 +190,7 @@
 		Expect(f.reservations[0].node).NotTo(Equal(leaving))
 	})
 
-	It("move when the tasks there take longer than expected", func() {
+	It("are made again when the running tasks take longer than expected", func() {
 		f := reserve(0)
 		made := f.reservations[0].planned.MadeAt
 		pass(f, 2*time.Minute)
--- a/internal/decision/replacement/detector_test.go
+++ b/internal/decision/replacement/detector_test.go
@@ -128,7 +128,7 @@
 			Expect(f.events[1].Took).To(BeNumerically(">", 10*gap))
 		})
 
-		It("is known at once to an owner that sees it for the first time, "+versions.title, func() {
+		It("is detected from the first list that a new owner receives, "+versions.title, func() {
 			f := newFleet(20, versions.from)
 			f.replace(8, versions.to)
 			f.detector = replacement.Detector{}
@@ -136,7 +136,7 @@
 			f.expectPreferred(20)
 		})
 
-		It("has ended once nothing changes any more half way, "+versions.title, func() {
+		It("ends half way once no worker leaves or arrives for a while, "+versions.title, func() {
 			f := newFleet(20, versions.from)
 			f.replace(8, versions.to)
 			f.now = f.now.Add(15 * time.Second)
@@ -147,7 +147,7 @@
 		})
 	}
 
-	It("turns round when the earlier version comes back", func() {
+	It("is superseded by a replacement in the opposite direction", func() {
 		f := newFleet(12, "v1")
 		f.replace(6, "v2")
 		f.expectPreferred(12)
@@ -165,7 +165,7 @@
 		Expect(f.detector.IsArriving(webPool, "w017")).To(BeFalse())
 	})
 
-	It("isn't a pool that only shrinks, or only grows", func() {
+	It("isn't detected in a pool that only shrinks, or only grows", func() {
 		f := newFleet(20, "v1")
 		for range 8 {
 			f.now = f.now.Add(gap)
@@ -182,7 +182,7 @@
 		Expect(f.events).To(BeEmpty())
 	})
 
-	It("isn't a pool whose workers crash and come back", func() {
+	It("isn't detected in a pool whose workers crash and restart", func() {
 		f := newFleet(20, "v1")
 		for i := range 8 {
 			f.now = f.now.Add(gap)
@@ -195,7 +195,7 @@
 		Expect(f.events).To(BeEmpty())
 	})
 
-	It("goes on, with the same arriving workers, after the entries of all have expired for a moment", func() {
+	It("continues with the same arriving workers after all entries have expired for a moment", func() {
 		f := newFleet(20, "v1")
 		f.replace(8, "v1")
 		f.expectPreferred(20)
--- a/internal/decision/reservation/reservation_test.go
+++ b/internal/decision/reservation/reservation_test.go
@@ -78,7 +78,7 @@
 		Expect(p.Places).To(Equal([]reservation.Place{{Worker: "b", Tasks: 2}, {Worker: "a", Tasks: 1}}))
 	})
 
-	It("plans a gang that wants one rack in the rack whose room comes free first", func() {
+	It("plans a gang that needs one rack in the rack that has room first", func() {
 		r := request(4, 2)
 		r.OneRack = true
 		p := plan(r, candidate("a1", room(4)), candidate("b1", room(4)),
@@ -92,7 +92,7 @@
 		Expect(found).To(BeFalse())
 	})
 
-	It("keeps to the limit of tasks on a worker", func() {
+	It("observes the limit of tasks on a worker", func() {
 		spread := candidate("a", room(16))
 		spread.MaxTasks = 1
 		p := plan(request(4, 2), spread, candidate("b", room(0, release(3, 4))))
@@ -114,7 +114,7 @@
 		return reservation.Start{Holder: reservation.Holder{Job: "small"}, Rank: 1, Need: cores(n), EndsBy: after(endsAfter)}
 	}
 
-	It("lets a task go ahead that ends before the room is needed", func() {
+	It("admits a task that ends before the room is needed", func() {
 		_, made := reserve()
 		Expect(made.Admit(small(4, 2))).To(Equal(reservation.Backfilled))
 	})
@@ -124,21 +124,21 @@
 		Expect(made.Admit(small(4, 2.1))).To(Equal(reservation.Refused))
 	})
 
-	It("lets tasks start beside it until what it leaves is taken", func() {
+	It("admits tasks until the room that it doesn't need is taken", func() {
 		_, made := reserve()
 		Expect(made.Admit(small(2, 60))).To(Equal(reservation.FitsBeside))
 		made.Occupy(small(2, 60), reservation.FitsBeside)
 		Expect(made.Admit(small(1, 60))).To(Equal(reservation.Refused))
 	})
 
-	It("refuses a task without an end that would take the room", func() {
+	It("refuses a task of unknown length that would take the room", func() {
 		_, made := reserve()
 		lasting := small(4, 0)
 		lasting.EndsBy = time.Time{}
 		Expect(made.Admit(lasting)).To(Equal(reservation.Refused))
 	})
 
-	It("gives way to more urgent tasks", func() {
+	It("admits more urgent tasks", func() {
 		_, made := reserve()
 		urgent := small(4, 60)
 		urgent.Rank = 0
@@ -160,7 +160,7 @@
 		Expect(made.HasMissed(now)).To(BeTrue())
 	})
 
-	It("of a gang isn't needed before all members have room", func() {
+	It("of a gang member isn't due before all members have room", func() {
 		early := room(4)
 		p, _ := reservation.Earliest(now, after(10), request(4, 2), []reservation.Candidate{
 			candidate("a", early), candidate("b", room(0, release(3, 4))),
@@ -172,7 +172,7 @@
 		Expect(made[0].Admit(small(4, 3))).To(Equal(reservation.Backfilled))
 	})
 
-	It("is given up when its room will never be free", func() {
+	It("reports that its room will never be free", func() {
 		_, made := reserve()
 		Expect(made.Refresh(now, room(4))).To(BeFalse())
 	})
