--- a/internal/cmd/configurationcheck/configurationcheck_test.go
+++ b/internal/cmd/configurationcheck/configurationcheck_test.go
@@ -45,7 +45,7 @@
 		Expect(out).To(Equal("-: no findings\n"))
 	})
 
-	It("prints each finding with its path in the file, and fails", func() {
+	It("prints each finding with its path in the file and fails", func() {
 		out, err := run(strings.ReplaceAll(validConfiguration, `"/u/"`, `"u/"`), "-")
 		Expect(err).To(MatchError(configurationcheck.ErrFindings))
 		Expect(out).To(ContainSubstring(`-: routes[0].prefix: prefix "u/" doesn't begin with a slash`))
@@ -87,7 +87,7 @@
 		Expect(err).To(MatchError(ContainSubstring("standard input")))
 	})
 
-	It("names a file that it can't read", func() {
+	It("names a file that can't be read", func() {
 		_, err := run("", "missing.json")
 		Expect(err).To(MatchError(ContainSubstring("missing.json")))
 	})
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -16,8 +16,8 @@
 	// acceptTimeout limits how long a submission waits for the owner to store the job. The
 	// owner's previous transaction may have to finish first.
 	acceptTimeout = 1500 * time.Millisecond
-	// withdrawTimeout is how long a submission waits for a transaction to take it, so that a peer hears within
-	// acceptTimeout that none did.
+	// withdrawTimeout is how long a submission waits to be included in a transaction. It is shorter than acceptTimeout,
+	// so that a peer learns of a withdrawal in time.
 	withdrawTimeout = 1200 * time.Millisecond
 	// ownerWaitTimeout is how long a submission waits for the shard to get an owner before
 	// the job is stored without one. Without an owner the job can't start anyway, and many
@@ -238,9 +238,9 @@
 	}
 }
 
-// withdraw rejects the matching submissions that no transaction has taken. Of a job that a transaction
-// under way may store, the submission stays. A job that was to move to another shard is stored already, and the
-// engine gets it back.
+// withdraw rejects the matching submissions that no transaction includes yet. It keeps those of a job that the
+// current transaction may store. A job that was to move to another shard is already stored, so it is returned to
+// the engine.
 func (o *owner) withdraw(matches func(*submission) bool) {
 	for _, id := range o.withdrawMatching(matches) {
 		o.node.background(func(context.Context) error {
@@ -250,7 +250,7 @@
 	}
 }
 
-// withdrawMatching is like withdraw, and returns the jobs that the watch may have passed over.
+// withdrawMatching removes the submissions for withdraw, and returns their jobs, which the watch may have ignored.
 func (o *owner) withdrawMatching(matches func(*submission) bool) []dispatch.JobID {
 	o.lock.Lock()
 	defer o.lock.Unlock()
--- a/internal/entry/dispatcher/recovery_rows.go
+++ b/internal/entry/dispatcher/recovery_rows.go
@@ -16,14 +16,14 @@
 	maxRecordPages = 8
 	// maxDecodedRecordPage limits the size of a decompressed page in bytes.
 	maxDecodedRecordPage = 4 << 20
-	// maxReleaseParts limits the parts of that transaction in addition to the record.
+	// maxReleaseParts limits the other parts of that transaction, in addition to the record.
 	maxReleaseParts = 40
 )
 
-// recordPage is one of the rows that have the recovery record of an owner that released its shard.
+// recordPage is one of the rows that hold the recovery record of an owner that released its shard.
 type recordPage struct {
 	Epoch dispatch.Epoch
-	// Pages is the number of rows that have the record.
+	// Pages is the number of rows that hold the record.
 	Pages int
 	dispatch.RecoveryRecord
 }
@@ -43,7 +43,7 @@
 	return nil, fmt.Errorf("the recovery record of %d workers needs more than %d rows", len(record.Workers), maxRecordPages)
 }
 
-// recordInPages encodes a recovery record as a number of rows with about as many workers each.
+// recordInPages encodes a recovery record as the given number of rows with about as many workers each.
 func recordInPages(epoch dispatch.Epoch, record dispatch.RecoveryRecord, count int) ([][]byte, error) {
 	pages := make([][]byte, count)
 	for i := range pages {
--- a/internal/operator/configuration/check.go
+++ b/internal/operator/configuration/check.go
@@ -8,18 +8,18 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 )
 
-// Finding is a fault of a configuration.
+// Finding is a fault in a configuration.
 type Finding struct {
 	Place   Place
 	Problem string
 	Fix     string
 }
 
-// Limits of requests that callers can rely on, whatever the configuration says.
+// Sizes of requests that no configuration changes.
 const (
-	// jobIDLength is the number of characters of a job's id at the end of its path.
+	// jobIDLength is the length of the job id at the end of a job's path.
 	jobIDLength = 16
-	// minHeaderBytes is what a request needs for its other header fields.
+	// minHeaderBytes is the space that a request needs for header fields other than the host and path.
 	minHeaderBytes = 512
 )
 
--- a/internal/operator/configuration/compare.go
+++ b/internal/operator/configuration/compare.go
@@ -14,15 +14,15 @@
 	Field Field
 	// Section is the part in which the entry or the setting is.
 	Section Section
-	// Before and After are the values. One of them is empty if the entry was added or removed.
+	// Before and After are the values. Before is empty if the entry was added, and After if it was removed.
 	Before string
 	After  string
-	// Effect tells what the change means for callers. It is empty if the values tell that.
+	// Effect describes what the change means for callers. It is empty if the values show that.
 	Effect string
 }
 
-// Compare returns what differs between the configuration in force and the next one, in the order of the next
-// one, with what was removed at the end of each section.
+// Compare returns the differences between the configuration in force and the next one, in the order of the next
+// one, with removed entries at the end of each section.
 func Compare(inForce, next *Draft) []Change {
 	var changes []Change
 	if next.Version <= inForce.Version {
--- a/internal/operator/configuration/configuration_test.go
+++ b/internal/operator/configuration/configuration_test.go
@@ -58,15 +58,15 @@
 	},
 		Entry("a version that isn't positive", func(d *configuration.Draft) { d.Version = 0 },
 			configuration.SectionRoot, 0, configuration.FieldVersion, "isn't positive"),
-		Entry("a queue whose name is taken", func(d *configuration.Draft) { d.Queues[1].Name = "urgent" },
+		Entry("a queue with a duplicate name", func(d *configuration.Draft) { d.Queues[1].Name = "urgent" },
 			configuration.SectionQueues, 1, configuration.FieldName, "entry 0 has the name"),
-		Entry("a queue that no request reaches, because another one has its address", func(d *configuration.Draft) { d.Queues[1].Prefix = "/u/" },
+		Entry("a queue with the same host and prefix as another one", func(d *configuration.Draft) { d.Queues[1].Prefix = "/u/" },
 			configuration.SectionQueues, 1, configuration.FieldPrefix, "no request reaches this one"),
 		Entry("a host that no request matches", func(d *configuration.Draft) { d.Queues[0].Host = "a.example:80" },
 			configuration.SectionQueues, 0, configuration.FieldHost, "no request matches"),
-		Entry("a prefix that no path has", func(d *configuration.Draft) { d.Queues[0].Prefix = "u/" },
+		Entry("a prefix without a leading slash", func(d *configuration.Draft) { d.Queues[0].Prefix = "u/" },
 			configuration.SectionQueues, 0, configuration.FieldPrefix, "doesn't begin with a slash"),
-		Entry("a queue of a service that there isn't", func(d *configuration.Draft) { d.Queues[0].Service = "pol" },
+		Entry("a queue of an unknown service", func(d *configuration.Draft) { d.Queues[0].Service = "pol" },
 			configuration.SectionQueues, 0, configuration.FieldService, `no service "pol"`),
 		Entry("a negative priority", func(d *configuration.Draft) { d.Queues[0].Priority = -1 },
 			configuration.SectionQueues, 0, configuration.FieldPriority, "negative"),
@@ -74,13 +74,13 @@
 			configuration.SectionQueues, 0, configuration.FieldMaxAttempts, "negative"),
 		Entry("a target that no job can meet", func(d *configuration.Draft) { d.Queues[1].SlackFactor = 0.5 },
 			configuration.SectionQueues, 1, configuration.FieldTargetLatency, "every job late"),
-		Entry("a service that no queue names", func(d *configuration.Draft) { d.Services = append(d.Services, queue.Service{Name: "idle"}) },
+		Entry("a service without a queue", func(d *configuration.Draft) { d.Services = append(d.Services, queue.Service{Name: "idle"}) },
 			configuration.SectionServices, 1, configuration.FieldName, "get no tasks"),
 		Entry("a negative limit", func(d *configuration.Draft) { d.Limits.IdleTimeout = -1 },
 			configuration.SectionLimits, 0, configuration.FieldIdleTimeout, "negative"),
-		Entry("bodies that can't hold a specification", func(d *configuration.Draft) { d.Limits.BodyBytes = 1000 },
+		Entry("a body limit that is too small for a specification", func(d *configuration.Draft) { d.Limits.BodyBytes = 1000 },
 			configuration.SectionLimits, 0, configuration.FieldBodyBytes, "longest specification"),
-		Entry("headers that can't hold an address", func(d *configuration.Draft) { d.Limits.HeaderBytes = 256 },
+		Entry("a header limit that is too small for a host and path", func(d *configuration.Draft) { d.Limits.HeaderBytes = 256 },
 			configuration.SectionLimits, 0, configuration.FieldHeaderBytes, "too small"),
 	)
 
@@ -108,7 +108,7 @@
 		Expect(configuration.Compare(&before, &after)).To(BeEmpty())
 	})
 
-	It("tells that a version that isn't higher has no effect", func() {
+	It("reports that a version that isn't higher has no effect", func() {
 		before, after := valid(), valid()
 		changes := configuration.Compare(&before, &after)
 		Expect(changes).To(HaveLen(1))
--- a/internal/operator/configuration/draft.go
+++ b/internal/operator/configuration/draft.go
@@ -1,8 +1,8 @@
 // Package configuration checks the configuration of the users' platform before it is published, and compares
 // it with the one in force.
 //
-// It doesn't know the format of the file: package platform decodes it into a Draft, and names the places of
-// the findings.
+// It is independent of the file format: package platform decodes a file into a Draft and formats the places of
+// findings as paths in the file.
 package configuration
 
 import (
@@ -25,7 +25,7 @@
 	NeedsAdvice   bool
 }
 
-// Draft is a configuration as it was written: in its order, and with its duplicates.
+// Draft is a configuration as the operator wrote it, with its order and duplicates.
 type Draft struct {
 	Version  queue.Version
 	Queues   []Queue
