Separate the check of a configuration from its output

Cause: Run read, checked, compared and printed in one function.

Change: Options.check returns the report, and Run prints it.

--- a/internal/cmd/configurationcheck/configurationcheck.go
+++ b/internal/cmd/configurationcheck/configurationcheck.go
@@ -93,25 +93,10 @@
 	if opts.File == stdin && opts.Against == stdin {
 		return errors.New("only one of FILE and --against can be standard input")
 	}
-	next, err := opts.read(opts.File)
+	report, err := opts.check()
 	if err != nil {
 		return err
 	}
-	report := Report{File: opts.File, Findings: []Finding{}}
-	for _, f := range configuration.Check(&next) {
-		report.Findings = append(report.Findings, Finding{Place: platform.PlaceName(f.Place), Problem: f.Problem, Fix: f.Fix})
-	}
-	if opts.Against != "" {
-		inForce, err := opts.read(opts.Against)
-		if err != nil {
-			return err
-		}
-		for _, c := range configuration.Compare(&inForce, &next) {
-			report.Changes = append(report.Changes, Change{
-				Place: platform.ChangeName(c), Before: c.Before, After: c.After, Effect: c.Effect, isEntry: c.Field == configuration.FieldNone,
-			})
-		}
-	}
 	if err := opts.print(&report); err != nil {
 		return err
 	}
@@ -121,6 +106,31 @@
 	return nil
 }
 
+// check reads the files and returns the findings and differences.
+func (o *Options) check() (Report, error) {
+	next, err := o.read(o.File)
+	if err != nil {
+		return Report{}, err
+	}
+	report := Report{File: o.File, Findings: []Finding{}}
+	for _, f := range configuration.Check(&next) {
+		report.Findings = append(report.Findings, Finding{Place: platform.PlaceName(f.Place), Problem: f.Problem, Fix: f.Fix})
+	}
+	if o.Against == "" {
+		return report, nil
+	}
+	inForce, err := o.read(o.Against)
+	if err != nil {
+		return Report{}, err
+	}
+	for _, c := range configuration.Compare(&inForce, &next) {
+		report.Changes = append(report.Changes, Change{
+			Place: platform.ChangeName(c), Before: c.Before, After: c.After, Effect: c.Effect, isEntry: c.Field == configuration.FieldNone,
+		})
+	}
+	return report, nil
+}
+
 // read decodes a configuration. Its error names the file.
 func (o *Options) read(file string) (configuration.Draft, error) {
 	in := io.NopCloser(o.In)
