Name the specs of takeovers and worker entries by what they check

Cause: titles such as "are none" and "changes hands" didn't stand on their own.

Change: titles and the comments on the failures that they guard against are in plain terms. Each spec checks the same as before.

--- a/internal/entry/dispatcher/recovery_rows_test.go
+++ b/internal/entry/dispatcher/recovery_rows_test.go
@@ -114,7 +114,7 @@
 		Expect(found).To(BeFalse())
 	}
 
-	DescribeTable("give the record back to the next owner", func(record dispatch.RecoveryRecord) {
+	DescribeTable("return the record to the next owner", func(record dispatch.RecoveryRecord) {
 		decoded, found, err := shard.decodeRecord(rowsOf(encodePages(record)), 2001)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(found).To(BeTrue())
@@ -132,7 +132,7 @@
 		expectNone(rows, 2002)
 	})
 
-	It("are none if one is missing or of another record", func() {
+	It("are ignored if one is missing or belongs to another record", func() {
 		pages := encodePages(recordOf(1000, 10))
 		Expect(len(pages)).To(BeNumerically(">", 1))
 		expectNone(rowsOf(pages[:len(pages)-1]), 2001)
@@ -142,7 +142,7 @@
 		expectNone(rowsOf(pages), 2001)
 	})
 
-	It("aren't used if they can't be decoded", func() {
+	It("are ignored if they can't be decoded", func() {
 		_, found, err := shard.decodeRecord(rowsOf([][]byte{[]byte("{}")}), 2001)
 		Expect(err).To(HaveOccurred())
 		Expect(found).To(BeFalse())
@@ -154,7 +154,7 @@
 	})
 })
 
-var _ = Describe("A shard that changes hands", func() {
+var _ = Describe("A shard that gets a new owner", func() {
 	const run = dispatch.Run(1)
 	task := dispatch.TaskID{Job: "0123456789abcdef"}
 	idle := dispatch.TaskID{Job: "fedcba9876543210"}
@@ -246,31 +246,31 @@
 		Fail("the shard wasn't released")
 	}
 
-	It("lets only the task of a recorded run wait after a release", func() {
+	It("delays only the task of a recorded run after a release", func() {
 		release(own())
 		Expect(started(claim(1001))).To(ConsistOf(idle))
 		Expect(counters.Value("Recovery.FromRecord")).To(Equal(int64(1)))
 	})
 
-	It("does so after a release whose answer was lost", func() {
+	It("delays only the task of a recorded run after a release whose answer was lost", func() {
 		o := own()
 		store.loseAnswer = true
 		release(o)
 		Expect(started(claim(1001))).To(ConsistOf(idle))
 	})
 
-	It("lets each task wait if the owner was killed before the release", func() {
+	It("delays all tasks if the owner was killed before the release", func() {
 		own()
 		Expect(started(claim(1001))).To(BeEmpty())
 	})
 
-	It("lets each task wait if an owner was in between that had no record, or none of its own", func() {
+	It("delays all tasks if an owner in between made no record", func() {
 		release(own())
 		claim(1001)
 		Expect(started(claim(2001))).To(BeEmpty())
 	})
 
-	It("lets each task wait if an owner of an earlier build was in between", func() {
+	It("delays all tasks if an owner in between was of an earlier build", func() {
 		release(own())
 		claim(2)
 		Expect(started(claim(1002))).To(BeEmpty())
@@ -284,7 +284,7 @@
 		Expect(started(claim(1001))).To(BeEmpty())
 	})
 
-	It("keeps an owner at work whose release certainly wasn't stored", func() {
+	It("keeps its owner if the release wasn't stored", func() {
 		o := own()
 		store.recordError = table.ErrUnavailable
 		o.releaseRequested.Store(true)
--- a/internal/entry/dispatcher/withdraw_test.go
+++ b/internal/entry/dispatcher/withdraw_test.go
@@ -45,9 +45,8 @@
 	return o
 }
 
-// Guards against callers that hear that the outcome is unknown, and may not try again, although their jobs
-// were in no transaction: while the store was down, all jobs that waited behind the transaction under way
-// were answered so.
+// Guards against answers with an unknown outcome, after which callers may not retry, for jobs that were in no
+// transaction: while the store was unavailable, all jobs that waited for the current transaction got this answer.
 var _ = Describe("A submission that waits for the owner's next transaction", func() {
 	const timeout = 20 * time.Millisecond
 	var o *owner
@@ -65,7 +64,7 @@
 
 	BeforeEach(func() { o = newOwnerWithStore(&failingStore{}) })
 
-	It("is withdrawn, and certainly not stored, when its time is over", func() {
+	It("is withdrawn and not stored when its time is over", func() {
 		Expect(await(newWaiting("j"))).To(MatchError(errNotAccepted))
 		Expect(o.takeUpdate().submissions).To(BeEmpty())
 	})
@@ -85,9 +84,9 @@
 		Expect(waiting.done).To(Receive(BeNil()))
 	})
 
-	// Guards against a job that never runs: it was to move to another shard, so that the engine had given it up, and
-	// its row is stored.
-	It("gives the engine back a job that was to move to another shard", func() {
+	// Guards against a job that never runs: the engine has dropped it because it was to move to another shard, but its
+	// row is still stored in this one.
+	It("returns a job that was to move to another shard to the engine", func() {
 		job := dispatch.Job{ID: "j", Steps: []dispatch.Step{{Tasks: 1}}}
 		o = newOwnerWithStore(&failingStore{stored: encode(jobRow{Job: &job})})
 		ctx, cancel := context.WithCancel(context.Background())
@@ -105,7 +104,7 @@
 		}).Should(BeTrue())
 	})
 
-	It("has an unknown outcome once a transaction has taken it", func() {
+	It("has an unknown outcome once a transaction includes it", func() {
 		taken := newWaiting("j")
 		o.submissions = append(o.submissions, taken)
 		Expect(o.takeUpdate().submissions).To(ConsistOf(taken))
@@ -136,8 +135,8 @@
 	})
 })
 
-// Guards against an unknown outcome where the instance that stores a job itself could have learned first that
-// the store doesn't answer it.
+// Guards against an unknown outcome for a job that an instance stores itself, if a read before the transaction
+// would have shown that the store is unavailable.
 var _ = Describe("A job that an instance stores without the owner", func() {
 	storeJob := func(store Store) error {
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
