--- a/internal/decision/dispatch/dispatch_test.go
+++ b/internal/decision/dispatch/dispatch_test.go
@@ -634,7 +634,7 @@
 	})
 
 	// Guards against blaming harmless fillers for the effect of another one, which kept most
-	// fillers of a site from running.
+	// fillers from running.
 	It("identifies which of several filler images interferes", func() {
 		h := newHarness(1, 4)
 		h.listWorkers()
@@ -692,9 +692,9 @@
 	})
 })
 
-// Guards against a filler job that never runs. In run trouble-1 of a site, a third of the
-// workers was out of service and a filler image interfered with the serving tasks on all
-// others. Its job never ran although most capacity was free, and was counted as lost.
+// Guards against a filler job that never runs. A third of the workers was out of service, and a
+// filler image interfered with the serving tasks on all others. Its job never ran although most
+// capacity was free, and was counted as lost.
 var _ = Describe("A filler that interferes on all workers", func() {
 	It("force-starts a filler that interferes on all workers after a delay, at a pace that the serving tasks allow", func() {
 		h := newHarness(1, 1)
@@ -753,9 +753,9 @@
 })
 
 var _ = Describe("Scarce workers", func() {
-	// Guards against fillers that wait because others occupy the only workers they can use. In
-	// run quiet-1 of a site, two filler images were compatible with only two of five serving
-	// images, and fillers that can run anywhere took those workers.
+	// Guards against fillers that wait because others occupy the only workers they can use. Two
+	// filler images were compatible with only two of five serving images, and fillers that can run
+	// anywhere took those workers.
 	It("leaves scarce workers to the fillers that can run nowhere else", func() {
 		h := newHarness(1, 2)
 		h.workers["w1"].info.Capacity = cores(7)
@@ -1012,8 +1012,7 @@
 	})
 
 	// Guards against two runs of a task of a new job: an owner that didn't know yet that it had
-	// been replaced started the task on a worker that the new owner hadn't reached
-	// (amagasa-kyushu, run mix with seed 608627514168, counted as run twice).
+	// been replaced started the task on a worker that the new owner hadn't reached.
 	It("starts no new job until the earlier owner must have noticed the takeover", func() {
 		h := newHarness(2, 2)
 		h.workers["w1"].silent = true
--- a/internal/decision/dispatch/drain.go
+++ b/internal/decision/dispatch/drain.go
@@ -13,8 +13,8 @@
 	drainMargin = 500 * time.Millisecond
 )
 
-// updateLeaveTime applies what an entry of the list tells of when the worker leaves. While it drains, its
-// entry is renewed with the time that is left then. A list that arrives late doesn't postpone the time.
+// updateLeaveTime derives when the worker leaves from its entry in the list. While it drains, the entry is renewed
+// with the remaining time. A list that arrives late doesn't postpone the leave time.
 func (w *worker) updateLeaveTime(now time.Time, info *WorkerInfo) {
 	if !info.Draining {
 		w.leavesAt = time.Time{}
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -137,7 +137,7 @@
 	// durations has the run times that this owner has learned.
 	durations           forecast.Durations
 	stragglersCheckedAt time.Time
-	// copiesCheckedAt is when runs to copy were last searched for, and copies how useful copies have been.
+	// copiesCheckedAt is when runs to copy were last searched for, and copies counts the outcomes of copies.
 	copiesCheckedAt time.Time
 	copies          copyRecord
 	// forcedFillers counts the running fillers that were started although no worker was
@@ -179,7 +179,7 @@
 	scarcity     scarcity
 	startAnswers startAnswers
 	replacements replacements
-	// reservations keeps room for large tasks, and largeTasks has those that found none lately.
+	// reservations keeps room for large tasks, and largeTasks has those that found none recently.
 	reservations reservations
 	largeTasks   largeTasks
 	// stepsWithHold has the steps for whose tasks a worker is held.
--- a/internal/decision/dispatch/exchange_test.go
+++ b/internal/decision/dispatch/exchange_test.go
@@ -13,11 +13,10 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
-// Guards against losing the few workers on which some fillers can run. In run quiet-1 of a
-// site, two filler images were compatible with only two of five serving images. One by one,
-// the workers with only these two got a task of another image, because any restarted serving
-// task took the only gap. Of ten such workers two were left, and the jobs with these fillers
-// waited for half a minute.
+// Guards against losing the few workers on which some fillers can run. Two filler images were
+// compatible with only two of five serving images. One by one, the workers with only these two
+// got a task of another image, because any restarted serving task took the only gap. Of ten
+// such workers two were left, and the jobs with these fillers waited for half a minute.
 var _ = Describe("A worker that scarce fillers need", func() {
 	var h *harness
 	serving := func(image dispatch.Image, tasks int, processors float64) dispatch.Step {
@@ -113,9 +112,8 @@
 		Expect(h.workersOf("touchy")).To(HaveLen(1))
 	})
 
-	// Guards against a task that waits too long for a better worker. In run leaving-workers of a
-	// site with seed 913964129843, a task whose worker was lost waited so long for another one
-	// that it was counted as lost.
+	// Guards against a task that waits too long for a better worker. A task whose worker was lost
+	// waited so long for another one that it was counted as lost.
 	DescribeTable("gives a worker that scarce fillers need to a serving task that has been down for too long", func(refused bool) {
 		h.submit("calm", serving("calm", 1, 2))
 		runFor(500 * time.Millisecond)
--- a/internal/decision/dispatch/fence.go
+++ b/internal/decision/dispatch/fence.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// longestRunWithoutRenewal returns how long after it was sent a start may keep a run active on the worker,
-// if no report has shown the process that executes it.
+// longestRunWithoutRenewal returns how long a run may be active on the worker after its start was sent, if no
+// report has shown the process that executes it.
 func (e *Engine) longestRunWithoutRenewal(w *worker) time.Duration {
 	longest := maxLeaseDuration(max(e.options.MaxLease, e.options.LeaseTerm)) + leaseEndMargin
 	if w.hasUnseenRestart() {
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -117,7 +117,7 @@
 	otherRun       TaskRun
 	otherRunEndsBy time.Time
 	// recordedOn has the workers on which the earlier owner recorded a run of the task, and seenRunning
-	// reports that this owner has seen the only one.
+	// reports that a worker has reported the task's only run to this owner.
 	recordedOn  []membership.InstanceID
 	seenRunning bool
 }
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// beginWait records since when the step has waited for room.
+// beginWait records the time from which the step has waited for room.
 func (s *step) beginWait(now time.Time) {
 	if s.blockedSince.IsZero() {
 		s.blockedSince = now
@@ -66,7 +66,7 @@
 	return count
 }
 
-// waitingTasks returns the number of tasks that wait, also if an unknown run of them may be active.
+// waitingTasks returns the number of tasks that wait, including those of which an unknown run may be active.
 func (s *step) waitingTasks(now time.Time) int {
 	count := 0
 	for _, t := range s.tasks {
@@ -94,8 +94,8 @@
 	return best
 }
 
-// wouldStartOn reports whether room is all that keeps the step's tasks off a worker: it has none yet, and what becomes
-// free there isn't kept for others.
+// wouldStartOn reports whether the step's tasks could start on a worker if it had room: it has none yet, and room that
+// becomes free there isn't reserved for others.
 func (e *Engine) wouldStartOn(now time.Time, s *step, w *worker) bool {
 	return e.meetsConstraints(s, w) && !s.Reserved().FitsIn(w.free()) && e.isPermitted(now, s, w) && e.leavesReservedRoom(now, s, w)
 }
--- a/internal/decision/dispatch/report_test.go
+++ b/internal/decision/dispatch/report_test.go
@@ -201,9 +201,9 @@
 	})
 })
 
-// Guards against an owner that starves itself: with many unanswered starts it polled all workers
+// Guards against an owner that overloads itself: with many unanswered starts it polled all workers
 // ten times a second and repeated stops that had been accepted, so that still more starts stayed
-// without an answer (bogkreds-jt, run store-away with seed 283884139174).
+// without an answer.
 var _ = Describe("A worker with many runs that were stopped because their starts got no answer", func() {
 	It("is polled at most twice as often as others, and told once to stop each run", func() {
 		h := newHarness(1, 1)
--- a/internal/decision/dispatch/room_test.go
+++ b/internal/decision/dispatch/room_test.go
@@ -9,9 +9,9 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 )
 
-// Guards against urgent jobs that wait because the free capacity is fragmented. On the grown
-// and large sites, long-running tasks reserve nine tenths of the processors, and the rest was
-// in pieces too small for any urgent task.
+// Guards against urgent jobs that wait because the free capacity is fragmented: if
+// long-running tasks reserve nine tenths of the processors, the rest can be in pieces too small
+// for any urgent task.
 var _ = Describe("Room beside long-running tasks", func() {
 	short := func(processors float64) dispatch.Step {
 		return dispatch.Step{Tasks: 1, Resources: cores(processors), Estimate: time.Second}
--- a/internal/decision/dispatch/serving.go
+++ b/internal/decision/dispatch/serving.go
@@ -118,8 +118,8 @@
 }
 
 // consolidate moves a serving task that is the only one to block fillers on its worker
-// to a worker where it blocks none, or few. It pauses while workers are being replaced: their tasks move in
-// any case, and need the room.
+// to a worker where it blocks none, or few. It pauses while workers are being replaced, because their tasks
+// move anyway and need the room.
 func (e *Engine) consolidate(now time.Time) {
 	if now.Sub(e.servingMovedAt) < moveInterval || e.recovering || e.replacements.underWay || e.isDisabled(mechanism.Consolidation) {
 		return
--- a/internal/decision/dispatch/serving_use_test.go
+++ b/internal/decision/dispatch/serving_use_test.go
@@ -10,8 +10,8 @@
 )
 
 // Guards against fillers that wait for a worker while its serving tasks use little of what
-// they reserve. In run trouble-2 of bogkreds-jt, five of nine filler images interfered with
-// four of five serving images, and the 17 workers that accepted them stood a third idle.
+// they reserve. When five of nine filler images interfered with four of five serving images, the
+// 17 workers that accepted them were a third idle.
 var _ = Describe("A worker that serving tasks have reserved", func() {
 	// startedFillers returns how many fillers of one processor run beside serving tasks that
 	// reserve all six, given the tail latencies that they report in turn. Their target is 20 ms.
--- a/internal/decision/dispatch/types.go
+++ b/internal/decision/dispatch/types.go
@@ -28,7 +28,7 @@
 // Image identifies the program that the tasks of a step run.
 type Image string
 
-// WorkerVersion is the version of a worker's software. It is empty if the worker didn't tell.
+// WorkerVersion is the version of a worker's software. It is empty if the worker didn't report it.
 type WorkerVersion string
 
 // Label is a property of a worker that a step can require.
@@ -209,7 +209,7 @@
 	// Draining workers get no new tasks.
 	Draining bool
 	// Remaining is the minimum time for which a draining worker stays available, counted from when its entry
-	// was written. It is 0 if the worker didn't tell.
+	// was written. It is 0 if the worker didn't report it.
 	Remaining time.Duration
 }
 
--- a/internal/decision/placement/engine.go
+++ b/internal/decision/placement/engine.go
@@ -81,7 +81,7 @@
 	reservations []*nodeReservation
 	// disabled are the parts of the policy that aren't used.
 	disabled mechanism.Set
-	// durations has the run times that this engine has learned, and smallest the smallest late start.
+	// durations has the run times that this engine has learned, and smallest the smallest recent start.
 	durations forecast.Durations
 	smallest  smallStart
 	// reservingGang is the only gang that may reserve workers, if any.
