Wrap comments of the change at 110 characters

Cause: some were longer than the rest of the code has them, and some titles of the recovery record's specs needed their context.

Change: wrapped lines and plain titles. Each spec checks the same as before.

--- a/internal/cmd/configurationcheck/configurationcheck.go
+++ b/internal/cmd/configurationcheck/configurationcheck.go
@@ -44,8 +44,8 @@
 	Fix     string
 }
 
-// Change is a difference from the configuration in force in the JSON output. Before or After is empty if an entry was
-// added or removed.
+// Change is a difference from the configuration in force in the JSON output. Before or After is empty if an
+// entry was added or removed.
 type Change struct {
 	Place  string
 	Before string `json:",omitempty"`
@@ -88,7 +88,8 @@
 	return cmd
 }
 
-// Run checks the configuration and prints the findings and differences. It fails with ErrFindings if there are findings.
+// Run checks the configuration and prints the findings and differences. It fails with ErrFindings if there
+// are findings.
 func Run(_ context.Context, opts *Options) error {
 	if opts.File == stdin && opts.Against == stdin {
 		return errors.New("only one of FILE and --against can be standard input")
--- a/internal/decision/dispatch/copy.go
+++ b/internal/decision/dispatch/copy.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// areUseful reports whether copies are worth their room even if nothing points to the worker as the cause. If tasks
-// take long on every worker, the first run nearly always succeeds first.
+// areUseful reports whether copies are worth their room even if nothing points to the worker as the cause. If
+// tasks take long on every worker, the first run nearly always succeeds first.
 func (r *copyRecord) areUseful() bool {
 	return r.ended < minJudgedCopies || float64(r.won) >= minCopySuccess*float64(r.ended)
 }
@@ -112,7 +112,8 @@
 	return max(minCopies, runs/runsPerCopy) - copies
 }
 
-// isRoomAwaited reports whether a task of the pool, or of a more urgent one, waits for room that a copy would take.
+// isRoomAwaited reports whether a task of the pool, or of a more urgent one, waits for room that a copy would
+// take.
 func (e *Engine) isRoomAwaited(now time.Time, p pool) bool {
 	for _, j := range e.jobs {
 		if j.outcome != "" || j.cancelled || j.queue.Service != p.service || j.queue.Priority > p.priority {
@@ -172,8 +173,8 @@
 	return list
 }
 
-// nextFailureIsLast reports whether another failed run fails the job. A copy must not do that while the first run
-// might succeed.
+// nextFailureIsLast reports whether another failed run fails the job. A copy must not do that while the first
+// run might succeed.
 func (t *task) nextFailureIsLast() bool {
 	limit := t.step.job.queue.MaxAttempts
 	return limit > 0 && t.failures()+1 >= limit
@@ -193,8 +194,8 @@
 	return typical + copyOverhead
 }
 
-// mayCopy reports whether a run that is expected to take long is worth a copy: its worker may be the cause, or
-// copies have been useful.
+// mayCopy reports whether a run that is expected to take long is worth a copy: its worker may be the cause,
+// or copies have been useful.
 func (e *Engine) mayCopy(now time.Time, a *attempt) bool {
 	return now.Sub(a.progressAt) > minHungTime || a.worker.slowdown > minSlowWorkerRatio || a.worker.isFaulty(now) || e.copies.areUseful()
 }
@@ -251,8 +252,8 @@
 	}
 }
 
-// recordCopyResult records whether the copy of a task was the first to succeed. The first run may have been stopped
-// meanwhile.
+// recordCopyResult records whether the copy of a task was the first to succeed. The first run may have been
+// stopped meanwhile.
 func (e *Engine) recordCopyResult(a *attempt) {
 	if a.task.done || a.task.second == nil && !a.startedAsCopy {
 		return
@@ -263,8 +264,8 @@
 	}
 }
 
-// hasMostProgress reports whether no other run of the task has made more progress. Only checkpoints of such a run
-// are stored.
+// hasMostProgress reports whether no other run of the task has made more progress. Only checkpoints of such a
+// run are stored.
 func (a *attempt) hasMostProgress() bool {
 	for _, other := range []*attempt{a.task.attempt, a.task.second} {
 		if other != nil && other.percent > a.percent {
--- a/internal/decision/dispatch/defrag_test.go
+++ b/internal/decision/dispatch/defrag_test.go
@@ -46,8 +46,8 @@
 		}
 	}
 
-	// fragment returns a harness in which the job "large" waits because smaller long-running tasks fragment the room.
-	// A worker that isn't listed yet has room for one of them.
+	// fragment returns a harness in which the job "large" waits because smaller long-running tasks fragment the
+	// room. A worker that isn't listed yet has room for one of them.
 	fragment := func() *harness {
 		h := newHarness(1, 2)
 		h.listWorkers()
--- a/internal/decision/dispatch/drain.go
+++ b/internal/decision/dispatch/drain.go
@@ -13,8 +13,8 @@
 	drainMargin = 500 * time.Millisecond
 )
 
-// updateLeaveTime derives when the worker leaves from its entry in the list. While it drains, the entry is renewed
-// with the remaining time. A list that arrives late doesn't postpone the leave time.
+// updateLeaveTime derives when the worker leaves from its entry in the list. While it drains, the entry is
+// renewed with the remaining time. A list that arrives late doesn't postpone the leave time.
 func (w *worker) updateLeaveTime(now time.Time, info *WorkerInfo) {
 	if !info.Draining {
 		w.leavesAt = time.Time{}
@@ -90,8 +90,8 @@
 	return true
 }
 
-// isAboutToLeave reports whether a run on a draining worker must be stopped now for its end to be known before
-// the worker leaves.
+// isAboutToLeave reports whether a run on a draining worker must be stopped now for its end to be known
+// before the worker leaves.
 func (e *Engine) isAboutToLeave(now time.Time, w *worker) bool {
 	return !w.leavesAt.IsZero() && !now.Before(w.leavesAt.Add(-e.stopTimeout()-drainMargin))
 }
--- a/internal/decision/dispatch/drain_test.go
+++ b/internal/decision/dispatch/drain_test.go
@@ -107,8 +107,8 @@
 	})
 })
 
-// Guards against tasks that are stopped or moved after half of their worker's drain time: the remaining time in
-// each renewed entry was counted from the start of the drain.
+// Guards against tasks that are stopped or moved after half of their worker's drain time: the remaining time
+// in each renewed entry was counted from the start of the drain.
 var _ = Describe("A draining worker that renews its remaining time", func() {
 	const stays = 10 * time.Second
 
@@ -165,8 +165,8 @@
 	})
 })
 
-// Guards against long-running tasks that a new owner stops although it may not start them elsewhere yet. They were
-// without a run for 10 s, although their workers remained for as long.
+// Guards against long-running tasks that a new owner stops although it may not start them elsewhere yet. They
+// were without a run for 10 s, although their workers remained for as long.
 var _ = Describe("A draining worker during a recovery", func() {
 	const (
 		stays = 30 * time.Second
--- a/internal/decision/dispatch/forecast.go
+++ b/internal/decision/dispatch/forecast.go
@@ -24,8 +24,9 @@
 	return e.durations.Expected(s.class(), s.Estimate)
 }
 
-// expectedEnd returns when a run is expected to free its room, and false if that isn't known: for a long-running
-// task, which ends only when its job is cancelled, and for a run with neither an estimate nor progress.
+// expectedEnd returns when a run is expected to free its room, and false if that isn't known: for a
+// long-running task, which ends only when its job is cancelled, and for a run with neither an estimate nor
+// progress.
 func (e *Engine) expectedEnd(now time.Time, a *attempt) (time.Time, bool) {
 	s := a.task.step
 	switch {
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -52,8 +52,8 @@
 	// room for the step.
 	blockedSince time.Time
 	preemptedAt  time.Time
-	// overtakenAt is when a smaller task last started while the step waited for room. missedOn is the worker whose
-	// reservation for the step last missed its time. It is empty once the step has a new reservation.
+	// overtakenAt is when a smaller task last started while the step waited for room. missedOn is the worker
+	// whose reservation for the step last missed its time. It is empty once the step has a new reservation.
 	overtakenAt time.Time
 	missedOn    membership.InstanceID
 	// urgency is that of the job when the step was last a candidate.
--- a/internal/decision/dispatch/large_gaps.go
+++ b/internal/decision/dispatch/large_gaps.go
@@ -7,8 +7,8 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
 
-// largeTaskRetention is how long after a large task was last overtaken smaller ones are placed so that they leave
-// large gaps.
+// largeTaskRetention is how long after a large task was last overtaken smaller ones are placed so that they
+// leave large gaps.
 const largeTaskRetention = 5 * time.Second
 
 // largeTasks has, by service, the largest task that smaller ones overtook recently.
@@ -28,8 +28,8 @@
 	}
 }
 
-// leavesLargeGaps reports whether the step's tasks prefer the workers on which serving tasks leave the least room,
-// because larger tasks found none recently.
+// leavesLargeGaps reports whether the step's tasks prefer the workers on which serving tasks leave the least
+// room, because larger tasks found none recently.
 func (e *Engine) leavesLargeGaps(now time.Time, s *step) bool {
 	large, known := e.largeTasks[s.job.queue.Service]
 	return known && now.Sub(large.overtakenAt) <= largeTaskRetention && s.Resources.Processors < large.processors &&
--- a/internal/decision/dispatch/large_gaps_test.go
+++ b/internal/decision/dispatch/large_gaps_test.go
@@ -179,8 +179,8 @@
 	return value / possible, inTime / max(large, 1)
 }
 
-// Guards against small tasks that fragment the room between long-running ones during a burst: they started where
-// most room was, and left gaps in which tasks of ordinary size didn't fit.
+// Guards against small tasks that fragment the room between long-running ones during a burst: they started
+// where most room was, and left gaps in which tasks of ordinary size didn't fit.
 var _ = Describe("Small tasks while larger ones find no room", func() {
 	const (
 		seeds = 20
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -37,8 +37,8 @@
 	// long-running tasks to full workers, so that the free capacity stays in pieces
 	// large enough for other tasks.
 	packingBonus = 0.5
-	// largeGapBonus is multiplied by the share of processors that serving tasks reserve. While large tasks
-	// find no room, it attracts small ones to workers whose remaining processors are too few for large ones anyway.
+	// largeGapBonus is multiplied by the share of processors that serving tasks reserve. While large tasks find
+	// no room, it attracts small ones to workers whose remaining processors are too few for large ones anyway.
 	// Only serving tasks count: short tasks accumulate on workers on which they hang or take long.
 	largeGapBonus = 4.0
 	// tailLatencyCost is multiplied by the ratio of tail latency to target of the
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -94,14 +94,14 @@
 	return best
 }
 
-// wouldStartOn reports whether the step's tasks could start on a worker if it had room: it has none yet, and room that
-// becomes free there isn't reserved for others.
+// wouldStartOn reports whether the step's tasks could start on a worker if it had room: it has none yet, and
+// room that becomes free there isn't reserved for others.
 func (e *Engine) wouldStartOn(now time.Time, s *step, w *worker) bool {
 	return e.meetsConstraints(s, w) && !s.Reserved().FitsIn(w.free()) && e.isPermitted(now, s, w) && e.leavesReservedRoom(now, s, w)
 }
 
-// isVictim reports whether the run may be stopped in favor of the step. Copies make room for first runs of their
-// own priority, too.
+// isVictim reports whether the run may be stopped in favor of the step. Copies make room for first runs of
+// their own priority, too.
 func (a *attempt) isVictim(s *step) bool {
 	own := a.task.step
 	if a.isCopy() && a.phase == running {
--- a/internal/decision/dispatch/recovery.go
+++ b/internal/decision/dispatch/recovery.go
@@ -132,10 +132,10 @@
 	return now.Before(e.newJobsStartAt)
 }
 
-// noteSeenRunning is called when a report shows a run of an earlier owner. The task has no other run, because an
-// owner starts one only when all earlier ones have ended, and the end of this one is reported only to this owner
-// from now on. There are two exceptions. While the earlier owner may still act, it may treat the run as lost because
-// the worker doesn't answer it. A task of a step that allows copies may have another run.
+// noteSeenRunning is called when a report shows a run of an earlier owner. The task has no other run, because
+// an owner starts one only when all earlier ones have ended, and the end of this one is reported only to this
+// owner from now on. There are two exceptions. While the earlier owner may still act, it may treat the run as
+// lost because the worker doesn't answer it. A task of a step that allows copies may have another run.
 func (e *Engine) noteSeenRunning(a *attempt) {
 	if !e.recovering || !a.adopted {
 		return
--- a/internal/decision/dispatch/recovery_property_test.go
+++ b/internal/decision/dispatch/recovery_property_test.go
@@ -247,8 +247,8 @@
 	}
 }
 
-// TestRecoveryNeverStartsTwice simulates random takeovers, releases, drains, silent workers, late starts and lost
-// answers. No task may start while a run of it is active, or after it has succeeded.
+// TestRecoveryNeverStartsTwice simulates random takeovers, releases, drains, silent workers, late starts and
+// lost answers. No task may start while a run of it is active, or after it has succeeded.
 func TestRecoveryNeverStartsTwice(t *testing.T) {
 	started := 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/decision/dispatch/recovery_record.go
+++ b/internal/decision/dispatch/recovery_record.go
@@ -10,8 +10,8 @@
 )
 
 // RecoveryRecord lists the workers that may have runs, so that the next owner needn't wait for all workers to
-// report theirs. An owner makes it when it releases its shard, and starts nothing afterwards. Workers that aren't
-// in it have no run.
+// report theirs. An owner makes it when it releases its shard, and starts nothing afterwards. Workers that
+// aren't in it have no run.
 type RecoveryRecord struct {
 	Workers []RecordedWorker
 	// EarlierOwnerActsFor is how much longer the owner before may act, and NewJobsDelay how much longer
@@ -118,8 +118,8 @@
 	return r
 }
 
-// affectsRecovery reports whether the next owner must know of an end before it starts the task again: because the
-// task is done, an attempt counts as failed, or a checkpoint was saved.
+// affectsRecovery reports whether the next owner must know of an end before it starts the task again: because
+// the task is done, an attempt counts as failed, or a checkpoint was saved.
 func (e *Engine) affectsRecovery(end End) bool {
 	if t := e.findTask(end.Task); t != nil && t.step.LongRunning {
 		return false
@@ -127,8 +127,8 @@
 	return end.Kind == EndDone || end.Kind == EndFailed || end.Checkpoint != ""
 }
 
-// addPossibleRuns adds the owner's runs that may be active on the worker, and those with an end that isn't stored
-// yet and affects the recovery.
+// addPossibleRuns adds the owner's runs that may be active on the worker, and those with an end that isn't
+// stored yet and affects the recovery.
 func (w *worker) addPossibleRuns(now time.Time, runs map[TaskRun]bool) {
 	for _, a := range w.runs {
 		runs[a.taskRun()] = true
--- a/internal/decision/dispatch/recovery_record_test.go
+++ b/internal/decision/dispatch/recovery_record_test.go
@@ -177,7 +177,7 @@
 		}
 	}
 
-	It("lets a task wait for the silent worker on which a run of it is recorded, and no other task", func() {
+	It("delays only a task with a recorded run on a silent worker", func() {
 		h, j, k := beside()
 		h.takeOverReleased(1001, j, k)
 		advance(h, time.Second)
@@ -223,7 +223,7 @@
 	})
 
 	// A worker needn't list a run that it is stopping.
-	It("lets the task of a run that is being stopped wait for the time of a stop", func() {
+	It("delays the task of a run that is being stopped by the stop timeout", func() {
 		h, j, _ := beside()
 		w := h.workers["w1"]
 		w.silent, w.slowStops = false, true
@@ -272,7 +272,7 @@
 		Expect(h.eventsOf("RecoveryEnded")).To(Equal(1))
 	})
 
-	It("lets each task wait if the releasing owner had no record and hadn't heard of all workers itself", func() {
+	It("delays all tasks if the releasing owner had no record and hadn't received reports from all workers", func() {
 		h, j, k := beside()
 		h.takeOver(1001, j, k)
 		advance(h, 500*time.Millisecond)
@@ -281,7 +281,7 @@
 		Expect(h.starts).To(BeEmpty())
 	})
 
-	It("lets new jobs wait if the releasing owner itself had just taken over from one that may still act", func() {
+	It("delays new jobs if the releasing owner had just taken over from one that may still act", func() {
 		h, j, _ := beside()
 		h.takeOver(1001, j)
 		h.engine.Recover(h.now, 2*time.Second)
@@ -365,8 +365,8 @@
 	)
 })
 
-// Guards against two runs of a task at once: an owner that is disconnected from a worker treats its runs as lost,
-// and may start them elsewhere until it notices that it was replaced.
+// Guards against two runs of a task at once: an owner that is disconnected from a worker treats its runs as
+// lost, and may start them elsewhere until it notices that it was replaced.
 var _ = Describe("A run that is seen while the earlier owner may still act", func() {
 	It("may not be the last one", func() {
 		h := newHarness(1, 3)
--- a/internal/decision/dispatch/recovery_review_test.go
+++ b/internal/decision/dispatch/recovery_review_test.go
@@ -24,8 +24,8 @@
 		return on
 	}
 
-	// Guards against a task that starts beyond its last attempt, or repeats saved work: the owner has seen the end,
-	// has not stored it, and releases the shard, and the worker is gone.
+	// Guards against a task that starts beyond its last attempt, or repeats saved work: the owner has seen the
+	// end, has not stored it, and releases the shard, and the worker is gone.
 	DescribeTable("has a run whose end isn't stored", func(kind dispatch.EndKind, saved dispatch.Checkpoint) {
 		h := newHarness(1, 1)
 		h.listWorkers()
@@ -61,8 +61,8 @@
 		Expect(record.Workers).To(BeEmpty())
 	})
 
-	// Guards against work that is done again: an owner that was paused doesn't know whether the runs of a worker have
-	// ended as done, and its successor must ask the worker first.
+	// Guards against work that is done again: an owner that was paused doesn't know whether the runs of a worker
+	// have ended as done, and its successor must ask the worker first.
 	It("lets the next owner wait for a worker that this one couldn't ask since a pause", func() {
 		h := newHarness(1, 1)
 		h.listWorkers()
@@ -78,8 +78,8 @@
 	})
 })
 
-// Guards against a task that runs again although a copy of it is active: if the step allows copies, the end of one
-// run doesn't show that the task has no other.
+// Guards against a task that runs again although a copy of it is active: if the step allows copies, the end
+// of one run doesn't show that the task has no other.
 var _ = Describe("A recovered task of a step that allows copies", func() {
 	It("waits for the workers that haven't listed their runs although a run of it has been seen to end", func() {
 		h := newHarness(2, 3)
--- a/internal/decision/dispatch/replacement.go
+++ b/internal/decision/dispatch/replacement.go
@@ -113,8 +113,8 @@
 	return e.replacements.underWay && e.replacements.detector.IsUnderWay(replacement.Pool(w.Service))
 }
 
-// leavingCost returns the cost of placing a task of the step on a worker that will be replaced. It is 0 for tasks
-// that are expected to end while such a worker drains.
+// leavingCost returns the cost of placing a task of the step on a worker that will be replaced. It is 0 for
+// tasks that are expected to end while such a worker drains.
 func (e *Engine) leavingCost(s *step) float64 {
 	switch {
 	case !e.replacements.underWay:
@@ -164,8 +164,8 @@
 	return end.Sub(now)
 }
 
-// saveBeforeLeaving stops a checkpointing run, which then saves its work, when its worker is about to leave. Until
-// then the run continues and may end.
+// saveBeforeLeaving stops a checkpointing run, which then saves its work, when its worker is about to leave.
+// Until then the run continues and may end.
 func (e *Engine) saveBeforeLeaving(now time.Time, a *attempt) bool {
 	if !e.isAboutToLeave(now, a.worker) {
 		a.moveAvoided = true
@@ -178,8 +178,8 @@
 
 // moveLongRunningOffReplaced moves a long-running task to an arriving worker with room that isn't held for
 // anything else and, shortly before its own worker leaves, to any. No more tasks move at once than can start
-// at once, and none while too many of its step are unavailable. When the worker is about to leave, the task is
-// stopped regardless.
+// at once, and none while too many of its step are unavailable. When the worker is about to leave, the task
+// is stopped regardless.
 func (e *Engine) moveLongRunningOffReplaced(now time.Time, a *attempt) bool {
 	s := a.task.step
 	if e.replacements.moves < e.replacements.moveLimit && !s.hasWaiting(now) && s.mayBecomeUnavailable(a) {
@@ -237,7 +237,8 @@
 	e.count("Replacement.MovedOnce")
 }
 
-// countAvoidedMove counts a run that ended on its worker although it would have been moved without the mechanism.
+// countAvoidedMove counts a run that ended on its worker although it would have been moved without the
+// mechanism.
 func (e *Engine) countAvoidedMove(a *attempt) {
 	if a.moveAvoided {
 		e.count("Replacement.MovesAvoided")
--- a/internal/decision/dispatch/replacement_test.go
+++ b/internal/decision/dispatch/replacement_test.go
@@ -40,7 +40,8 @@
 	wasAvailable map[dispatch.TaskID]bool
 	moves        map[dispatch.TaskID]int
 	stopsSeen    int
-	// downtime is the time that long-running tasks were without a run, and lost the run time of work that wasn't saved.
+	// downtime is the time that long-running tasks were without a run, and lost the run time of work that wasn't
+	// saved.
 	downtime, lost time.Duration
 	// failing is the first letter of the workers that fail what they start.
 	failing        string
@@ -262,8 +263,8 @@
 	return r
 }
 
-// Guards against long-running tasks that move to workers which drain next, and against work that is lost although
-// its worker remains long enough, while half of a pool is replaced.
+// Guards against long-running tasks that move to workers which drain next, and against work that is lost
+// although its worker remains long enough, while half of a pool is replaced.
 var _ = Describe("The replacement of many workers", func() {
 	for _, version := range []dispatch.WorkerVersion{"v2", "v1"} {
 		It("moves fewer tasks more than once and loses less work, from v1 to "+string(version), func() {
--- a/internal/decision/dispatch/reservations.go
+++ b/internal/decision/dispatch/reservations.go
@@ -317,8 +317,8 @@
 	}
 }
 
-// stepsNeedingRoom returns the blocked steps for which room is to be reserved, by rank and then from the largest
-// down. It omits steps of late jobs, which would delay jobs that can still end in time.
+// stepsNeedingRoom returns the blocked steps for which room is to be reserved, by rank and then from the
+// largest down. It omits steps of late jobs, which would delay jobs that can still end in time.
 func (e *Engine) stepsNeedingRoom(now time.Time) []*step {
 	var list []*step
 	for _, s := range e.reservations.blocked {
@@ -345,7 +345,8 @@
 	return rooms
 }
 
-// reserveFor reserves room for the step's waiting tasks, as long as fewer workers than the limit are reserved.
+// reserveFor reserves room for the step's waiting tasks, as long as fewer workers than the limit are
+// reserved.
 func (e *Engine) reserveFor(now time.Time, s *step, rooms map[*worker]forecast.Room, limit int) {
 	request := reservation.Request{Holder: s.holder(), Rank: s.rank(), Need: s.Reserved(), Tasks: 1}
 	missing := s.waitingTasks(now) - e.reservations.book.Count(request.Holder)
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// startTasks starts up to limit of the tasks that may start, in the order of the candidates, and returns their
-// number.
+// startTasks starts up to limit of the tasks that may start, in the order of the candidates, and returns
+// their number.
 func (e *Engine) startTasks(now time.Time, limit int) int {
 	e.countTrialRuns(now)
 	e.countForcedFillers()
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -104,8 +104,8 @@
 	// progressAt is when percent last increased.
 	progressAt time.Time
 	pace       pace
-	// moveAvoided reports that the run would have been moved off its draining worker if no replacement were under
-	// way. It is counted if the run ends there.
+	// moveAvoided reports that the run would have been moved off its draining worker if no replacement were
+	// under way. It is counted if the run ends there.
 	moveAvoided bool
 	// backfillEndsBy is when a run on reserved room should have ended, or zero.
 	backfillEndsBy time.Time
--- a/internal/decision/forecast/forecast.go
+++ b/internal/decision/forecast/forecast.go
@@ -1,7 +1,7 @@
 // Package forecast predicts when runs end and when room becomes free on workers.
 //
-// It keeps only observed run times. Callers pass in the state of runs and workers, so that several schedulers,
-// replays and tests share it.
+// It keeps only observed run times. Callers pass in the state of runs and workers, so that several
+// schedulers, replays and tests share it.
 package forecast
 
 import (
@@ -96,8 +96,8 @@
 	return d.Quantile(c, estimate, cautiousShare)
 }
 
-// Remaining returns the time that a run is expected to continue, at least 0. A run that has taken longer than all
-// known ones of its class is expected to take twice as long as it has taken so far.
+// Remaining returns the time that a run is expected to continue, at least 0. A run that has taken longer than
+// all known ones of its class is expected to take twice as long as it has taken so far.
 func (d *Durations) Remaining(r Run) time.Duration {
 	if r.Projected > 0 {
 		return max(r.Projected-r.Elapsed, 0)
--- a/internal/decision/placement/forecast.go
+++ b/internal/decision/placement/forecast.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// forecastReserveAfter is how long an overtaken job waits before room is reserved for it on the workers where
-	// the forecast expects room first.
+	// forecastReserveAfter is how long an overtaken job waits before room is reserved for it on the workers
+	// where the forecast expects room first.
 	forecastReserveAfter = 15 * time.Second
 	// reservationHorizon is how far ahead room is reserved.
 	reservationHorizon = 10 * time.Minute
@@ -127,14 +127,14 @@
 	return candidates
 }
 
-// reviewReservation reports whether the room of a reservation is no longer expected in time, so that room must be
-// reserved elsewhere.
+// reviewReservation reports whether the room of a reservation is no longer expected in time, so that room
+// must be reserved elsewhere.
 func (e *Engine) reviewReservation(now time.Time, r *reservation.Reservation, n *node) (missed bool) {
 	return !r.Refresh(now, e.expectedRoom(now, n)) || r.HasMissed(now)
 }
 
-// backfill returns a reserved worker on which a task of another job may start, because the task is expected to
-// end before the room is needed or leaves enough of it.
+// backfill returns a reserved worker on which a task of another job may start, because the task is expected
+// to end before the room is needed or leaves enough of it.
 func (e *Engine) backfill(now time.Time, j *job, demand resource.Vector) (*node, *reservation.Reservation) {
 	if e.disabled.Has(mechanism.Backfill) || j.Priority == Urgent {
 		return nil, nil
@@ -156,8 +156,8 @@
 	return nil, nil
 }
 
-// reservationStart describes the start of a task to the reservations. The end of a task without an estimate isn't
-// known.
+// reservationStart describes the start of a task to the reservations. The end of a task without an estimate
+// isn't known.
 func (e *Engine) reservationStart(now time.Time, j *job, demand resource.Vector) reservation.Start {
 	start := reservation.Start{Holder: reservation.Holder{Job: string(j.ID)}, Need: demand}
 	if j.estimate() <= 0 {
--- a/internal/decision/replacement/detector.go
+++ b/internal/decision/replacement/detector.go
@@ -175,9 +175,9 @@
 	listNumber int
 }
 
-// observe applies the entry of a worker. When the workers of the first list began to drain isn't known. A worker
-// whose id is listed again after it drained, or with another version, counts as a new arrival. One that is
-// listed again with the same process doesn't, because entries expire while the store is unavailable.
+// observe applies the entry of a worker. When the workers of the first list began to drain isn't known. A
+// worker whose id is listed again after it drained, or with another version, counts as a new arrival. One
+// that is listed again with the same process doesn't, because entries expire while the store is unavailable.
 func (p *pool) observe(now time.Time, w Worker, first bool) {
 	m := p.members[w.ID]
 	if m != nil && m.version != w.Version && !m.draining && m.unlistedAt.IsZero() {
@@ -279,9 +279,9 @@
 	return append(events, Event{Pool: name, Ended: true, From: c.from, To: c.to, Took: now.Sub(c.began)})
 }
 
-// detect returns the replacement that the changes within the window amount to, or nil. Workers of the arriving
-// version count as leaving only if they drained. Otherwise workers that crash and restart would look like a
-// replacement.
+// detect returns the replacement that the changes within the window amount to, or nil. Workers of the
+// arriving version count as leaving only if they drained. Otherwise workers that crash and restart would look
+// like a replacement.
 func (p *pool) detect() *activeReplacement {
 	to, _ := mostFrequent(p.arrivals)
 	from, left := mostFrequent(p.departuresMatching(func(c change) bool { return c.version != to }))
@@ -345,7 +345,8 @@
 	return !m.joinedAt.IsZero() && !m.joinedAt.Before(c.since)
 }
 
-// isComplete reports whether at least one worker is listed, and all listed ones have arrived in the replacement.
+// isComplete reports whether at least one worker is listed, and all listed ones have arrived in the
+// replacement.
 func (p *pool) isComplete(c *activeReplacement) bool {
 	listed := false
 	for _, m := range p.members {
--- a/internal/decision/reservation/book.go
+++ b/internal/decision/reservation/book.go
@@ -15,8 +15,8 @@
 	// minGrace is the delay of its room that a reservation always tolerates before it has missed its time. It
 	// covers the report of an end and the next tick.
 	minGrace = 200 * time.Millisecond
-	// graceDivisor allows a share of the time between reservation and start, if that is longer, because forecasts
-	// are less exact the further ahead they look.
+	// graceDivisor allows a share of the time between reservation and start, if that is longer, because
+	// forecasts are less exact the further ahead they look.
 	graceDivisor = 4
 )
 
@@ -122,8 +122,8 @@
 	return Refused
 }
 
-// Occupy accounts for a task that has started on the worker, until the next Refresh, whose forecast includes the
-// task's run.
+// Occupy accounts for a task that has started on the worker, until the next Refresh, whose forecast includes
+// the task's run.
 func (r *Reservation) Occupy(s Start, a Admission) {
 	if a == FitsBeside || a == MoreUrgent {
 		r.spare = r.spare.Sub(s.Need)
--- a/internal/decision/reservation/plan.go
+++ b/internal/decision/reservation/plan.go
@@ -1,8 +1,8 @@
 // Package reservation keeps room for large tasks that wait while smaller ones take each gap.
 //
 // From the forecast of the room on each worker it plans where and when a waiting task, or a gang, can start
-// first, reserves that room, and decides which smaller tasks may go ahead into it (backfill). It has no
-// side effects and no clock: callers pass in the state of workers and tasks, so that several schedulers and tests
+// first, reserves that room, and decides which smaller tasks may go ahead into it (backfill). It has no side
+// effects and no clock: callers pass in the state of workers and tasks, so that several schedulers and tests
 // share it. A reservation isn't a guarantee: its owner may start a more urgent task in its place.
 package reservation
 
@@ -26,7 +26,8 @@
 	Step       int
 }
 
-// Rank orders tasks by urgency, the most urgent first. A task with a lower rank than a reservation ignores it.
+// Rank orders tasks by urgency, the most urgent first. A task with a lower rank than a reservation ignores
+// it.
 type Rank int
 
 // Request asks for room for identical waiting tasks.
@@ -98,8 +99,8 @@
 	return best, best.Places != nil
 }
 
-// earliestSingle chooses the worker on which a task is expected to end first. Ties go to the worker with the least
-// room.
+// earliestSingle chooses the worker on which a task is expected to end first. Ties go to the worker with the
+// least room.
 func earliestSingle(now, before time.Time, r Request, candidates []Candidate) (Plan, bool) {
 	var best *Candidate
 	var bestAt time.Time
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -16,8 +16,8 @@
 	// acceptTimeout limits how long a submission waits for the owner to store the job. The
 	// owner's previous transaction may have to finish first.
 	acceptTimeout = 1500 * time.Millisecond
-	// withdrawTimeout is how long a submission waits to be included in a transaction. It is shorter than acceptTimeout,
-	// so that a peer learns of a withdrawal in time.
+	// withdrawTimeout is how long a submission waits to be included in a transaction. It is shorter than
+	// acceptTimeout, so that a peer learns of a withdrawal in time.
 	withdrawTimeout = 1200 * time.Millisecond
 	// ownerWaitTimeout is how long a submission waits for the shard to get an owner before
 	// the job is stored without one. Without an owner the job can't start anyway, and many
@@ -220,8 +220,8 @@
 	return queue.ErrOutcomeUnknown
 }
 
-// awaitOutcome waits until the outcome of a submission is known, ctx or the owner ends, or the timeout is over.
-// It reports whether the outcome is known, and the error of the submission.
+// awaitOutcome waits until the outcome of a submission is known, ctx or the owner ends, or the timeout is
+// over. It reports whether the outcome is known, and the error of the submission.
 func (o *owner) awaitOutcome(ctx context.Context, s *submission, timeout <-chan time.Time) (decided bool, err error) {
 	select {
 	case err := <-s.done:
@@ -238,9 +238,9 @@
 	}
 }
 
-// withdraw rejects the matching submissions that no transaction includes yet. It keeps those of a job that the
-// current transaction may store. A job that was to move to another shard is already stored, so it is returned to
-// the engine.
+// withdraw rejects the matching submissions that no transaction includes yet. It keeps those of a job that
+// the current transaction may store. A job that was to move to another shard is already stored, so it is
+// returned to the engine.
 func (o *owner) withdraw(matches func(*submission) bool) {
 	for _, id := range o.withdrawMatching(matches) {
 		o.node.background(func(context.Context) error {
@@ -250,7 +250,8 @@
 	}
 }
 
-// withdrawMatching removes the submissions for withdraw, and returns their jobs, which the watch may have ignored.
+// withdrawMatching removes the submissions for withdraw, and returns their jobs, which the watch may have
+// ignored.
 func (o *owner) withdrawMatching(matches func(*submission) bool) []dispatch.JobID {
 	o.lock.Lock()
 	defer o.lock.Unlock()
--- a/internal/entry/dispatcher/recovery_rows_test.go
+++ b/internal/entry/dispatcher/recovery_rows_test.go
@@ -223,8 +223,8 @@
 		_, err := store.Commit(context.Background(), table.Transaction{Writes: writes})
 		Expect(err).NotTo(HaveOccurred())
 	}
-	// own makes the first owner claim the shard and see the first job's task running on w1. The other job isn't known
-	// to it.
+	// own makes the first owner claim the shard and see the first job's task running on w1. The other job isn't
+	// known to it.
 	own := func() *owner {
 		GinkgoHelper()
 		storeJobs()
--- a/internal/entry/dispatcher/withdraw_test.go
+++ b/internal/entry/dispatcher/withdraw_test.go
@@ -46,7 +46,8 @@
 }
 
 // Guards against answers with an unknown outcome, after which callers may not retry, for jobs that were in no
-// transaction: while the store was unavailable, all jobs that waited for the current transaction got this answer.
+// transaction: while the store was unavailable, all jobs that waited for the current transaction got this
+// answer.
 var _ = Describe("A submission that waits for the owner's next transaction", func() {
 	const timeout = 20 * time.Millisecond
 	var o *owner
@@ -84,8 +85,8 @@
 		Expect(waiting.done).To(Receive(BeNil()))
 	})
 
-	// Guards against a job that never runs: the engine has dropped it because it was to move to another shard, but its
-	// row is still stored in this one.
+	// Guards against a job that never runs: the engine has dropped it because it was to move to another shard,
+	// but its row is still stored in this one.
 	It("returns a job that was to move to another shard to the engine", func() {
 		job := dispatch.Job{ID: "j", Steps: []dispatch.Step{{Tasks: 1}}}
 		o = newOwnerWithStore(&failingStore{stored: encode(jobRow{Job: &job})})
@@ -135,8 +136,8 @@
 	})
 })
 
-// Guards against an unknown outcome for a job that an instance stores itself, if a read before the transaction
-// would have shown that the store is unavailable.
+// Guards against an unknown outcome for a job that an instance stores itself, if a read before the
+// transaction would have shown that the store is unavailable.
 var _ = Describe("A job that an instance stores without the owner", func() {
 	storeJob := func(store Store) error {
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
--- a/internal/operator/configuration/compare.go
+++ b/internal/operator/configuration/compare.go
@@ -21,8 +21,8 @@
 	Effect string
 }
 
-// Compare returns the differences between the configuration in force and the next one, in the order of the next
-// one, with removed entries at the end of each section.
+// Compare returns the differences between the configuration in force and the next one, in the order of the
+// next one, with removed entries at the end of each section.
 func Compare(inForce, next *Draft) []Change {
 	var changes []Change
 	if next.Version <= inForce.Version {
--- a/internal/operator/configuration/draft.go
+++ b/internal/operator/configuration/draft.go
@@ -1,8 +1,8 @@
 // Package configuration checks the configuration of the users' platform before it is published, and compares
 // it with the one in force.
 //
-// It is independent of the file format: package platform decodes a file into a Draft and formats the places of
-// findings as paths in the file.
+// It is independent of the file format: package platform decodes a file into a Draft and formats the places
+// of findings as paths in the file.
 package configuration
 
 import (
