--- a/internal/decision/dispatch/room_test.go
+++ b/internal/decision/dispatch/room_test.go
@@ -9,9 +9,9 @@
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 )
 
-// Guards against urgent jobs that wait because the free capacity is fragmented. On the grown
-// and large sites, long-running tasks reserve nine tenths of the processors, and the rest was
-// in pieces too small for any urgent task.
+// Guards against urgent jobs that wait because the free capacity is fragmented: if
+// long-running tasks reserve nine tenths of the processors, the rest can be in pieces too small
+// for any urgent task.
 var _ = Describe("Room beside long-running tasks", func() {
 	short := func(processors float64) dispatch.Step {
 		return dispatch.Step{Tasks: 1, Resources: cores(processors), Estimate: time.Second}
@@ -47,8 +47,8 @@
 	})
 
 	// Guards against a long-running task that never starts because short tasks take all capacity
-	// that becomes free (chairrota-large, run trouble-2: counted as lost 17 s after it was moved,
-	// although there was room for it).
+	// that becomes free: one was without a run for 17 s after it was moved, although there was room
+	// for it.
 	It("starts a long-running task first if it has waited too long", func() {
 		h := newHarness(1, 1)
 		h.listWorkers()
