Let the spec of ended messages use messages that aren't small

A message of 9 KiB takes 16 KiB, which is a small request since those may have 16 KiB: it keeps the reserve and isn't ended for a large one any more, so the spec failed. With 17 KiB and 32 KiB in its place it expects the same as before.

--- a/internal/peer/entry/entry_test.go
+++ b/internal/peer/entry/entry_test.go
@@ -245,8 +245,8 @@
 			Expect(err).NotTo(HaveOccurred())
 			return connection
 		}
-		first := open(9 << 10)
-		Eventually(budget.Used, testTimeout).Should(Equal(intake.Bytes(16 << 10)))
+		first := open(17 << 10)
+		Eventually(budget.Used, testTimeout).Should(Equal(intake.Bytes(32 << 10)))
 		clock.Advance(time.Second)
 		second := open(17 << 10)
 		_, err := first.Read(make([]byte, 1))
