--- a/internal/entry/dispatcher/layout.go
+++ b/internal/entry/dispatcher/layout.go
@@ -206,7 +206,7 @@
 	isTurn := round%announceRounds == 0 || len(n.livePeers()) == 0
 	if len(seeds) > 0 && isTurn {
 		// The calls of successive rounds, and those of successive turns, go to different seeds.
-		n.announceTo(ctx, seeds[fanin.FirstSeed(n.Name, round/announceRounds+round%announceRounds, len(seeds))])
+		n.announceTo(ctx, seeds[fanin.SeedOfRound(n.Name, round/announceRounds+round%announceRounds, len(seeds))])
 	}
 }
 
--- a/internal/integration/memory/serve_test.go
+++ b/internal/integration/memory/serve_test.go
@@ -33,8 +33,8 @@
 	}
 	i.process = startProcess(l, environment, "serve", "--id", "n-0", "--zone", "z", "--region", "g", "--platform", platformAddress,
 		"--caller-address", i.callers, "--peer-address", i.peers, "--operator-address", i.operators, "--log-level", "warn")
-	Eventually(i.publish).WithTimeout(startTimeout).WithPolling(200 * time.Millisecond).Should(Succeed())
-	Eventually(i.submit).WithTimeout(startTimeout).WithPolling(100 * time.Millisecond).Should(Succeed())
+	i.expectServing(i.publish)
+	i.expectServing(i.submit)
 	return i
 }
 
@@ -99,6 +99,8 @@
 		Entry("sends such bodies as one chunk", func() message { return oneChunk("POST", "h", crowdServicePath) }),
 		Entry("sends such bodies in chunks of one byte", func() message { return smallChunks("POST", "h", crowdServicePath) }),
 		Entry("sends headers that never end", func() message { return endlessHeader("POST", "h", crowdServicePath) }),
+		Entry("sends unfinished headers of very many lines", func() message { return unfinishedTinyLines("POST", "h", crowdServicePath) }),
+		Entry("sends finished headers of very many lines and no body", func() message { return finishedTinyLines("POST", "h", crowdServicePath) }),
 	)
 	DescribeTable("stays within its memory and answers callers while a crowd sends to", func(port func(*serveInstance) string, m func() message) {
 		i := startServe(memoryLimits)
--- a/internal/integration/memory/serveplatform_test.go
+++ b/internal/integration/memory/serveplatform_test.go
@@ -65,7 +65,7 @@
 	i := &platformInstance{callers: freeAddress(), readiness: freeAddress(), peers: freeAddress(), metrics: freeAddress()}
 	i.process = startProcess(l, nil, "serve-platform", "--config", i.writeSettings(l, s.Listener.Addr().String()),
 		"--metrics-port", strings.TrimPrefix(i.metrics, "127.0.0.1:"), "--log-level", "warn")
-	Eventually(i.submit).WithTimeout(startTimeout).WithPolling(100 * time.Millisecond).Should(Succeed())
+	i.expectServing(i.submit)
 	return i
 }
 
@@ -150,6 +150,8 @@
 		Entry("sends such bodies in chunks of one byte", func() message { return smallChunks("POST", testHost, jobPath) }),
 		Entry("sends complete bodies with very many steps", func() message { return manySteps(testHost, jobPath) }),
 		Entry("sends headers that never end", func() message { return endlessHeader("POST", testHost, jobPath) }),
+		Entry("sends unfinished headers of very many lines", func() message { return unfinishedTinyLines("POST", testHost, jobPath) }),
+		Entry("sends finished headers of very many lines and no body", func() message { return finishedTinyLines("POST", testHost, jobPath) }),
 	)
 	It("stays within its memory and answers callers while a crowd sends unfinished messages to the peers' port", func() {
 		i := startServePlatform(memoryLimits)
