Let the copy of the reader's spec age before the wait ends

Two merged changes met: the specs' bound for changes had become a minute, so that the wait of 5 s ended before the copy was too old. The spec sets its own bound. The behavior that it expects is unchanged.

--- a/internal/entry/dispatcher/worker_reader_test.go
+++ b/internal/entry/dispatcher/worker_reader_test.go
@@ -245,13 +245,15 @@
 
 	It("is refused by a reader whose copy becomes too old during the wait", func(ctx context.Context) {
 		d := newReaderDeployment(ctx, 0)
+		// The copy becomes too old before the wait ends.
+		d.reader.ChangeBound = maxReaderWait
 		var group errgroup.Group
 		group.Go(func() error {
 			_, err := d.reader.workerReader.answer(ctx, workerRowsRequest{Shard: 3, After: testWorkers, Wait: maxReaderWait})
 			return err
 		})
 		Expect(d.clock.BlockUntilContext(ctx, 2)).To(Succeed())
-		d.clock.Advance(d.owner.changeBound() / 2)
+		d.clock.Advance(d.reader.changeBound() / 2)
 		Expect(group.Wait()).To(MatchError(ContainSubstring(errReaderStale.Error())))
 	})
 
