Interrupt the read of a message without the lock of its queue

Cause: found by a reader of the diff. An answer took memory under the lock of its connection's queue; the budget then ended the message that arrived on the same connection, which needs that lock: the connection locked up, and two could lock each other.

Change: whether a message arrives has a lock of its own.

--- a/internal/peer/entry/entry_test.go
+++ b/internal/peer/entry/entry_test.go
@@ -258,6 +258,26 @@
 		Eventually(budget.Used, testTimeout).Should(BeZero())
 	})
 
+	// Guards against a connection that locks up: the memory for an answer ends the message that arrives on the
+	// same connection.
+	It("queues an answer that needs the memory of a message arriving on its connection", func() {
+		server, client := net.Pipe()
+		DeferCleanup(client.Close)
+		clock, budget := clockwork.NewFakeClock(), intake.NewBudget(64<<10)
+		s := newStream(server, nil, 0)
+		s.limitMemory(budget, clock)
+		var group sync.WaitGroup
+		group.Go(func() { _, _ = s.readBody(60 << 10) })
+		group.Go(func() { _, _ = client.Write(make([]byte, 33<<10)) })
+		DeferCleanup(group.Wait)
+		DeferCleanup(server.Close)
+		Eventually(budget.Used, testTimeout).Should(Equal(intake.Bytes(60 << 10)))
+		clock.Advance(2 * time.Second)
+		queued := make(chan error, 1)
+		group.Go(func() { queued <- s.WriteObject(strings.Repeat("x", 20<<10)) })
+		Eventually(queued, testTimeout).Should(Receive())
+	})
+
 	// Guards against the loss of all calls of a connection whose message had just arrived.
 	It("keeps a connection whose message was ended at the moment in which it had arrived", func() {
 		server, client := net.Pipe()
--- a/internal/peer/entry/stream.go
+++ b/internal/peer/entry/stream.go
@@ -44,9 +44,11 @@
 	queue       net.Buffers
 	queuedBytes int
 	closed      bool
-	// arriving is set while the body of a message arrives.
-	arriving bool
-	wake     chan struct{}
+	wake        chan struct{}
+	// arrivingLock guards arriving, which is set while the body of a message arrives. The budget interrupts
+	// reads while lock is held, so this is another one.
+	arrivingLock sync.Mutex
+	arriving     bool
 	// readEnded is closed when ReadObject fails. After that, jsonrpc2 doesn't read again
 	// and starts no more calls.
 	readEnded chan struct{}
@@ -77,16 +79,16 @@
 // interruptRead makes the read of the message fail that arrives. A message that has arrived in the meantime
 // is handled, so that the calls of the connection aren't lost.
 func (s *stream) interruptRead() {
-	s.lock.Lock()
-	defer s.lock.Unlock()
+	s.arrivingLock.Lock()
+	defer s.arrivingLock.Unlock()
 	if s.arriving {
 		_ = s.connection.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
 func (s *stream) setArriving(arriving bool) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
+	s.arrivingLock.Lock()
+	defer s.arrivingLock.Unlock()
 	s.arriving = arriving
 }
 
