Don't close a request that is handled for a new connection

What a connection does was in two variables, so that a port could see an answer that is written with the age of the request; and a request with a body that its handler doesn't read counted as one that still arrives.

Change: one lock guards both; GET, HEAD and DELETE count as handled until their handler begins to read the body.

--- a/internal/caller/intake/body.go
+++ b/internal/caller/intake/body.go
@@ -37,6 +37,9 @@
 	if c == nil {
 		return b.read(ctx)
 	}
+	if mayIgnoreBody(r.Method) {
+		c.awaitBody()
+	}
 	b.deadline = time.Now().Add(maxBodyTime)
 	// The port has set a deadline for the first part.
 	b.extendedAt = time.Now()
--- a/internal/caller/intake/listener.go
+++ b/internal/caller/intake/listener.go
@@ -75,9 +75,9 @@
 	port  *Port
 	lease *Lease
 
-	// phase and since are the connection's activity; since is in nanoseconds since 1970.
-	phase atomic.Int32
-	since atomic.Int64
+	// activityLock guards current, what the connection is doing.
+	activityLock sync.Mutex
+	current      activity
 	// header is the header that arrives. Only the goroutine that reads the connection uses it and
 	// headerRefused.
 	header headerScan
@@ -106,12 +106,19 @@
 }
 
 func (c *connection) enter(ph phase) {
-	c.since.Store(c.port.Clock.Now().UnixNano())
-	c.phase.Store(int32(ph))
+	c.setActivity(activity{ph, c.port.Clock.Now()})
+}
+
+func (c *connection) setActivity(a activity) {
+	c.activityLock.Lock()
+	defer c.activityLock.Unlock()
+	c.current = a
 }
 
 func (c *connection) activity() activity {
-	return activity{phase(c.phase.Load()), time.Unix(0, c.since.Load())}
+	c.activityLock.Lock()
+	defer c.activityLock.Unlock()
+	return c.current
 }
 
 // interruptRead makes a read fail that is under way.
@@ -120,11 +127,16 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// awaitBody says that a body arrives from now on. If the handler doesn't read it, the server reads
-// and discards the rest.
+// awaitBody says that a body arrives from now on.
 func (c *connection) awaitBody() {
 	c.enter(phaseBody)
 	c.lease.Reading(c.port.Clock.Now())
+	c.limitBodyPause()
+}
+
+// limitBodyPause limits the time for the next part of a body, also of one that the handler doesn't read and the
+// server discards.
+func (c *connection) limitBodyPause() {
 	_ = c.Conn.SetReadDeadline(time.Now().Add(maxBodyPause))
 }
 
@@ -137,7 +149,7 @@
 	if n == 0 {
 		return n, err
 	}
-	switch phase(c.phase.Load()) {
+	switch c.activity().phase {
 	case phaseIdle:
 		c.enter(phaseHeader)
 		c.lease.Reading(c.port.Clock.Now())
@@ -183,10 +195,7 @@
 func (c *connection) Write(p []byte) (int, error) {
 	before := c.activity()
 	c.enter(phaseWriting)
-	defer func() {
-		c.since.Store(before.since.UnixNano())
-		c.phase.Store(int32(before.phase))
-	}()
+	defer c.setActivity(before)
 	written := 0
 	for len(p) > 0 {
 		if err := c.extendWriteDeadline(); err != nil {
@@ -234,7 +243,7 @@
 func (c *connection) SetReadDeadline(t time.Time) error {
 	now := time.Now()
 	if t.After(now) {
-		ph := phase(c.phase.Load())
+		ph := c.activity().phase
 		limits := c.port.limits()
 		switch {
 		case c.awaitsRequest.CompareAndSwap(true, false):
--- a/internal/caller/intake/port.go
+++ b/internal/caller/intake/port.go
@@ -160,15 +160,26 @@
 			p.refused("Header", ErrEnded)
 			panic(http.ErrAbortHandler)
 		}
-		if r.ContentLength == 0 {
+		switch {
+		case r.ContentLength == 0:
 			c.enter(phaseHandling)
-		} else {
+		case mayIgnoreBody(r.Method):
+			// The request isn't ended for the memory or the place of another one while it is handled, unless
+			// the handler begins to read the body.
+			c.enter(phaseHandling)
+			c.limitBodyPause()
+		default:
 			c.awaitBody()
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// mayIgnoreBody reports whether handlers usually don't read the body of requests with the method.
+func mayIgnoreBody(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodDelete
+}
+
 func connectionOf(r *http.Request) *connection {
 	c, _ := r.Context().Value(connectionKey{}).(*connection)
 	return c
--- a/internal/caller/intake/port_test.go
+++ b/internal/caller/intake/port_test.go
@@ -207,6 +207,22 @@
 			g.Expect(answer.StatusCode).To(Equal(http.StatusOK))
 		}, specTimeout).Should(Succeed())
 	})
+	// Guards against a request that is closed for a new connection while it is handled, because its handler doesn't read
+	// the body that it came with.
+	DescribeTable("takes a request with a body, before that is read, as one that", func(method string, expected phase) {
+		f := startPort(GinkgoTB(), &Port{})
+		server, client := net.Pipe()
+		DeferCleanup(client.Close)
+		c := &connection{Conn: server, port: f.Port}
+		r, err := http.NewRequestWithContext(context.WithValue(context.Background(), connectionKey{}, c), method, "/", strings.NewReader("abc"))
+		Expect(err).NotTo(HaveOccurred())
+		handled := phaseIdle
+		f.bound(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled = c.activity().phase })).ServeHTTP(nil, r)
+		Expect(handled).To(Equal(expected))
+	},
+		Entry("is handled if handlers don't read the body", http.MethodDelete, phaseHandling),
+		Entry("still arrives if they do", http.MethodPost, phaseBody),
+	)
 	It("honours a deadline that the handler sets for writes", func() {
 		f := startPort(GinkgoTB(), &Port{})
 		server, client := net.Pipe()
