Tell the age of the version that a reader answers with

Cause: found by a reader of the diff. A change that arrived as the wait ended made the age that of the newer copy, while the answer had the older version, so that an owner took its list for fresher than it was.

Change: the age is that of the copy from which the version was taken.

--- a/internal/entry/dispatcher/worker_reader.go
+++ b/internal/entry/dispatcher/worker_reader.go
@@ -133,6 +133,7 @@
 	deadline := r.node.Clock.After(min(request.Wait, maxReaderWait))
 	for {
 		changed := r.history.Changed()
+		readAt := r.history.ReadAt()
 		untilStale := r.node.maxReaderAge() - r.age()
 		if untilStale < 0 {
 			r.node.Counters.Add("WorkerReader.Stale", 1)
@@ -150,7 +151,7 @@
 		case <-changed:
 		case <-r.node.Clock.After(untilStale + time.Millisecond):
 		case <-deadline:
-			return workerRowsAnswer{Version: version, Age: r.age()}, nil
+			return workerRowsAnswer{Version: version, Age: r.node.Clock.Now().Sub(readAt)}, nil
 		case <-ctx.Done():
 			return workerRowsAnswer{}, ctx.Err()
 		}
