--- a/internal/caller/queue/queue.go
+++ b/internal/caller/queue/queue.go
@@ -96,8 +96,8 @@
 )
 
 const (
-	// maxSpecBytes bounds the size of a job's specification.
-	maxSpecBytes = 4000
+	// MaxSpecBytes bounds the size of a job's specification.
+	MaxSpecBytes = 4000
 	// maxSteps bounds the steps of a job.
 	maxSteps = 64
 	// maxTasks bounds the tasks of a step.
@@ -125,8 +125,8 @@
 func Check(j *dispatch.Job) error {
 	var findings []error
 	report := func(format string, args ...any) { findings = append(findings, fmt.Errorf(format, args...)) }
-	if len(j.Spec) > maxSpecBytes {
-		report("spec has %d bytes; at most %d are allowed", len(j.Spec), maxSpecBytes)
+	if len(j.Spec) > MaxSpecBytes {
+		report("spec has %d bytes; at most %d are allowed", len(j.Spec), MaxSpecBytes)
 	}
 	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
 		report("there are %d steps; 1 to %d are allowed", len(j.Steps), maxSteps)
--- a/internal/cmd/root/commands.go
+++ b/internal/cmd/root/commands.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/cmd/configurationcheck"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/demo"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/experimentadmission"
 	"github.com/jacinthtrail/jacinthtrail/internal/cmd/experimentgrants"
@@ -27,6 +28,9 @@
 // addCommands adds the subcommands. Commands on the same kind of object are in a group.
 func addCommands(root *cobra.Command, f *factory.Factory) {
 	root.AddCommand(demo.NewCmd(f, nil), load.NewCmd(f, nil), serve.NewCmd(f, nil), serveplatform.NewCmd(f, nil), status.NewCmd(f, nil), explain.NewCmd(f, nil), replay.NewCmd(f, nil))
+	root.AddCommand(newGroup("configuration", "Check configurations of the users' platform",
+		"  $ jacinthtrail configuration check next.json --against in-force.json",
+		configurationcheck.NewCmd(f, nil)))
 	root.AddCommand(newGroup("experiment", "Compare policies in simulated time",
 		"  $ jacinthtrail experiment admission --seed 1",
 		experimentadmission.NewCmd(f, nil), experimentgrants.NewCmd(f, nil)))
