--- a/review/harness3/case11.go
+++ b/review/harness3/case11.go
@@ -11,8 +11,8 @@
 const (
 	lostShare   = 0.35
 	lostFor     = 4500 * time.Millisecond
-	lateMin     = time.Second
-	lateMax     = 6 * time.Second
+	earliest    = time.Second
+	latest      = 6 * time.Second
 	contactTime = 3 * time.Second
 	cancelTime  = 3 * time.Second
 )
@@ -50,7 +50,7 @@
 	var clients sync.WaitGroup
 	if trouble {
 		rec.say("answers of the store are lost from now on, for %s", lostFor)
-		d.store.setLate(&lateWrites{lostShare, lateMin, lateMax})
+		d.store.setLate(&lateWrites{lostShare, earliest, latest})
 	}
 	lossEnds := time.Now().Add(lostFor)
 	for i := 0; time.Now().Before(lossEnds); i++ {
@@ -65,9 +65,9 @@
 	rec.say("the store answers again")
 	clients.Wait()
 	close(cancelled)
-	// The last late write is done lateMax after the end of the loss. From contactMs after that on, all
+	// The last late write is done latest after the end of the loss. From contactMs after that on, all
 	// machines are in touch.
-	inTouch := lossEnds.Add(lateMax + contactTime)
+	inTouch := lossEnds.Add(latest + contactTime)
 	time.Sleep(time.Until(inTouch.Add(12 * time.Second)))
 
 	var broken []string
--- a/review/harness3/jobs.go
+++ b/review/harness3/jobs.go
@@ -16,6 +16,7 @@
 	task     string
 	run      int64
 	labels   []string
+	born     time.Time
 }
 
 // tasks is the work of the executors: all tasks are alike, and the starts are noted.
@@ -29,14 +30,14 @@
 	starts []taskStart
 }
 
-func (t *tasks) duration(string) time.Duration    { return t.lasts }
+func (t *tasks) duration(string) time.Duration   { return t.lasts }
 func (t *tasks) resources(string) (int64, int64) { return t.cpu, t.memMB }
 
 func (t *tasks) started(e *executor, task string, number int64) {
 	t.record.line("executor %s: starts %s run %d", e.id, task, number)
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	t.starts = append(t.starts, taskStart{time.Now(), e, task, number, e.labels})
+	t.starts = append(t.starts, taskStart{time.Now(), e, task, number, e.labels, e.born})
 }
 
 func (t *tasks) ended(e *executor, task string, number int64, how string) {
--- a/review/harness3/store.go
+++ b/review/harness3/store.go
@@ -58,7 +58,7 @@
 // conditions hold then.
 type lateWrites struct {
 	share    float64
-	min, max time.Duration
+	from, to time.Duration
 }
 
 // store is a stand-in for the platform's store.
@@ -106,7 +106,7 @@
 	if s.late == nil || rand.Float64() >= s.late.share {
 		return 0, false
 	}
-	return s.late.min + rand.N(s.late.max-s.late.min), true
+	return s.late.from + rand.N(s.late.to-s.late.from), true
 }
 
 func (s *store) serveTransaction(w http.ResponseWriter, r *http.Request) {
