--- a/review/harness3/case12.go
+++ b/review/harness3/case12.go
@@ -93,5 +93,3 @@
 		})
 	}
 }
-
-func scheduledJobs(*record, bool) ([]string, error) { return nil, errors.New("todo") }
--- a/review/harness3/node.go
+++ b/review/harness3/node.go
@@ -155,8 +155,14 @@
 	n.lock.Lock()
 	exited := n.exited
 	n.lock.Unlock()
-	if exited != nil {
-		<-exited
+	if exited == nil {
+		return
+	}
+	<-exited
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	if n.exited == exited {
+		n.process, n.exited = nil, nil
 	}
 }
 
