--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -6,4 +6,4 @@
   echo "couldn't run: build first"
   exit 2
 fi
-exec target/review3 other-kind review/12
+exec target/review3 scheduled-jobs review/12
--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -6,4 +6,4 @@
   echo "couldn't run: build first"
   exit 2
 fi
-exec target/review3 scheduled-jobs review/13
+exec target/review3 cancelled-after-504 review/13
--- a/review/harness3/case12.go
+++ b/review/harness3/case12.go
@@ -7,32 +7,36 @@
 	"time"
 )
 
-// The disruption of case 12: srv_crash. One of twelve executors, of the share 0.14 that is allowed, is down for
-// crashFor and then starts again under the same id, as another kind.
 const (
-	crashFor      = 1500 * time.Millisecond
-	crashInterval = 9 * time.Second
-	wantedKind    = "b"
-	otherKinds    = "a"
-	wantedCount   = 4
+	// scheduleCount jobs are handed in within handInFor, up to ten a second, as many as all clients of chairrota
+	// hand in together.
+	scheduleCount = 200
+	handInPause   = 100 * time.Millisecond
+	handInFor     = 40 * time.Second
+	// longSchedule is the number of repetitions of a job: once an hour for about six weeks.
+	longSchedule  = 1000
+	shortSchedule = 6
+	// restartDelay is the "short delay" of DEPLOY.md, Ends. The bench's kinds have machines back within 1.5 s.
+	restartDelay = 1500 * time.Millisecond
+	watchFor     = 30 * time.Second
+	// RULES.md, Fault: "on a tenth of the machines in use (two at least) processes end by themselves three
+	// times".
+	maxMachines   = 2
+	endsByMachine = 3
 )
 
-// otherKind hands in jobs that require executors of one kind. An executor of that kind crashes and starts again as
-// another kind. No task that requires the first kind may start on it from then on.
-func otherKind(rec *record, trouble bool) ([]string, error) {
+// scheduledJobs hands in jobs that run once an hour. The platform kills each process that uses more memory
+// than its machine has, and starts it again. Without trouble, the jobs have fewer repetitions.
+func scheduledJobs(rec *record, trouble bool) ([]string, error) {
 	d, err := newDeployment(rec)
 	if err != nil {
 		return nil, err
 	}
 	defer d.close()
-	work := &tasks{record: rec, lasts: 3 * time.Second, cpu: 4000, memMB: 4000}
+	work := &tasks{record: rec, lasts: time.Second, cpu: 100, memMB: 100}
 	d.putConfig(3)
-	for i := range 12 {
-		kind := otherKinds
-		if i < wantedCount {
-			kind = wantedKind
-		}
-		if err := d.addExecutor([]string{kind, "r1-1"}, work); err != nil {
+	for range 12 {
+		if err := d.addExecutor([]string{"a", "r1-1"}, work); err != nil {
 			return nil, err
 		}
 	}
@@ -41,55 +45,74 @@
 	}
 	time.Sleep(contactTime)
 
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	clients.Go(func() { d.handInRequiring(stop, &clients) })
-	time.Sleep(crashInterval)
-	for i := range 2 {
-		if trouble {
-			e := d.executors[i]
-			e.crash()
-			time.Sleep(crashFor)
-			if err := e.boot([]string{otherKinds, "r1-1"}); err != nil {
-				return nil, err
-			}
-		}
-		time.Sleep(crashInterval)
+	p := &memoryWatch{deployment: d, stop: make(chan struct{}), kills: map[string]int{}, peaks: map[string]int{}}
+	var watch sync.WaitGroup
+	watch.Go(p.run)
+	repetitions := longSchedule
+	if !trouble {
+		repetitions = shortSchedule
 	}
-	close(stop)
-	clients.Wait()
-
-	work.lock.Lock()
-	defer work.lock.Unlock()
-	if len(work.starts) == 0 {
-		return nil, errors.New("nothing has started")
+	answers := map[string]int{}
+	handInEnds := time.Now().Add(handInFor)
+	for i := 0; i < scheduleCount && time.Now().Before(handInEnds); i++ {
+		id := jobID()
+		a := d.call(d.nodes[i%len(d.nodes)], "POST", id, job{
+			"spec": "rota " + id, "repetitions": repetitions, "intervalMs": time.Hour.Milliseconds(),
+			"firstRunMs": time.Now().Add(time.Hour).UnixMilli(),
+			"steps":      []map[string]any{{"count": 2, "cpu": 100, "memoryRequestMb": 100, "estimatedMs": 1000}},
+		}, 3*time.Second)
+		answers[fmt.Sprint(a.status)]++
+		time.Sleep(handInPause)
+	}
+	rec.say("answers to POST: %v", answers)
+	time.Sleep(watchFor)
+	close(p.stop)
+	watch.Wait()
+	if answers["200"] == 0 {
+		return nil, errors.New("no job was accepted")
 	}
-	rec.say("%d starts", len(work.starts))
-	var broken []string
-	for _, s := range work.starts {
-		if s.labels[0] != wantedKind {
-			broken = append(broken, fmt.Sprintf("ROUTE: %s requires label %q and started on %s, whose labels are %v, %d ms after that life began",
-				s.task, wantedKind, s.executor.id, s.labels, s.at.Sub(s.born).Milliseconds()))
+	rec.say("highest memory in MB by machine: %v; processes killed for their memory: %v", p.peaks, p.kills)
+	often := 0
+	for _, kills := range p.kills {
+		if kills >= endsByMachine {
+			often++
 		}
 	}
-	return broken, nil
+	if often >= maxMachines {
+		return []string{fmt.Sprintf("Fault: on %d of %d machines processes ended three times or more for memory over the limit", often, len(d.nodes))}, nil
+	}
+	return nil, nil
+}
+
+// memoryWatch is the part of the platform that enforces totalMemoryMb.
+type memoryWatch struct {
+	deployment *deployment
+	stop       chan struct{}
+	kills      map[string]int
+	peaks      map[string]int
 }
 
-// handInRequiring hands in jobs of four tasks, each of which requires the wanted kind, at the rate at which its
-// executors can just run them.
-func (d *deployment) handInRequiring(stop chan struct{}, clients *sync.WaitGroup) {
-	for i := 0; ; i++ {
+func (p *memoryWatch) run() {
+	for {
 		select {
-		case <-stop:
+		case <-p.stop:
 			return
-		case <-time.After(800 * time.Millisecond):
+		case <-time.After(20 * time.Millisecond):
+		}
+		for _, n := range p.deployment.nodes {
+			used := n.residentMB()
+			p.peaks[n.name] = max(p.peaks[n.name], used)
+			if used <= totalMemoryMB {
+				continue
+			}
+			p.kills[n.name]++
+			p.deployment.record.say("platform: %s uses %d MB of %d and is killed", n.name, used, totalMemoryMB)
+			n.kill()
+			time.AfterFunc(restartDelay, func() {
+				if err := n.start(); err != nil {
+					p.deployment.record.say("%s can't be started: %v", n.name, err)
+				}
+			})
 		}
-		n := d.nodes[i%len(d.nodes)]
-		clients.Go(func() {
-			id := jobID()
-			d.call(n, "POST", id, job{"spec": "rota " + id, "steps": []map[string]any{
-				{"count": 4, "cpu": 4000, "memoryRequestMb": 4000, "estimatedMs": 3000, "requirements": wantedKind},
-			}}, 3*time.Second)
-		})
 	}
 }
--- a/review/harness3/case13.go
+++ b/review/harness3/case13.go
@@ -1,39 +1,40 @@
 package main
 
 import (
-	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
 
+// The disruption of case 13: platform_lost, x 0.35, for 4.5 s, late (done 1 to 6 s later).
 const (
-	// scheduleCount jobs are handed in within handInFor, up to ten a second, as many as all clients of chairrota
-	// hand in together.
-	scheduleCount = 200
-	handInPause   = 100 * time.Millisecond
-	handInFor     = 40 * time.Second
-	// longSchedule is the number of repetitions of a job: once an hour for about six weeks.
-	longSchedule  = 1000
-	shortSchedule = 6
-	// restartDelay is the "short delay" of DEPLOY.md, Ends. The bench's kinds have machines back within 1.5 s.
-	restartDelay = 1500 * time.Millisecond
-	watchFor     = 30 * time.Second
-	// RULES.md, Fault: "on a tenth of the machines in use (two at least) processes end by themselves three
-	// times".
-	maxMachines   = 2
-	endsByMachine = 3
+	lostShare   = 0.35
+	lostFor     = 4500 * time.Millisecond
+	earliest    = time.Second
+	latest      = 6 * time.Second
+	contactTime = 3 * time.Second
+	cancelTime  = 3 * time.Second
 )
 
-// scheduledJobs hands in jobs that run once an hour. The platform kills each process that uses more memory
-// than its machine has, and starts it again. Without trouble, the jobs have fewer repetitions.
-func scheduledJobs(rec *record, trouble bool) ([]string, error) {
+// cancelledJob is a job whose cancelling was acknowledged.
+type cancelledJob struct {
+	id       string
+	handedIn answer
+	cancel   answer
+	at       time.Time
+}
+
+// cancelledAfterTimeout hands in jobs while answers of the store are lost. A client that isn't told that its job
+// was accepted cancels it. So does one client in four whose job was accepted, a second later. No task of these
+// jobs may start later than cancel_ms after the acknowledgement, by a machine in touch.
+func cancelledAfterTimeout(rec *record, trouble bool) ([]string, error) {
 	d, err := newDeployment(rec)
 	if err != nil {
 		return nil, err
 	}
 	defer d.close()
-	work := &tasks{record: rec, lasts: time.Second, cpu: 100, memMB: 100}
+	work := &tasks{record: rec, lasts: 3 * time.Second, cpu: 1000, memMB: 1000}
 	d.putConfig(3)
 	for range 12 {
 		if err := d.addExecutor([]string{"a", "r1-1"}, work); err != nil {
@@ -45,74 +46,77 @@
 	}
 	time.Sleep(contactTime)
 
-	p := &memoryWatch{deployment: d, stop: make(chan struct{}), kills: map[string]int{}, peaks: map[string]int{}}
-	var watch sync.WaitGroup
-	watch.Go(p.run)
-	repetitions := longSchedule
-	if !trouble {
-		repetitions = shortSchedule
+	cancelled := make(chan cancelledJob, 100)
+	var clients sync.WaitGroup
+	if trouble {
+		rec.say("answers of the store are lost from now on, for %s", lostFor)
+		d.store.setLate(&lateWrites{lostShare, earliest, latest})
 	}
-	answers := map[string]int{}
-	handInEnds := time.Now().Add(handInFor)
-	for i := 0; i < scheduleCount && time.Now().Before(handInEnds); i++ {
-		id := jobID()
-		a := d.call(d.nodes[i%len(d.nodes)], "POST", id, job{
-			"spec": "rota " + id, "repetitions": repetitions, "intervalMs": time.Hour.Milliseconds(),
-			"firstRunMs": time.Now().Add(time.Hour).UnixMilli(),
-			"steps":      []map[string]any{{"count": 2, "cpu": 100, "memoryRequestMb": 100, "estimatedMs": 1000}},
-		}, 3*time.Second)
-		answers[fmt.Sprint(a.status)]++
-		time.Sleep(handInPause)
-	}
-	rec.say("answers to POST: %v", answers)
-	time.Sleep(watchFor)
-	close(p.stop)
-	watch.Wait()
-	if answers["200"] == 0 {
-		return nil, errors.New("no job was accepted")
+	lossEnds := time.Now().Add(lostFor)
+	for i := 0; time.Now().Before(lossEnds); i++ {
+		clients.Go(func() {
+			if c, ok := d.handInAndCancel(i); ok {
+				cancelled <- c
+			}
+		})
+		time.Sleep(100 * time.Millisecond)
 	}
-	rec.say("highest memory in MB by machine: %v; processes killed for their memory: %v", p.peaks, p.kills)
-	often := 0
-	for _, kills := range p.kills {
-		if kills >= endsByMachine {
-			often++
+	d.store.setLate(nil)
+	rec.say("the store answers again")
+	clients.Wait()
+	close(cancelled)
+	// The last late write is done latest after the end of the loss. From contactMs after that on, all
+	// machines are in touch.
+	inTouch := lossEnds.Add(latest + contactTime)
+	time.Sleep(time.Until(inTouch.Add(12 * time.Second)))
+
+	var broken []string
+	count := map[string]int{}
+	for c := range cancelled {
+		count[fmt.Sprintf("handed in: %d, cancelled: %d", c.handedIn.status, c.cancel.status)]++
+		if c.cancel.status != 410 && c.cancel.status/100 != 2 {
+			continue
+		}
+		for _, s := range work.startsOf(c.id) {
+			if s.at.After(c.at.Add(cancelTime)) && s.at.After(inTouch) {
+				broken = append(broken, fmt.Sprintf("UNASKED: the cancelling of job %s was acknowledged with %d, and %s started %.1f s later on %s",
+					c.id, c.cancel.status, s.task, s.at.Sub(c.at).Seconds(), s.executor.id))
+				break
+			}
 		}
 	}
-	if often >= maxMachines {
-		return []string{fmt.Sprintf("Fault: on %d of %d machines processes ended three times or more for memory over the limit", often, len(d.nodes))}, nil
-	}
-	return nil, nil
-}
-
-// memoryWatch is the part of the platform that enforces totalMemoryMb.
-type memoryWatch struct {
-	deployment *deployment
-	stop       chan struct{}
-	kills      map[string]int
-	peaks      map[string]int
+	rec.say("cancelled jobs by the answers to POST and DELETE: %v", count)
+	return broken, nil
 }
 
-func (p *memoryWatch) run() {
-	for {
-		select {
-		case <-p.stop:
-			return
-		case <-time.After(20 * time.Millisecond):
+// handInAndCancel hands a job in, and cancels it if it isn't known to be accepted, or if it is one of four.
+func (d *deployment) handInAndCancel(number int) (cancelledJob, bool) {
+	id := jobID()
+	steps := []map[string]any{}
+	for i := range 6 {
+		s := map[string]any{"count": 1, "cpu": 1000, "memoryRequestMb": 1000, "estimatedMs": 3000}
+		if i > 0 {
+			s["after"] = []int{i - 1}
 		}
-		for _, n := range p.deployment.nodes {
-			used := n.residentMB()
-			p.peaks[n.name] = max(p.peaks[n.name], used)
-			if used <= totalMemoryMB {
-				continue
-			}
-			p.kills[n.name]++
-			p.deployment.record.say("platform: %s uses %d MB of %d and is killed", n.name, used, totalMemoryMB)
-			n.kill()
-			time.AfterFunc(restartDelay, func() {
-				if err := n.start(); err != nil {
-					p.deployment.record.say("%s can't be started: %v", n.name, err)
-				}
-			})
+		steps = append(steps, s)
+	}
+	first := rand.IntN(len(d.nodes))
+	c := cancelledJob{id: id}
+	c.handedIn = d.call(d.nodes[first], "POST", id, job{"spec": "rota " + id, "steps": steps}, 3*time.Second)
+	switch {
+	case c.handedIn.status/100 == 2 && number%4 == 0:
+		time.Sleep(time.Second)
+	case c.handedIn.status/100 == 2, c.handedIn.status == 429, c.handedIn.status == 503:
+		// Accepted, or never to run.
+		return c, false
+	}
+	for attempt := 1; attempt <= 5; attempt++ {
+		c.cancel = d.call(d.nodes[(first+attempt)%len(d.nodes)], "DELETE", id, nil, 3*time.Second)
+		c.at = time.Now()
+		if c.cancel.status/100 == 2 || c.cancel.status == 410 {
+			break
 		}
+		time.Sleep(200 * time.Millisecond)
 	}
+	return c, true
 }
