Keep records only of the tasks that are used

Cause: an accepted job had a record of some 600 bytes for each task, and its steps for each occurrence, at once: 1.3 to 1.8 MB for 2,000 to 2,400 tasks, whether they are repetitions, a later step or long-running tasks beyond the room. The owner's tick visited all of them, and collected, sorted and logged all long-running tasks that were down at a takeover.

Change: a step shares one state among the tasks that were never used and one among those that have succeeded, and has records of the others. Of the never started tasks that need an urgent restart, 32 a step are taken at a time, and 32 may wait for a better worker.

Conclusion: what a job costs follows from its description and its runs. A bound on the accepted jobs together follows.

--- a/internal/decision/dispatch/advice.go
+++ b/internal/decision/dispatch/advice.go
@@ -100,7 +100,7 @@
 		if tickets.denied[w.ID] || e.ticket(now, s, w) != "" || !e.isFeasible(now, s, w) {
 			continue
 		}
-		if cost, ok := e.cost(now, s.tasks[0], w); ok {
+		if cost, ok := e.cost(now, s.view(0), w); ok {
 			list = append(list, priced{w.ID, cost})
 		}
 	}
--- a/internal/decision/dispatch/copy.go
+++ b/internal/decision/dispatch/copy.go
@@ -119,11 +119,9 @@
 		if j.outcome != "" || j.cancelled || j.queue.Service != p.service || j.queue.Priority > p.priority {
 			continue
 		}
-		for _, steps := range j.occurrences {
-			for _, other := range steps {
-				if !other.Filler && !other.blockedSince.IsZero() && other.hasWaiting(now) && other.mayStart(now) {
-					return true
-				}
+		for other := range j.openSteps() {
+			if !other.Filler && !other.blockedSince.IsZero() && other.hasWaiting(now) && other.mayStart(now) {
+				return true
 			}
 		}
 	}
@@ -137,10 +135,8 @@
 		if j.outcome != "" || j.cancelled || j.activeAttempts == 0 || j.urgency(now) == overdue {
 			continue
 		}
-		for _, steps := range j.occurrences {
-			for _, s := range steps {
-				list = e.appendCopyCandidates(now, s, list)
-			}
+		for s := range j.openSteps() {
+			list = e.appendCopyCandidates(now, s, list)
 		}
 	}
 	slices.SortFunc(list, func(a, b copyCandidate) int {
@@ -158,7 +154,7 @@
 		return list
 	}
 	duration := e.copyDuration(s)
-	for _, t := range s.tasks {
+	for t := range s.records() {
 		a := t.attempt
 		if a == nil || a.phase != running || t.second != nil || t.done || now.Before(t.notBefore) || t.nextFailureIsLast() {
 			continue
--- a/internal/decision/dispatch/defrag.go
+++ b/internal/decision/dispatch/defrag.go
@@ -98,7 +98,7 @@
 		if j.outcome != "" || !j.Steps[0].LongRunning || held >= limit {
 			continue
 		}
-		for _, s := range j.occurrences[0] {
+		for s := range j.openSteps() {
 			if t := s.taskNeedingHold(now); t != nil && e.holdFor(now, t) {
 				held++
 			}
@@ -124,9 +124,9 @@
 	if !s.LongRunning || s.Gang || s.blockedSince.IsZero() || now.Sub(s.blockedSince) < holdDelay {
 		return nil
 	}
-	for _, t := range s.tasks {
-		if t.isWaiting(now) && now.Sub(t.lastHeldAt) > holdDuration {
-			return t
+	for i := range s.tasks {
+		if t := s.view(i); t.isWaiting(now) && now.Sub(t.lastHeldAt) > holdDuration {
+			return s.task(i)
 		}
 	}
 	return nil
--- a/internal/decision/dispatch/engine.go
+++ b/internal/decision/dispatch/engine.go
@@ -358,13 +358,14 @@
 		return
 	}
 	added := newJob(j, e.queueOf(&j), recovered)
-	added.addedAt = now
 	e.updateMeanWork(added)
 	e.updateFillerDemand(added)
 	added.restore(stored)
 	added.beginDowntimes(now)
 	if len(j.Transferred) > 0 {
-		added.eachTask((*task).leave)
+		for s := range added.openSteps() {
+			s.eachAlike((*task).leave)
+		}
 		added.takeTransferred(now, j.Transferred)
 	}
 	e.jobs[j.ID] = added
@@ -449,7 +450,7 @@
 		Took: now.Sub(j.Accepted), Objective: j.objective,
 	})
 	e.count("Job." + string(state))
-	j.eachTask(func(t *task) {
+	j.eachRecord(func(t *task) {
 		e.stopAttempts(now, t, "job ended")
 	})
 }
--- a/internal/decision/dispatch/gang.go
+++ b/internal/decision/dispatch/gang.go
@@ -13,7 +13,7 @@
 // startGang starts all tasks of a step together, or none, and returns their number.
 func (e *Engine) startGang(now time.Time, s *step) int {
 	run := Run(0)
-	for _, t := range s.tasks {
+	for t := range s.views() {
 		if !e.mayStart(now, t) {
 			return 0
 		}
@@ -61,7 +61,8 @@
 func (e *Engine) tryGang(now time.Time, s *step, run Run) []*attempt {
 	checkpoint := s.gangCheckpoint()
 	var placed []*attempt
-	for _, t := range s.tasks {
+	for i := range s.tasks {
+		t := s.task(i)
 		w := e.chooseWorker(now, t)
 		if w == nil {
 			for _, a := range placed {
@@ -82,7 +83,7 @@
 // gangCheckpoint returns the checkpoint that is valid for all tasks of the gang.
 func (s *step) gangCheckpoint() Checkpoint {
 	checkpoint := Checkpoint("")
-	for _, t := range s.tasks {
+	for t := range s.records() {
 		if t.checkpoint != "" {
 			checkpoint = t.checkpoint
 		}
@@ -93,13 +94,13 @@
 // racksWithRoom returns the racks that have room for all tasks of a gang: first that of the best worker
 // for one task, then the others, those with the most room first.
 func (e *Engine) racksWithRoom(now time.Time, s *step) []Label {
-	best := e.chooseWorker(now, s.tasks[0])
+	best := e.chooseWorker(now, s.view(0))
 	if best == nil {
 		return nil
 	}
 	room := map[Label]int{}
 	for _, w := range e.sortedWorkers {
-		if e.mayPlace(now, s.tasks[0], w) {
+		if e.mayPlace(now, s.view(0), w) {
 			room[rackOf(w)] += s.fitting(w)
 		}
 	}
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -22,7 +22,10 @@
 	outcome JobState
 	// outcomeStored reports that the outcome is stored.
 	outcomeStored bool
-	occurrences   [][]*step
+	// occurrences has nil for those that aren't open: of a repeated job, an occurrence is opened once it is
+	// due, or once a run or an end of it becomes known. unopened counts them.
+	occurrences []*occurrence
+	unopened    int
 	// remainingTasks counts the tasks that haven't succeeded.
 	remainingTasks int
 	// transfers has the tasks that other shards run.
@@ -36,9 +39,17 @@
 // step is a step of one occurrence of a job.
 type step struct {
 	*Step
-	id    StepID
-	job   *job
-	tasks []*task
+	id         StepID
+	job        *job
+	occurrence *occurrence
+	// tasks has the records of the tasks: nil for each that has never been used, and succeeded for those
+	// that have succeeded and have no run. unusedTasks counts the first.
+	tasks       []*task
+	unusedTasks int
+	// unused is the state of the tasks that have never been used, and succeeded that of the tasks that have
+	// succeeded, nil before there are any.
+	unused    task
+	succeeded *task
 	// remainingTasks counts the tasks that haven't succeeded.
 	remainingTasks int
 	// seenRunning reports that a run started by an earlier owner was found running.
@@ -124,30 +135,31 @@
 
 func newJob(j Job, q Queue, recovered bool) *job {
 	added := &job{Job: j, queue: q, recovered: recovered}
-	for k := range j.Occurrences() {
-		steps := make([]*step, len(j.Steps))
-		for i := range j.Steps {
-			steps[i] = newStep(added, k, i)
-			added.remainingTasks += steps[i].remainingTasks
-		}
-		added.occurrences = append(added.occurrences, steps)
+	added.occurrences = make([]*occurrence, j.Occurrences())
+	added.unopened = len(added.occurrences)
+	for i := range j.Steps {
+		added.remainingTasks += j.Steps[i].Tasks * added.unopened
+	}
+	if j.Repetitions == 0 {
+		added.openOccurrence(0)
 	}
 	added.objective = time.Duration(q.SlackFactor*float64(added.criticalPath())) + q.TargetLatency
 	return added
 }
 
-func newStep(j *job, occurrence, index int) *step {
+func newStep(j *job, o *occurrence, k, index int) *step {
+	count := j.Steps[index].Tasks
 	s := &step{
 		Step:           &j.Steps[index],
-		id:             StepID{j.ID, occurrence, index},
+		id:             StepID{j.ID, k, index},
 		job:            j,
-		remainingTasks: j.Steps[index].Tasks,
+		occurrence:     o,
+		tasks:          make([]*task, count),
+		unusedTasks:    count,
+		remainingTasks: count,
 		perWorker:      map[*worker]int{},
 	}
-	s.tasks = make([]*task, s.remainingTasks)
-	for i := range s.tasks {
-		s.tasks[i] = &task{id: TaskID{j.ID, occurrence, index, i}, step: s}
-	}
+	s.unused = task{id: TaskID{Job: j.ID, Occurrence: k, Step: index}, step: s}
 	return s
 }
 
@@ -169,10 +181,16 @@
 // remainingCriticalPath returns the estimated duration of the longest chain of
 // unfinished steps in the first unfinished occurrence.
 func (j *job) remainingCriticalPath() time.Duration {
-	for _, steps := range j.occurrences {
-		ends := make([]time.Duration, len(steps))
+	for _, o := range j.occurrences {
+		if o == nil {
+			if whole := j.criticalPath(); whole > 0 {
+				return whole
+			}
+			continue
+		}
+		ends := make([]time.Duration, len(o.steps))
 		longest := time.Duration(0)
-		for i, s := range steps {
+		for i, s := range o.steps {
 			begin := time.Duration(0)
 			for _, dependency := range s.After {
 				begin = max(begin, ends[dependency])
@@ -202,11 +220,9 @@
 // remainingWork returns the estimated work of the tasks that haven't succeeded, in
 // processor seconds.
 func (j *job) remainingWork() float64 {
-	work := 0.0
-	for _, steps := range j.occurrences {
-		for _, s := range steps {
-			work += s.work(s.remainingTasks)
-		}
+	work := float64(j.unopened) * j.work()
+	for s := range j.openSteps() {
+		work += s.work(s.remainingTasks)
 	}
 	return work
 }
@@ -216,30 +232,19 @@
 	return float64(tasks) * float64(s.Resources.Processors) / 1000 * s.Estimate.Seconds()
 }
 
-func (j *job) eachTask(visit func(*task)) {
-	for _, steps := range j.occurrences {
-		for _, s := range steps {
-			for _, t := range s.tasks {
-				visit(t)
-			}
-		}
-	}
-}
-
-// task returns the task with the ID, or nil if there is none.
+// task returns the record of the task with the ID, or nil if there is no such task or its occurrence has ended.
 func (j *job) task(id TaskID) *task {
 	if id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) {
 		return nil
 	}
-	steps := j.occurrences[id.Occurrence]
-	if id.Step < 0 || id.Step >= len(steps) {
+	if id.Step < 0 || id.Step >= len(j.Steps) || id.Index < 0 || id.Index >= j.Steps[id.Step].Tasks {
 		return nil
 	}
-	tasks := steps[id.Step].tasks
-	if id.Index < 0 || id.Index >= len(tasks) {
+	o := j.openOccurrence(id.Occurrence)
+	if o == ended {
 		return nil
 	}
-	return tasks[id.Index]
+	return o.steps[id.Step].task(id.Index)
 }
 
 // visibleState returns the state that the client sees. An outcome becomes visible only
@@ -264,9 +269,8 @@
 
 // isReady reports whether all steps that the step depends on have succeeded.
 func (s *step) isReady() bool {
-	steps := s.job.occurrences[s.id.Occurrence]
 	for _, dependency := range s.After {
-		if steps[dependency].remainingTasks > 0 {
+		if s.occurrence.steps[dependency].remainingTasks > 0 {
 			return false
 		}
 	}
@@ -301,7 +305,7 @@
 		return len(t.failed)
 	}
 	runs := map[Run]bool{}
-	for _, member := range t.step.tasks {
+	for member := range t.step.records() {
 		for _, run := range member.failed {
 			runs[run] = true
 		}
@@ -332,9 +336,16 @@
 
 func (j *job) progress() Progress {
 	var p Progress
-	for _, steps := range j.occurrences {
-		for _, s := range steps {
-			p.Steps = append(p.Steps, s.progress())
+	for _, o := range j.occurrences {
+		for i := range j.Steps {
+			switch o {
+			case nil:
+				p.Steps = append(p.Steps, StepProgress{})
+			case ended:
+				p.Steps = append(p.Steps, StepProgress{Done: []TaskRange{{0, j.Steps[i].Tasks - 1}}})
+			default:
+				p.Steps = append(p.Steps, o.steps[i].progress())
+			}
 		}
 	}
 	return p
@@ -342,7 +353,8 @@
 
 func (s *step) progress() StepProgress {
 	p := StepProgress{Elsewhere: s.storedTransfers()}
-	for i, t := range s.tasks {
+	for i := range s.tasks {
+		t := s.view(i)
 		if t.done {
 			p.Done = appendIndex(p.Done, i)
 			continue
@@ -374,31 +386,37 @@
 
 // restore applies stored progress. Entries that don't match the job are ignored.
 func (j *job) restore(p Progress) {
-	at := 0
-	for _, steps := range j.occurrences {
-		for _, s := range steps {
-			if at < len(p.Steps) {
-				s.restore(p.Steps[at])
-			}
-			at++
+	for at := range p.Steps {
+		k, i := at/len(j.Steps), at%len(j.Steps)
+		if k >= len(j.occurrences) {
+			return
+		}
+		if o := j.occurrences[k]; o == nil && p.Steps[at].isZero() || o == ended {
+			continue
 		}
+		j.openOccurrence(k).steps[i].restore(p.Steps[at])
 	}
 }
 
+// isZero reports whether nothing of the step is stored.
+func (p StepProgress) isZero() bool {
+	return len(p.Done) == 0 && len(p.Failed) == 0 && len(p.Checkpoints) == 0 && len(p.Elsewhere) == 0
+}
+
 func (s *step) restore(p StepProgress) {
 	for _, r := range p.Done {
 		for i := max(r.First, 0); i <= r.Last && i < len(s.tasks); i++ {
-			s.tasks[i].succeed()
+			s.task(i).succeed()
 		}
 	}
 	for i, runs := range p.Failed {
 		if i >= 0 && i < len(s.tasks) {
-			s.tasks[i].failed = slices.Clone(runs)
+			s.task(i).failed = slices.Clone(runs)
 		}
 	}
 	for i, saved := range p.Checkpoints {
 		if i >= 0 && i < len(s.tasks) {
-			s.tasks[i].checkpoint = saved
+			s.task(i).checkpoint = saved
 		}
 	}
 	s.restoreTransfers(p.Elsewhere)
@@ -412,5 +430,7 @@
 	}
 	t.done = true
 	t.step.remainingTasks--
+	t.step.occurrence.remainingTasks--
 	t.step.job.remainingTasks--
+	t.dropRecord()
 }
--- a/internal/decision/dispatch/load.go
+++ b/internal/decision/dispatch/load.go
@@ -38,11 +38,13 @@
 	if !j.Steps[0].LongRunning {
 		return started
 	}
-	j.eachTask(func(t *task) {
-		if t.attempt != nil || !t.downSince().IsZero() {
-			started += t.step.Resources.Processors
+	for s := range j.openSteps() {
+		for t := range s.views() {
+			if t.attempt != nil || !t.downSince().IsZero() {
+				started += s.Resources.Processors
+			}
 		}
-	})
+	}
 	return started
 }
 
@@ -52,7 +54,7 @@
 	if len(s.job.transfers) == 0 && len(s.job.Transferred) == 0 {
 		return count
 	}
-	for _, t := range s.tasks {
+	for t := range s.views() {
 		if t.elsewhere {
 			count++
 		}
@@ -63,10 +65,11 @@
 // remainingDemand returns the demand of the tasks of this shard that haven't succeeded.
 func (j *job) remainingDemand() balance.Demand {
 	var d balance.Demand
-	for _, steps := range j.occurrences {
-		for _, s := range steps {
-			s.addDemand(&d, s.remainingTasks-s.tasksElsewhere())
-		}
+	for i := range j.Steps {
+		j.Steps[i].addDemand(&d, j.Steps[i].Tasks*j.unopened)
+	}
+	for s := range j.openSteps() {
+		s.addDemand(&d, s.remainingTasks-s.tasksElsewhere())
 	}
 	return d
 }
@@ -157,6 +160,6 @@
 		return false
 	}
 	started := false
-	j.eachTask(func(t *task) { started = started || t.run > 0 || t.attempt != nil || t.done })
+	j.eachRecord(func(t *task) { started = started || t.run > 0 || t.attempt != nil || t.done })
 	return !started
 }
--- a/internal/decision/dispatch/long_downtime.go
+++ b/internal/decision/dispatch/long_downtime.go
@@ -61,7 +61,7 @@
 		if j.outcome != "" || !j.Steps[0].LongRunning {
 			continue
 		}
-		j.eachTask(func(t *task) { e.recordLongDowntime(now, t) })
+		j.eachRecord(func(t *task) { e.recordLongDowntime(now, t) })
 	}
 }
 
--- a/internal/decision/dispatch/order.go
+++ b/internal/decision/dispatch/order.go
@@ -61,11 +61,12 @@
 
 // appendWaiting appends the steps of the job that have tasks to start.
 func (e *Engine) appendWaiting(now time.Time, list []candidate, j *job) []candidate {
-	for k, steps := range j.occurrences {
-		if now.Before(j.Due(k)) {
+	j.openDue(now)
+	for k, o := range j.occurrences {
+		if o == nil || now.Before(j.Due(k)) {
 			continue
 		}
-		for _, s := range steps {
+		for _, s := range o.steps {
 			if s.remainingTasks > 0 && e.hasStartable(now, s) && s.isReady() {
 				list = append(list, candidate{step: s, yieldsToShortTasks: s.yieldsToShortTasks(now)})
 			}
--- a/internal/decision/dispatch/orphan.go
+++ b/internal/decision/dispatch/orphan.go
@@ -80,6 +80,7 @@
 	delete(w.orphans, r)
 	if o.task != nil {
 		o.task.orphans--
+		o.task.dropRecord()
 	}
 }
 
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -47,7 +47,7 @@
 // handleBlockedStep is like handleBlocked for a step whose tasks weren't tried because
 // no worker was found for a task of the same shape.
 func (e *Engine) handleBlockedStep(now time.Time, s *step) {
-	for _, t := range s.tasks {
+	for t := range s.views() {
 		if e.mayStart(now, t) {
 			e.handleBlocked(now, t)
 			return
@@ -58,7 +58,7 @@
 // startableTasks returns the number of tasks that may start.
 func (e *Engine) startableTasks(now time.Time, s *step) int {
 	count := 0
-	for _, t := range s.tasks {
+	for t := range s.views() {
 		if e.mayStart(now, t) {
 			count++
 		}
@@ -69,7 +69,7 @@
 // waitingTasks returns the number of tasks that wait, including those of which an unknown run may be active.
 func (s *step) waitingTasks(now time.Time) int {
 	count := 0
-	for _, t := range s.tasks {
+	for t := range s.views() {
 		if t.isWaiting(now) {
 			count++
 		}
--- a/internal/decision/dispatch/recovery.go
+++ b/internal/decision/dispatch/recovery.go
@@ -158,7 +158,7 @@
 		return
 	}
 	s.seenRunning = true
-	steps := s.job.occurrences[s.id.Occurrence]
+	steps := s.occurrence.steps
 	dependent := make([]bool, len(steps))
 	dependent[s.id.Step] = true
 	// Steps depend only on earlier ones, so one pass is enough.
--- a/internal/decision/dispatch/recovery_record.go
+++ b/internal/decision/dispatch/recovery_record.go
@@ -207,7 +207,7 @@
 func (e *Engine) forgetRecord() {
 	e.hasRecord, e.recorded, e.recordedRuns = false, nil, nil
 	for _, j := range e.jobs {
-		j.eachTask(func(t *task) { t.recordedOn = nil })
+		j.eachRecord(func(t *task) { t.recordedOn = nil })
 	}
 }
 
--- a/internal/decision/dispatch/replacement.go
+++ b/internal/decision/dispatch/replacement.go
@@ -214,7 +214,7 @@
 // unavailable returns the number of the step's tasks in this shard without an available run.
 func (s *step) unavailable() int {
 	count := 0
-	for _, t := range s.tasks {
+	for t := range s.views() {
 		if !t.done && !t.elsewhere && (t.attempt == nil || !t.attempt.isAvailable()) {
 			count++
 		}
--- a/internal/decision/dispatch/report.go
+++ b/internal/decision/dispatch/report.go
@@ -177,6 +177,7 @@
 // releaseRun frees the capacity of a run that has ended.
 func (e *Engine) releaseRun(now time.Time, a *attempt) {
 	a.worker.remove(a, now)
+	a.task.dropRecord()
 	e.forgetIfFinished(a.task.step.job)
 }
 
@@ -253,15 +254,13 @@
 
 func (e *Engine) succeed(now time.Time, t *task) {
 	t.step.job.started = true
-	members := []*task{t}
 	if t.step.Gang {
-		members = t.step.tasks
-	}
-	for _, member := range members {
-		member.succeed()
-		if !t.step.Gang {
-			e.stopAttempts(now, member, "another run of the task succeeded")
+		for i := range t.step.tasks {
+			t.step.task(i).succeed()
 		}
+	} else {
+		t.succeed()
+		e.stopAttempts(now, t, "another run of the task succeeded")
 	}
 	e.markDirty(t.step.job)
 	e.completeIfDone(now, t.step.job)
--- a/internal/decision/dispatch/restart.go
+++ b/internal/decision/dispatch/restart.go
@@ -14,6 +14,10 @@
 // room, and for starts that fail.
 const urgentDowntime = 3 * time.Second
 
+// maxUrgentRestarts limits the tasks of a step that need an urgent restart at the same time and that this
+// owner has never started, because a step can have very many.
+const maxUrgentRestarts = 32
+
 // downSince returns since when a task that ran before has been without a run, or zero for a task that
 // never ran. A new owner doesn't know when the last run ended, and counts from the takeover.
 func (t *task) downSince() time.Time {
@@ -46,12 +50,11 @@
 		if j.outcome != "" || j.cancelled || !j.Steps[0].LongRunning {
 			continue
 		}
-		j.eachTask(func(t *task) {
-			if t.needsUrgentRestart(now) && !t.step.Gang && t.step.mayStart(now) && !e.mustAwaitRecovery(now, t) {
-				e.urgentRestarts = append(e.urgentRestarts, t)
-				t.step.restartsUrgently = true
+		for s := range j.openSteps() {
+			if !s.Gang && s.mayStart(now) {
+				e.appendUrgentRestarts(now, s)
 			}
-		})
+		}
 	}
 	slices.SortFunc(e.urgentRestarts, func(a, b *task) int {
 		return cmp.Or(a.downSince().Compare(b.downSince()), cmp.Compare(a.id.Job, b.id.Job),
@@ -59,6 +62,21 @@
 	})
 }
 
+// appendUrgentRestarts collects the tasks of a step that need an urgent restart. Of those that this owner has
+// never started it takes only the first ones; the others follow once these have started.
+func (e *Engine) appendUrgentRestarts(now time.Time, s *step) {
+	collected := 0
+	for i := range s.tasks {
+		t := s.view(i)
+		if !t.needsUrgentRestart(now) || e.mustAwaitRecovery(now, t) || !t.isRecord() && collected >= maxUrgentRestarts {
+			continue
+		}
+		collected++
+		e.urgentRestarts = append(e.urgentRestarts, s.task(i))
+		s.restartsUrgently = true
+	}
+}
+
 // startUrgentRestarts starts up to limit of the tasks that need an urgent restart and returns their
 // number. If one finds no worker, the others of its step aren't tried.
 func (e *Engine) startUrgentRestarts(now time.Time, limit int) int {
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -14,6 +14,8 @@
 	// maxStartsPerTick limits the starts in one tick, so that reports are processed in
 	// between.
 	maxStartsPerTick = 128
+	// maxDeferredTasks limits the tasks of a step that wait for a better worker at the same time.
+	maxDeferredTasks = 32
 )
 
 // Tick advances the engine to the given time and starts the tasks that can start.
@@ -161,7 +163,7 @@
 }
 
 func (s *step) hasWaiting(now time.Time) bool {
-	for _, t := range s.tasks {
+	for t := range s.views() {
 		if t.isWaiting(now) {
 			return true
 		}
@@ -176,7 +178,15 @@
 
 // hasStartable reports whether a task of the step may start.
 func (e *Engine) hasStartable(now time.Time, s *step) bool {
-	return slices.ContainsFunc(s.tasks, func(t *task) bool { return e.mayStart(now, t) })
+	if s.unusedTasks > 0 && e.mayStart(now, &s.unused) {
+		return true
+	}
+	for t := range s.records() {
+		if e.mayStart(now, t) {
+			return true
+		}
+	}
+	return false
 }
 
 // startStep starts up to limit waiting tasks of a step and returns their number.
@@ -202,13 +212,23 @@
 		return 0
 	}
 	started := 0
-	for _, t := range s.tasks {
+	deferred := 0
+	for i := range s.tasks {
 		if started >= limit {
 			break
 		}
-		if !e.mayStart(now, t) || now.Before(t.nextSearchAt) {
+		t := s.view(i)
+		if !e.mayStart(now, t) {
+			continue
+		}
+		if now.Before(t.nextSearchAt) {
+			deferred++
 			continue
 		}
+		if !t.isRecord() && deferred >= maxDeferredTasks {
+			break
+		}
+		t = s.task(i)
 		var w *worker
 		if placeable {
 			w = e.chooseWorker(now, t)
@@ -223,6 +243,7 @@
 			break
 		}
 		if e.deferForBetterWorker(now, t, w) {
+			deferred++
 			continue
 		}
 		s.blockedSince = time.Time{}
--- a/internal/decision/dispatch/serving.go
+++ b/internal/decision/dispatch/serving.go
@@ -174,7 +174,7 @@
 	if a.phase != running || now.Sub(a.task.movedAt) < moveCooldown {
 		return false
 	}
-	for _, t := range a.task.step.tasks {
+	for t := range a.task.step.views() {
 		if t.elsewhere && t.step.MaxUnavailable == 0 {
 			continue
 		}
--- a/internal/decision/dispatch/serving_loss.go
+++ b/internal/decision/dispatch/serving_loss.go
@@ -103,15 +103,27 @@
 // beginDowntimes records that no task of a job that was just added is at work. Tasks of a recovered job
 // may have run under the earlier owner, unless it isn't their turn yet.
 func (j *job) beginDowntimes(now time.Time) {
-	j.eachTask(func(t *task) {
-		if t.elsewhere {
-			return
+	j.addedAt = now
+	for _, o := range j.occurrences {
+		if o != nil {
+			o.beginDowntimes(now)
 		}
-		t.down = downtime{since: now, reason: reasonFirstStart}
-		if j.recovered && t.step.mayStart(now) {
-			t.down.reason = reasonTakeover
+	}
+}
+
+// beginDowntimes is like that of a job, for one occurrence. addedAt is when the job was added.
+func (o *occurrence) beginDowntimes(addedAt time.Time) {
+	for _, s := range o.steps {
+		down := downtime{since: addedAt, reason: reasonFirstStart}
+		if s.job.recovered && s.mayStart(addedAt) {
+			down.reason = reasonTakeover
 		}
-	})
+		s.eachAlike(func(t *task) {
+			if !t.elsewhere {
+				t.down = down
+			}
+		})
+	}
 }
 
 // isDownSinceTakeover reports whether a task had no run when this owner took over and has had none
--- a/internal/decision/dispatch/shard_room.go
+++ b/internal/decision/dispatch/shard_room.go
@@ -55,7 +55,11 @@
 	}
 	for _, j := range e.jobs {
 		if j.outcome == "" && j.Steps[0].LongRunning {
-			j.eachTask(func(t *task) { r.addTask(now, t) })
+			for s := range j.openSteps() {
+				for t := range s.views() {
+					r.addTask(now, t)
+				}
+			}
 		}
 	}
 	return r
--- a/internal/decision/dispatch/store.go
+++ b/internal/decision/dispatch/store.go
@@ -167,9 +167,9 @@
 }
 
 func (e *Engine) forgetTickets(j *job) {
-	for _, steps := range j.occurrences {
-		for _, s := range steps {
-			delete(e.tickets, s.id)
+	for k := range j.occurrences {
+		for i := range j.Steps {
+			delete(e.tickets, StepID{j.ID, k, i})
 		}
 	}
 }
--- a/internal/decision/dispatch/straggler.go
+++ b/internal/decision/dispatch/straggler.go
@@ -83,11 +83,9 @@
 		if j.outcome != "" || j.activeAttempts == 0 {
 			continue
 		}
-		for _, steps := range j.occurrences {
-			for _, s := range steps {
-				if s.remainingTasks > 0 && !s.LongRunning && !s.Filler && !s.Gang && len(s.perWorker) > 0 {
-					list = s.appendRunning(list)
-				}
+		for s := range j.openSteps() {
+			if s.remainingTasks > 0 && !s.LongRunning && !s.Filler && !s.Gang && len(s.perWorker) > 0 {
+				list = s.appendRunning(list)
 			}
 		}
 	}
@@ -102,7 +100,7 @@
 		return list
 	}
 	r := runningStep{typical: typical, estimated: estimated}
-	for _, t := range s.tasks {
+	for t := range s.records() {
 		if t.attempt != nil && t.attempt.phase == running {
 			r.runs = append(r.runs, t.attempt)
 		}
@@ -140,7 +138,7 @@
 // and true.
 func (s *step) typicalDuration() (typical time.Duration, estimated bool) {
 	durations := slices.Clone(s.durations)
-	for _, t := range s.tasks {
+	for t := range s.records() {
 		if t.attempt != nil && t.attempt.phase == running {
 			if p := t.attempt.projectedDuration(); p > 0 {
 				durations = append(durations, p)
--- a/internal/decision/dispatch/transfer.go
+++ b/internal/decision/dispatch/transfer.go
@@ -153,7 +153,7 @@
 		s.job.transfers[to] = &outgoingTransfer{tasks: slices.Clone(tasks)}
 		for _, moved := range tasks {
 			if moved.Index >= 0 && moved.Index < len(s.tasks) {
-				s.tasks[moved.Index].leave()
+				s.task(moved.Index).leave()
 			}
 		}
 	}
@@ -235,13 +235,13 @@
 // takeTransferred adds the tasks of a job that were transferred to this shard and that don't run here
 // yet.
 func (j *job) takeTransferred(now time.Time, tasks []TransferredTask) {
-	s := j.occurrences[0][0]
+	s := j.openOccurrence(0).steps[0]
 	j.Transferred, j.started = tasks, true
 	for _, moved := range tasks {
-		if moved.Index < 0 || moved.Index >= len(s.tasks) || !s.tasks[moved.Index].elsewhere {
+		if moved.Index < 0 || moved.Index >= len(s.tasks) || !s.view(moved.Index).elsewhere {
 			continue
 		}
-		t := s.tasks[moved.Index]
+		t := s.task(moved.Index)
 		t.elsewhere, t.run, t.firstRun = false, moved.Run, moved.Run
 		if t.checkpoint == "" {
 			t.checkpoint = moved.Checkpoint
--- a/internal/integration/memory/serveplatform_test.go
+++ b/internal/integration/memory/serveplatform_test.go
@@ -22,6 +22,7 @@
 // platformInstance is a process of serve-platform, alone with a store and a worker.
 type platformInstance struct {
 	*process
+	store                              *store
 	callers, readiness, peers, metrics string
 	submitted                          int
 }
@@ -62,7 +63,13 @@
 		"service": "svc", "address": worker.Listener.Addr().String(), "zone": "z", "version": "v1", "slots": 8, "state": "ready",
 		"sequence": 1, "born": time.Now().UnixMilli(), "capacity": map[string]any{"cpu": 8000, "memoryRequestMb": 8000, "gpu": 0}, "labels": []string{"a", "r1-1"},
 	})
-	i := &platformInstance{callers: freeAddress(), readiness: freeAddress(), peers: freeAddress(), metrics: freeAddress()}
+	return startOnStore(l, s)
+}
+
+// startOnStore starts a process on a store that may have the rows of an earlier one.
+func startOnStore(l limits, s *store) *platformInstance {
+	GinkgoHelper()
+	i := &platformInstance{store: s, callers: freeAddress(), readiness: freeAddress(), peers: freeAddress(), metrics: freeAddress()}
 	i.process = startProcess(l, nil, "serve-platform", "--config", i.writeSettings(l, s.Listener.Addr().String()),
 		"--metrics-port", strings.TrimPrefix(i.metrics, "127.0.0.1:"), "--log-level", "warn")
 	i.expectServing(i.submit)
