Bound the memory of accepted jobs

Cause: nothing bounded what the accepted jobs take together, neither when one is handed in nor when a new owner loads them. The copy of the job rows kept each job a second time, and that of the progress rows those of all jobs for as long as the owner lived.

Change: Job.Memory estimates what a job takes. A fifth of the machine's memory is for jobs; a large one is refused before it is stored (503 JobMemory) once half of that is used, a small one at the end. An owner that takes a shard over reads the rows page by page and loads large jobs up to three quarters; the others stay in the store, are counted as pending and answer for their state. One is loaded as jobs end, when it is cancelled, and before a report with a run or an end of it is processed, so that none is stopped, forgotten or run twice. Jobs are moved neither to a full instance nor accepted from another shard by one. The copy of the rows keeps no job that the owner knows.

Conclusion: memory follows the bound on each path by which an owner gets jobs.

--- a/internal/caller/intake/limits.go
+++ b/internal/caller/intake/limits.go
@@ -23,6 +23,8 @@
 	reservedDescriptors = 200
 	// budgetShare of the memory is for requests, and as much for messages of other instances.
 	budgetShare = 8
+	// jobShare of the memory is for jobs.
+	jobShare = 5
 	// connectionMemoryShare of the memory is for the callers' connections.
 	connectionMemoryShare = 4
 	// connectionBytes is what a connection holds besides its request, with the kernel's buffers.
@@ -75,6 +77,8 @@
 	Messages Bytes
 	// Internal is the budget for requests to the ports that aren't for callers.
 	Internal Bytes
+	// Jobs is the memory for the jobs of the shards that the process owns.
+	Jobs Bytes
 	// CallerConnections bounds the connections of the callers' port, InternalConnections those of
 	// each other HTTP port.
 	CallerConnections   int
@@ -90,6 +94,7 @@
 	budget := max(m.Memory/budgetShare, minBudget)
 	return Limits{
 		Requests: budget, Messages: budget, Internal: max(m.Memory/internalBudgetShare, minInternalBudget),
+		Jobs:                m.Memory / jobShare,
 		CallerConnections:   max(min(sockets/callerShare, byMemory), minCallerConnections),
 		InternalConnections: min(max(sockets/internalShare, minInternalConnections), maxInternalConnections),
 		PeerConnections:     min(max(min(sockets/peerShare, int(m.Memory/peerMemoryShare/peerConnectionBytes)), minPeerConnections), maxPeerConnections),
--- a/internal/cmd/serveplatform/process.go
+++ b/internal/cmd/serveplatform/process.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/intake"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/entry/dispatcher"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/counter"
 	"github.com/jacinthtrail/jacinthtrail/internal/operator/logging"
@@ -94,6 +95,7 @@
 	}
 	p.node = dispatcher.New(dispatcher.Options{
 		Name: s.Instance, Zone: s.Zone, PeerAddress: cmp.Or(opts.PeerAnnounceAddress, s.PeerAddress), Seeds: s.Seeds, IsSeed: s.IsSeed, Cores: s.Cores,
+		JobMemory: dispatch.MemoryLimit(p.limits.Jobs),
 		LeaseTerm: min(opts.LeaseTerm, s.MaxLease), MaxLease: s.MaxLease, StopTimeout: s.StopTimeout, ChangeBound: s.ChangeBound, RemoteDurationFactor: s.RemoteDurationFactor, Disabled: opts.Disabled,
 		Store:   platform.StoreClient{Address: s.StoreAddress, HTTP: httpClient},
 		Workers: platform.WorkerClient{HTTP: httpClient, Counters: p.counters},
--- a/internal/decision/dispatch/admit.go
+++ b/internal/decision/dispatch/admit.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/balance"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/mechanism"
 )
@@ -21,6 +22,9 @@
 	// fitsNoWorkerRetry is the delay after which the client should retry a job that
 	// fits no worker. Other workers may have joined by then.
 	fitsNoWorkerRetry = 30 * time.Second
+	// memoryRetry is the delay after which the client should retry a job for which there is no memory. Other
+	// jobs may have ended by then.
+	memoryRetry = 5 * time.Second
 )
 
 // Admission is the decision whether a new job is accepted.
@@ -39,6 +43,8 @@
 	// RefusedOverload is for a job that would complete only when it has no value any
 	// more.
 	RefusedOverload = "Overloaded"
+	// RefusedMemory is for a job that would take more memory than the instance has for accepted jobs.
+	RefusedMemory = "JobMemory"
 )
 
 // Admit decides whether to accept a new job. A job that certainly can't be served is
@@ -63,6 +69,14 @@
 	return Admission{RefusedOverload, min(max(wait+j.criticalPath()-j.objective, minRetryAfter), maxRetryAfter)}
 }
 
+// AdmitMemory decides whether there is memory for a new job on an instance whose jobs need the given memory.
+func AdmitMemory(limit MemoryLimit, used resource.Bytes, proposed *Job) Admission {
+	if limit.Accepts(used, proposed.Memory()) {
+		return Admission{}
+	}
+	return Admission{RefusedMemory, memoryRetry}
+}
+
 // fitsSomewhere reports whether for each step there is a worker that could run one of
 // its tasks if the worker were empty. Draining and silent workers count, because
 // similar workers usually come back. It returns true if no worker of the service is
--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/membership"
 )
 
@@ -26,6 +27,12 @@
 	// due, or once a run or an end of it becomes known. unopened counts them.
 	occurrences []*occurrence
 	unopened    int
+	// open counts the occurrences that are open.
+	open int
+	// memory is what the owner needs for the job while none of its tasks runs, and records the number of
+	// records of its tasks.
+	memory  resource.Bytes
+	records int
 	// remainingTasks counts the tasks that haven't succeeded.
 	remainingTasks int
 	// transfers has the tasks that other shards run.
@@ -134,7 +141,7 @@
 }
 
 func newJob(j Job, q Queue, recovered bool) *job {
-	added := &job{Job: j, queue: q, recovered: recovered}
+	added := &job{Job: j, queue: q, recovered: recovered, memory: j.Memory()}
 	added.occurrences = make([]*occurrence, j.Occurrences())
 	added.unopened = len(added.occurrences)
 	for i := range j.Steps {
--- a/internal/decision/dispatch/task_record.go
+++ b/internal/decision/dispatch/task_record.go
@@ -27,6 +27,7 @@
 	t := &initial
 	t.id.Index = index
 	s.tasks[index] = t
+	s.job.records++
 	return t
 }
 
@@ -88,6 +89,7 @@
 	}
 	if s.tasks[t.id.Index] == t {
 		s.tasks[t.id.Index] = s.succeeded
+		s.job.records--
 	}
 	s.job.dropOccurrence(s.id.Occurrence)
 }
@@ -114,6 +116,7 @@
 	o := &occurrence{steps: make([]*step, len(j.Steps))}
 	j.occurrences[k] = o
 	j.unopened--
+	j.open++
 	for i := range j.Steps {
 		o.steps[i] = newStep(j, o, k, i)
 		o.remainingTasks += j.Steps[i].Tasks
@@ -167,6 +170,7 @@
 		}
 	}
 	j.occurrences[k] = ended
+	j.open--
 }
 
 // openSteps returns the steps of the occurrences that are open.
--- a/internal/decision/dispatch/task_record_test.go
+++ b/internal/decision/dispatch/task_record_test.go
@@ -164,30 +164,32 @@
 	})
 })
 
+// heapBytes returns the memory in use.
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // Guards against an owner that runs out of memory: each accepted task had a record at once.
 var _ = Describe("The memory of accepted jobs", func() {
 	const jobs = 100
 	// limit is what these jobs may take on a machine of 64 MB.
 	const limit = 4 << 20
 
-	heap := func() uint64 {
-		var m runtime.MemStats
-		runtime.GC()
-		runtime.ReadMemStats(&m)
-		return m.HeapAlloc
-	}
 	expectSmall := func(j dispatch.Job) {
 		GinkgoHelper()
 		h := newHarness(1, 4)
 		h.listWorkers()
-		before := heap()
+		before := heapBytes()
 		for n := range jobs {
 			j.ID = dispatch.JobID(fmt.Sprintf("%016x", n))
 			h.engine.AddJob(h.now, j, dispatch.Progress{}, false)
 			h.advance(10 * time.Millisecond)
 		}
 		h.decisions, h.starts = nil, nil
-		used := int64(heap()) - int64(before)
+		used := heapBytes() - before
 		runtime.KeepAlive(h)
 		Expect(used).To(BeNumerically("<", limit))
 	}
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -151,7 +151,11 @@
 	o.lock.Lock()
 	admission := dispatch.Admission{}
 	if !o.isMovedHere(j.ID) && !o.isStoredOrWaiting(j.ID) {
-		admission = o.engine.Admit(o.now(), *j)
+		o.updateJobMemory()
+		admission = dispatch.AdmitMemory(o.node.JobMemory, o.node.usedJobMemory(), j)
+		if admission.Refused == "" {
+			admission = o.engine.Admit(o.now(), *j)
+		}
 	}
 	o.lock.Unlock()
 	if admission.Refused == "" {
@@ -178,6 +182,9 @@
 	if _, lost := o.node.store.lostFor(); lost || o.releaseRequested.Load() {
 		return errNotAccepted
 	}
+	if o.isMovedHere(j.ID) && !o.mayLoad(&j) {
+		return errNotAccepted
+	}
 	if err := o.admit(ctx, &j); err != nil {
 		return err
 	}
@@ -274,7 +281,7 @@
 
 // knows reports whether the job or its outcome is known. The lock must be held.
 func (o *owner) knows(id dispatch.JobID) bool {
-	return o.engine.HasJob(id) || o.moved[id] != nil
+	return o.engine.HasJob(id) || o.moved[id] != nil || o.unloaded[id] != nil
 }
 
 // covers reports whether the job or its outcome is known. Of a job with tasks that were transferred to
--- a/internal/entry/dispatcher/cancel.go
+++ b/internal/entry/dispatcher/cancel.go
@@ -19,6 +19,8 @@
 		o.forwardCancel(id)
 	case o.engine.HasJob(id):
 		o.cancelKnownJob(now, id)
+	case o.unloaded[id] != nil:
+		o.unloaded[id].wanted = true
 	default:
 		if len(o.earlyCancels) >= maxEarlyCancels {
 			o.node.Counters.Add("Cancel.EarlyDropped", int64(len(o.earlyCancels)))
--- a/internal/entry/dispatcher/client_requests.go
+++ b/internal/entry/dispatcher/client_requests.go
@@ -230,7 +230,7 @@
 func (o *owner) addStoredJob(j dispatch.Job) {
 	o.withEngine(func(now time.Time, _ *dispatch.Engine) {
 		if o.loaded && !o.knows(j.ID) && !o.storing[j.ID] {
-			o.addJob(now, j, dispatch.Progress{}, false)
+			o.addOrDefer(now, j, dispatch.Progress{}, false)
 		}
 	})
 }
@@ -246,6 +246,9 @@
 	if m := o.moved[id]; m != nil {
 		return stateAnswer{Known: true, Moved: &m.target, Stored: m.stored}
 	}
+	if u := o.unloaded[id]; u != nil {
+		return stateAnswer{Known: true, State: u.state()}
+	}
 	state, known := o.engine.State(id)
 	return stateAnswer{Known: known, State: state}
 }
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -97,6 +97,8 @@
 	LeaseTerm time.Duration
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease time.Duration
+	// JobMemory limits the memory that the jobs of this instance's shards take. 0 means no limit.
+	JobMemory dispatch.MemoryLimit
 	// ChangeBound is how soon a change in the store must take effect on this instance. 0 means
 	// table.DefaultChangeBound.
 	ChangeBound time.Duration
--- a/internal/entry/dispatcher/handover.go
+++ b/internal/entry/dispatcher/handover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
 	"github.com/jacinthtrail/jacinthtrail/internal/caller/queue"
 	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/platform/table"
@@ -26,6 +27,8 @@
 type movedJob struct {
 	target shardID
 	queue  dispatch.QueueName
+	// memory is what the job takes until the target has stored it.
+	memory resource.Bytes
 	// stored reports that the target shard has stored the job, at storedAt.
 	stored   bool
 	storedAt time.Time
@@ -44,7 +47,7 @@
 	if j == nil {
 		return
 	}
-	m.queue = j.Queue
+	m.queue, m.memory = j.Queue, j.Memory()
 	o.node.Counters.Add("Job.Moved", 1)
 	o.RecordDecision(o.now(), dispatch.Decision{Event: "JobMoved", Job: id, Reason: to.String()})
 	o.group.Go(func() error { o.handOver(*j, to); return nil })
@@ -75,7 +78,7 @@
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	m := o.moved[j.ID]
-	m.stored, m.storedAt = true, o.now()
+	m.stored, m.storedAt, m.memory = true, o.now(), 0
 	o.deferredWrites = append(o.deferredWrites, table.Write{
 		Key: o.shard.partition.jobKey(j.ID), Value: encode(jobRow{Moved: &to, Ended: m.storedAt.UTC()}),
 	})
--- a/internal/entry/dispatcher/hello.go
+++ b/internal/entry/dispatcher/hello.go
@@ -91,6 +91,10 @@
 		answer.Owner = o.currentRow()
 		answer.StoreLost = o.storeLost()
 		answer.Load = o.load()
+		if o.node.isJobMemoryUsed() {
+			// Jobs aren't moved to a shard of unknown capacity.
+			answer.Load.Capacity = 0
+		}
 		if r.From.Owned == 0 {
 			answer.Load.Rooms = nil
 		}
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -90,6 +90,10 @@
 	// senderEpochs has the highest epoch of each other shard whose owner has transferred tasks to this
 	// one, or has ended transfers.
 	senderEpochs map[shardID]dispatch.Epoch
+	// unloaded has the stored jobs for which there was no memory.
+	unloaded map[dispatch.JobID]*unloadedJob
+	// jobMemory is what the jobs of the shard take, as of the last run of the engine, in bytes.
+	jobMemory atomic.Int64
 	// earlyCancels has the jobs whose cancellation became known before the jobs did.
 	earlyCancels map[dispatch.JobID]bool
 	// deferredWrites are writes that aren't urgent.
@@ -121,6 +125,7 @@
 		expiredJobs:  map[dispatch.JobID]bool{},
 		storing:      map[dispatch.JobID]bool{},
 		moved:        map[dispatch.JobID]*movedJob{},
+		unloaded:     map[dispatch.JobID]*unloadedJob{},
 		senderEpochs: map[shardID]dispatch.Epoch{},
 		earlyCancels: map[dispatch.JobID]bool{},
 	}
@@ -162,6 +167,7 @@
 	o.group.Go(func() error { return o.expireMovedJobs(ctx) })
 	o.group.Go(func() error { return o.runReassignment(ctx) })
 	o.group.Go(func() error { return o.exchangeEstimates(ctx) })
+	o.group.Go(func() error { return o.loadDeferred(ctx) })
 	return nil
 }
 
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -50,6 +50,7 @@
 		adviceRequests := o.engine.TakeAdviceRequests()
 		transfers := o.engine.TakeTransfers()
 		unstored := o.engine.HasUnstored()
+		o.updateJobMemory()
 		o.lock.Unlock()
 		if unstored {
 			o.requestWrite()
@@ -240,6 +241,9 @@
 		})
 		return silentPollInterval, nil
 	}
+	if !o.loadReported(ctx, report) {
+		return pollInterval, nil
+	}
 	interval := pollInterval
 	o.withEngine(func(now time.Time, e *dispatch.Engine) {
 		e.Observe(now, id, report)
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -97,10 +97,15 @@
 // accepted under a previous owner.
 func (o *owner) mirrorJobs(progress map[dispatch.JobID]dispatch.Progress) *table.Mirror {
 	recovered := false
-	return o.node.mirror("Jobs", o.shard.partition.jobPrefix(), jobsWatchInterval, func(rows map[table.Key]table.Row) {
-		o.applyJobs(rows, progress, !recovered)
-		recovered = true
+	mirror := o.node.mirror("Jobs", o.shard.partition.jobPrefix(), jobsWatchInterval, func(rows map[table.Key]table.Row) {
+		o.applyJobs(rows, nil, false)
+		recovered, progress = true, nil
 	})
+	mirror.Trim = func(r table.Row) table.Row {
+		o.applyJobs(map[table.Key]table.Row{r.Key: r}, progress, !recovered)
+		return o.trimJobRow(r)
+	}
+	return mirror
 }
 
 // recoverEstimates restores the interference estimates of the previous owner.
@@ -158,32 +163,42 @@
 
 // applyJobs adds the jobs that the engine doesn't know yet.
 func (o *owner) applyJobs(rows map[table.Key]table.Row, progress map[dispatch.JobID]dispatch.Progress, recovered bool) {
-	o.withEngine(func(now time.Time, e *dispatch.Engine) {
+	o.withEngine(func(now time.Time, _ *dispatch.Engine) {
 		for key, row := range rows {
 			id := jobIDOf(key, o.shard.partition.jobPrefix())
-			if o.knows(id) || o.storing[id] {
-				continue
-			}
-			content, err := decode[jobRow](row)
-			if err != nil {
-				o.node.Log.Error().Err(err).Msg("can't decode a job row")
-				o.node.Counters.Add("Jobs.RowsUnreadable", 1)
-				continue
-			}
-			switch {
-			case content.Moved != nil:
-				o.addMoved(content.Job, id, *content.Moved, content.Ended)
-			case content.Outcome != "" && now.Sub(content.Ended) > outcomeRetention:
-				o.expiredJobs[id] = true
-			case content.Outcome != "":
-				e.AddFinished(now, id, content.Outcome)
-			case content.Job != nil:
-				o.addJob(now, *content.Job, progress[id], recovered)
-			}
+			o.applyJob(now, row, progress[id], recovered, o.addOrDefer)
 		}
 	})
 }
 
+// applyJob adds a job that the engine doesn't know yet, or its outcome, from its row. An unfinished job is
+// added by add. The lock must be held.
+func (o *owner) applyJob(
+	now time.Time, row table.Row, progress dispatch.Progress, recovered bool,
+	add func(time.Time, dispatch.Job, dispatch.Progress, bool),
+) {
+	id := jobIDOf(row.Key, o.shard.partition.jobPrefix())
+	if len(row.Value) == 0 || o.knows(id) || o.storing[id] {
+		return
+	}
+	content, err := decode[jobRow](row)
+	if err != nil {
+		o.node.Log.Error().Err(err).Msg("can't decode a job row")
+		o.node.Counters.Add("Jobs.RowsUnreadable", 1)
+		return
+	}
+	switch {
+	case content.Moved != nil:
+		o.addMoved(content.Job, id, *content.Moved, content.Ended)
+	case content.Outcome != "" && now.Sub(content.Ended) > outcomeRetention:
+		o.expiredJobs[id] = true
+	case content.Outcome != "":
+		o.engine.AddFinished(now, id, content.Outcome)
+	case content.Job != nil:
+		add(now, *content.Job, progress, recovered)
+	}
+}
+
 func rowsByKey(rows []table.Row) map[table.Key]table.Row {
 	byKey := make(map[table.Key]table.Row, len(rows))
 	for _, r := range rows {
--- a/internal/entry/dispatcher/pending.go
+++ b/internal/entry/dispatcher/pending.go
@@ -90,5 +90,5 @@
 	if !o.loaded {
 		return pendingAnswer{}, entry.Errorf(entry.CodeUnavailable, "the owner is still loading the stored jobs")
 	}
-	return pendingAnswer{o.engine.Pending(name) + o.pendingMoved(name)}, nil
+	return pendingAnswer{o.engine.Pending(name) + o.pendingMoved(name) + o.pendingUnloaded(name)}, nil
 }
--- a/internal/entry/dispatcher/store.go
+++ b/internal/entry/dispatcher/store.go
@@ -60,6 +60,19 @@
 	return rows, version, err
 }
 
+// Pages calls visit with all rows under a prefix, page by page if the store can return them so.
+func (s *monitoredStore) Pages(ctx context.Context, prefix table.Key, visit func([]table.Row)) (table.Version, error) {
+	reader, ok := s.Store.(table.PageReader)
+	if !ok {
+		rows, version, err := s.Snapshot(ctx, prefix)
+		visit(rows)
+		return version, err
+	}
+	version, err := reader.Pages(ctx, prefix, visit)
+	s.recordResult("Snapshot", err)
+	return version, err
+}
+
 // Watch returns the changes under a prefix.
 func (s *monitoredStore) Watch(ctx context.Context, prefix table.Key, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
 	changes, version, err := s.Store.Watch(ctx, prefix, after, wait)
--- a/internal/entry/dispatcher/transfer.go
+++ b/internal/entry/dispatcher/transfer.go
@@ -173,6 +173,9 @@
 	if _, lost := o.node.store.lostFor(); lost || o.releaseRequested.Load() {
 		return errNotAccepted
 	}
+	if !o.mayLoad(&j) {
+		return errNotAccepted
+	}
 	if err := o.checkSender(from); err != nil {
 		return err
 	}
--- a/internal/integration/memory/accepted_jobs_test.go
+++ b/internal/integration/memory/accepted_jobs_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 )
 
 const (
@@ -15,6 +19,8 @@
 	// a job may have.
 	heldJobs   = 80
 	heldChains = 800
+	// storedChains is the number of such jobs that earlier builds have stored.
+	storedChains = 3000
 	// chainSteps is the number of steps of such a job.
 	chainSteps = 64
 	// firstHeldJob is the lowest ID of a large job, above those of the ordinary ones.
@@ -54,6 +60,22 @@
 		strings.Repeat("x", 4000), time.Now().Add(time.Hour).UnixMilli(), strings.Join(steps, ","))
 }
 
+// storedChain is a job like chainJob, as it is stored.
+func storedChain(number int) dispatch.Job {
+	j := dispatch.Job{
+		ID: dispatch.JobID(fmt.Sprintf("%016x", number)), Queue: "r", Spec: strings.Repeat("x", 4000), Accepted: time.Now().UTC(),
+		Repetitions: 1, Interval: time.Second, FirstRun: time.Now().Add(time.Hour).UTC(),
+	}
+	var after []int
+	for n := range chainSteps {
+		j.Steps = append(j.Steps, dispatch.Step{
+			Tasks: 1, Resources: resource.Vector{Processors: 100, Memory: 100 << 20}, Estimate: time.Second, After: slices.Clone(after),
+		})
+		after = append(after, n)
+	}
+	return j
+}
+
 // holdJobs hands in large jobs and returns the path of one that was accepted. The others may be refused.
 func (i *platformInstance) holdJobs(count int, body func() string) string {
 	GinkgoHelper()
@@ -107,4 +129,16 @@
 		Entry("of very many tasks that wait for room", heldJobs, waitingJob),
 		Entry("of as many steps as a job may have", heldChains, chainJob),
 	)
+
+	// Guards against owners that load more jobs than fit: earlier builds accepted them without a bound.
+	It("stays within its memory with stored jobs that don't fit, and knows them all", func() {
+		s := newPlatform()
+		for n := range storedChains {
+			s.put("job", "s0", fmt.Sprintf("%016x", firstHeldJob+n), map[string]any{"Job": storedChain(firstHeldJob + n)})
+		}
+		i := startOnStore(memoryLimits, s)
+		for _, n := range []int{0, storedChains / 2, storedChains - 1} {
+			i.expectHeld(fmt.Sprintf("%s%016x", testPrefix, firstHeldJob+n))
+		}
+	})
 })
--- a/internal/integration/memory/serveplatform_test.go
+++ b/internal/integration/memory/serveplatform_test.go
@@ -44,6 +44,12 @@
 }
 
 func startServePlatform(l limits) *platformInstance {
+	GinkgoHelper()
+	return startOnStore(l, newPlatform())
+}
+
+// newPlatform starts a store with a configuration and a worker. Both end with the spec.
+func newPlatform() *store {
 	GinkgoHelper()
 	s, worker := newStore(), newWorker()
 	DeferCleanup(func() {
@@ -63,7 +69,7 @@
 		"service": "svc", "address": worker.Listener.Addr().String(), "zone": "z", "version": "v1", "slots": 8, "state": "ready",
 		"sequence": 1, "born": time.Now().UnixMilli(), "capacity": map[string]any{"cpu": 8000, "memoryRequestMb": 8000, "gpu": 0}, "labels": []string{"a", "r1-1"},
 	})
-	return startOnStore(l, s)
+	return s
 }
 
 // startOnStore starts a process on a store that may have the rows of an earlier one.
--- a/internal/integration/memory/store_test.go
+++ b/internal/integration/memory/store_test.go
@@ -108,7 +108,23 @@
 		}
 	}
 	slices.SortFunc(rows, func(a, b storeRow) int { return strings.Compare(a.Key, b.Key) })
-	s.reply(w, rows)
+	s.replyPage(w, rows)
+}
+
+const (
+	// maxPageRows and maxPageBytes limit an answer with rows.
+	maxPageRows  = 500
+	maxPageBytes = 1 << 20
+)
+
+// replyPage writes an answer with the first rows. The lock must be held.
+func (s *store) replyPage(w http.ResponseWriter, rows []storeRow) {
+	bytes, count := 0, 0
+	for count < min(len(rows), maxPageRows) && (count == 0 || bytes+len(rows[count].Value) <= maxPageBytes) {
+		bytes += len(rows[count].Value)
+		count++
+	}
+	s.replyRows(w, rows[:count], count < len(rows))
 }
 
 func (s *store) feed(w http.ResponseWriter, r *http.Request) {
@@ -146,8 +162,12 @@
 
 // reply writes an answer with rows. The lock must be held.
 func (s *store) reply(w http.ResponseWriter, rows []storeRow) {
+	s.replyRows(w, rows, false)
+}
+
+func (s *store) replyRows(w http.ResponseWriter, rows []storeRow, hasMore bool) {
 	if rows == nil {
 		rows = []storeRow{}
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "hasMore": false, "ver": s.version, "nowMs": 1})
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "hasMore": hasMore, "ver": s.version, "nowMs": 1})
 }
--- a/internal/platform/table/watch.go
+++ b/internal/platform/table/watch.go
@@ -52,6 +52,13 @@
 	Watch(ctx context.Context, prefix Key, after Version, wait time.Duration) ([]Change, Version, error)
 }
 
+// PageReader is a Watcher that can return the rows page by page, so that they needn't all be in memory.
+type PageReader interface {
+	// Pages calls visit with the rows whose keys start with prefix, some at a time and in the order of their
+	// keys, and returns the version from which Watch reports all later changes.
+	Pages(ctx context.Context, prefix Key, visit func([]Row)) (Version, error)
+}
+
 // copyWatcher is a Watcher that may read from a copy of the rows. CopyAge returns how old the
 // copy was when the last call ended.
 type copyWatcher interface {
@@ -118,6 +125,9 @@
 	Clock       clockwork.Clock
 	// OnChange is called with all rows after each change. It must not retain the map.
 	OnChange func(rows map[Key]Row)
+	// Trim, if set, is called with each row before it is kept, and returns what is kept of it. A row of which
+	// nothing is to be read again needs no value. OnChange gets the rows as they are kept.
+	Trim func(r Row) Row
 	// OnCall, if set, is called after each call to the service.
 	OnCall func(c MirrorCall)
 
@@ -220,7 +230,7 @@
 		if c.Removed {
 			delete(m.rows, c.Key)
 		} else {
-			m.rows[c.Key] = c.Row
+			m.rows[c.Key] = m.trim(c.Row)
 		}
 	}
 	m.apply()
@@ -232,19 +242,40 @@
 func (m *Mirror) Load(ctx context.Context) error {
 	start := m.Clock.Now()
 	m.enter(MirrorReading)
-	rows, version, err := m.Watcher.Snapshot(ctx, m.Prefix)
+	rows, version, err := m.readAll(ctx)
 	if err == nil {
-		m.rows = make(map[Key]Row, len(rows))
-		for _, r := range rows {
-			m.rows[r.Key] = r
-		}
-		m.version = version
+		m.rows, m.version = rows, version
 		m.apply()
 	}
 	m.recordCall(ctx, start, MirrorCall{Snapshot: true, Changes: len(rows), Err: err})
 	return err
 }
 
+// readAll reads all rows, if possible page by page.
+func (m *Mirror) readAll(ctx context.Context) (map[Key]Row, Version, error) {
+	rows := map[Key]Row{}
+	keep := func(page []Row) {
+		for _, r := range page {
+			rows[r.Key] = m.trim(r)
+		}
+	}
+	if reader, ok := m.Watcher.(PageReader); ok && m.Trim != nil {
+		version, err := reader.Pages(ctx, m.Prefix, keep)
+		return rows, version, err
+	}
+	all, version, err := m.Watcher.Snapshot(ctx, m.Prefix)
+	keep(all)
+	return rows, version, err
+}
+
+// trim returns what is kept of a row.
+func (m *Mirror) trim(r Row) Row {
+	if m.Trim == nil {
+		return r
+	}
+	return m.Trim(r)
+}
+
 // recordCall records the outcome of a call and reports it to OnCall, unless the mirror is
 // being stopped.
 func (m *Mirror) recordCall(ctx context.Context, start time.Time, c MirrorCall) {
