Keep a job that was cancelled before it was stored from running

Cause: a cancellation of a job without a row left nothing behind. A submission may be stored afterwards: one that waits at the owner, is on its way through another instance, is sent again, or is in a transaction without an answer that the store performs later. The lost answers of the store are one way to get there; the owner's transactions had no condition on the rows of new jobs at all.

Change: the cancellation stores a tombstone in place of the job's row, on the condition that there is none, and answers "no such job" only once that is certain; 503 or 504 otherwise. Each transaction that stores a new job, of the owner too, requires that the job has no row; a conflict that isn't about the owner's row decides the jobs that have one and stores the others. The submission is refused with 503 CancelledBefore, a GET is answered 410, at each instance and under the next owner. A tombstone lives as long as an outcome, 4 minutes, then the owner deletes it. All instances together store 40 a second, one at most 50 at once; beyond that a cancellation of an unknown job gets 503. A job that another instance has stored, or that ended over 5 minutes ago, is no longer overwritten either.

Conclusion: what a cancellation promises is a condition of the store, so it holds whoever writes later.

--- a/internal/decision/dispatch/job_memory_test.go
+++ b/internal/decision/dispatch/job_memory_test.go
@@ -30,14 +30,14 @@
 var _ = Describe("The estimate of a job's memory", func() {
 	const jobs = 200
 
-	DescribeTable("is no lower than what the engine takes, also after a tick, for", func(make func() dispatch.Job) {
+	DescribeTable("is no lower than what the engine takes, also after a tick, for", func(newJob func() dispatch.Job) {
 		h := newHarness(1, 4)
 		h.listWorkers()
 		h.advance(0)
 		before := heapBytes()
 		estimated := resource.Bytes(0)
 		for n := range jobs {
-			j := make()
+			j := newJob()
 			j.ID, j.Spec = dispatch.JobID(fmt.Sprintf("%016x", n)), strings.Repeat("x", 1000+n)
 			estimated += j.Memory()
 			h.engine.AddJob(h.now, j, dispatch.Progress{}, false)
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -37,6 +37,8 @@
 	job dispatch.Job
 	// row is the encoded row of the job.
 	row []byte
+	// moves reports that the job is stored and moves to another shard.
+	moves bool
 	// target is the shard that the job moves to, nil if it stays in its home shard.
 	target *shardID
 	// done receives nil once the job is stored, or an error if the owner will never store it:
@@ -57,6 +59,11 @@
 	return &submission{job: j, row: row, target: target, done: make(chan error, 1)}, err
 }
 
+// isNew reports whether the job must not have a row before it is stored.
+func (s *submission) isNew() bool {
+	return !s.moves && len(s.job.Transferred) == 0
+}
+
 // errNotAccepted reports that the owner didn't accept a job and won't store it.
 var errNotAccepted = errors.New("dispatcher: the owner didn't accept the job")
 
@@ -179,6 +186,9 @@
 	if o.isStored(&j) {
 		return nil
 	}
+	if err := o.refuseCancelled(j.ID); err != nil {
+		return err
+	}
 	if _, lost := o.node.store.lostFor(); lost || o.releaseRequested.Load() {
 		return errNotAccepted
 	}
@@ -303,15 +313,15 @@
 // takeSubmissions returns up to limit jobs to store in the next transaction. A job that has
 // become known since it was queued is already stored and may have finished; writing it
 // again would overwrite its outcome. A second submission of the same job waits until
-// the first one is stored, because a different shard may have been chosen for it. The
-// lock must be held.
+// the first one is stored, because a different shard may have been chosen for it. A job whose
+// expired row is still to be deleted waits as well. The lock must be held.
 func (o *owner) takeSubmissions(limit int) []*submission {
 	var taken, remaining []*submission
 	for _, next := range o.submissions {
 		switch {
 		case o.covers(&next.job):
 			next.done <- nil
-		case len(taken) >= limit || o.storing[next.job.ID]:
+		case len(taken) >= limit || o.storing[next.job.ID] || o.expiredJobs[next.job.ID]:
 			remaining = append(remaining, next)
 		default:
 			o.storing[next.job.ID] = true
@@ -322,6 +332,18 @@
 	return taken
 }
 
+// submissionConditions returns the conditions that keep a transaction from storing a new job that another
+// instance has stored, or that was cancelled.
+func (o *owner) submissionConditions(list []*submission) []table.Condition {
+	var conditions []table.Condition
+	for _, s := range list {
+		if s.isNew() {
+			conditions = append(conditions, table.Condition{Key: o.shard.partition.jobKey(s.job.ID)})
+		}
+	}
+	return conditions
+}
+
 // submissionWrites returns the writes for the rows of new jobs.
 func (o *owner) submissionWrites(list []*submission) []table.Write {
 	writes := make([]table.Write, 0, len(list))
--- a/internal/entry/dispatcher/client_requests.go
+++ b/internal/entry/dispatcher/client_requests.go
@@ -78,10 +78,12 @@
 		return ownerErr
 	}
 	err := s.storeJob(ctx, j)
-	if errors.Is(err, errAlreadyStored) {
-		return nil
-	}
 	switch {
+	case errors.Is(err, errAlreadyStored):
+		return nil
+	case isCancelledRefusal(err):
+		// The owner can't store the job any more either.
+		return err
 	case errors.As(err, &refusal) && !refusal.Permanent:
 		err = s.relay(ctx, relaySubmitMethod, submittedRequest{j}, err)
 	case err == nil:
@@ -99,7 +101,7 @@
 var errAlreadyStored = errors.New("dispatcher: the job is already stored")
 
 // storeJob stores a job from this instance. It fails with errAlreadyStored if the job
-// was stored before. The row is read first: if the store doesn't answer that, the job can be refused,
+// was stored before, and with a *queue.Refusal if it was cancelled before. The row is read first: if the store doesn't answer that, the job can be refused,
 // while the outcome of a transaction without an answer would be unknown.
 func (s *shard) storeJob(ctx context.Context, j dispatch.Job) error {
 	n := s.node
@@ -115,8 +117,7 @@
 		outage, _ := n.store.lostFor()
 		return storeRefusal(outage)
 	case stored.Version != 0:
-		n.Counters.Add("Submit.Repeated", 1)
-		return errAlreadyStored
+		return n.existingRow(stored)
 	}
 	tx := table.Transaction{
 		Conditions: []table.Condition{{Key: s.partition.jobKey(j.ID)}},
@@ -129,11 +130,13 @@
 		case err == nil:
 			return nil
 		case errors.Is(err, table.ErrConflict):
-			// The row exists, so an earlier request or attempt has stored the job. The owner
-			// already knows the job or will see the row in its watch. Another notification could
-			// restart a job that has finished.
-			n.Counters.Add("Submit.Repeated", 1)
-			return errAlreadyStored
+			// The row exists, so an earlier request or attempt has stored the job, or it was cancelled.
+			// The owner already knows the job or will see the row in its watch. Another notification
+			// could restart a job that has finished.
+			if stored, err := n.read(ctx, s.partition.jobKey(j.ID)); err == nil && stored.Version != 0 {
+				return n.existingRow(stored)
+			}
+			outcomeUnknown = true
 		case errors.Is(err, table.ErrInvalid):
 			return notStorable()
 		case errors.Is(err, table.ErrUnavailable) && !outcomeUnknown:
@@ -289,6 +292,8 @@
 		return "", err
 	}
 	switch {
+	case content.Tombstone:
+		return "", queue.ErrUnknownJob
 	case content.Moved != nil:
 		return s.movedState(ctx, id, *content.Moved, content.Job == nil)
 	case content.Outcome != "":
@@ -363,8 +368,8 @@
 	return answer, err
 }
 
-// Cancel stores the cancellation of a job. It fails with queue.ErrUnknownJob, a
-// *queue.Refusal or queue.ErrOutcomeUnknown.
+// Cancel stores the cancellation of a job. It fails with queue.ErrUnknownJob if the job isn't stored and won't
+// be for tombstoneRetention, a *queue.Refusal or queue.ErrOutcomeUnknown.
 func (n *Node) Cancel(ctx context.Context, id dispatch.JobID) error {
 	s, err := n.shardOfJob(id)
 	if err != nil {
@@ -378,7 +383,7 @@
 func (s *shard) cancel(ctx context.Context, id dispatch.JobID) error {
 	err := s.storeCancel(ctx, id)
 	var refusal *queue.Refusal
-	if errors.As(err, &refusal) {
+	if errors.As(err, &refusal) && refusal.Reason == RefusedStoreUnavailable {
 		err = s.relay(ctx, relayCancelMethod, jobRequest{s.id, id}, err)
 	}
 	if err == nil {
@@ -401,7 +406,8 @@
 	}
 }
 
-// tryStoreCancel stores a cancellation unless the job has finished.
+// tryStoreCancel stores a cancellation unless the job has finished. If the job isn't known, it stores a
+// tombstone in the home shard.
 func (s *shard) tryStoreCancel(ctx context.Context, id dispatch.JobID) error {
 	n := s.node
 	if outage, lost := n.store.lostFor(); lost {
@@ -411,13 +417,19 @@
 	if err != nil {
 		return storeRefusal(0)
 	}
-	if row.Version == 0 {
+	switch {
+	case row.Version == 0 && shardOf(string(id), s.count) == s.id:
+		return s.storeTombstone(ctx, id)
+	case row.Version == 0:
 		return queue.ErrUnknownJob
 	}
 	content, err := decode[jobRow](row)
 	if err != nil {
 		return err
 	}
+	if content.Tombstone {
+		return queue.ErrUnknownJob
+	}
 	if content.Moved != nil && content.Job == nil {
 		target, err := n.shardByID(*content.Moved)
 		if err != nil || target == s {
--- a/internal/entry/dispatcher/handover.go
+++ b/internal/entry/dispatcher/handover.go
@@ -143,6 +143,7 @@
 // expireMovedJobs removes moved jobs that the target shard no longer knows.
 func (o *owner) expireMovedJobs(ctx context.Context) error {
 	return o.node.every(ctx, movedCheckInterval, func() {
+		o.expireTombstones()
 		for id, to := range o.expiredMoves() {
 			o.removeIfUnknown(ctx, id, to)
 		}
--- a/internal/entry/dispatcher/node.go
+++ b/internal/entry/dispatcher/node.go
@@ -45,6 +45,8 @@
 	// stateReads bounds the reads of the store for state queries that run at the same time.
 	stateReads   *semaphore.Weighted
 	encodedPeers encodedPeers
+	// tombstones limits the tombstones that this instance stores. lock guards it.
+	tombstones   tombstoneLimit
 	workerReader *workerReader
 
 	lock sync.Mutex
--- a/internal/entry/dispatcher/owner.go
+++ b/internal/entry/dispatcher/owner.go
@@ -94,6 +94,8 @@
 	unloaded map[dispatch.JobID]*unloadedJob
 	// jobMemory is what the jobs of the shard take, as of the last run of the engine, in bytes.
 	jobMemory atomic.Int64
+	// tombstones has the jobs that were cancelled before they were stored, with the time of that.
+	tombstones map[dispatch.JobID]time.Time
 	// earlyCancels has the jobs whose cancellation became known before the jobs did.
 	earlyCancels map[dispatch.JobID]bool
 	// deferredWrites are writes that aren't urgent.
@@ -128,6 +130,7 @@
 		unloaded:     map[dispatch.JobID]*unloadedJob{},
 		senderEpochs: map[shardID]dispatch.Epoch{},
 		earlyCancels: map[dispatch.JobID]bool{},
+		tombstones:   map[dispatch.JobID]time.Time{},
 	}
 	o.engine = dispatch.New(dispatch.Options{
 		Epoch: row.Epoch, LeaseTerm: n.LeaseTerm, MaxLease: n.MaxLease, StopTimeout: n.StopTimeout, RemoteDurationFactor: n.RemoteDurationFactor,
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -192,6 +192,8 @@
 		o.addMoved(content.Job, id, *content.Moved, content.Ended)
 	case content.Outcome != "" && now.Sub(content.Ended) > outcomeRetention:
 		o.expiredJobs[id] = true
+	case content.Tombstone:
+		o.tombstones[id] = content.Ended
 	case content.Outcome != "":
 		o.engine.AddFinished(now, id, content.Outcome)
 	case content.Job != nil:
--- a/internal/entry/dispatcher/owner_store.go
+++ b/internal/entry/dispatcher/owner_store.go
@@ -18,8 +18,8 @@
 	// maxBatchJobs limits the updated jobs in a transaction. Each takes up to three of the
 	// 100 entries that the store allows, in addition to new jobs and the owner's own rows.
 	maxBatchJobs = 18
-	// maxBatchWrites limits the writes in a transaction without the owner's own rows.
-	maxBatchWrites = 95
+	// maxBatchEntries limits the writes and conditions in a transaction without the owner's own rows.
+	maxBatchEntries = 95
 	// estimatesInterval is the time between two writes of the interference estimates.
 	estimatesInterval = 2 * time.Second
 	// storeRetryDelay is the delay before a failed transaction is sent again.
@@ -59,9 +59,11 @@
 
 // update is the content of one transaction of the owner.
 type update struct {
-	next           ownerRow
-	version        table.Version
-	writes         []table.Write
+	next    ownerRow
+	version table.Version
+	writes  []table.Write
+	// conditions are those of new jobs.
+	conditions     []table.Condition
 	batch          dispatch.Batch
 	submissions    []*submission
 	expired        []dispatch.JobID
@@ -100,6 +102,11 @@
 	return u
 }
 
+// entries returns the number of entries that the transaction has besides the owner's row.
+func (u *update) entries() int {
+	return len(u.writes) + len(u.conditions)
+}
+
 // room returns how many more parts the update may have.
 func (u *update) room() int {
 	return u.limit - u.parts
@@ -109,10 +116,12 @@
 func (o *owner) addJobs(u *update, now time.Time) {
 	u.batch = o.engine.TakeBatch(min(maxBatchJobs, u.room()))
 	u.parts += len(u.batch.Updates)
-	u.submissions = o.takeSubmissions(min(maxBatchSubmissions, u.room()))
-	u.parts += len(u.submissions)
 	u.writes = append(u.writes, o.batchWrites(u.batch, now)...)
+	// Each new job has a write and a condition.
+	u.submissions = o.takeSubmissions(min(maxBatchSubmissions, u.room(), (maxBatchEntries-u.entries())/2))
+	u.parts += len(u.submissions)
 	u.writes = append(u.writes, o.submissionWrites(u.submissions)...)
+	u.conditions = o.submissionConditions(u.submissions)
 }
 
 // addEstimates adds the interference estimates if it is time for them. The lock must be held.
@@ -129,7 +138,7 @@
 // addExpired adds the removal of finished jobs. The lock must be held.
 func (o *owner) addExpired(u *update) {
 	for id := range o.expiredJobs {
-		if len(u.writes) >= maxBatchWrites || u.room() <= 0 {
+		if u.entries() >= maxBatchEntries || u.room() <= 0 {
 			return
 		}
 		delete(o.expiredJobs, id)
@@ -141,7 +150,7 @@
 
 // addDeferred adds deferred writes. The lock must be held.
 func (o *owner) addDeferred(u *update) {
-	u.deferredWrites = o.takeDeferredWrites(min(maxBatchWrites-len(u.writes), u.room()))
+	u.deferredWrites = o.takeDeferredWrites(min(maxBatchEntries-u.entries(), u.room()))
 	u.writes = append(u.writes, u.deferredWrites...)
 	u.parts += len(u.deferredWrites)
 }
@@ -161,7 +170,7 @@
 // the owner was replaced.
 func (u *update) transaction(ownerKey table.Key) table.Transaction {
 	return table.Transaction{
-		Conditions: []table.Condition{{Key: ownerKey, Version: u.version}},
+		Conditions: append([]table.Condition{{Key: ownerKey, Version: u.version}}, u.conditions...),
 		Writes:     append(u.writes, table.Write{Key: ownerKey, Value: encode(u.next)}),
 	}
 }
@@ -172,6 +181,9 @@
 	switch {
 	case errors.Is(err, table.ErrInvalid):
 		return o.handleRejected(ctx, u, err)
+	case errors.Is(err, errRowExists):
+		o.handleExisting(ctx, u)
+		return nil
 	case errors.Is(err, table.ErrUnavailable):
 		o.requeue(u)
 		o.sleep(storeRetryDelay)
@@ -249,8 +261,8 @@
 // returns when the attempt that confirmed the ownership was sent. If several attempts
 // may have taken effect, that is the time of the first one: the row hasn't changed
 // since, so a successor counts the authority from then on. It fails with
-// table.ErrUnavailable if certainly nothing was written, and with table.ErrInvalid if the store
-// would reject each further attempt as well.
+// table.ErrUnavailable if certainly nothing was written, with errRowExists if nothing was written because a
+// new job has a row, and with table.ErrInvalid if the store would reject each further attempt as well.
 func (o *owner) commit(ctx context.Context, tx table.Transaction, next ownerRow) (table.Version, time.Time, error) {
 	notWritten, firstSent := true, o.now()
 	for {
@@ -263,8 +275,8 @@
 			return 0, sent, ctx.Err()
 		}
 		if errors.Is(err, table.ErrConflict) {
-			version, err = o.resolveConflict(ctx, next)
-			if err == nil || errors.Is(err, errSuperseded) {
+			version, err = o.resolveConflict(ctx, next, tx.Conditions[0].Version)
+			if err == nil || errors.Is(err, errSuperseded) || errors.Is(err, errRowExists) {
 				return version, firstSent, err
 			}
 		}
@@ -286,12 +298,16 @@
 }
 
 // resolveConflict finds out whether an earlier attempt of the transaction took effect,
-// or another owner has taken over.
-func (o *owner) resolveConflict(ctx context.Context, next ownerRow) (table.Version, error) {
+// or another owner has taken over. It fails with errRowExists if the owner's row still has the version from
+// before.
+func (o *owner) resolveConflict(ctx context.Context, next ownerRow, before table.Version) (table.Version, error) {
 	row, err := o.node.read(ctx, o.shard.partition.ownerKey())
 	if err != nil {
 		return 0, err
 	}
+	if row.Version == before {
+		return 0, errRowExists
+	}
 	stored, err := decode[ownerRow](row)
 	if err != nil {
 		return 0, err
--- a/internal/entry/dispatcher/reassign.go
+++ b/internal/entry/dispatcher/reassign.go
@@ -60,6 +60,7 @@
 	if err != nil {
 		return
 	}
+	move.moves = true
 	o.node.allShards()[chosen].addExpectedLoad(demand)
 	o.lock.Lock()
 	defer o.lock.Unlock()
--- a/internal/entry/dispatcher/rejected_update.go
+++ b/internal/entry/dispatcher/rejected_update.go
@@ -27,7 +27,7 @@
 // max returns the maximum number of parts of the next update.
 func (l *partLimit) max() int {
 	if l.limit == 0 {
-		return maxBatchWrites
+		return maxBatchEntries
 	}
 	return l.limit
 }
@@ -40,7 +40,7 @@
 // raise doubles the limit after an update was stored.
 func (l *partLimit) raise() {
 	l.limit *= 2
-	if l.limit >= maxBatchWrites {
+	if l.limit >= maxBatchEntries {
 		l.limit = 0
 	}
 }
--- a/internal/entry/dispatcher/rows.go
+++ b/internal/entry/dispatcher/rows.go
@@ -78,10 +78,14 @@
 type jobRow struct {
 	Job     *dispatch.Job     `json:",omitempty"`
 	Outcome dispatch.JobState `json:",omitempty"`
+	// Tombstone reports that the job was cancelled before it was stored, at Ended. To earlier builds it is a
+	// cancelled job.
+	Tombstone bool `json:",omitempty"`
 	// Moved is the shard that the job moves to, nil if it stays. Job is omitted once that
 	// shard has stored it.
 	Moved *shardID `json:",omitempty"`
-	// Ended is when the outcome was stored or Job was omitted, by the owner's clock.
+	// Ended is when the outcome was stored or Job was omitted, by the owner's clock, or that of the instance
+	// that stored a tombstone.
 	Ended time.Time `json:",omitzero"`
 }
 
