Bound the work of a tick for tasks that wait

Cause: each tick looked at each waiting task, and after a takeover all of them needed an urgent restart, were sorted, and were logged one by one every two seconds.

Change: what holds for the unused tasks of a step is found once a step; one search records 64 tasks that are down for long, the others follow in the next ones.

Conclusion: a tick's work follows the steps and the runs, not the tasks that wait.

--- a/internal/decision/dispatch/bench_test.go
+++ b/internal/decision/dispatch/bench_test.go
@@ -212,3 +212,22 @@
 		})
 	}
 }
+
+// BenchmarkTickWaitingTasks measures a tick with 200 jobs of 2,400 long-running tasks that wait for room,
+// accepted by this owner or by an earlier one.
+func BenchmarkTickWaitingTasks(b *testing.B) {
+	for name, recovered := range map[string]bool{"Accepted": false, "Recovered": true} {
+		b.Run(name, func(b *testing.B) {
+			h := newHarness(2, 12)
+			h.listWorkers()
+			addWideJobs(h, 200, recovered)
+			for range 100 {
+				h.advance(100 * time.Millisecond)
+			}
+			for b.Loop() {
+				h.now = h.now.Add(25 * time.Millisecond)
+				h.tick()
+			}
+		})
+	}
+}
--- a/internal/decision/dispatch/load.go
+++ b/internal/decision/dispatch/load.go
@@ -39,27 +39,18 @@
 		return started
 	}
 	for s := range j.openSteps() {
-		for t := range s.views() {
-			if t.attempt != nil || !t.downSince().IsZero() {
-				started += s.Resources.Processors
-			}
-		}
+		tasks := s.count(func(t *task) bool { return t.attempt != nil || !t.downSince().IsZero() })
+		started += s.Resources.Processors * resource.MilliProcessors(tasks)
 	}
 	return started
 }
 
 // tasksElsewhere returns the number of tasks that other shards run.
 func (s *step) tasksElsewhere() int {
-	count := 0
 	if len(s.job.transfers) == 0 && len(s.job.Transferred) == 0 {
-		return count
-	}
-	for t := range s.views() {
-		if t.elsewhere {
-			count++
-		}
+		return 0
 	}
-	return count
+	return s.count(func(t *task) bool { return t.elsewhere })
 }
 
 // remainingDemand returns the demand of the tasks of this shard that haven't succeeded.
--- a/internal/decision/dispatch/long_downtime.go
+++ b/internal/decision/dispatch/long_downtime.go
@@ -16,6 +16,8 @@
 	longDowntimeRepeat = 2 * time.Second
 	// longDowntimeInterval is the time between two searches for tasks that are down for long.
 	longDowntimeInterval = 500 * time.Millisecond
+	// maxLongDowntimes limits the tasks that one search records. The others follow in the next ones.
+	maxLongDowntimes = 64
 )
 
 // AwaitedCondition is what a task that is down waits for.
@@ -57,18 +59,24 @@
 		return
 	}
 	e.longDowntimesCheckedAt = now
+	recorded := 0
 	for _, j := range e.jobs {
 		if j.outcome != "" || !j.Steps[0].LongRunning {
 			continue
 		}
-		j.eachRecord(func(t *task) { e.recordLongDowntime(now, t) })
+		j.eachRecord(func(t *task) {
+			if recorded < maxLongDowntimes && e.recordLongDowntime(now, t) {
+				recorded++
+			}
+		})
 	}
 }
 
-func (e *Engine) recordLongDowntime(now time.Time, t *task) {
+// recordLongDowntime records that a task is down for long, and reports whether that was due.
+func (e *Engine) recordLongDowntime(now time.Time, t *task) bool {
 	d := &t.down
 	if !t.isDownAgain() || now.Sub(d.since) < longDowntime || now.Sub(d.recordedAt) < longDowntimeRepeat {
-		return
+		return false
 	}
 	if d.recordedAt.IsZero() {
 		e.count("Task.DownForLong")
@@ -83,6 +91,7 @@
 			UnavailableWithRoom: e.unavailableWithRoom(t.step), WaitingTasks: t.step.waitingTasks(now),
 		},
 	})
+	return true
 }
 
 // isDownAgain reports whether a long-running task that ran before isn't at work.
--- a/internal/decision/dispatch/preempt.go
+++ b/internal/decision/dispatch/preempt.go
@@ -57,24 +57,12 @@
 
 // startableTasks returns the number of tasks that may start.
 func (e *Engine) startableTasks(now time.Time, s *step) int {
-	count := 0
-	for t := range s.views() {
-		if e.mayStart(now, t) {
-			count++
-		}
-	}
-	return count
+	return s.count(func(t *task) bool { return e.mayStart(now, t) })
 }
 
 // waitingTasks returns the number of tasks that wait, including those of which an unknown run may be active.
 func (s *step) waitingTasks(now time.Time) int {
-	count := 0
-	for t := range s.views() {
-		if t.isWaiting(now) {
-			count++
-		}
-	}
-	return count
+	return s.count(func(t *task) bool { return t.isWaiting(now) })
 }
 
 // findVictim returns the run of a less urgent queue whose end makes room for the task
--- a/internal/decision/dispatch/replacement.go
+++ b/internal/decision/dispatch/replacement.go
@@ -213,13 +213,9 @@
 
 // unavailable returns the number of the step's tasks in this shard without an available run.
 func (s *step) unavailable() int {
-	count := 0
-	for t := range s.views() {
-		if !t.done && !t.elsewhere && (t.attempt == nil || !t.attempt.isAvailable()) {
-			count++
-		}
-	}
-	return count
+	return s.count(func(t *task) bool {
+		return !t.elsewhere && (t.attempt == nil || !t.attempt.isAvailable())
+	})
 }
 
 // isAvailable reports whether the run of a long-running task has started up and isn't being stopped.
--- a/internal/decision/dispatch/restart.go
+++ b/internal/decision/dispatch/restart.go
@@ -65,10 +65,17 @@
 // appendUrgentRestarts collects the tasks of a step that need an urgent restart. Of those that this owner has
 // never started it takes only the first ones; the others follow once these have started.
 func (e *Engine) appendUrgentRestarts(now time.Time, s *step) {
+	isUrgent := func(t *task) bool { return t.needsUrgentRestart(now) && !e.mustAwaitRecovery(now, t) }
+	areUnusedUrgent := s.unusedTasks > 0 && isUrgent(&s.unused)
+	if !areUnusedUrgent && s.unusedTasks == len(s.tasks) {
+		return
+	}
 	collected := 0
-	for i := range s.tasks {
-		t := s.view(i)
-		if !t.needsUrgentRestart(now) || e.mustAwaitRecovery(now, t) || !t.isRecord() && collected >= maxUrgentRestarts {
+	for i, t := range s.tasks {
+		switch {
+		case t == nil && (!areUnusedUrgent || collected >= maxUrgentRestarts):
+			continue
+		case t != nil && (t == s.succeeded || !isUrgent(t)):
 			continue
 		}
 		collected++
--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -163,7 +163,10 @@
 }
 
 func (s *step) hasWaiting(now time.Time) bool {
-	for t := range s.views() {
+	if s.unusedTasks > 0 && s.unused.isWaiting(now) {
+		return true
+	}
+	for t := range s.records() {
 		if t.isWaiting(now) {
 			return true
 		}
--- a/internal/decision/dispatch/shard_room.go
+++ b/internal/decision/dispatch/shard_room.go
@@ -56,9 +56,7 @@
 	for _, j := range e.jobs {
 		if j.outcome == "" && j.Steps[0].LongRunning {
 			for s := range j.openSteps() {
-				for t := range s.views() {
-					r.addTask(now, t)
-				}
+				r.addStep(now, s)
 			}
 		}
 	}
@@ -77,11 +75,14 @@
 	r.Free = insertFree(r.Free, w.free(), maxRecordedFree)
 }
 
-func (r *ShardRoom) addTask(now time.Time, t *task) {
-	if t.isDownAgain() {
-		r.TasksDown++
+func (r *ShardRoom) addStep(now time.Time, s *step) {
+	r.TasksDown += s.count(func(t *task) bool {
+		if !t.isDownAgain() {
+			return false
+		}
 		r.LongestDowntime = max(r.LongestDowntime, now.Sub(t.down.since))
-	}
+		return true
+	})
 }
 
 // insertFree inserts v into a list that is sorted by free processors in descending order, and keeps
--- a/internal/decision/dispatch/task_record.go
+++ b/internal/decision/dispatch/task_record.go
@@ -65,6 +65,20 @@
 	}
 }
 
+// count returns the number of tasks that haven't succeeded and match.
+func (s *step) count(matches func(*task) bool) int {
+	count := 0
+	if s.unusedTasks > 0 && matches(&s.unused) {
+		count = s.unusedTasks
+	}
+	for t := range s.records() {
+		if !t.done && matches(t) {
+			count++
+		}
+	}
+	return count
+}
+
 // eachAlike calls change with the state of the unused tasks and with each record.
 func (s *step) eachAlike(change func(*task)) {
 	change(&s.unused)
--- a/internal/decision/dispatch/task_record_test.go
+++ b/internal/decision/dispatch/task_record_test.go
@@ -126,6 +126,16 @@
 	})
 })
 
+// addWideJobs adds jobs of 2,400 long-running tasks each.
+func addWideJobs(h *harness, jobs int, recovered bool) {
+	for n := range jobs {
+		h.engine.AddJob(h.now, dispatch.Job{
+			ID: dispatch.JobID(fmt.Sprintf("%016x", n)), Queue: batchQueue, Accepted: startTime,
+			Steps: []dispatch.Step{{Tasks: 2400, Resources: cores(1), LongRunning: true}},
+		}, dispatch.Progress{}, recovered)
+	}
+}
+
 // Guards against tasks of a large step that are lost or run twice now that the owner keeps records only of
 // those that it uses.
 var _ = Describe("A step of very many tasks", func() {
@@ -147,6 +157,24 @@
 		}
 	})
 
+	// Guards against an owner that does nothing but sort and log waiting tasks, and loses its shard.
+	It("is recorded as down by a bounded number of its tasks, and needs few records", func() {
+		h := newHarness(2, 12)
+		h.listWorkers()
+		addWideJobs(h, 50, true)
+		h.engine.Recover(h.now, -time.Second)
+		h.advanceStartedUp(8 * time.Second)
+		before := 0
+		for _, d := range h.decisions {
+			if d.Event == "TaskDownForLong" {
+				before++
+			}
+		}
+		// Four seconds are down for long, with two searches a second.
+		Expect(before).To(And(BeNumerically(">", 0), BeNumerically("<=", 4*2*64)))
+		Expect(h.engine.Memory()).To(BeNumerically("<", 8<<20))
+	})
+
 	It("restarts long-running tasks after a takeover as fast as there is room", func() {
 		h := newHarness(2, 40)
 		h.listWorkers()
