Place no tasks by the entry of a worker's earlier process

Cause: the owner learns of a restart from the worker's report, and of its labels, capacity and service from the list of workers, which is read up to 0.3 s later. In between it used the entry of the earlier process.

Change: a worker whose entry comes from an earlier process than the one that answers gets no tasks.

Conclusion: the same check covers each way to a start.

--- a/internal/decision/dispatch/fence.go
+++ b/internal/decision/dispatch/fence.go
@@ -49,6 +49,12 @@
 	return w.incarnation != 0 && w.RegisteredIncarnation > w.incarnation
 }
 
+// hasEarlierEntry reports whether the worker's entry in the list comes from an earlier process than the one that
+// last answered. That one may have other labels and another capacity, or belong to another service.
+func (w *worker) hasEarlierEntry() bool {
+	return w.RegisteredIncarnation != 0 && w.RegisteredIncarnation < w.incarnation
+}
+
 // loseExpiredRuns gives up the runs of a silent worker whose leases have expired. A start that no report has
 // shown since may have reached a process that this owner doesn't know of, and which grants the longest lease,
 // whether the start was answered or not. If the list shows such a process, it may also execute commands
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -123,7 +123,7 @@
 func (e *Engine) updateSchedulable(now time.Time) {
 	clear(e.stepsWithHold)
 	for _, w := range e.sortedWorkers {
-		resourcesKnown := (!e.recovering || w.hasListedRuns) && !w.isAwaitingStop(now)
+		resourcesKnown := (!e.recovering || w.hasListedRuns) && !w.isAwaitingStop(now) && !w.hasEarlierEntry()
 		w.schedulable = w.isAvailable(now) && resourcesKnown && !e.isQuarantined(now, w) && !e.zonesOutOfService[w.Zone]
 		if w.hold.isActive(now) {
 			e.stepsWithHold[w.hold.task.step] = true
