Let a report wait a second at most for jobs to be loaded

Cause: found by reading the diff. The reads had what the poll had left of its time, and a report with runs of very many jobs that aren't loaded kept its worker's leases from being renewed. A tick computed the due time of occurrences that have ended.

Change: the reads have a second of their own; the next poll goes on where they stopped. Ended occurrences are skipped first.

--- a/internal/decision/dispatch/task_record.go
+++ b/internal/decision/dispatch/task_record.go
@@ -149,9 +149,10 @@
 	idle := 0
 	for k, o := range j.occurrences {
 		switch {
+		case o == ended:
 		case now.Before(j.Due(k)):
 			return
-		case o == ended || o != nil && o.isActive():
+		case o != nil && o.isActive():
 		case o == nil && idle > 0 && idle+len(j.Steps) > maxIdleSteps:
 			return
 		default:
--- a/internal/entry/dispatcher/owner_commands.go
+++ b/internal/entry/dispatcher/owner_commands.go
@@ -241,7 +241,7 @@
 		})
 		return silentPollInterval, nil
 	}
-	if !o.loadReported(ctx, report) {
+	if !o.loadReported(report) {
 		return pollInterval, nil
 	}
 	interval := pollInterval
--- a/internal/entry/dispatcher/unloaded_jobs.go
+++ b/internal/entry/dispatcher/unloaded_jobs.go
@@ -14,6 +14,8 @@
 	unloadedInterval = 500 * time.Millisecond
 	// maxLoadedJobs limits the jobs that one check loads, because each needs three reads of the store.
 	maxLoadedJobs = 16
+	// loadTimeout limits the time for which a worker's report waits for jobs to be loaded.
+	loadTimeout = time.Second
 	// unloadedMemory is what an owner needs for a job that isn't loaded.
 	unloadedMemory resource.Bytes = 256
 )
@@ -156,8 +158,11 @@
 }
 
 // loadReported loads the jobs of which a worker reports runs and that aren't loaded, whatever they take: the
-// engine would stop these runs, and forget how they ended. It reports whether all are loaded.
-func (o *owner) loadReported(ctx context.Context, r dispatch.Report) bool {
+// engine would stop these runs, and forget how they ended. It reports whether all are loaded. If that takes
+// too long, the next poll goes on, so that the leases of the worker are renewed in between.
+func (o *owner) loadReported(r dispatch.Report) bool {
+	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
+	defer cancel()
 	for _, id := range o.unloadedIn(r) {
 		if !o.loadStored(ctx, id) {
 			return false
