Keep a job of serve that was cancelled first from being stored

The table rules out transactions that are performed late, but the cancellation left nothing on which a submission that arrives later fails.

Before: the spec "A job that is cancelled before it is stored" failed (the submission was accepted); now it passes.

--- /dev/null
+++ b/internal/caller/job/export_test.go
@@ -0,0 +1,4 @@
+package job
+
+// WriteRepositoryError is writeRepositoryError of a handler, for tests.
+var WriteRepositoryError = (*Handler).writeRepositoryError
--- a/internal/caller/job/handler.go
+++ b/internal/caller/job/handler.go
@@ -342,6 +342,10 @@
 	switch {
 	case errors.Is(err, ErrNotFound):
 		h.writeRefusal(w, http.StatusNotFound, Refusal{Outcome: "NotRun", Reason: "NotFound"})
+	case errors.Is(err, ErrCancelledBefore):
+		h.writeRefusal(w, http.StatusConflict, Refusal{Outcome: "NotRun", Reason: "CancelledBefore", RetryAfter: TombstoneRetention})
+	case errors.Is(err, ErrTooManyUnknown):
+		h.writeRefusal(w, http.StatusServiceUnavailable, Refusal{Outcome: "NotRun", Reason: "TooManyUnknownCancels", RetryAfter: retryAfter})
 	case errors.Is(err, table.ErrOutcomeUnknown):
 		// Submitting again with the same key is idempotent, so the caller may retry.
 		h.writeRefusal(w, http.StatusServiceUnavailable, Refusal{Outcome: "Unknown", Reason: "StoreAnswerLost", RetryAfter: retryAfter})
--- a/internal/caller/job/repository.go
+++ b/internal/caller/job/repository.go
@@ -20,9 +20,13 @@
 // ErrNotFound reports that the team has no job with the key.
 var ErrNotFound = errors.New("job: not found")
 
-// maxMoveAttempts bounds the attempts of a lookup or a cancellation while the job
-// moves to other shards.
-const maxMoveAttempts = 3
+const (
+	// maxMoveAttempts bounds the attempts of a lookup or a cancellation while the job
+	// moves to other shards.
+	maxMoveAttempts = 3
+	// maxSubmitAttempts bounds the attempts of a submission while an expired tombstone is deleted.
+	maxSubmitAttempts = 3
+)
 
 // maxInlinePayload is the largest payload in bytes that is stored in a record. Larger
 // ones go to the object store, because a shard's owner loads all records of the shard
@@ -35,27 +39,38 @@
 	Store   table.Store
 	Objects object.Store
 	Clock   clockwork.Clock
+	// Tombstones limits the tombstones that this instance stores. It may be nil.
+	Tombstones Limiter
 }
 
 // Submit stores a job and notifies the owner of its shard. If the team already has a
-// job with the key, Submit changes nothing and returns that job with created false.
+// job with the key, Submit changes nothing and returns that job with created false. It fails with
+// ErrCancelledBefore if the job was cancelled before.
 func (r Repository) Submit(ctx context.Context, record Record, shard worker.ShardID) (stored Record, created bool, err error) {
 	if record, err = r.storePayload(ctx, record); err != nil {
 		return Record{}, false, err
 	}
-	tx, err := submissionTransaction(record, shard)
-	if err != nil {
-		return Record{}, false, err
-	}
-	_, err = table.CommitResolved(ctx, r.Store, r.Clock, tx)
-	if errors.Is(err, table.ErrConflict) {
+	for range maxSubmitAttempts {
+		tx, err := submissionTransaction(record, shard)
+		if err != nil {
+			return Record{}, false, err
+		}
+		_, err = table.CommitResolved(ctx, r.Store, r.Clock, tx)
+		if err == nil {
+			return record, true, nil
+		}
+		if !errors.Is(err, table.ErrConflict) {
+			return Record{}, false, fmt.Errorf("submit job %s: %w", record.ID, err)
+		}
 		stored, err = r.Find(ctx, record.Team, record.Key)
-		return stored, false, err
-	}
-	if err != nil {
-		return Record{}, false, fmt.Errorf("submit job %s: %w", record.ID, err)
+		if !errors.Is(err, ErrNotFound) {
+			return stored, false, err
+		}
+		if err := r.checkTombstone(ctx, record.Team, record.Key); err != nil {
+			return Record{}, false, err
+		}
 	}
-	return record, true, nil
+	return Record{}, false, fmt.Errorf("submit job %s: %w", record.ID, table.ErrUnavailable)
 }
 
 // storePayload moves a large payload to the object store. The object's key contains
@@ -90,7 +105,7 @@
 	id := uuid.NewString()
 	return table.Transaction{
 		ID:         table.TransactionID(id),
-		Conditions: []table.Condition{{Key: KeyRow(record.Team, record.Key)}},
+		Conditions: []table.Condition{{Key: KeyRow(record.Team, record.Key)}, {Key: tombstoneRow(record.Team, record.Key)}},
 		Writes: []table.Write{
 			{Key: KeyRow(record.Team, record.Key), Value: locationJSON},
 			{Key: RecordRow(shard, record.ID), Value: recordJSON},
@@ -141,10 +156,21 @@
 }
 
 // Cancel notifies the owner of the job's shard to cancel the job. Cancelling a job
-// that has ended changes nothing.
+// that has ended changes nothing. It fails with ErrNotFound if the team has no job with the key, and none is
+// stored for TombstoneRetention.
 func (r Repository) Cancel(ctx context.Context, team manifest.TeamName, key CallerKey) error {
 	for range maxMoveAttempts {
 		location, version, err := r.locate(ctx, team, key)
+		if errors.Is(err, ErrNotFound) {
+			storeErr := r.storeTombstone(ctx, team, key)
+			switch {
+			case errors.Is(storeErr, table.ErrConflict):
+				continue
+			case storeErr != nil:
+				return storeErr
+			}
+			return err
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/entry/instance/backend.go
+++ b/internal/entry/instance/backend.go
@@ -239,7 +239,8 @@
 	return &job.Handler{
 		Repository: job.Repository{
 			Store: i.store, Clock: i.clock,
-			Objects: object.Client{Address: i.settings.Platform, HTTP: i.platformHTTP},
+			Objects:    object.Client{Address: i.settings.Platform, HTTP: i.platformHTTP},
+			Tombstones: job.NewTombstoneLimiter(),
 		},
 		ShardSelector: i.shardSelector(),
 		Configuration: &i.config,
