Move no jobs to an instance that couldn't load them

Cause: found by reading the diff. A job is bound to the shard that it is moved to, and an instance between three quarters and all of its memory for jobs was still offered as a target, though it takes no large job of another shard any more.

Change: an instance offers its room only while it takes any job.

--- a/internal/decision/dispatch/job.go
+++ b/internal/decision/dispatch/job.go
@@ -248,7 +248,7 @@
 		return nil
 	}
 	o := j.openOccurrence(id.Occurrence)
-	if o == ended {
+	if o == endedOccurrence {
 		return nil
 	}
 	return o.steps[id.Step].task(id.Index)
@@ -348,7 +348,7 @@
 			switch o {
 			case nil:
 				p.Steps = append(p.Steps, StepProgress{})
-			case ended:
+			case endedOccurrence:
 				p.Steps = append(p.Steps, StepProgress{Done: []TaskRange{{0, j.Steps[i].Tasks - 1}}})
 			default:
 				p.Steps = append(p.Steps, o.steps[i].progress())
@@ -398,7 +398,7 @@
 		if k >= len(j.occurrences) {
 			return
 		}
-		if o := j.occurrences[k]; o == nil && p.Steps[at].isZero() || o == ended {
+		if o := j.occurrences[k]; o == nil && p.Steps[at].isZero() || o == endedOccurrence {
 			continue
 		}
 		j.openOccurrence(k).steps[i].restore(p.Steps[at])
--- a/internal/decision/dispatch/job_memory.go
+++ b/internal/decision/dispatch/job_memory.go
@@ -27,6 +27,9 @@
 // smallJobMemory is the most that a small job needs. Nearly all jobs are small.
 const smallJobMemory resource.Bytes = 32 << 10
 
+// LargestJobMemory is more than nearly all jobs that aren't small need.
+const LargestJobMemory resource.Bytes = 256 << 10
+
 // MemoryLimit is the memory that the jobs of an instance may take. 0 means no limit. The last part of it is for
 // new small jobs, the part before for stored jobs of shards that the instance takes over.
 type MemoryLimit resource.Bytes
--- a/internal/decision/dispatch/order.go
+++ b/internal/decision/dispatch/order.go
@@ -63,7 +63,7 @@
 func (e *Engine) appendWaiting(now time.Time, list []candidate, j *job) []candidate {
 	j.openDue(now)
 	for k, o := range j.occurrences {
-		if o == nil || o == ended || now.Before(j.Due(k)) {
+		if o == nil || o == endedOccurrence || now.Before(j.Due(k)) {
 			continue
 		}
 		for _, s := range o.steps {
--- a/internal/decision/dispatch/task_record.go
+++ b/internal/decision/dispatch/task_record.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"iter"
-	"time"
-)
+import "iter"
 
 // The tasks of a step that have never been used are all alike, and so are those that have succeeded. A step
 // keeps records only of the others, so that a large step, most of whose tasks wait for room, costs little.
@@ -108,102 +105,6 @@
 	s.job.dropOccurrence(s.id.Occurrence)
 }
 
-// occurrence is one of the times that the steps of a job run.
-type occurrence struct {
-	steps []*step
-	// remainingTasks counts the tasks that haven't succeeded.
-	remainingTasks int
-}
-
-// ended replaces an occurrence all of whose tasks have succeeded.
-var ended = &occurrence{}
-
-// maxIdleSteps limits the steps of a repeated job that are kept for occurrences that are due and of which
-// nothing runs. The first such occurrence may have more.
-const maxIdleSteps = 64
-
-// openOccurrence returns an occurrence with its steps, none if it has ended.
-func (j *job) openOccurrence(k int) *occurrence {
-	if j.occurrences[k] != nil {
-		return j.occurrences[k]
-	}
-	o := &occurrence{steps: make([]*step, len(j.Steps))}
-	j.occurrences[k] = o
-	j.unopened--
-	j.open++
-	for i := range j.Steps {
-		o.steps[i] = newStep(j, o, k, i)
-		o.remainingTasks += j.Steps[i].Tasks
-	}
-	if !j.addedAt.IsZero() {
-		o.beginDowntimes(j.addedAt)
-	}
-	return o
-}
-
-// openDue opens the occurrences that are due, as far as maxIdleSteps allows.
-func (j *job) openDue(now time.Time) {
-	if j.unopened == 0 {
-		return
-	}
-	idle := 0
-	for k, o := range j.occurrences {
-		switch {
-		case o == ended:
-		case now.Before(j.Due(k)):
-			return
-		case o != nil && o.isActive():
-		case o == nil && idle > 0 && idle+len(j.Steps) > maxIdleSteps:
-			return
-		default:
-			j.openOccurrence(k)
-			idle += len(j.Steps)
-		}
-	}
-}
-
-// isActive reports whether a run of the occurrence may be active.
-func (o *occurrence) isActive() bool {
-	for _, s := range o.steps {
-		if len(s.perWorker) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// dropOccurrence drops the steps of an occurrence of a repeated job once all its tasks have succeeded and no
-// run is active.
-func (j *job) dropOccurrence(k int) {
-	o := j.occurrences[k]
-	if j.Repetitions == 0 || o == ended || o.remainingTasks > 0 {
-		return
-	}
-	for _, s := range o.steps {
-		for range s.records() {
-			return
-		}
-	}
-	j.occurrences[k] = ended
-	j.open--
-}
-
-// openSteps returns the steps of the occurrences that are open.
-func (j *job) openSteps() iter.Seq[*step] {
-	return func(yield func(*step) bool) {
-		for _, o := range j.occurrences {
-			if o == nil {
-				continue
-			}
-			for _, s := range o.steps {
-				if !yield(s) {
-					return
-				}
-			}
-		}
-	}
-}
-
 // eachRecord calls visit with each task that has a record.
 func (j *job) eachRecord(visit func(*task)) {
 	for s := range j.openSteps() {
--- a/internal/entry/dispatcher/hello.go
+++ b/internal/entry/dispatcher/hello.go
@@ -91,7 +91,7 @@
 		answer.Owner = o.currentRow()
 		answer.StoreLost = o.storeLost()
 		answer.Load = o.load()
-		if o.node.isJobMemoryUsed() {
+		if !o.node.takesMovedJobs() {
 			// Jobs aren't moved to a shard of unknown capacity.
 			answer.Load.Capacity = 0
 		}
--- a/internal/entry/dispatcher/unloaded_jobs.go
+++ b/internal/entry/dispatcher/unloaded_jobs.go
@@ -62,9 +62,10 @@
 	return used
 }
 
-// isJobMemoryUsed reports whether this instance accepts no more jobs because of their memory.
-func (n *Node) isJobMemoryUsed() bool {
-	return !n.JobMemory.Accepts(n.usedJobMemory(), 0)
+// takesMovedJobs reports whether this instance has memory for any job that another shard moves to one of its
+// shards.
+func (n *Node) takesMovedJobs() bool {
+	return n.JobMemory.Loads(n.usedJobMemory(), dispatch.LargestJobMemory)
 }
 
 // mayLoad reports whether there is memory for a job that another shard has stored.
--- a/internal/entry/dispatcher/unloaded_jobs_test.go
+++ b/internal/entry/dispatcher/unloaded_jobs_test.go
@@ -139,6 +139,19 @@
 		Expect(o.admit(context.Background(), &small)).To(Succeed())
 	})
 
+	It("takes no jobs of other shards, and doesn't offer its room to them", func() {
+		moved := wideJob(jobs)
+		Expect(o.acceptTransfer(context.Background(), transferSender{Epoch: 1}, moved)).To(MatchError(errNotAccepted))
+		answer, err := node.handleHello(context.Background(), helloRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.IsOwner).To(BeTrue())
+		Expect(answer.Load.Capacity).To(BeZero())
+		node.JobMemory = 0
+		answer, err = node.handleHello(context.Background(), helloRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Load.Capacity).NotTo(BeZero())
+	})
+
 	It("keeps a run of a job that isn't loaded", func() {
 		id := firstUnloaded()
 		poll(dispatch.Report{Running: []dispatch.RunningTask{{TaskRun: runOf(id)}}})
