--- a/internal/decision/dispatch/job_memory.go
+++ b/internal/decision/dispatch/job_memory.go
@@ -27,7 +27,7 @@
 // smallJobMemory is the most that a small job needs. Nearly all jobs are small.
 const smallJobMemory resource.Bytes = 32 << 10
 
-// LargestJobMemory is more than nearly all jobs that aren't small need.
+// LargestJobMemory is more than a job needs whose steps have no long texts.
 const LargestJobMemory resource.Bytes = 256 << 10
 
 // MemoryLimit is the memory that the jobs of an instance may take. 0 means no limit. The last part of it is for
--- a/internal/entry/dispatcher/client_requests.go
+++ b/internal/entry/dispatcher/client_requests.go
@@ -101,8 +101,9 @@
 var errAlreadyStored = errors.New("dispatcher: the job is already stored")
 
 // storeJob stores a job from this instance. It fails with errAlreadyStored if the job
-// was stored before, and with a *queue.Refusal if it was cancelled before. The row is read first: if the store doesn't answer that, the job can be refused,
-// while the outcome of a transaction without an answer would be unknown.
+// was stored before, and with a *queue.Refusal if it was cancelled before. The row is read
+// first: if the store doesn't answer that, the job can be refused, while the outcome of a
+// transaction without an answer would be unknown.
 func (s *shard) storeJob(ctx context.Context, j dispatch.Job) error {
 	n := s.node
 	if outage, lost := n.store.lostFor(); lost {
