Wait for the answer to a body that is too large to arrive

Cause: the HTTP server closes such a connection at once, and the reset that follows from the unread body overtakes the answer. For other connections it waits half a second.

Change: a body that is too large is refused in the way for which the server always waits.

--- a/internal/caller/intake/body.go
+++ b/internal/caller/intake/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -30,6 +31,7 @@
 	}
 	if r.ContentLength > limit {
 		CloseAfterAnswer(w, r)
+		delayClose(w)
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
 	c := connectionOf(r)
@@ -71,6 +73,10 @@
 		c.port.refused("Body", err)
 	}
 	CloseAfterAnswer(w, r)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		delayClose(w)
+	}
 	return nil, err
 }
 
@@ -83,6 +89,15 @@
 	}
 }
 
+// delayClose makes the server end its side of the connection after the answer and wait for a moment before it
+// closes the connection, as it does after a body that is too large for a http.MaxBytesReader. It doesn't by itself
+// if the caller asked for the connection to be closed, and a reset, because of what wasn't read, would then
+// overtake the answer.
+func delayClose(w http.ResponseWriter) {
+	const tooMuch = "x"
+	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader(tooMuch)), 0).Read(make([]byte, len(tooMuch)))
+}
+
 // TakeForDecoding takes memory for a body to be decoded, which needs up to factor times its size,
 // until giveBack is called. Small bodies need none.
 func TakeForDecoding(r *http.Request, size int, factor Bytes) (giveBack func(), err error) {
--- a/internal/caller/intake/port_test.go
+++ b/internal/caller/intake/port_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -162,6 +163,32 @@
 		f := startPort(GinkgoTB(), &Port{})
 		expectStatus(f.open(post+"Content-Length: 99999999\r\n\r\n"), http.StatusRequestEntityTooLarge)
 	})
+	// Guards against a reset that overtakes the answer, after which the caller doesn't know that nothing has run: the
+	// server closed the connection at once if the caller had asked for that.
+	It("answers a body that is too large to callers that close their connections", func() {
+		const callers, requests = 8, 25
+		f := startPort(GinkgoTB(), &Port{MaxConnections: 2 * callers * requests})
+		client := http.Client{Timeout: specTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+		failures := make(chan error, callers*requests)
+		var group sync.WaitGroup
+		for range callers {
+			group.Go(func() {
+				for range requests {
+					answer, err := client.Post("http://"+f.address, "", bytes.NewReader(make([]byte, 2*testBodyLimit)))
+					if err != nil {
+						failures <- err
+						continue
+					}
+					_ = answer.Body.Close()
+					if answer.StatusCode != http.StatusRequestEntityTooLarge {
+						failures <- fmt.Errorf("status %d", answer.StatusCode)
+					}
+				}
+			})
+		}
+		group.Wait()
+		Expect(failures).To(BeEmpty())
+	})
 	It("answers 503 to an unfinished request when another one needs its bytes", func() {
 		f := startPort(GinkgoTB(), &Port{Budget: NewBudget(80 << 10)})
 		Expect(f.Budget.NewLease(func() {}).Take(time.Now(), 1)).To(Succeed())
