Read a reported job once, and ask for its memory in one place

A worker that reports several runs of one job that isn't loaded had the job's three rows read once for each run. Whether a job may be loaded was worked out in four ways, one of which summed the memory of the shards again; each row of a job was taken under two locks, with a map made for it; "any waiting task" and "any task that may start" were the same loop; and a memory spec read a status out of the text of an error.

Change: the jobs of a report are collected once each; Node.mayLoad, step.some and statusOf serve the places that had their own code; the mirror applies and trims a row in one step. Behaviour and assertions are as before.

Conclusion: less code, and fewer reads of the store.

--- a/internal/decision/dispatch/schedule.go
+++ b/internal/decision/dispatch/schedule.go
@@ -163,15 +163,7 @@
 }
 
 func (s *step) hasWaiting(now time.Time) bool {
-	if s.unusedTasks > 0 && s.unused.isWaiting(now) {
-		return true
-	}
-	for t := range s.records() {
-		if t.isWaiting(now) {
-			return true
-		}
-	}
-	return false
+	return s.some(func(t *task) bool { return t.isWaiting(now) })
 }
 
 // mayStart reports whether the task waits, and no unknown run of it may be active.
@@ -181,15 +173,7 @@
 
 // hasStartable reports whether a task of the step may start.
 func (e *Engine) hasStartable(now time.Time, s *step) bool {
-	if s.unusedTasks > 0 && e.mayStart(now, &s.unused) {
-		return true
-	}
-	for t := range s.records() {
-		if e.mayStart(now, t) {
-			return true
-		}
-	}
-	return false
+	return s.some(func(t *task) bool { return e.mayStart(now, t) })
 }
 
 // startStep starts up to limit waiting tasks of a step and returns their number.
--- a/internal/decision/dispatch/task_record.go
+++ b/internal/decision/dispatch/task_record.go
@@ -7,25 +7,18 @@
 
 // task returns the record of a task, which may be changed.
 func (s *step) task(index int) *task {
-	switch t := s.tasks[index]; {
-	case t == nil:
-		return s.addRecord(index, s.unused)
-	case t == s.succeeded:
-		return s.addRecord(index, *s.succeeded)
-	default:
-		return t
+	shared := s.view(index)
+	if shared.isRecord() {
+		return shared
 	}
-}
-
-func (s *step) addRecord(index int, initial task) *task {
-	if s.tasks[index] == nil {
+	if shared == &s.unused {
 		s.unusedTasks--
 	}
-	t := &initial
+	t := *shared
 	t.id.Index = index
-	s.tasks[index] = t
+	s.tasks[index] = &t
 	s.job.records++
-	return t
+	return &t
 }
 
 // view returns the state of a task, which must not be changed or kept. Only records have the index of their
@@ -62,6 +55,19 @@
 	}
 }
 
+// some reports whether any task that hasn't succeeded matches.
+func (s *step) some(matches func(*task) bool) bool {
+	if s.unusedTasks > 0 && matches(&s.unused) {
+		return true
+	}
+	for t := range s.records() {
+		if !t.done && matches(t) {
+			return true
+		}
+	}
+	return false
+}
+
 // count returns the number of tasks that haven't succeeded and match.
 func (s *step) count(matches func(*task) bool) int {
 	count := 0
--- a/internal/entry/dispatcher/accept.go
+++ b/internal/entry/dispatcher/accept.go
@@ -192,7 +192,7 @@
 	if _, lost := o.node.store.lostFor(); lost || o.releaseRequested.Load() {
 		return errNotAccepted
 	}
-	if o.isMovedHere(j.ID) && !o.mayLoad(&j) {
+	if o.isMovedHere(j.ID) && !o.node.mayLoad(j.Memory()) {
 		return errNotAccepted
 	}
 	if err := o.admit(ctx, &j); err != nil {
@@ -391,7 +391,7 @@
 		row, err := o.node.read(o.ctx, key)
 		if err == nil {
 			if row.Version != 0 {
-				o.applyJobs(map[table.Key]table.Row{key: row}, nil, false)
+				o.applyJobs(map[table.Key]table.Row{key: row})
 			}
 			return
 		}
--- a/internal/entry/dispatcher/hello.go
+++ b/internal/entry/dispatcher/hello.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/jacinthtrail/jacinthtrail/internal/decision/dispatch"
 	"github.com/jacinthtrail/jacinthtrail/internal/peer/entry"
 )
 
@@ -91,7 +92,7 @@
 		answer.Owner = o.currentRow()
 		answer.StoreLost = o.storeLost()
 		answer.Load = o.load()
-		if !o.node.takesMovedJobs() {
+		if !n.mayLoad(dispatch.LargestJobMemory) {
 			// Jobs aren't moved to a shard of unknown capacity.
 			answer.Load.Capacity = 0
 		}
--- a/internal/entry/dispatcher/owner_recover.go
+++ b/internal/entry/dispatcher/owner_recover.go
@@ -98,12 +98,15 @@
 func (o *owner) mirrorJobs(progress map[dispatch.JobID]dispatch.Progress) *table.Mirror {
 	recovered := false
 	mirror := o.node.mirror("Jobs", o.shard.partition.jobPrefix(), jobsWatchInterval, func(rows map[table.Key]table.Row) {
-		o.applyJobs(rows, nil, false)
+		o.applyJobs(rows)
 		recovered, progress = true, nil
 	})
 	mirror.Trim = func(r table.Row) table.Row {
-		o.applyJobs(map[table.Key]table.Row{r.Key: r}, progress, !recovered)
-		return o.trimJobRow(r)
+		o.withEngine(func(now time.Time, _ *dispatch.Engine) {
+			o.applyJob(now, r, progress[jobIDOf(r.Key, o.shard.partition.jobPrefix())], !recovered, o.addOrDefer)
+			r = o.trimJobRow(r)
+		})
+		return r
 	}
 	return mirror
 }
@@ -161,12 +164,11 @@
 	return nil
 }
 
-// applyJobs adds the jobs that the engine doesn't know yet.
-func (o *owner) applyJobs(rows map[table.Key]table.Row, progress map[dispatch.JobID]dispatch.Progress, recovered bool) {
+// applyJobs adds the jobs that the engine doesn't know yet, none of which was accepted under an earlier owner.
+func (o *owner) applyJobs(rows map[table.Key]table.Row) {
 	o.withEngine(func(now time.Time, _ *dispatch.Engine) {
-		for key, row := range rows {
-			id := jobIDOf(key, o.shard.partition.jobPrefix())
-			o.applyJob(now, row, progress[id], recovered, o.addOrDefer)
+		for _, row := range rows {
+			o.applyJob(now, row, dispatch.Progress{}, false, o.addOrDefer)
 		}
 	})
 }
--- a/internal/entry/dispatcher/transfer.go
+++ b/internal/entry/dispatcher/transfer.go
@@ -173,7 +173,7 @@
 	if _, lost := o.node.store.lostFor(); lost || o.releaseRequested.Load() {
 		return errNotAccepted
 	}
-	if !o.mayLoad(&j) {
+	if !o.node.mayLoad(j.Memory()) {
 		return errNotAccepted
 	}
 	if err := o.checkSender(from); err != nil {
--- a/internal/entry/dispatcher/unloaded_jobs.go
+++ b/internal/entry/dispatcher/unloaded_jobs.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/jacinthtrail/jacinthtrail/internal/backend/resource"
@@ -62,33 +64,22 @@
 	return used
 }
 
-// takesMovedJobs reports whether this instance has memory for any job that another shard moves to one of its
-// shards.
-func (n *Node) takesMovedJobs() bool {
-	return n.JobMemory.Loads(n.usedJobMemory(), dispatch.LargestJobMemory)
-}
-
-// mayLoad reports whether there is memory for a job that another shard has stored.
-func (o *owner) mayLoad(j *dispatch.Job) bool {
-	return o.node.JobMemory.Loads(o.node.usedJobMemory(), j.Memory())
+// mayLoad reports whether this instance may load a stored job that takes the given memory.
+func (n *Node) mayLoad(memory resource.Bytes) bool {
+	return n.JobMemory.Loads(n.usedJobMemory(), memory)
 }
 
 // addOrDefer adds a stored job to the engine, or leaves it in the store if there is no memory for it. The lock
 // must be held.
 func (o *owner) addOrDefer(now time.Time, j dispatch.Job, progress dispatch.Progress, recovered bool) {
 	memory := j.Memory()
-	// The jobs that were added since the last run of the engine count as well.
-	used := resource.Bytes(o.jobMemory.Add(int64(memory))) - memory
-	for _, other := range o.node.ownedShards() {
-		if other != o {
-			used += resource.Bytes(other.jobMemory.Load())
-		}
-	}
-	if o.node.JobMemory.Loads(used, memory) {
+	if o.node.mayLoad(memory) {
+		// The next run of the engine counts the job anew.
+		o.jobMemory.Add(int64(memory))
 		o.addJob(now, j, progress, recovered)
 		return
 	}
-	o.jobMemory.Add(int64(unloadedMemory - memory))
+	o.jobMemory.Add(int64(unloadedMemory))
 	o.unloaded[j.ID] = &unloadedJob{
 		queue: j.Queue, accepted: j.Accepted, memory: memory, recovered: recovered, started: len(progress.Steps) > 0,
 		wanted: o.earlyCancels[j.ID],
@@ -96,16 +87,14 @@
 	o.node.Counters.Add("Jobs.NotLoaded", 1)
 	if len(o.unloaded) == 1 {
 		o.node.Log.Warn().Str("Event", "JobNotLoaded").Int("Shard", int(o.shard.id)).Int64("Epoch", int64(o.epoch)).
-			Str("Job", string(j.ID)).Int64("Memory", int64(memory)).Int64("UsedMemory", int64(used)).
+			Str("Job", string(j.ID)).Int64("Memory", int64(memory)).Int64("UsedMemory", int64(o.node.usedJobMemory())).
 			Int64("MemoryLimit", int64(o.node.JobMemory)).Send()
 	}
 }
 
 // trimJobRow returns what the mirror keeps of the row of a job: an outcome, by which the row is deleted later,
-// but not the job of which the owner knows.
+// but not the job of which the owner knows. The lock must be held.
 func (o *owner) trimJobRow(r table.Row) table.Row {
-	o.lock.Lock()
-	defer o.lock.Unlock()
 	id := jobIDOf(r.Key, o.shard.partition.jobPrefix())
 	if !o.engine.HasEnded(id) || o.unloaded[id] != nil || o.moved[id] != nil {
 		r.Value = nil
@@ -155,7 +144,7 @@
 		return "", false
 	}
 	o.updateJobMemory()
-	return next, o.node.JobMemory.Loads(o.node.usedJobMemory(), best.memory)
+	return next, o.node.mayLoad(best.memory)
 }
 
 // loadReported loads the jobs of which a worker reports runs and that aren't loaded, whatever they take: the
@@ -172,25 +161,26 @@
 	return true
 }
 
-// unloadedIn returns the jobs of which a report has runs and that aren't loaded.
+// unloadedIn returns the jobs of which a report has runs and that aren't loaded, each once.
 func (o *owner) unloadedIn(r dispatch.Report) []dispatch.JobID {
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	if len(o.unloaded) == 0 {
 		return nil
 	}
-	var ids []dispatch.JobID
-	for _, run := range r.Running {
+	ids := map[dispatch.JobID]bool{}
+	add := func(run dispatch.TaskRun) {
 		if o.unloaded[run.Task.Job] != nil {
-			ids = append(ids, run.Task.Job)
+			ids[run.Task.Job] = true
 		}
 	}
+	for _, run := range r.Running {
+		add(run.TaskRun)
+	}
 	for _, end := range r.Ended {
-		if o.unloaded[end.Task.Job] != nil {
-			ids = append(ids, end.Task.Job)
-		}
+		add(end.TaskRun)
 	}
-	return ids
+	return slices.Sorted(maps.Keys(ids))
 }
 
 // loadStored reads a job that isn't loaded and adds it to the engine. It reports whether that succeeded.
--- a/internal/integration/memory/accepted_jobs_test.go
+++ b/internal/integration/memory/accepted_jobs_test.go
@@ -82,7 +82,8 @@
 	accepted := ""
 	for n := range count {
 		path := fmt.Sprintf("%s%016x", testPrefix, firstHeldJob+n)
-		status := postStatus(i.callers, testHost, path, body())
+		status, err := statusOf(http.MethodPost, i.callers, testHost, path, body())
+		Expect(err).NotTo(HaveOccurred(), "no answer")
 		Expect(status).To(BeElementOf(http.StatusOK, http.StatusTooManyRequests, http.StatusServiceUnavailable), i.logTail())
 		if status == http.StatusOK {
 			accepted = path
@@ -92,15 +93,6 @@
 	return accepted
 }
 
-// postStatus returns the status of the answer to a POST over a new connection.
-func postStatus(address, host, path, body string) int {
-	GinkgoHelper()
-	var status int
-	_, err := fmt.Sscanf(fmt.Sprint(call(http.MethodPost, address, host, path, body, 0)), "status %d", &status)
-	Expect(err).NotTo(HaveOccurred(), "no answer")
-	return status
-}
-
 // expectHeld expects that the process is alive within its limits, answers an ordinary caller and knows an
 // accepted job.
 func (i *platformInstance) expectHeld(acceptedPath string) {
--- a/internal/integration/memory/serveplatform_test.go
+++ b/internal/integration/memory/serveplatform_test.go
@@ -126,21 +126,27 @@
 
 // call sends a request over a new connection and fails unless it gets the status.
 func call(method, address, host, path, body string, expected int) error {
+	status, err := statusOf(method, address, host, path, body)
+	if err == nil && status != expected {
+		err = fmt.Errorf("status %d", status)
+	}
+	return err
+}
+
+// statusOf sends a request over a new connection and returns the status of its answer.
+func statusOf(method, address, host, path, body string) (int, error) {
 	client := http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
-		return err
+		return 0, err
 	}
 	request.Host = host
 	answer, err := client.Do(request)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer answer.Body.Close()
-	if answer.StatusCode != expected {
-		return fmt.Errorf("status %d", answer.StatusCode)
-	}
-	return nil
+	return answer.StatusCode, nil
 }
 
 // jobPath is the path of a job that the crowds submit and query.
